--- /dev/null
+++ b/src/ibisknot/_engine_model.py
@@ -0,0 +1,172 @@
+"""Continuous batching with a token-time model, as an engine does it."""
+
+import collections
+import dataclasses
+
+import anyio
+import msgspec
+import xxhash
+
+BLOCK_WORDS = 16
+
+
+class Costs(msgspec.Struct, forbid_unknown_fields=True):
+    """Times and sizes of an engine.
+
+    Attributes:
+        step_s: Time of a decoding step with an empty batch.
+        sequence_s: Added for each sequence in the batch.
+        prefill_s: Time for each prompt token that is not cached.
+        slots: Sequences that run at once; others wait in order of arrival.
+        cache_blocks: Prompt blocks that the prefix cache holds.
+    """
+
+    step_s: float = 0.008
+    sequence_s: float = 0.0004
+    prefill_s: float = 0.00005
+    slots: int = 32
+    cache_blocks: int = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class Sequence:
+    """One request in the engine.
+
+    Attributes:
+        id: The request's id.
+        prompt: Its prompt.
+        first: Position of the first token to generate.
+        limit: Position after the last token to generate.
+        made: Position of the next token.
+        cancelled: Whether it was cancelled.
+        changed: Set at each new token and at the end.
+    """
+
+    id: str
+    prompt: str
+    first: int
+    limit: int
+    made: int
+    cancelled: bool = False
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def done(self) -> bool:
+        """Returns whether no more tokens come."""
+        return self.cancelled or self.made >= self.limit
+
+    def wake(self) -> None:
+        """Wakes the reader of this sequence."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+def prompt_blocks(prompt: str) -> list[int]:
+    """Returns the chained hashes of a prompt's whole blocks.
+
+    >>> long = " ".join(str(k) for k in range(40))
+    >>> prompt_blocks(long) == prompt_blocks(long + " x")
+    True
+    """
+    words = prompt.split()
+    chain = 0
+    found = []
+    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+        block = " ".join(words[start : start + BLOCK_WORDS])
+        chain = xxhash.xxh3_64_intdigest(f"{chain}/{block}".encode())
+        found.append(chain)
+    return found
+
+
+class PrefixCache:
+    """A least-recently-used cache of prompt blocks."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def use(self, blocks: list[int]) -> tuple[int, list[int], list[int]]:
+        """Looks a prompt up and stores its blocks.
+
+        Returns:
+            The number of leading blocks that were cached, the blocks that
+            were added and those that were evicted.
+        """
+        hits = 0
+        for block in blocks:
+            if block not in self.blocks:
+                break
+            hits += 1
+        added = [block for block in blocks if block not in self.blocks]
+        for block in blocks:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        evicted = []
+        while len(self.blocks) > self.size:
+            evicted.append(self.blocks.popitem(last=False)[0])
+        return hits, added, evicted
+
+
+class Batcher:
+    """Admits sequences as they come and runs them step by step."""
+
+    def __init__(self, costs: Costs) -> None:
+        self.costs = costs
+        self.waiting: collections.deque[Sequence] = collections.deque()
+        self.running: list[Sequence] = []
+        self.cache = PrefixCache(costs.cache_blocks)
+        self.arrived = anyio.Event()
+        self.tokens = 0
+
+    def add(self, sequence: Sequence) -> None:
+        """Adds a sequence to the queue."""
+        self.waiting.append(sequence)
+        self.arrived.set()
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancels a sequence; returns whether it was there."""
+        found = False
+        for sequence in [*self.waiting, *self.running]:
+            if sequence.id == request_id:
+                sequence.cancelled = True
+                sequence.wake()
+                found = True
+        return found
+
+    def _admit(self) -> float:
+        """Moves waiting sequences into the batch; returns prefill seconds."""
+        prefill_s = 0.0
+        while self.waiting and len(self.running) < self.costs.slots:
+            sequence = self.waiting.popleft()
+            if sequence.cancelled:
+                continue
+            blocks = prompt_blocks(sequence.prompt)
+            hits, _, _ = self.cache.use(blocks)
+            size = len(sequence.prompt.split()) + sequence.first
+            fresh = max(1, size - hits * BLOCK_WORDS)
+            prefill_s += fresh * self.costs.prefill_s
+            self.running.append(sequence)
+        return prefill_s
+
+    async def step(self) -> None:
+        """Runs one step of the whole batch."""
+        self.running = [s for s in self.running if not s.done()]
+        prefill_s = self._admit()
+        if not self.running:
+            self.arrived = anyio.Event()
+            if not self.waiting:
+                await self.arrived.wait()
+            return
+        batch_s = self.costs.sequence_s * len(self.running)
+        await anyio.sleep(self.costs.step_s + batch_s + prefill_s)
+        for sequence in self.running:
+            if not sequence.cancelled:
+                sequence.made += 1
+                self.tokens += 1
+            sequence.wake()
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await self.step()
--- /dev/null
+++ b/src/ibisknot/_engine_text.py
@@ -0,0 +1,26 @@
+"""The text that the engine stand-in generates for a prompt.
+
+Each token depends only on the prompt and its position, so that a test can
+tell whether an answer is whole and belongs to its own request, also after a
+stream was resumed on another engine.
+"""
+
+import xxhash
+
+_SYLLABLES = ("ba", "de", "ki", "lo", "mu", "na", "ri", "so", "ta", "ve")
+
+
+def token(prompt: str, position: int) -> str:
+    """Returns the token at a position, with a leading space.
+
+    >>> token("a", 0) == token("a", 0), token("a", 0)[0]
+    (True, ' ')
+    """
+    number = xxhash.xxh3_64_intdigest(f"{position}/{prompt}".encode())
+    parts = [_SYLLABLES[number // 10**k % 10] for k in range(3)]
+    return " " + "".join(parts)
+
+
+def text(prompt: str, count: int, *, first: int = 0) -> str:
+    """Returns `count` tokens from position `first` on."""
+    return "".join(token(prompt, first + k) for k in range(count))
--- /dev/null
+++ b/src/ibisknot/configuration.py
@@ -0,0 +1,140 @@
+"""The configuration that operators state: types and lookups."""
+
+from typing import Annotated
+
+import msgspec
+
+ENGINE = "engine"
+SERVICE = "service"
+ACTIVE = "active"
+LEAVING = "leaving"
+
+Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._:-]*$")]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Key(msgspec.Struct, forbid_unknown_fields=True):
+    """One key of an organisation; only its hash is kept."""
+
+    digest: str
+
+
+class Organisation(msgspec.Struct, forbid_unknown_fields=True):
+    """A tenant with its rate over the whole fleet.
+
+    Attributes:
+        rate_per_s: Requests a second over all VMs together.
+        burst: Requests that may come at once after a pause.
+        keys: Its keys by key id.
+    """
+
+    rate_per_s: PositiveNumber
+    burst: PositiveNumber
+    keys: dict[Name, Key] = {}
+
+
+class Model(msgspec.Struct, forbid_unknown_fields=True):
+    """A model that the fleet serves, with its wanted version."""
+
+    version: str = "1"
+
+
+class Endpoint(msgspec.Struct, forbid_unknown_fields=True):
+    """A model engine or a plain service.
+
+    Attributes:
+        kind: `engine` or `service`.
+        url: Base URL by IP number.
+        serves: Names of the models of an engine, or the service's name.
+        data_centre: Where it runs.
+        checks_fencing: Whether it refuses orders with an old number.
+        state: `active`, or `leaving` when it gets no new work.
+    """
+
+    kind: Annotated[str, msgspec.Meta(pattern="^(engine|service)$")]
+    url: str
+    serves: list[Name]
+    data_centre: str
+    checks_fencing: bool = True
+    state: Annotated[str, msgspec.Meta(pattern="^(active|leaving)$")] = ACTIVE
+
+
+class Route(msgspec.Struct, forbid_unknown_fields=True):
+    """A path below `/services/` to a plain service.
+
+    Attributes:
+        service: The service's name as endpoints state it.
+        open: Whether requests need no key.
+        idempotent: Whether calls may be repeated.
+    """
+
+    service: Name
+    open: bool = False
+    idempotent: bool = True
+
+
+class Policy(msgspec.Struct, forbid_unknown_fields=True):
+    """Weights of the users' measures.
+
+    Attributes:
+        batch_weight: Share of idle capacity that batch may fill.
+        key_grace_s: Seconds that an accepted stream may go on after its key
+            is withdrawn.
+    """
+
+    batch_weight: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0
+    key_grace_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
+
+
+class Configuration(msgspec.Struct, forbid_unknown_fields=True):
+    """Everything that operators have confirmed, at one version."""
+
+    version: int = 0
+    organisations: dict[Name, Organisation] = {}
+    models: dict[Name, Model] = {}
+    endpoints: dict[Name, Endpoint] = {}
+    routes: dict[Name, Route] = {}
+    policy: Policy = msgspec.field(default_factory=Policy)
+
+    def engines(self, model: str) -> list[str]:
+        """Returns the names of the active engines that serve a model."""
+        return self._serving(ENGINE, model)
+
+    def services(self, service: str) -> list[str]:
+        """Returns the names of the active endpoints of a plain service."""
+        return self._serving(SERVICE, service)
+
+    def _serving(self, kind: str, name: str) -> list[str]:
+        return [
+            key
+            for key, endpoint in self.endpoints.items()
+            if endpoint.kind == kind
+            and endpoint.state == ACTIVE
+            and name in endpoint.serves
+        ]
+
+
+class KeyOwner(msgspec.Struct, frozen=True):
+    """The organisation and key id that a key belongs to."""
+
+    organisation: str
+    key_id: str
+
+
+def key_index(configuration: Configuration) -> dict[str, KeyOwner]:
+    """Returns the owner of each valid key by the key's hash."""
+    return {
+        key.digest: KeyOwner(name, key_id)
+        for name, organisation in configuration.organisations.items()
+        for key_id, key in organisation.keys.items()
+    }
+
+
+def encode(configuration: Configuration) -> bytes:
+    """Encodes a configuration as canonical JSON."""
+    return msgspec.json.encode(configuration, order="sorted")
+
+
+def decode(data: bytes) -> Configuration:
+    """Decodes a configuration."""
+    return msgspec.json.decode(data, type=Configuration)
--- /dev/null
+++ b/src/ibisknot/dispatch.py
@@ -0,0 +1,165 @@
+"""Sends an admitted request to its endpoint."""
+
+from collections.abc import AsyncIterator
+import random
+from urllib import parse
+
+import httpx
+
+from ibisknot import distribution
+from ibisknot import engine
+from ibisknot import errors
+from ibisknot import exchange as exchange_module
+from ibisknot import logs
+from ibisknot import metrics
+from ibisknot import traces
+
+PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
+RETURNED_HEADERS = ("content-type", "content-length")
+MAXIMUM_TRIES = 3
+REDACTED = "[redacted]"
+
+
+def redact(text: bytes, key: str) -> bytes:
+    """Removes a caller's key from a body, header or query.
+
+    >>> redact(b'{"user": "ik-1"}', "ik-1")
+    b'{"user": "[redacted]"}'
+    """
+    if not key:
+        return text
+    return text.replace(key.encode(), REDACTED.encode())
+
+
+def upstream_headers(exchange: exchange_module.Exchange) -> dict[str, str]:
+    """Returns the headers for the endpoint, without any key."""
+    found = exchange.request.headers
+    headers = {
+        name: redact(found[name].encode(), exchange.key).decode()
+        for name in PASSED_HEADERS
+        if name in found
+    }
+    headers["x-request-id"] = exchange.id
+    headers.update(traces.headers())
+    return headers
+
+
+def upstream_query(exchange: exchange_module.Exchange) -> str:
+    """Returns the query for the endpoint, without any key."""
+    pairs = [
+        (name, value)
+        for name, value in exchange.request.query_params.multi_items()
+        if exchange.key not in (name, value) or not exchange.key
+    ]
+    return parse.urlencode(pairs)
+
+
+def candidates(
+    source: distribution.Distribution, target: exchange_module.Target
+) -> list[str]:
+    """Returns the names of the endpoints that may serve a target."""
+    if target.kind == "engine":
+        return source.current.engines(target.name)
+    return source.current.services(target.name)
+
+
+def naive_filter(
+    source: distribution.Distribution, engines: engine.Engines
+) -> exchange_module.Filter:
+    """Returns a last filter that sends requests to a random endpoint."""
+    choice = random.Random()
+
+    async def run(
+        exchange: exchange_module.Exchange, _next: exchange_module.Next
+    ) -> exchange_module.Reply:
+        names = candidates(source, exchange.goal())
+        choice.shuffle(names)
+        if not names:
+            message = f"no active endpoint serves {exchange.goal().name}"
+            raise errors.OverloadedError(message, retry_after_s=1.0)
+        last: errors.EndpointError | None = None
+        for name in names[:MAXIMUM_TRIES]:
+            try:
+                return await send(source, engines, exchange, name)
+            except errors.EndpointError as error:
+                last = error
+                log_failure(exchange, name, error)
+                if not may_retry(exchange, error):
+                    raise
+        assert last is not None
+        raise last
+
+    return run
+
+
+def may_retry(
+    exchange: exchange_module.Exchange, error: errors.EndpointError
+) -> bool:
+    """Returns whether another endpoint may be tried after a failure."""
+    return error.ran == errors.NOT_RUN or exchange.goal().idempotent
+
+
+def log_failure(
+    exchange: exchange_module.Exchange,
+    endpoint: str,
+    error: errors.EndpointError,
+) -> None:
+    """Logs the failure of one try."""
+    logs.event(
+        "dispatch_failed",
+        level="warning",
+        request=exchange.id,
+        endpoint=endpoint,
+        ran=error.ran,
+        cause=error.message,
+    )
+
+
+async def send(
+    source: distribution.Distribution,
+    engines: engine.Engines,
+    exchange: exchange_module.Exchange,
+    name: str,
+) -> exchange_module.Reply:
+    """Sends the request to one endpoint and returns its answer.
+
+    Raises:
+        EndpointError: The endpoint failed before its answer began.
+    """
+    endpoint = source.current.endpoints[name]
+    url = endpoint.url + exchange.goal().path
+    query = upstream_query(exchange)
+    if query:
+        url = f"{url}?{query}"
+    exchange.endpoint = name
+    with traces.span("dispatch", endpoint=name, request=exchange.id):
+        opened = engines.open(
+            exchange.request.method,
+            url,
+            headers=upstream_headers(exchange),
+            body=redact(exchange.body, exchange.key),
+        )
+        try:
+            response = await exchange.closing.enter_async_context(opened)
+        except errors.EndpointError as error:
+            exchange.ran = error.ran
+            raise
+    exchange.ran = errors.RAN
+    metrics.IN_FLIGHT.inc({"endpoint": name})
+    exchange.closing.callback(metrics.IN_FLIGHT.dec, {"endpoint": name})
+    headers = {
+        header: response.headers[header]
+        for header in RETURNED_HEADERS
+        if header in response.headers
+    }
+    headers["x-request-id"] = exchange.id
+    return exchange_module.Reply(response.status_code, headers, _body(response))
+
+
+async def _body(response: httpx.Response) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in response.aiter_raw():
+            yield chunk
+    except httpx.HTTPError as error:
+        message = f"the endpoint's answer was cut: {error!r}"
+        raise errors.TruncatedStreamError(message) from None
--- /dev/null
+++ b/src/ibisknot/errors.py
@@ -0,0 +1,230 @@
+"""Errors with stable codes, shared by all programs."""
+
+NOT_RUN = "not_run"
+RAN = "ran"
+UNKNOWN = "unknown"
+
+
+class IbisknotError(Exception):
+    """Base of all errors that cross a module boundary.
+
+    Attributes:
+        code: Stable identifier for callers and scripts.
+        status: HTTP status of the answer.
+        ran: Whether the request ran: `not_run`, `ran` or `unknown`.
+        retry_after_s: Seconds after which a retry may succeed, if known.
+    """
+
+    code = "internal_error"
+    status = 500
+    ran = UNKNOWN
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        ran: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+        if ran is not None:
+            self.ran = ran
+
+    def __repr__(self) -> str:
+        """Returns the class, code, message and run state."""
+        name = type(self).__name__
+        return f"{name}(code={self.code!r}, {self.message!r}, ran={self.ran})"
+
+
+class SettingsError(IbisknotError):
+    """A settings file is invalid."""
+
+    code = "invalid_settings"
+    ran = NOT_RUN
+
+
+class BadRequestError(IbisknotError):
+    """The request is malformed."""
+
+    code = "bad_request"
+    status = 400
+    ran = NOT_RUN
+
+
+class AuthenticationError(IbisknotError):
+    """The key is missing, unknown or withdrawn."""
+
+    code = "invalid_key"
+    status = 401
+    ran = NOT_RUN
+
+
+class KeyWithdrawnError(IbisknotError):
+    """The key was withdrawn while its request was running."""
+
+    code = "key_withdrawn"
+    status = 401
+    ran = RAN
+
+
+class ForbiddenError(IbisknotError):
+    """The caller may not use the object."""
+
+    code = "forbidden"
+    status = 403
+    ran = NOT_RUN
+
+
+class NotFoundError(IbisknotError):
+    """The object does not exist."""
+
+    code = "not_found"
+    status = 404
+    ran = NOT_RUN
+
+
+class ModelNotFoundError(NotFoundError):
+    """No configured model has this name."""
+
+    code = "model_not_found"
+
+
+class MethodNotAllowedError(IbisknotError):
+    """The path exists but not with this method."""
+
+    code = "method_not_allowed"
+    status = 405
+    ran = NOT_RUN
+
+
+class RequestTimeoutError(IbisknotError):
+    """The caller sent its request too slowly."""
+
+    code = "request_timeout"
+    status = 408
+    ran = NOT_RUN
+
+
+class ConflictError(IbisknotError):
+    """The object changed since the caller read it."""
+
+    code = "conflict"
+    status = 409
+    ran = NOT_RUN
+
+
+class BodyTooLargeError(IbisknotError):
+    """The request body is over the limit."""
+
+    code = "body_too_large"
+    status = 413
+    ran = NOT_RUN
+
+
+class RateLimitError(IbisknotError):
+    """The organisation is over its rate and burst."""
+
+    code = "rate_limited"
+    status = 429
+    ran = NOT_RUN
+
+
+class OverloadedError(IbisknotError):
+    """No endpoint can take the request in time."""
+
+    code = "overloaded"
+    status = 503
+    ran = NOT_RUN
+
+
+class UnavailableError(IbisknotError):
+    """A part that the request needs is not reachable."""
+
+    code = "unavailable"
+    status = 503
+    ran = NOT_RUN
+
+
+class StaleConfigurationError(UnavailableError):
+    """This VM cannot know whether its configuration is current."""
+
+    code = "stale_configuration"
+
+
+class EndpointError(IbisknotError):
+    """The endpoint failed while it worked on the request."""
+
+    code = "endpoint_failed"
+    status = 502
+
+
+class TruncatedStreamError(EndpointError):
+    """The endpoint's stream ended before the answer was whole."""
+
+    code = "truncated_stream"
+    ran = RAN
+
+
+class KeyValueError(IbisknotError):
+    """The key-value service refused or did not take the call."""
+
+    code = "key_value_unavailable"
+    status = 503
+    ran = NOT_RUN
+
+
+class KeyValueUnknownError(KeyValueError):
+    """The answer of a key-value write was lost; it may have taken effect."""
+
+    code = "key_value_unknown"
+    ran = UNKNOWN
+
+
+class PeerError(IbisknotError):
+    """A peer is not reachable or did not answer in time."""
+
+    code = "peer_unavailable"
+    status = 503
+
+
+class FencedError(IbisknotError):
+    """The effect carries an epoch that has been superseded."""
+
+    code = "fenced"
+    status = 409
+    ran = NOT_RUN
+
+
+class SegmentError(IbisknotError):
+    """A segment is missing, damaged or differs from what is written."""
+
+    code = "segment_error"
+
+
+class DiskFullError(IbisknotError):
+    """The disk has no room for the write."""
+
+    code = "disk_full"
+    status = 507
+    ran = NOT_RUN
+
+
+def subclasses(
+    root: type[IbisknotError] = IbisknotError,
+) -> dict[str, type[IbisknotError]]:
+    """Returns every error class by its code.
+
+    >>> subclasses()["fenced"].__name__
+    'FencedError'
+    """
+    found = {root.code: root}
+    for child in root.__subclasses__():
+        found.update(subclasses(child))
+    return found
+
+
+def from_code(code: str, message: str) -> IbisknotError:
+    """Rebuilds an error that a peer sent as code and message."""
+    return subclasses().get(code, IbisknotError)(message)
--- /dev/null
+++ b/src/ibisknot/exchange.py
@@ -0,0 +1,103 @@
+"""A caller's request on its way through the online pipeline."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import uuid
+
+from starlette import requests
+
+from ibisknot import errors
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """What a request asks for.
+
+    Attributes:
+        kind: `engine` or `service`.
+        name: Name of the model or of the plain service.
+        path: Path at the endpoint.
+        open: Whether no key is needed.
+        idempotent: Whether the call may be repeated.
+    """
+
+    kind: str
+    name: str
+    path: str
+    open: bool = False
+    idempotent: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """An endpoint's answer, its body still to be read."""
+
+    status: int
+    headers: dict[str, str]
+    body: AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request with all that the filters find out about it.
+
+    Attributes:
+        request: The caller's HTTP request.
+        body: Its body.
+        id: Request id, passed on to the endpoint and to the caller.
+        target: What it asks for, once identified.
+        organisation: Whose key came with it, once authenticated.
+        key_digest: Hash of its key, once authenticated.
+        key: The key itself, to be removed before dispatch.
+        stream: Whether the caller asked for a stream.
+        endpoint: Name of the endpoint that it was dispatched to.
+        ran: Whether it ran, as far as known.
+        accepted_s: Monotonic time of its arrival.
+        closing: Run when the answer has been sent or given up.
+    """
+
+    request: requests.Request
+    body: bytes
+    accepted_s: float
+    id: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
+    target: Target | None = None
+    organisation: str = ""
+    key_digest: str = ""
+    key: str = ""
+    stream: bool = False
+    endpoint: str = ""
+    ran: str = errors.NOT_RUN
+    closing: contextlib.AsyncExitStack = dataclasses.field(
+        default_factory=contextlib.AsyncExitStack
+    )
+
+    def goal(self) -> Target:
+        """Returns the target; the identify filter has set it."""
+        assert self.target is not None
+        return self.target
+
+
+Next = Callable[[Exchange], Awaitable[Reply]]
+Filter = Callable[[Exchange, Next], Awaitable[Reply]]
+
+
+def pipeline(*filters: Filter) -> Next:
+    """Joins filters; the last one ignores its `next`."""
+
+    async def end(_exchange: Exchange) -> Reply:
+        raise AssertionError("the last filter must answer")
+
+    step: Next = end
+    for part in reversed(filters):
+        step = _bind(part, step)
+    return step
+
+
+def _bind(part: Filter, following: Next) -> Next:
+    async def run(exchange: Exchange) -> Reply:
+        return await part(exchange, following)
+
+    return run
--- /dev/null
+++ b/src/ibisknot/generator.py
@@ -0,0 +1,191 @@
+"""Open-loop load: requests start on schedule however slow the answers are."""
+
+import dataclasses
+import itertools
+import random
+
+import anyio
+from hdrh import histogram
+import httpx
+import msgspec
+
+from ibisknot import _engine_text
+from ibisknot import fleet as fleet_module
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+
+
+class Latencies:
+    """Latencies in an HDR histogram, in microseconds."""
+
+    def __init__(self) -> None:
+        self.values = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+    def add(self, seconds: float) -> None:
+        """Records one latency."""
+        value = max(LOWEST_US, min(HIGHEST_US, int(seconds * 1e6)))
+        self.values.record_value(value)
+
+    def quantile_ms(self, quantile: float) -> float:
+        """Returns a quantile in milliseconds."""
+        return self.values.get_value_at_percentile(quantile * 100) / 1000
+
+    def count(self) -> int:
+        """Returns the number of recorded latencies."""
+        return self.values.get_total_count()
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What became of one request.
+
+    Attributes:
+        organisation: Who sent it.
+        due_s: Monotonic time at which it was due to start.
+        status: HTTP status, 0 when the connection broke.
+        code: The error's code.
+        whole: Whether the answer is whole and its own.
+        first_s: Seconds from `due_s` to the first byte of content.
+        total_s: Seconds from `due_s` to the end.
+    """
+
+    organisation: str
+    due_s: float
+    status: int = 0
+    code: str = ""
+    whole: bool = False
+    first_s: float = 0.0
+    total_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """A stream of requests of one organisation.
+
+    Attributes:
+        rate_per_s: Mean rate; arrivals are a Poisson process.
+        start_s: Seconds after the start of the run.
+        end_s: Seconds after the start of the run.
+        tokens: Tokens that each request asks for.
+        words: Words of each prompt.
+    """
+
+    organisation: str
+    rate_per_s: float
+    start_s: float
+    end_s: float
+    tokens: int = 16
+    words: int = 32
+
+
+def arrivals(
+    streams: list[Stream], choice: random.Random
+) -> list[tuple[float, Stream]]:
+    """Returns the start time of each request, in order.
+
+    >>> stream = Stream("a", 10.0, 0.0, 5.0)
+    >>> arrivals([stream], random.Random(1)) == arrivals(
+    ...     [stream], random.Random(1)
+    ... )
+    True
+    """
+    found = []
+    for stream in streams:
+        at_s = stream.start_s
+        while True:
+            at_s += choice.expovariate(stream.rate_per_s)
+            if at_s >= stream.end_s:
+                break
+            found.append((at_s, stream))
+    found.sort(key=lambda pair: pair[0])
+    return found
+
+
+def chat_prompt(content: str) -> str:
+    """Returns the prompt that an engine sees for one user message."""
+    return f"user: {content}"
+
+
+class Caller:
+    """Sends chat requests to the fleet's VMs in turn."""
+
+    def __init__(self, fleet: fleet_module.Fleet, *, seed: int) -> None:
+        self.fleet = fleet
+        self.choice = random.Random(seed)
+        self.client = httpx.AsyncClient(
+            timeout=60.0,
+            trust_env=False,
+            limits=httpx.Limits(max_connections=2000),
+        )
+        self.turn = itertools.count()
+        self.answers: list[Answer] = []
+
+    def next_url(self) -> str:
+        """Returns a VM's base URL, as the balancer would choose it."""
+        vms = list(self.fleet.vms.values())
+        return vms[next(self.turn) % len(vms)].url()
+
+    def content(self, words: int) -> str:
+        """Returns the content of a new message."""
+        return " ".join(
+            f"w{self.choice.randrange(10**6)}" for _ in range(words)
+        )
+
+    async def run(self, streams: list[Stream]) -> list[Answer]:
+        """Sends the streams' requests on schedule; returns all answers."""
+        start_s = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            for at_s, stream in arrivals(streams, self.choice):
+                await anyio.sleep_until(start_s + at_s)
+                due_s = start_s + at_s
+                group.start_soon(self.send, stream, due_s)
+        return self.answers
+
+    async def send(self, stream: Stream, due_s: float) -> Answer:
+        """Sends one streamed chat request and checks its answer."""
+        answer = Answer(stream.organisation, due_s)
+        self.answers.append(answer)
+        content = self.content(stream.words)
+        try:
+            await self._stream(answer, stream, content)
+        except httpx.HTTPError as error:
+            answer.code = type(error).__name__
+        answer.total_s = anyio.current_time() - due_s
+        return answer
+
+    async def _stream(
+        self, answer: Answer, stream: Stream, content: str
+    ) -> None:
+        body = {
+            "model": fleet_module.MODEL,
+            "messages": [{"role": "user", "content": content}],
+            "max_tokens": stream.tokens,
+            "stream": True,
+        }
+        key = self.fleet.organisations[stream.organisation]
+        text = ""
+        async with self.client.stream(
+            "POST",
+            f"{self.next_url()}/v1/chat/completions",
+            json=body,
+            headers={"authorization": f"Bearer {key}"},
+        ) as response:
+            answer.status = response.status_code
+            if response.status_code != 200:
+                raw = await response.aread()
+                answer.code = msgspec.json.decode(raw)["error"]["code"]
+                return
+            async for line in response.aiter_lines():
+                if not line.startswith("data: ") or line == "data: [DONE]":
+                    continue
+                event = msgspec.json.decode(line[6:])
+                if "error" in event:
+                    answer.code = event["error"]["code"]
+                    return
+                text += event["choices"][0]["delta"].get("content", "")
+                if text and not answer.first_s:
+                    answer.first_s = anyio.current_time() - answer.due_s
+        expected = _engine_text.text(chat_prompt(content), stream.tokens)
+        answer.whole = text == expected
--- /dev/null
+++ b/src/ibisknot/intent.py
@@ -0,0 +1,92 @@
+"""Operators' intents: a statement of what should change."""
+
+from typing import Any
+
+import msgspec
+
+from ibisknot import configuration
+from ibisknot import errors
+
+GROUPS = ("organisations", "models", "endpoints", "routes")
+
+
+class Intent(msgspec.Struct, forbid_unknown_fields=True):
+    """What an operator wants, as a merge patch on each group.
+
+    A name with an object sets the given fields and keeps the others; a name
+    with null removes the entry.
+
+    Attributes:
+        organisations: Organisations by name.
+        models: Models by name.
+        endpoints: Endpoints by name.
+        routes: Routes by name.
+        policy: Fields of the policy to set.
+        replace: Whether entries that the intent does not name are removed.
+    """
+
+    organisations: dict[str, dict[str, Any] | None] = {}
+    models: dict[str, dict[str, Any] | None] = {}
+    endpoints: dict[str, dict[str, Any] | None] = {}
+    routes: dict[str, dict[str, Any] | None] = {}
+    policy: dict[str, Any] = {}
+    replace: bool = False
+
+
+def _merge(base: Any, patch: Any) -> Any:
+    """Applies a JSON merge patch (RFC 7396)."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(base) if isinstance(base, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = _merge(merged.get(name), value)
+    return merged
+
+
+def apply(
+    current: configuration.Configuration, intent: Intent
+) -> configuration.Configuration:
+    """Returns the configuration that an intent leads to, one version up.
+
+    Raises:
+        BadRequestError: The result is no valid configuration.
+
+    >>> before = configuration.Configuration()
+    >>> after = apply(before, Intent(models={"small": {}}))
+    >>> after.version, list(after.models)
+    (1, ['small'])
+    """
+    state = msgspec.to_builtins(current)
+    for group in GROUPS:
+        patch = getattr(intent, group)
+        base = {} if intent.replace else state[group]
+        state[group] = _merge(base, patch)
+    state["policy"] = _merge(state["policy"], intent.policy)
+    state["version"] = current.version + 1
+    try:
+        wanted = msgspec.convert(state, configuration.Configuration)
+    except msgspec.ValidationError as error:
+        raise errors.BadRequestError(f"invalid intent: {error}") from None
+    _check(wanted)
+    return wanted
+
+
+def _check(wanted: configuration.Configuration) -> None:
+    """Checks references between groups."""
+    for name, endpoint in wanted.endpoints.items():
+        if endpoint.kind != configuration.ENGINE:
+            continue
+        for model in endpoint.serves:
+            if model not in wanted.models:
+                message = f"endpoint {name} serves unknown model {model}"
+                raise errors.BadRequestError(message)
+    digests: set[str] = set()
+    for name, organisation in wanted.organisations.items():
+        for key_id, key in organisation.keys.items():
+            if key.digest in digests:
+                message = f"key {name}/{key_id} belongs to another key as well"
+                raise errors.BadRequestError(message)
+            digests.add(key.digest)
--- /dev/null
+++ b/src/ibisknot/keys.py
@@ -0,0 +1,39 @@
+"""Callers' keys: creation, hashing and lookup."""
+
+import hashlib
+import secrets
+
+KEY_PREFIX = "ik-"
+KEY_BYTES = 24
+
+
+def create() -> str:
+    """Returns a new random key; only its hash is ever stored."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def digest(key: str) -> str:
+    """Returns the SHA-256 hash of a key in hexadecimal.
+
+    Keys have 192 random bits, so a plain fast hash resists guessing.
+
+    >>> digest("ik-x")[:8]
+    '64b00434'
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def from_header(value: str | None) -> str | None:
+    """Returns the key in an Authorization header's value.
+
+    >>> from_header("Bearer ik-1")
+    'ik-1'
+    >>> from_header("Basic eDp5") is None
+    True
+    """
+    if value is None:
+        return None
+    scheme, _, key = value.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return None
+    return key.strip()
--- /dev/null
+++ b/src/ibisknot/keyvalue.py
@@ -0,0 +1,238 @@
+"""Client of the platform's key-value service (etcd v3 JSON interface)."""
+
+import base64
+from collections.abc import AsyncIterator
+import dataclasses
+from typing import Any
+
+import httpx
+import msgspec
+
+from ibisknot import errors
+from ibisknot import settings
+
+
+@dataclasses.dataclass(slots=True)
+class Pair:
+    """A stored key with its value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(slots=True)
+class Guard:
+    """A condition of a transaction.
+
+    The key's last change must have this revision; 0 means it is absent.
+    """
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(slots=True)
+class Put:
+    """A write within a transaction."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Change:
+    """One watched event; `value` is None when the key was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _pair(raw: dict[str, Any]) -> Pair:
+    return Pair(
+        key=base64.b64decode(raw["key"]).decode(),
+        value=base64.b64decode(raw.get("value", "")),
+        revision=int(raw["mod_revision"]),
+    )
+
+
+def prefix_end(prefix: str) -> str:
+    """Returns the end of the range that holds all keys with a prefix.
+
+    >>> prefix_end("/a/")
+    '/a0'
+    """
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+class KeyValue:
+    """One process's connection to the key-value service."""
+
+    def __init__(self, target: settings.KeyValue) -> None:
+        self.target = target
+        self.client = httpx.AsyncClient(
+            base_url=target.url, timeout=target.timeout_s, trust_env=False
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self.client.aclose()
+
+    async def _post(
+        self, path: str, body: dict[str, Any], *, writes: bool
+    ) -> dict[str, Any]:
+        try:
+            response = await self.client.post(path, json=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            message = f"key-value service not reachable: {error!r}"
+            raise errors.KeyValueError(message) from None
+        except httpx.HTTPError as error:
+            message = f"no answer from the key-value service: {error!r}"
+            kind = errors.KeyValueUnknownError if writes else None
+            raise (kind or errors.KeyValueError)(message) from None
+        if response.status_code != 200:
+            message = (
+                f"key-value service answered {response.status_code}"
+                f" to {path}: {response.text[:200]}"
+            )
+            raise errors.KeyValueError(message)
+        return msgspec.json.decode(response.content)
+
+    async def get(self, key: str) -> Pair | None:
+        """Returns the pair stored under a key, or None.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        body = {"key": _encode(key)}
+        answer = await self._post("/v3/kv/range", body, writes=False)
+        pairs = [_pair(raw) for raw in answer.get("kvs", [])]
+        return pairs[0] if pairs else None
+
+    async def list_prefix(self, prefix: str, *, limit: int = 0) -> list[Pair]:
+        """Returns all pairs whose key has a prefix, in key order.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "limit": str(limit),
+        }
+        answer = await self._post("/v3/kv/range", body, writes=False)
+        return [_pair(raw) for raw in answer.get("kvs", [])]
+
+    async def transact(
+        self,
+        guards: list[Guard],
+        puts: list[Put],
+        *,
+        deletes: list[str] | None = None,
+    ) -> bool:
+        """Writes all or nothing, if every guard holds.
+
+        Returns:
+            Whether the guards held and the writes took effect.
+
+        Raises:
+            KeyValueError: The service did not take the call.
+            KeyValueUnknownError: The call may have taken effect.
+        """
+        compare = [
+            {
+                "key": _encode(guard.key),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(guard.revision),
+            }
+            for guard in guards
+        ]
+        success: list[dict[str, Any]] = [
+            {
+                "request_put": {
+                    "key": _encode(put.key),
+                    "value": _encode(put.value),
+                    "lease": str(put.lease),
+                }
+            }
+            for put in puts
+        ]
+        for key in deletes or []:
+            success.append({"request_delete_range": {"key": _encode(key)}})
+        body = {"compare": compare, "success": success, "failure": []}
+        answer = await self._post("/v3/kv/txn", body, writes=True)
+        return bool(answer.get("succeeded", False))
+
+    async def grant(self, ttl_s: float) -> int:
+        """Creates a lease and returns its id.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        body = {"TTL": str(max(1, round(ttl_s)))}
+        answer = await self._post("/v3/lease/grant", body, writes=False)
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renews a lease; False means that it has already expired.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        body = {"ID": str(lease)}
+        answer = await self._post("/v3/lease/keepalive", body, writes=False)
+        return int(answer["result"].get("TTL", 0)) > 0
+
+    async def revoke(self, lease: int) -> None:
+        """Ends a lease and deletes the keys bound to it.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        body = {"ID": str(lease)}
+        await self._post("/v3/lease/revoke", body, writes=False)
+
+    async def watch(
+        self, prefix: str, *, start_revision: int = 0
+    ) -> AsyncIterator[list[Change]]:
+        """Yields changes below a prefix until the service goes away.
+
+        Raises:
+            KeyValueError: The watch could not be opened or broke off.
+        """
+        request = {
+            "create_request": {
+                "key": _encode(prefix),
+                "range_end": _encode(prefix_end(prefix)),
+                "start_revision": str(start_revision),
+            }
+        }
+        timeout = httpx.Timeout(self.target.timeout_s, read=None)
+        try:
+            async with self.client.stream(
+                "POST", "/v3/watch", json=request, timeout=timeout
+            ) as response:
+                async for line in response.aiter_lines():
+                    if line.strip():
+                        yield _changes(msgspec.json.decode(line))
+        except httpx.HTTPError as error:
+            message = f"watch of {prefix} broke off: {error!r}"
+            raise errors.KeyValueError(message) from None
+
+
+def _changes(message: dict[str, Any]) -> list[Change]:
+    changes = []
+    for event in message["result"].get("events", []):
+        pair = _pair(event["kv"])
+        deleted = event.get("type") == "DELETE"
+        value = None if deleted else pair.value
+        changes.append(Change(pair.key, value, pair.revision))
+    return changes
--- /dev/null
+++ b/src/ibisknot/load.py
@@ -0,0 +1,122 @@
+"""`ibisknot-load`: load, faults, experiments and reports."""
+
+import dataclasses
+import signal
+import sys
+from typing import Annotated
+from typing import Any
+
+import anyio
+import cappa
+import msgspec
+from rich import console as rich_console
+from rich import table as rich_table
+
+import ibisknot
+from ibisknot import fleet as fleet_module
+from ibisknot import scenario
+from ibisknot import scenario_smoke
+from ibisknot import topology as topology_module
+
+SCENARIOS: dict[str, scenario.Scenario] = {
+    "smoke": scenario_smoke.run,
+}
+EXIT_VIOLATION = 1
+EXIT_USAGE = 2
+
+
+@dataclasses.dataclass
+class List:
+    """Lists the scenarios."""
+
+
+@cappa.command(name="run")
+@dataclasses.dataclass
+class RunScenario:
+    """Runs a scenario and prints what it found."""
+
+    scenario: Annotated[str, cappa.Arg(help="The scenario's name.")]
+    seconds: Annotated[float, cappa.Arg(long=True)] = 20.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    topology: Annotated[str, cappa.Arg(long=True)] = "umurunga"
+    baseline: Annotated[
+        bool, cappa.Arg(long=True, help="Run the naive version alone.")
+    ] = False
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+@cappa.command(name="fleet")
+@dataclasses.dataclass
+class RunFleet:
+    """Starts a local fleet and keeps it up until SIGINT or SIGTERM."""
+
+    topology: Annotated[str, cappa.Arg(long=True)] = "umurunga"
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Runs load and faults against a local fleet."""
+
+    command: cappa.Subcommands[List | RunScenario | RunFleet]
+
+
+def _topology(name: str) -> topology_module.Topology:
+    if name not in topology_module.TOPOLOGIES:
+        known = ", ".join(topology_module.TOPOLOGIES)
+        print(f"unknown topology {name!r}; known: {known}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE)
+    return topology_module.TOPOLOGIES[name]
+
+
+async def run_scenario(command: RunScenario) -> dict[str, Any]:
+    """Runs a scenario and returns its report."""
+    options = scenario.Run(
+        topology=_topology(command.topology),
+        seconds=command.seconds,
+        seed=command.seed,
+        policy="naive" if command.baseline else "fleet",
+    )
+    result = await SCENARIOS[command.scenario](options)
+    return result.report(command.scenario, options)
+
+
+def _show(report: dict[str, Any], *, as_json: bool) -> None:
+    if not as_json:
+        table = rich_table.Table("field", "value")
+        for name, value in report.items():
+            table.add_row(name, str(value))
+        rich_console.Console().print(table)
+    print(msgspec.json.encode(report).decode())
+
+
+async def _keep_fleet(command: RunFleet) -> None:
+    options = fleet_module.Options(
+        topology=_topology(command.topology), seed=command.seed
+    )
+    with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async with fleet_module.running(options) as fleet:
+            text = msgspec.json.encode(fleet.describe()).decode()
+            print(text, flush=True)
+            async for _ in signals:
+                break
+
+
+def main() -> None:
+    """Entry point of the program."""
+    arguments = cappa.parse(Arguments, version=ibisknot.__version__)
+    command = arguments.command
+    if isinstance(command, List):
+        for name in SCENARIOS:
+            print(name)
+    elif isinstance(command, RunFleet):
+        anyio.run(_keep_fleet, command)
+    else:
+        if command.scenario not in SCENARIOS:
+            print(f"unknown scenario {command.scenario!r}", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE)
+        report = anyio.run(run_scenario, command)
+        _show(report, as_json=command.json)
+        if not report["ok"]:
+            raise SystemExit(EXIT_VIOLATION)
--- /dev/null
+++ b/src/ibisknot/peer.py
@@ -0,0 +1,317 @@
+"""Thrift messages between ibisknot processes over framed TCP.
+
+A frame is a four-byte length followed by an Envelope in Thrift's compact
+protocol. Calls on one connection are correlated by id, so answers may come in
+any order.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import ssl
+import struct
+from typing import Any
+
+import anyio
+from anyio import abc
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from ibisknot import errors
+from ibisknot import logs
+from ibisknot import traces
+from ibisknot.gen.peer import ttypes
+
+MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+_LENGTH = struct.Struct("!I")
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+def encode(message: Any) -> bytes:
+    """Encodes a generated Thrift structure."""
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode(payload: bytes, kind: type[Any]) -> Any:
+    """Decodes a generated Thrift structure.
+
+    Raises:
+        PeerError: The payload is no message of this kind.
+    """
+    message = kind()
+    buffer = TTransport.TMemoryBuffer(payload)
+    try:
+        message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+        message.validate()
+    except Exception as error:
+        text = f"malformed {kind.__name__} from peer: {error!r}"
+        raise errors.PeerError(text) from None
+    return message
+
+
+async def _receive_frame(stream: abc.ByteStream, rest: bytearray) -> bytes:
+    async def fill(size: int) -> None:
+        while len(rest) < size:
+            rest.extend(await stream.receive())
+
+    await fill(_LENGTH.size)
+    (size,) = _LENGTH.unpack(rest[: _LENGTH.size])
+    if size > MAXIMUM_FRAME_BYTES:
+        raise errors.PeerError(f"a frame of {size} bytes is over the limit")
+    end = _LENGTH.size + size
+    await fill(end)
+    frame = bytes(rest[_LENGTH.size : end])
+    del rest[:end]
+    return frame
+
+
+async def _send_frame(
+    stream: abc.ByteStream, lock: anyio.Lock, envelope: ttypes.Envelope
+) -> None:
+    frame = encode(envelope)
+    async with lock:
+        await stream.send(_LENGTH.pack(len(frame)) + frame)
+
+
+class Server:
+    """Answers peers' calls."""
+
+    def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
+        self.tls = tls
+        self.handlers: dict[str, tuple[type[Any], Handler]] = {}
+
+    def on(self, method: str, kind: type[Any], handler: Handler) -> None:
+        """Registers the handler of a method and its request's type."""
+        self.handlers[method] = (kind, handler)
+
+    async def serve(self, address: str, port: int) -> None:
+        """Listens until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=address, local_port=port
+        )
+        async with listener:
+            await listener.serve(self._connection)
+
+    async def _connection(self, stream: abc.ByteStream) -> None:
+        lock = anyio.Lock()
+        rest = bytearray()
+        try:
+            if self.tls is not None:
+                stream = await _tls_server(stream, self.tls)
+            async with stream, anyio.create_task_group() as group:
+                while True:
+                    frame = await _receive_frame(stream, rest)
+                    envelope = decode(frame, ttypes.Envelope)
+                    group.start_soon(self._answer, stream, lock, envelope)
+        except* (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            OSError,
+        ):
+            pass
+        except* errors.PeerError as group_error:
+            logs.event(
+                "peer_connection_refused",
+                level="warning",
+                error=repr(group_error.exceptions[0]),
+            )
+
+    async def _answer(
+        self,
+        stream: abc.ByteStream,
+        lock: anyio.Lock,
+        request: ttypes.Envelope,
+    ) -> None:
+        response = ttypes.Envelope(
+            id=request.id,
+            kind=ttypes.Kind.RESPONSE,
+            method=request.method,
+            payload=b"",
+        )
+        try:
+            response.payload = await self._dispatch(request)
+        except errors.IbisknotError as error:
+            response.error_code = error.code
+            response.error_message = error.message
+        except Exception as error:
+            logs.event(
+                "peer_handler_failed",
+                level="error",
+                method=request.method,
+                error=repr(error),
+            )
+            response.error_code = errors.IbisknotError.code
+            response.error_message = f"{request.method} failed"
+        if request.kind == ttypes.Kind.REQUEST:
+            try:
+                await _send_frame(stream, lock, response)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                pass
+
+    async def _dispatch(self, request: ttypes.Envelope) -> bytes:
+        if request.method not in self.handlers:
+            raise errors.NotFoundError(f"no peer method {request.method}")
+        kind, handler = self.handlers[request.method]
+        message = decode(request.payload, kind)
+        with traces.span(request.method, parent=request.trace_parent):
+            answer = await handler(message)
+        return encode(answer if answer is not None else ttypes.Empty())
+
+
+async def _tls_server(
+    stream: abc.ByteStream, context: ssl.SSLContext
+) -> abc.ByteStream:
+    from anyio.streams import tls
+
+    return await tls.TLSStream.wrap(
+        stream, server_side=True, ssl_context=context
+    )
+
+
+class _Connection:
+    """One multiplexed connection to a peer."""
+
+    def __init__(self, stream: abc.ByteStream) -> None:
+        self.stream = stream
+        self.lock = anyio.Lock()
+        self.waiting: dict[int, tuple[anyio.Event, list[ttypes.Envelope]]] = {}
+        self.closed = False
+
+    async def read(self) -> None:
+        rest = bytearray()
+        try:
+            while True:
+                frame = await _receive_frame(self.stream, rest)
+                envelope = decode(frame, ttypes.Envelope)
+                waiter = self.waiting.pop(envelope.id, None)
+                if waiter is not None:
+                    waiter[1].append(envelope)
+                    waiter[0].set()
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            errors.PeerError,
+            OSError,
+        ):
+            pass
+        finally:
+            self.closed = True
+            for event, _ in self.waiting.values():
+                event.set()
+            self.waiting.clear()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await self.stream.aclose()
+
+
+class Client:
+    """Calls peers; keeps one connection to each address.
+
+    Attributes:
+        overrides: Dial addresses to use in place of a peer's own.
+    """
+
+    def __init__(
+        self,
+        group: abc.TaskGroup,
+        *,
+        overrides: dict[str, str] | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.group = group
+        self.overrides = overrides or {}
+        self.tls = tls
+        self.connections: dict[str, _Connection] = {}
+        self.locks: dict[str, anyio.Lock] = {}
+        self.ids = itertools.count(1)
+
+    async def _connect(self, address: str) -> _Connection:
+        lock = self.locks.setdefault(address, anyio.Lock())
+        async with lock:
+            known = self.connections.get(address)
+            if known is not None and not known.closed:
+                return known
+            target = self.overrides.get(address, address)
+            host, _, port = target.rpartition(":")
+            try:
+                with anyio.fail_after(CONNECT_TIMEOUT_S):
+                    stream: abc.ByteStream = await anyio.connect_tcp(
+                        host, int(port)
+                    )
+                    if self.tls is not None:
+                        stream = await _tls_client(stream, self.tls)
+            except (OSError, TimeoutError) as error:
+                message = f"peer {address} not reachable: {error!r}"
+                raise errors.PeerError(message, ran=errors.NOT_RUN) from None
+            connection = _Connection(stream)
+            self.connections[address] = connection
+            self.group.start_soon(connection.read)
+            return connection
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        request: Any,
+        kind: type[Any] = ttypes.Empty,
+        *,
+        timeout_s: float = 2.0,
+    ) -> Any:
+        """Calls a peer's method and returns its decoded answer.
+
+        Args:
+            address: The peer's `host:port`.
+            method: The method's name.
+            request: The request, a generated Thrift structure.
+            kind: The type of the answer.
+            timeout_s: Seconds to wait for the answer.
+
+        Raises:
+            PeerError: The peer is not reachable or did not answer in time.
+            IbisknotError: The error that the peer answered with.
+        """
+        connection = await self._connect(address)
+        envelope = ttypes.Envelope(
+            id=next(self.ids),
+            kind=ttypes.Kind.REQUEST,
+            method=method,
+            payload=encode(request),
+            trace_parent=traces.headers().get("traceparent"),
+        )
+        event = anyio.Event()
+        answers: list[ttypes.Envelope] = []
+        connection.waiting[envelope.id] = (event, answers)
+        try:
+            with anyio.fail_after(timeout_s):
+                await _send_frame(connection.stream, connection.lock, envelope)
+                await event.wait()
+        except (
+            TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            message = f"no answer from {address} to {method}: {error!r}"
+            raise errors.PeerError(message) from None
+        finally:
+            connection.waiting.pop(envelope.id, None)
+        if not answers:
+            raise errors.PeerError(f"connection to {address} lost")
+        answer = answers[0]
+        if answer.error_code is not None:
+            raise errors.from_code(answer.error_code, answer.error_message)
+        return decode(answer.payload, kind)
+
+
+async def _tls_client(
+    stream: abc.ByteStream, context: ssl.SSLContext
+) -> abc.ByteStream:
+    from anyio.streams import tls
+
+    return await tls.TLSStream.wrap(
+        stream, server_side=False, ssl_context=context
+    )
--- /dev/null
+++ b/src/ibisknot/settings.py
@@ -0,0 +1,185 @@
+"""Settings files: JSON with comments, decoded into checked structures."""
+
+import pathlib
+import sys
+from typing import Annotated
+from typing import TypeVar
+
+import json5
+import msgspec
+
+from ibisknot import errors
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Bytes = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Base of all settings sections; unknown keys are refused."""
+
+
+class Vm(Section):
+    """The VM that the process runs on."""
+
+    name: str
+    data_centre: str
+    address: str
+
+
+class Log(Section):
+    """Structured log output."""
+
+    level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")]
+    file: str | None = None
+
+
+class Trace(Section):
+    """Export of spans: to an OTLP/HTTP URL, to a file, or nowhere."""
+
+    otlp_url: str | None = None
+    file: str | None = None
+
+
+class KeyValue(Section):
+    """The platform's key-value service."""
+
+    url: str
+    timeout_s: Seconds = 2.0
+
+
+class VmList(Section):
+    """The platform's list of live and leaving VMs."""
+
+    url: str
+    period_s: Seconds = 1.0
+
+
+class Tls(Section):
+    """Certificate files of a listener or of the peer protocol."""
+
+    certificate: str
+    private_key: str
+    authority: str | None = None
+
+
+class Limits(Section):
+    """Bounds on what one caller may send or hold."""
+
+    body_bytes: Bytes = 4 * 1024 * 1024
+    file_bytes: Bytes = 4 * 1024 * 1024 * 1024
+    read_timeout_s: Seconds = 10.0
+    request_timeout_s: Seconds = 60.0
+
+
+class Operator(Section):
+    """One operator who may use the operators' interface."""
+
+    name: str
+    key_hash: str
+
+
+class Daemon(Section):
+    """Settings that every daemon has."""
+
+    vm: Vm
+    key_value: KeyValue
+    vm_list: VmList
+    log: Log = msgspec.field(default_factory=lambda: Log(level="info"))
+    trace: Trace = msgspec.field(default_factory=Trace)
+    peer_port: Port = 7000
+    store_port: Port = 7002
+    address_overrides: dict[str, str] = {}
+    """Dial addresses to use in place of a peer's listed `host:port`."""
+
+
+class Entry(Daemon, kw_only=True):
+    """Settings of `ibisknot-entry`."""
+
+    http_port: Port = 8080
+    tls: Tls | None = None
+    peer_tls: Tls | None = None
+    limits: Limits = msgspec.field(default_factory=Limits)
+    operators: list[Operator] = []
+    policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
+    drain_notice_s: Seconds = 1.0
+    """Time that the balancer needs to notice a failing health check."""
+    drain_timeout_s: Seconds = 60.0
+
+
+class Batch(Daemon, kw_only=True):
+    """Settings of `ibisknot-batch`."""
+
+    peer_port: Port = 7001
+    http_port: Port = 8081
+    peer_tls: Tls | None = None
+    policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
+    lease_s: Seconds = 5.0
+    concurrency: Annotated[int, msgspec.Meta(ge=1, le=10000)] = 16
+
+
+class Store(Daemon, kw_only=True):
+    """Settings of `ibisknot-store`."""
+
+    peer_port: Port = 7002
+    http_port: Port = 8082
+    peer_tls: Tls | None = None
+    data_folder: str
+
+
+T = TypeVar("T", bound=Section)
+
+
+def decode(text: str, kind: type[T], *, name: str = "settings") -> T:
+    """Decodes settings text into a checked structure.
+
+    Args:
+        text: JSON with comments.
+        kind: The structure to decode into.
+        name: The file name to use in errors.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        SettingsError: The text is no JSON, or a key is unknown, missing, of
+            the wrong type or out of range.
+
+    >>> decode('{"url": "http://127.0.0.1:1", /* x */}', KeyValue).timeout_s
+    2.0
+    """
+    try:
+        raw = json5.loads(text)
+    except ValueError as error:
+        raise errors.SettingsError(f"{name}: not valid JSON: {error}") from None
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        raise errors.SettingsError(f"{name}: {error}") from None
+
+
+def load(path: str, kind: type[T]) -> T:
+    """Reads and decodes a settings file.
+
+    Raises:
+        SettingsError: The file cannot be read or is invalid.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        message = f"{path}: cannot be read: {error.strerror}"
+        raise errors.SettingsError(message) from None
+    return decode(text, kind, name=path)
+
+
+def load_or_exit(path: str, kind: type[T], *, check_only: bool = False) -> T:
+    """Loads settings for a program; exits with status 2 when invalid."""
+    try:
+        loaded = load(path, kind)
+    except errors.SettingsError as error:
+        print(error.message, file=sys.stderr)
+        raise SystemExit(2) from None
+    if check_only:
+        print(f"{path}: valid")
+        raise SystemExit(0)
+    return loaded
--- /dev/null
+++ b/src/ibisknot/standin.py
@@ -0,0 +1,53 @@
+"""What the stand-ins of outside systems have in common."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import anyio
+from starlette import responses
+from starlette import routing
+from starlette import types
+
+from ibisknot import web
+
+
+class DroppedResponse(responses.Response):
+    """Closes the connection without an answer."""
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Sends an incomplete answer, which the server then cuts off."""
+        headers = [(b"content-length", b"1")]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        raise ConnectionAbortedError("answer dropped by a fault")
+
+
+def run(
+    routes: list[routing.BaseRoute],
+    *,
+    address: str,
+    port: int,
+    background: Callable[[], Coroutine[Any, Any, None]] | None = None,
+) -> None:
+    """Serves a stand-in until SIGTERM or SIGINT."""
+
+    async def main() -> None:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(web.stop_on_signal, stop)
+            if background is not None:
+                group.start_soon(background)
+            await web.serve(
+                web.application(routes),
+                address=address,
+                port=port,
+                stop=stop,
+                graceful_s=0.5,
+            )
+            group.cancel_scope.cancel()
+
+    anyio.run(main, backend_options={"use_uvloop": True})
--- /dev/null
+++ b/src/ibisknot/standin_keyvalue.py
@@ -0,0 +1,465 @@
+"""`ibisknot-standin-keyvalue`: etcd v3 JSON stand-in with faults."""
+
+import base64
+import bisect
+from collections.abc import AsyncIterator
+import dataclasses
+import math
+import random
+from typing import Annotated
+from typing import Any
+
+import anyio
+import cappa
+import msgspec
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+import ibisknot
+from ibisknot import standin
+from ibisknot import web
+
+MAXIMUM_VALUE_BYTES = 1024 * 1024
+EXPIRY_PERIOD_S = 0.05
+HISTORY_LIMIT = 20_000
+
+
+@dataclasses.dataclass(slots=True)
+class Value:
+    """A stored value."""
+
+    data: bytes
+    created: int
+    modified: int
+    version: int
+    lease: int
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """A lease; `until_s` is the monotonic time of its end."""
+
+    ttl_s: float
+    until_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Event:
+    """One change of a key."""
+
+    revision: int
+    key: bytes
+    data: bytes | None
+    value: Value | None
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong now.
+
+    Attributes:
+        delay_s: Added to each answer.
+        down: Whether calls fail.
+        lose_answers: Fraction of writes whose answer is lost after taking
+            effect.
+        writes_per_s: Writes over this rate are refused.
+        reads_per_s: Reads over this rate are refused.
+    """
+
+    delay_s: float = 0.0
+    down: bool = False
+    lose_answers: float = 0.0
+    writes_per_s: float = 500.0
+    reads_per_s: float = 2000.0
+
+
+class Window(msgspec.Struct):
+    """Calls counted in the current second."""
+
+    second: int = 0
+    count: int = 0
+
+    def admit(self, now: float, limit: float) -> bool:
+        """Counts a call; returns False when it is over the limit."""
+        second = math.floor(now)
+        if second != self.second:
+            self.second, self.count = second, 0
+        self.count += 1
+        return self.count <= limit
+
+
+class Database:
+    """Keys, leases and revisions. Pure but for the clock passed in."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.values: dict[bytes, Value] = {}
+        self.order: list[bytes] = []
+        self.leases: dict[int, Lease] = {}
+        self.next_lease = 1000
+        self.events: list[Event] = []
+        self.changed = anyio.Event()
+
+    def select(self, key: bytes, end: bytes) -> list[bytes]:
+        """Returns the keys of a range in order."""
+        if not end:
+            return [key] if key in self.values else []
+        first = bisect.bisect_left(self.order, key)
+        last = bisect.bisect_left(self.order, end)
+        return self.order[first:last]
+
+    def _record(self, key: bytes, value: Value | None) -> None:
+        data = value.data if value is not None else None
+        self.events.append(Event(self.revision, key, data, value))
+        del self.events[:-HISTORY_LIMIT]
+
+    def put(self, key: bytes, data: bytes, lease: int) -> None:
+        """Stores a value at the current revision."""
+        old = self.values.get(key)
+        if old is None:
+            bisect.insort(self.order, key)
+        value = Value(
+            data=data,
+            created=old.created if old is not None else self.revision,
+            modified=self.revision,
+            version=old.version + 1 if old is not None else 1,
+            lease=lease,
+        )
+        self.values[key] = value
+        self._record(key, value)
+
+    def delete(self, key: bytes) -> None:
+        """Deletes a key at the current revision."""
+        if key in self.values:
+            del self.values[key]
+            self.order.pop(bisect.bisect_left(self.order, key))
+            self._record(key, None)
+
+    def holds(self, compare: dict[str, Any]) -> bool:
+        """Returns whether a transaction's condition holds."""
+        value = self.values.get(base64.b64decode(compare["key"]))
+        target = compare.get("target", "MOD")
+        if target == "MOD":
+            found = value.modified if value is not None else 0
+            wanted = int(compare.get("mod_revision", 0))
+        elif target == "CREATE":
+            found = value.created if value is not None else 0
+            wanted = int(compare.get("create_revision", 0))
+        elif target == "VERSION":
+            found = value.version if value is not None else 0
+            wanted = int(compare.get("version", 0))
+        else:
+            data = value.data if value is not None else b""
+            return data == base64.b64decode(compare.get("value", ""))
+        result = compare.get("result", "EQUAL")
+        return {
+            "EQUAL": found == wanted,
+            "GREATER": found > wanted,
+            "LESS": found < wanted,
+            "NOT_EQUAL": found != wanted,
+        }[result]
+
+    def wake(self) -> None:
+        """Wakes the watches."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def end_lease(self, number: int) -> None:
+        """Ends a lease and deletes its keys."""
+        if self.leases.pop(number, None) is None:
+            return
+        bound = [k for k, v in self.values.items() if v.lease == number]
+        if bound:
+            self.revision += 1
+        for key in bound:
+            self.delete(key)
+        self.wake()
+
+    def expire(self, now: float) -> None:
+        """Ends the leases whose time is over."""
+        ended = [n for n, le in self.leases.items() if le.until_s <= now]
+        for number in ended:
+            self.end_lease(number)
+
+
+class RefusedError(Exception):
+    """A call that the service refuses."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+def _text(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+class Service:
+    """The HTTP interface."""
+
+    def __init__(self, *, seed: int = 0) -> None:
+        self.data = Database()
+        self.faults = Faults()
+        self.random = random.Random(seed)
+        self.calls: dict[str, int] = {}
+        self.reads = Window()
+        self.writes = Window()
+        self.watching = 0
+
+    def routes(self) -> list[routing.BaseRoute]:
+        """Returns the routes."""
+        table = {
+            "/v3/kv/range": self.range,
+            "/v3/kv/put": self.put,
+            "/v3/kv/deleterange": self.delete_range,
+            "/v3/kv/txn": self.transact,
+            "/v3/lease/grant": self.grant,
+            "/v3/lease/keepalive": self.keep_alive,
+            "/v3/lease/revoke": self.revoke,
+        }
+        found: list[routing.BaseRoute] = [
+            routing.Route(path, self._wrap(path, call), methods=["POST"])
+            for path, call in table.items()
+        ]
+        found.append(routing.Route("/v3/watch", self.watch, methods=["POST"]))
+        found.append(
+            routing.Route("/admin/faults", self.set_faults, methods=["POST"])
+        )
+        found.append(routing.Route("/admin/calls", self.count))
+        return found
+
+    def _wrap(self, path: str, call: Any) -> web.Handler:
+        name = path.rpartition("/")[2]
+        reads = name == "range"
+
+        async def handle(request: requests.Request) -> responses.Response:
+            self._count(name)
+            body = msgspec.json.decode(await request.body())
+            try:
+                await self._before(reads=reads)
+                answer = call(body)
+            except RefusedError as error:
+                return web.json_response(
+                    {"error": error.message, "code": 14}, status=error.status
+                )
+            if not reads and self.random.random() < self.faults.lose_answers:
+                return standin.DroppedResponse()
+            return web.json_response(answer)
+
+        return handle
+
+    def _count(self, name: str) -> None:
+        self.calls[name] = self.calls.get(name, 0) + 1
+
+    async def _before(self, *, reads: bool) -> None:
+        if self.faults.delay_s > 0:
+            await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            raise RefusedError(503, "the service is down")
+        window = self.reads if reads else self.writes
+        limit = self.faults.reads_per_s if reads else self.faults.writes_per_s
+        if not window.admit(anyio.current_time(), limit):
+            raise RefusedError(429, "over the service's rate")
+
+    def _header(self) -> dict[str, str]:
+        return {"revision": str(self.data.revision)}
+
+    def _pair(self, key: bytes, value: Value) -> dict[str, str]:
+        return {
+            "key": _text(key),
+            "value": _text(value.data),
+            "create_revision": str(value.created),
+            "mod_revision": str(value.modified),
+            "version": str(value.version),
+            "lease": str(value.lease),
+        }
+
+    def range(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Reads a key or a range."""
+        key = base64.b64decode(body["key"])
+        end = base64.b64decode(body.get("range_end", ""))
+        keys = self.data.select(key, end)
+        limit = int(body.get("limit", 0))
+        shown = keys[:limit] if limit else keys
+        pairs = [self._pair(k, self.data.values[k]) for k in shown]
+        return {
+            "header": self._header(),
+            "kvs": pairs,
+            "count": str(len(keys)),
+            "more": len(shown) < len(keys),
+        }
+
+    def _check_put(self, body: dict[str, Any]) -> None:
+        size = len(base64.b64decode(body.get("value", "")))
+        if size > MAXIMUM_VALUE_BYTES:
+            raise RefusedError(400, "the value is over 1 MB")
+        lease = int(body.get("lease", 0))
+        if lease and lease not in self.data.leases:
+            raise RefusedError(404, "requested lease not found")
+
+    def _apply_put(self, body: dict[str, Any]) -> None:
+        self.data.put(
+            base64.b64decode(body["key"]),
+            base64.b64decode(body.get("value", "")),
+            int(body.get("lease", 0)),
+        )
+
+    def _apply_delete(self, body: dict[str, Any]) -> int:
+        key = base64.b64decode(body["key"])
+        end = base64.b64decode(body.get("range_end", ""))
+        keys = self.data.select(key, end)
+        for found in keys:
+            self.data.delete(found)
+        return len(keys)
+
+    def put(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Writes a key."""
+        self._check_put(body)
+        self.data.revision += 1
+        self._apply_put(body)
+        self.data.wake()
+        return {"header": self._header()}
+
+    def delete_range(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Deletes a key or a range."""
+        self.data.revision += 1
+        deleted = self._apply_delete(body)
+        self.data.wake()
+        return {"header": self._header(), "deleted": str(deleted)}
+
+    def transact(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Runs a transaction."""
+        done = all(self.data.holds(c) for c in body.get("compare", []))
+        steps = body.get("success" if done else "failure", [])
+        for step in steps:
+            if "request_put" in step:
+                self._check_put(step["request_put"])
+        if any("request_range" not in step for step in steps):
+            self.data.revision += 1
+        answers = [self._step(step) for step in steps]
+        self.data.wake()
+        return {
+            "header": self._header(),
+            "succeeded": done,
+            "responses": answers,
+        }
+
+    def _step(self, step: dict[str, Any]) -> dict[str, Any]:
+        if "request_put" in step:
+            self._apply_put(step["request_put"])
+            return {"response_put": {}}
+        if "request_range" in step:
+            return {"response_range": self.range(step["request_range"])}
+        deleted = self._apply_delete(step["request_delete_range"])
+        return {"response_delete_range": {"deleted": str(deleted)}}
+
+    def grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Creates a lease."""
+        self.data.next_lease += 1
+        number = int(body.get("ID", 0)) or self.data.next_lease
+        ttl_s = float(body["TTL"])
+        until_s = anyio.current_time() + ttl_s
+        self.data.leases[number] = Lease(ttl_s, until_s)
+        return {"ID": str(number), "TTL": str(int(ttl_s))}
+
+    def keep_alive(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Renews a lease; TTL 0 means that it has ended."""
+        number = int(body["ID"])
+        lease = self.data.leases.get(number)
+        if lease is None:
+            return {"result": {"ID": str(number), "TTL": "0"}}
+        lease.until_s = anyio.current_time() + lease.ttl_s
+        return {"result": {"ID": str(number), "TTL": str(int(lease.ttl_s))}}
+
+    def revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Ends a lease."""
+        self.data.end_lease(int(body["ID"]))
+        return {"header": self._header()}
+
+    async def watch(self, request: requests.Request) -> responses.Response:
+        """Streams changes of a range."""
+        self._count("watch")
+        body = msgspec.json.decode(await request.body())["create_request"]
+        if self.faults.down:
+            return web.json_response({"error": "down"}, status=503)
+        return responses.StreamingResponse(
+            self._watch(body), media_type=web.JSON
+        )
+
+    async def _watch(self, body: dict[str, Any]) -> AsyncIterator[bytes]:
+        key = base64.b64decode(body["key"])
+        end = base64.b64decode(body.get("range_end", "")) or key + b"\0"
+        start = int(body.get("start_revision", 0))
+        position = start - 1 if start else self.data.revision
+        created = {"result": {"header": self._header(), "created": True}}
+        yield msgspec.json.encode(created) + b"\n"
+        self.watching += 1
+        try:
+            while not self.faults.down:
+                changed = self.data.changed
+                events = [
+                    e
+                    for e in self.data.events
+                    if e.revision > position and key <= e.key < end
+                ]
+                position = self.data.revision
+                if events:
+                    yield self._events(events)
+                with anyio.move_on_after(0.2):
+                    await changed.wait()
+        finally:
+            self.watching -= 1
+
+    def _events(self, events: list[Event]) -> bytes:
+        encoded = []
+        for event in events:
+            pair = {
+                "key": _text(event.key),
+                "mod_revision": str(event.revision),
+            }
+            if event.value is not None:
+                pair = self._pair(event.key, event.value)
+            kind = "PUT" if event.value is not None else "DELETE"
+            encoded.append({"type": kind, "kv": pair})
+        message = {"result": {"header": self._header(), "events": encoded}}
+        return msgspec.json.encode(message) + b"\n"
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Sets the faults."""
+        self.faults = web.decode_body(await request.body(), Faults)
+        return web.json_response(self.faults)
+
+    async def count(self, _request: requests.Request) -> responses.Response:
+        """Returns the calls so far by kind, and the open watches."""
+        return web.json_response(
+            {"calls": self.calls, "watching": self.watching}
+        )
+
+    async def expire(self) -> None:
+        """Ends leases as time passes."""
+        while True:
+            if not self.faults.down:
+                self.data.expire(anyio.current_time())
+            await anyio.sleep(EXPIRY_PERIOD_S)
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Stands in for the platform's key-value service."""
+
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 2379
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+
+
+def main() -> None:
+    """Entry point of the program."""
+    arguments = cappa.parse(Arguments, version=ibisknot.__version__)
+    service = Service(seed=arguments.seed)
+    standin.run(
+        service.routes(),
+        address=arguments.address,
+        port=arguments.port,
+        background=service.expire,
+    )
--- /dev/null
+++ b/src/ibisknot/timer.py
@@ -0,0 +1,100 @@
+"""Timer service: the process's only source of time and periodic work."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import time
+
+import anyio
+
+from ibisknot import logs
+
+Callback = Callable[[float], Awaitable[None]]
+
+
+@dataclasses.dataclass(slots=True)
+class Subscription:
+    """One periodic callback.
+
+    Attributes:
+        name: Name for logs.
+        period_s: Seconds between calls.
+        callback: Called with the current monotonic time in seconds.
+        due_s: Monotonic time of the next call.
+        running: Whether a call is in progress; a slow one is not overlapped.
+    """
+
+    name: str
+    period_s: float
+    callback: Callback
+    due_s: float
+    running: bool = False
+
+
+class Timer:
+    """Calls subscribers periodically, by a monotonic clock.
+
+    Tests pass a clock of their own and call `tick`.
+    """
+
+    RESOLUTION_S = 0.02
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.subscriptions: list[Subscription] = []
+
+    def now(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self.clock()
+
+    def subscribe(
+        self, name: str, period_s: float, callback: Callback
+    ) -> Subscription:
+        """Calls `callback` every `period_s` seconds until unsubscribed."""
+        due_s = self.now() + period_s
+        subscription = Subscription(name, period_s, callback, due_s)
+        self.subscriptions.append(subscription)
+        return subscription
+
+    def unsubscribe(self, subscription: Subscription) -> None:
+        """Ends a subscription; a call in progress completes."""
+        if subscription in self.subscriptions:
+            self.subscriptions.remove(subscription)
+
+    def due(self) -> list[Subscription]:
+        """Returns the subscriptions to call now and schedules the next."""
+        now = self.now()
+        ready = [
+            s for s in self.subscriptions if s.due_s <= now and not s.running
+        ]
+        for subscription in ready:
+            subscription.due_s = now + subscription.period_s
+        return ready
+
+    async def call(self, subscription: Subscription) -> None:
+        """Runs one callback; its error is logged and ends nothing else."""
+        subscription.running = True
+        try:
+            await subscription.callback(self.now())
+        except Exception as error:
+            logs.event(
+                "timer_callback_failed",
+                level="warning",
+                subscription=subscription.name,
+                error=repr(error),
+            )
+        finally:
+            subscription.running = False
+
+    async def tick(self) -> None:
+        """Runs what is due, one after the other, for tests."""
+        for subscription in self.due():
+            await self.call(subscription)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                for subscription in self.due():
+                    group.start_soon(self.call, subscription)
+                await anyio.sleep(self.RESOLUTION_S)
--- /dev/null
+++ b/src/ibisknot/topology.py
@@ -0,0 +1,53 @@
+"""The users' deployments, as the bench starts them on loopback."""
+
+import msgspec
+
+
+class Topology(msgspec.Struct, frozen=True):
+    """Sizes and delays of a deployment.
+
+    Attributes:
+        data_centres: Names of the data centres.
+        vms: Entry VMs.
+        stores: How many of them have a disk.
+        engines: Model engines.
+        delay_s: One-way delay between data centres.
+        client_delay_s: One-way delay between callers and VMs.
+        rates: Rate of each organisation, in requests a second.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    vms: int
+    stores: int
+    engines: int
+    delay_s: float
+    client_delay_s: float
+    rates: tuple[float, ...]
+
+    def centre(self, number: int) -> str:
+        """Returns the data centre of the VM or endpoint with a number."""
+        return self.data_centres[number % len(self.data_centres)]
+
+
+UMURUNGA = Topology(
+    name="umurunga",
+    data_centres=("kigali-1", "kigali-2", "kigali-3", "kigali-4"),
+    vms=9,
+    stores=4,
+    engines=5,
+    delay_s=0.0012,
+    client_delay_s=0.003,
+    rates=(60.0, 40.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0),
+)
+AUTHORITY = Topology(
+    name="authority",
+    data_centres=("hungary-1", "hungary-2", "hungary-3"),
+    vms=9,
+    stores=3,
+    engines=9,
+    delay_s=0.0003,
+    client_delay_s=0.003,
+    rates=(80.0, 60.0, 20.0, 10.0, 10.0, 10.0, 10.0, 10.0),
+)
+TOPOLOGIES = {t.name: t for t in (UMURUNGA, AUTHORITY)}
--- /dev/null
+++ b/src/ibisknot/traces.py
@@ -0,0 +1,61 @@
+"""Trace spans by OpenTelemetry with W3C trace context."""
+
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+from typing import TextIO
+
+from opentelemetry import context
+from opentelemetry import propagate
+from opentelemetry import trace
+from opentelemetry.exporter.otlp.proto.http import trace_exporter
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+
+from ibisknot import settings
+
+_TRACER = trace.get_tracer("ibisknot")
+
+
+def start(target: settings.Trace, *, program: str, vm: str) -> None:
+    """Installs the exporter that the settings name, if any."""
+    if target.otlp_url is None and target.file is None:
+        return
+    resource = resources.Resource.create(
+        {"service.name": program, "host.name": vm}
+    )
+    provider = sdk_trace.TracerProvider(resource=resource)
+    if target.otlp_url is not None:
+        exporter = trace_exporter.OTLPSpanExporter(endpoint=target.otlp_url)
+        provider.add_span_processor(export.BatchSpanProcessor(exporter))
+    if target.file is not None:
+        stream: TextIO = open(target.file, "a", encoding="utf-8")  # noqa: PTH123, SIM115
+        console = export.ConsoleSpanExporter(
+            out=stream, formatter=lambda span: span.to_json(indent=None) + "\n"
+        )
+        provider.add_span_processor(export.BatchSpanProcessor(console))
+    trace.set_tracer_provider(provider)
+
+
+@contextlib.contextmanager
+def span(
+    name: str, *, parent: str | None = None, **attributes: Any
+) -> Iterator[trace.Span]:
+    """Opens a span, below `parent` (a traceparent value) when given."""
+    token = None
+    if parent is not None:
+        token = context.attach(propagate.extract({"traceparent": parent}))
+    try:
+        with _TRACER.start_as_current_span(name, attributes=attributes) as it:
+            yield it
+    finally:
+        if token is not None:
+            context.detach(token)
+
+
+def headers() -> dict[str, str]:
+    """Returns the headers that pass the current trace context on."""
+    carrier: dict[str, str] = {}
+    propagate.inject(carrier)
+    return carrier
