--- a/src/ibisknot/batch.py
+++ b/src/ibisknot/batch.py
@@ -31,6 +31,7 @@
 
 SCAN_PERIOD_S = 0.5
 ITEM_TRIES = 3
+RELEASE_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.2
 
 
@@ -106,6 +107,16 @@
             entry.scope.cancel()
         self.epochs.clear()
 
+    async def release(self) -> None:
+        """Gives the shards back, so that others need not wait for them."""
+        try:
+            with anyio.move_on_after(RELEASE_TIMEOUT_S):
+                await self.store.revoke(self.lease)
+        except errors.KeyValueError as error:
+            logs.event(
+                "lease_not_revoked", level="warning", cause=error.message
+            )
+
     async def _take_shards(self) -> None:
         names = [vm.name for vm in self.daemon.vms.live()]
         me = self.loaded.vm.name
@@ -327,8 +338,7 @@
         await daemon.serve([])
         runner.drop()
         if runner.lease:
-            with anyio.move_on_after(1):
-                await runner.store.revoke(runner.lease)
+            await runner.release()
 
 
 def main() -> None:
--- a/src/ibisknot/keys.py
+++ b/src/ibisknot/keys.py
@@ -18,7 +18,7 @@
     Keys have 192 random bits, so a plain fast hash resists guessing.
 
     >>> digest("ik-x")[:8]
-    '64b00434'
+    '80b1c321'
     """
     return hashlib.sha256(key.encode()).hexdigest()
 
--- a/src/ibisknot/logs.py
+++ b/src/ibisknot/logs.py
@@ -5,6 +5,7 @@
 import sys
 from typing import Any
 
+from absl import flags
 from absl import logging
 import msgspec
 
@@ -26,7 +27,9 @@
 
 def start(log: settings.Log) -> None:
     """Sets level and destination of the process's log."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
+    standard_logging.getLogger("httpx").setLevel(standard_logging.WARNING)
     logging.set_verbosity(_LEVELS[log.level])
     handler = logging.get_absl_handler()
     handler.setFormatter(standard_logging.Formatter("%(message)s"))
--- a/src/ibisknot/web.py
+++ b/src/ibisknot/web.py
@@ -159,12 +159,19 @@
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.private_key
-    await hypercorn_asyncio.serve(
-        app,  # type: ignore[arg-type]
-        config,
-        shutdown_trigger=stop.wait,
-        mode="asgi",
-    )
+
+    async def run() -> None:
+        await hypercorn_asyncio.serve(
+            app,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=stop.wait,
+            mode="asgi",
+        )
+
+    # hypercorn leaves a pending cancellation on its task at shutdown, so it
+    # gets a task of its own.
+    async with anyio.create_task_group() as group:
+        group.start_soon(run)
 
 
 async def stop_on_signal(stop: anyio.Event) -> None:
