Share rates over the fleet and probe members

Cause: the equal static split refuses requests that are inside their organisation's rate when they meet a VM whose part is used up. Change: share units and tokens with one owner for each shard, taken by compare-and-swap; membership by probes of one random peer per period; the naive policy keeps the static split.

--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -18,10 +18,14 @@
 from ibisknot import errors
 from ibisknot import exchange
 from ibisknot import files
+from ibisknot import limits
 from ibisknot import logs
+from ibisknot import membership
+from ibisknot import membership_runner
 from ibisknot import online
 from ibisknot import operators
 from ibisknot import program
+from ibisknot import rates_runner
 from ibisknot import replicas
 from ibisknot import settings
 from ibisknot import vmlist
@@ -29,6 +33,7 @@
 from ibisknot.gen.config import ttypes
 
 STATUS_TIMEOUT_S = 1.0
+HAND_BACK_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass
@@ -43,21 +48,61 @@
 
 def online_pipeline(
     daemon: program.Daemon,
+    loaded: settings.Entry,
     source: distribution.Distribution,
     engines: engine.Engines,
+    shares: rates_runner.Runner,
 ) -> exchange.Next:
     """Puts the online path together."""
+    if loaded.policy == settings.NAIVE:
+        limit = online.limit_rate_static(source, lambda: len(daemon.vms.live()))
+    else:
+        limit = limits.limit_rate(shares)
     return exchange.pipeline(
         online.trace,
         online.account,
         online.identify(source),
         online.authenticate(source),
-        online.limit_rate_static(source, lambda: len(daemon.vms.live())),
+        limit,
         online.check_whole,
         dispatch.naive_filter(source, engines),
     )
 
 
+def start_membership(daemon: program.Daemon) -> membership.View:
+    """Starts the probes; returns this VM's view of the fleet."""
+    runner = membership_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        listed=lambda: list(daemon.vms.vms.values()),
+        peers=daemon.peers,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+    )
+    runner.start(daemon.server)
+    return runner.view
+
+
+def start_rates(
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    view: membership.View,
+) -> rates_runner.Runner:
+    """Starts this VM's part in the rates over the fleet."""
+    runner = rates_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        peers=daemon.peers,
+        vms=daemon.vms,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+        allowance=lambda name: limits.allowance(source, name),
+    )
+    runner.start(daemon.server)
+    return runner
+
+
 def online_routes(
     step: exchange.Next, limits: settings.Limits
 ) -> list[routing.BaseRoute]:
@@ -134,7 +179,9 @@
             return answer.version
 
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
-        step = online_pipeline(daemon, source, engines)
+        view = start_membership(daemon)
+        shares = start_rates(daemon, source, view)
+        step = online_pipeline(daemon, loaded, source, engines, shares)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
             source, daemon.store, daemon.peers, daemon.vms, loaded.limits
@@ -145,6 +192,8 @@
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
+            with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
+                await shares.hand_back()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
--- /dev/null
+++ b/src/ibisknot/limits.py
@@ -0,0 +1,28 @@
+"""The filter that keeps organisations within their rates over the fleet."""
+
+from ibisknot import distribution
+from ibisknot import exchange as exchange_module
+from ibisknot import rates
+from ibisknot import rates_runner
+
+
+def allowance(
+    source: distribution.Distribution, organisation: str
+) -> rates.Allowance | None:
+    """Returns an organisation's rate and burst in force on this VM."""
+    found = source.current.organisations.get(organisation)
+    if found is None:
+        return None
+    return rates.Allowance(rate=found.rate_per_s, burst=found.burst)
+
+
+def limit_rate(runner: rates_runner.Runner) -> exchange_module.Filter:
+    """Returns the filter that takes a token for each request."""
+
+    async def run(
+        exchange: exchange_module.Exchange, following: exchange_module.Next
+    ) -> exchange_module.Reply:
+        await runner.admit(exchange.organisation)
+        return await following(exchange)
+
+    return run
--- a/src/ibisknot/rates.py
+++ b/src/ibisknot/rates.py
@@ -1,6 +1,40 @@
-"""Token buckets of organisations' rates and bursts."""
+"""Rates over the fleet: share units and tokens, moved and conserved.
+
+Each organisation has `ORGANISATION_UNITS` share units. A VM with u units
+accrues u/1e6 of the organisation's rate and keeps at most u/1e6 of its burst.
+Tokens are counted in millionths of a request, so `rate x seconds x units` is
+already the number of tokens that units accrue.
+
+Every transfer carries tokens within the burst of the units that it carries.
+The levels of all VMs and messages together are therefore never above the
+burst, which bounds what is granted over any window. Tokens that are drawn for
+waiting requests move without units and are spent by those requests at once;
+they count as granted when their sender subtracts them.
+"""
 
 import dataclasses
+import math
+
+import xxhash
+
+KIND = "rates"
+SHARD_COUNT = 16
+ORGANISATION_UNITS = 1_000_000
+TOKEN = 1_000_000
+"""One request, in the unit of token levels."""
+DEMAND_TIME_S = 1.0
+"""Time constant of the demand estimate."""
+HEADROOM = 1.25
+"""Units wanted for the measured demand."""
+MINIMUM_HELD_TOKENS = 2
+"""A VM whose units would hold a smaller burst draws tokens instead.
+
+Units of less than a whole request would strand fractions of tokens.
+"""
+OWNER_RESERVE_UNITS = 250_000
+"""Units that the owner keeps for draws."""
+IDLE_S = 1.0
+RECALL_FANOUT = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,3 +69,350 @@
 def wait_s(bucket: Bucket, *, rate: float) -> float:
     """Returns the seconds until the next token, for Retry-After."""
     return max(0.0, 1.0 - bucket.level) / rate
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Allowance:
+    """An organisation's rate in requests a second, and its burst."""
+
+    rate: float
+    burst: float
+
+
+@dataclasses.dataclass(slots=True)
+class Parcel:
+    """Units with their tokens on the way between two VMs."""
+
+    units: int = 0
+    tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Share:
+    """What one VM holds of an organisation's rate.
+
+    Attributes:
+        units: Share units.
+        level: Tokens, in millionths of a request.
+        updated_s: Monotonic time up to which tokens have accrued.
+        used_s: Monotonic time of the last request.
+        demand: Estimated requests a second on this VM.
+    """
+
+    units: int = 0
+    level: int = 0
+    updated_s: float = 0.0
+    used_s: float = 0.0
+    demand: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Holdings:
+    """What one VM holds of a shard's organisations.
+
+    Attributes:
+        epoch: Highest epoch of the shard known; older messages are dropped.
+        shares: Shares by organisation.
+    """
+
+    epoch: int = 0
+    shares: dict[str, Share] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """What the owner of a shard knows.
+
+    Attributes:
+        epoch: The epoch under which it owns the shard.
+        owner: Its own name in the list of holders.
+        waiting: Holders that have not yet answered.
+        known: Holders that may be lent units.
+        lent: Units lent, by organisation and holder; never below what the
+            holder has.
+        settled: Organisations whose remaining units are in the pool.
+        moved: Tokens that former owners gave up, until they are in the pool.
+        complete_s: Monotonic time at which the last holder had answered.
+    """
+
+    epoch: int
+    owner: str
+    waiting: set[str]
+    known: set[str]
+    lent: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    settled: set[str] = dataclasses.field(default_factory=set)
+    moved: dict[str, int] = dataclasses.field(default_factory=dict)
+    complete_s: float = 0.0
+
+
+def shard_of(organisation: str) -> int:
+    """Returns the shard that an organisation belongs to."""
+    return xxhash.xxh3_64_intdigest(organisation.encode()) % SHARD_COUNT
+
+
+def share_of(holdings: Holdings, organisation: str, now: float) -> Share:
+    """Returns a VM's share, an empty one at first."""
+    share = holdings.shares.get(organisation)
+    if share is None:
+        share = Share(updated_s=now, used_s=now)
+        holdings.shares[organisation] = share
+    return share
+
+
+def cap(units: int, allowance: Allowance) -> int:
+    """Returns the most tokens that units may hold."""
+    return int(allowance.burst * units)
+
+
+def refill(share: Share, now: float, allowance: Allowance) -> None:
+    """Adds the tokens that accrued since the last update, up to the cap."""
+    elapsed_s = max(0.0, now - share.updated_s)
+    accrued = int(elapsed_s * allowance.rate * share.units)
+    share.level = min(cap(share.units, allowance), share.level + accrued)
+    share.updated_s = max(now, share.updated_s)
+
+
+def note_demand(share: Share, now: float) -> None:
+    """Counts one request in the demand estimate."""
+    elapsed_s = max(0.0, now - share.used_s)
+    decay = math.exp(-elapsed_s / DEMAND_TIME_S)
+    share.demand = share.demand * decay + 1.0 / DEMAND_TIME_S
+    share.used_s = now
+
+
+def spend(share: Share, now: float, allowance: Allowance) -> bool:
+    """Takes the token of one request if the VM has it."""
+    refill(share, now, allowance)
+    if share.level < TOKEN:
+        return False
+    share.level -= TOKEN
+    return True
+
+
+def wanted_units(share: Share, allowance: Allowance) -> int:
+    """Returns the units that a VM should hold for its demand.
+
+    >>> wanted_units(Share(demand=4.0), Allowance(rate=50.0, burst=50.0))
+    100000
+    >>> wanted_units(Share(demand=1.0), Allowance(rate=10.0, burst=10.0))
+    0
+    """
+    fraction = share.demand * HEADROOM / allowance.rate
+    units = min(ORGANISATION_UNITS, int(fraction * ORGANISATION_UNITS))
+    if cap(units, allowance) < MINIMUM_HELD_TOKENS * TOKEN:
+        return 0
+    return units
+
+
+def missing_units(share: Share, allowance: Allowance) -> int:
+    """Returns the units to ask for, ahead of exhaustion."""
+    wanted = wanted_units(share, allowance)
+    if share.units >= wanted * 0.8:
+        return 0
+    return wanted - share.units
+
+
+def remove(
+    share: Share, units: int, tokens: int, now: float, allowance: Allowance
+) -> Parcel:
+    """Takes units and up to `tokens` tokens out of a share.
+
+    The tokens taken fit the burst of the units taken, and what stays fits the
+    burst of the units that stay.
+    """
+    refill(share, now, allowance)
+    units = max(0, min(units, share.units))
+    moved = min(tokens, share.level, cap(units, allowance))
+    stays = cap(share.units - units, allowance)
+    moved = max(moved, min(share.level - stays, cap(units, allowance)))
+    share.units -= units
+    share.level = min(share.level - moved, stays)
+    return Parcel(units, moved)
+
+
+def add(share: Share, parcel: Parcel, now: float, allowance: Allowance) -> None:
+    """Adds received units and tokens to a share."""
+    refill(share, now, allowance)
+    share.units += parcel.units
+    share.level += parcel.tokens
+    share.level = min(share.level, cap(share.units, allowance))
+
+
+def accepts(holdings: Holdings, epoch: int) -> bool:
+    """Adopts a message's epoch; False means that it is older and dropped."""
+    if epoch < holdings.epoch:
+        return False
+    holdings.epoch = epoch
+    return True
+
+
+def excess(share: Share, now: float, allowance: Allowance) -> int:
+    """Returns the units that a holder no longer needs."""
+    if now - share.used_s >= IDLE_S:
+        return share.units
+    kept = 2 * wanted_units(share, allowance)
+    return max(0, share.units - kept)
+
+
+def spare(
+    share: Share, tokens: int, now: float, allowance: Allowance
+) -> Parcel:
+    """Takes out tokens that the owner recalls, with the units they need."""
+    refill(share, now, allowance)
+    moved = min(tokens, share.level)
+    units = math.ceil(moved / allowance.burst)
+    return remove(share, units, moved, now, allowance)
+
+
+def report(
+    holdings: Holdings, epoch: int, *, owned: bool
+) -> dict[str, Parcel] | None:
+    """Answers a new owner; from then on older epochs are dropped.
+
+    A former owner gives up its pool: the units by stating that it holds none
+    of them, the tokens by moving them.
+
+    Args:
+        holdings: What the VM holds.
+        epoch: The new owner's epoch.
+        owned: Whether the VM owned the shard under an older epoch.
+
+    Returns:
+        By organisation the units that stay and the tokens that move, or None
+        when the epoch is older than one already known.
+    """
+    if not accepts(holdings, epoch):
+        return None
+    held = {}
+    for name, share in holdings.shares.items():
+        if owned:
+            held[name] = Parcel(0, share.level)
+            share.units = 0
+            share.level = 0
+        else:
+            held[name] = Parcel(share.units, 0)
+    return held
+
+
+def record_report(
+    ledger: Ledger, holder: str, held: dict[str, Parcel], now: float
+) -> None:
+    """Records a holder's answer to the new owner."""
+    if holder not in ledger.waiting:
+        return
+    for name, parcel in held.items():
+        ledger.lent.setdefault(name, {})[holder] = parcel.units
+        ledger.moved[name] = ledger.moved.get(name, 0) + parcel.tokens
+    _answered(ledger, holder, now)
+
+
+def forget_holder(ledger: Ledger, holder: str, now: float) -> None:
+    """Gives up a holder that is gone for good, before it has answered."""
+    ledger.known.discard(holder)
+    if holder in ledger.waiting:
+        _answered(ledger, holder, now)
+
+
+def _answered(ledger: Ledger, holder: str, now: float) -> None:
+    ledger.waiting.discard(holder)
+    if not ledger.waiting:
+        ledger.complete_s = now
+
+
+def pool(
+    ledger: Ledger,
+    holdings: Holdings,
+    organisation: str,
+    now: float,
+    allowance: Allowance,
+) -> Share:
+    """Returns the owner's own share, with all units that are not lent.
+
+    Units join it only when every holder has answered or is gone, and their
+    tokens start at zero then. Only under the first epoch nothing can have been
+    spent before, so that the pool starts full.
+    """
+    share = share_of(holdings, organisation, now)
+    refill(share, now, allowance)
+    if ledger.waiting or organisation in ledger.settled:
+        return share
+    ledger.settled.add(organisation)
+    lent = ledger.lent.get(organisation)
+    seen = lent is not None or share.units > 0
+    free = ORGANISATION_UNITS - sum((lent or {}).values())
+    share.units = max(share.units, free)
+    moved = ledger.moved.pop(organisation, 0)
+    share.level = min(share.level + moved, cap(share.units, allowance))
+    if ledger.epoch == 1:
+        share.level = cap(share.units, allowance)
+    elif not seen:
+        # Nobody has held units since the last answer arrived.
+        share.updated_s = ledger.complete_s
+        refill(share, now, allowance)
+    return share
+
+
+def lend(
+    ledger: Ledger,
+    share: Share,
+    organisation: str,
+    holder: str,
+    units: int,
+    now: float,
+    allowance: Allowance,
+) -> Parcel:
+    """Takes units for a holder out of the pool, above the reserve.
+
+    Raises:
+        ValueError: The holder is not in the shard record, or has not answered.
+    """
+    if holder not in ledger.known or holder in ledger.waiting:
+        raise ValueError(f"{holder} may not be lent units")
+    refill(share, now, allowance)
+    units = max(0, min(units, share.units - OWNER_RESERVE_UNITS))
+    if share.units == 0 or units == 0:
+        return Parcel()
+    tokens = share.level * units // share.units
+    parcel = remove(share, units, tokens, now, allowance)
+    lent = ledger.lent.setdefault(organisation, {})
+    lent[holder] = lent.get(holder, 0) + parcel.units
+    return parcel
+
+
+def take_back(
+    ledger: Ledger,
+    share: Share,
+    organisation: str,
+    holder: str,
+    parcel: Parcel,
+    now: float,
+    allowance: Allowance,
+) -> None:
+    """Adds what a holder returned to the pool."""
+    add(share, parcel, now, allowance)
+    lent = ledger.lent.setdefault(organisation, {})
+    lent[holder] = max(0, lent.get(holder, 0) - parcel.units)
+
+
+def draw(share: Share, tokens: int, now: float, allowance: Allowance) -> int:
+    """Takes whole requests' tokens for waiting requests; returns how many."""
+    refill(share, now, allowance)
+    drawn = min(tokens, share.level) // TOKEN * TOKEN
+    share.level -= drawn
+    return drawn
+
+
+def recall_targets(ledger: Ledger, organisation: str) -> list[str]:
+    """Returns the holders to ask for tokens, those with most units first."""
+    lent = ledger.lent.get(organisation, {})
+    holders = [h for h in lent if lent[h] > 0 and h not in ledger.waiting]
+    holders.sort(key=lambda holder: (-lent[holder], holder))
+    return holders[:RECALL_FANOUT]
+
+
+def next_token_s(share: Share, allowance: Allowance) -> float:
+    """Returns the seconds until a share has a whole token, at most 10."""
+    short = max(0, TOKEN - share.level)
+    if share.units == 0 or cap(share.units, allowance) < TOKEN:
+        return 1.0
+    return min(10.0, short / (allowance.rate * share.units))
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -13,6 +13,8 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Bytes = Annotated[int, msgspec.Meta(ge=1)]
+NAIVE = "naive"
+FLEET = "fleet"
 
 
 class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
