Claim requests by Idempotency-Key and before calls that may not be repeated

Cause: a resend ran again, and a call that may not be repeated was retried. Conclusion: the filter is in the online path.

--- /dev/null
+++ b/src/ibisknot/claims_runner.py
@@ -0,0 +1,108 @@
+"""A VM's use of claims: asks their owners, and tells them how runs ended."""
+
+from collections.abc import Callable
+
+import anyio
+
+from ibisknot import claims
+from ibisknot import claims_owner
+from ibisknot import errors
+from ibisknot import logs
+from ibisknot import ownership
+from ibisknot import peer
+from ibisknot import vmlist
+from ibisknot.gen.claims import ttypes
+
+JOIN_WAIT_S = 25.0
+"""Time for which a resend waits for the running request."""
+BEGIN_TIMEOUT_S = 0.5
+DURABLE_TIMEOUT_S = 8.0
+END_TIMEOUT_S = 1.0
+END_TRIES = 5
+END_PAUSE_S = 0.5
+
+
+class Client:
+    """Claims requests at the owners of their shards."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        peers: peer.Client,
+        live: Callable[[], list[vmlist.ListedVm]],
+        port: int,
+    ) -> None:
+        self.vm = vm
+        self.peers = peers
+        self.live = live
+        self.port = port
+        self.owner: claims_owner.Owner | None = None
+
+    def preferred(self, shard: int) -> str | None:
+        """Returns the VM that should own a shard."""
+        names = [vm.name for vm in self.live()]
+        return ownership.preferred(claims.KIND, shard, names)
+
+    def _address(self, vm: str | None) -> str:
+        for listed in self.live():
+            if listed.name == vm:
+                return f"{listed.address}:{self.port}"
+        raise errors.PeerError("no VM owns the claims", ran=errors.NOT_RUN)
+
+    async def begin(
+        self, claim: str, digest: str, request: str, *, durable: bool
+    ) -> ttypes.ClaimDecision:
+        """Claims a request; waits while another one runs under the claim.
+
+        Raises:
+            IbisknotError: The owner could not be asked, or refused.
+        """
+        message = ttypes.ClaimBegin(
+            claim=claim,
+            digest=digest,
+            vm=self.vm,
+            request=request,
+            durable=durable,
+            wait_s=0.0,
+        )
+        timeout_s = DURABLE_TIMEOUT_S if durable else BEGIN_TIMEOUT_S
+        decision = await self._begin(message, timeout_s)
+        if decision.decision == ttypes.Decision.RUNNING:
+            message.wait_s = JOIN_WAIT_S
+            decision = await self._begin(message, JOIN_WAIT_S + timeout_s)
+        return decision
+
+    async def _begin(
+        self, message: ttypes.ClaimBegin, timeout_s: float
+    ) -> ttypes.ClaimDecision:
+        name = self.preferred(claims.shard_of(message.claim))
+        if name == self.vm and self.owner is not None:
+            return await self.owner.on_begin(message)
+        return await self.peers.call(
+            self._address(name),
+            "claim_begin",
+            message,
+            ttypes.ClaimDecision,
+            timeout_s=timeout_s,
+        )
+
+    async def end(self, message: ttypes.ClaimEnd) -> None:
+        """Tells the owner how a run ended; tries again for a while."""
+        for _ in range(END_TRIES):
+            name = self.preferred(claims.shard_of(message.claim))
+            try:
+                if name == self.vm and self.owner is not None:
+                    await self.owner.on_end(message)
+                    return
+                await self.peers.call(
+                    self._address(name),
+                    "claim_end",
+                    message,
+                    timeout_s=END_TIMEOUT_S,
+                )
+                return
+            except errors.IbisknotError as error:
+                cause = error.message
+                await anyio.sleep(END_PAUSE_S)
+        logs.event("claim_end_failed", level="warning", cause=cause)
--- /dev/null
+++ b/src/ibisknot/deduplicate.py
@@ -0,0 +1,224 @@
+"""The filter that runs a request at most once under its claim."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+
+from anyio import abc
+
+from ibisknot import claims
+from ibisknot import claims_runner
+from ibisknot import errors
+from ibisknot import exchange as exchange_module
+from ibisknot import relay
+from ibisknot.gen.claims import ttypes
+
+KEY_HEADER = "idempotency-key"
+REPLAYED_HEADER = "idempotency-replayed"
+KEY_LENGTH = 256
+KEPT_HEADERS = ("content-type",)
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """A claim that this VM's request holds."""
+
+    claim: str
+    request: str
+    client: claims_runner.Client
+    group: abc.TaskGroup
+    ended: bool = False
+
+    def end(self, ran: str, recorded: claims.Recorded | None = None) -> None:
+        """Tells the owner, once, how the request ended."""
+        if self.ended:
+            return
+        self.ended = True
+        wire = None
+        if recorded is not None:
+            wire = ttypes.Recorded(
+                status=recorded.status,
+                headers=recorded.headers,
+                body=recorded.body,
+            )
+        message = ttypes.ClaimEnd(
+            claim=self.claim, request=self.request, ran=ran, recorded=wire
+        )
+        self.group.start_soon(self.client.end, message)
+
+
+def claim_once(
+    client: claims_runner.Client, group: abc.TaskGroup
+) -> exchange_module.Filter:
+    """Returns the filter; `group` outlives requests."""
+
+    async def run(
+        exchange: exchange_module.Exchange, following: exchange_module.Next
+    ) -> exchange_module.Reply:
+        key = exchange.request.headers.get(KEY_HEADER)
+        durable = not exchange.goal().idempotent
+        if key is None and not durable:
+            return await following(exchange)
+        if key is not None and not 0 < len(key) <= KEY_LENGTH:
+            message = f"{KEY_HEADER} must have 1 to {KEY_LENGTH} characters"
+            raise errors.BadRequestError(message)
+        # The prefixes keep a caller's key from naming another request's id.
+        name = f"key/{key}" if key is not None else f"request/{exchange.id}"
+        held = Held(
+            claims.claim_id(exchange.organisation, name),
+            exchange.id,
+            client,
+            group,
+        )
+        decision = await _begin(held, exchange, durable=durable)
+        if decision is not None and decision.decision != ttypes.Decision.RUN:
+            return _answer(exchange, decision)
+        if decision is None:
+            return await following(exchange)
+        return await _run(held, exchange, following, durable=durable)
+
+    return run
+
+
+async def _begin(
+    held: Held, exchange: exchange_module.Exchange, *, durable: bool
+) -> ttypes.ClaimDecision | None:
+    """Claims the request; None when it may run without a claim."""
+    request = exchange.request
+    digest = claims.request_digest(
+        request.method, request.url.path, request.url.query, exchange.body
+    )
+    try:
+        return await held.client.begin(
+            held.claim, digest, held.request, durable=durable
+        )
+    except errors.IbisknotError as error:
+        if not durable:
+            return None
+        # Nothing was sent to an endpoint, whatever became of the claim.
+        held.end(errors.NOT_RUN)
+        message = f"the request cannot be claimed: {error.message}"
+        raise errors.UnavailableError(message, retry_after_s=1.0) from None
+    except BaseException:
+        held.end(errors.NOT_RUN)
+        raise
+
+
+def _answer(
+    exchange: exchange_module.Exchange, decision: ttypes.ClaimDecision
+) -> exchange_module.Reply:
+    """Answers a request that does not run itself."""
+    kind = decision.decision
+    if kind == ttypes.Decision.CONFLICT:
+        message = f"{KEY_HEADER} was used with a different request"
+        raise errors.ConflictError(message)
+    if kind == ttypes.Decision.RUNNING:
+        message = "the first request under this key still runs"
+        raise errors.UnavailableError(
+            message, ran=errors.UNKNOWN, retry_after_s=5.0
+        )
+    if kind == ttypes.Decision.UNKNOWN:
+        message = "it is not known whether this request ran; it is not repeated"
+        raise errors.OutcomeUnknownError(message)
+    recorded = decision.recorded
+    if recorded is None:
+        message = "this request ran; its answer is no longer kept"
+        raise errors.AnswerNotKeptError(message)
+    exchange.ran = errors.RAN
+    headers = dict(recorded.headers)
+    headers["x-request-id"] = exchange.id
+    headers[REPLAYED_HEADER] = "true"
+    return exchange_module.Reply(
+        recorded.status, headers, _chunks([recorded.body])
+    )
+
+
+async def _run(
+    held: Held,
+    exchange: exchange_module.Exchange,
+    following: exchange_module.Next,
+    *,
+    durable: bool,
+) -> exchange_module.Reply:
+    try:
+        reply = await following(exchange)
+        exchange.closing.callback(held.end, errors.UNKNOWN)
+        recording = _record(held, reply, durable=durable)
+        if durable:
+            # The answer is read here, so that a caller that leaves does not
+            # end the run, and its resend gets the answer.
+            return await _read_ahead(reply, recording)
+    except errors.IbisknotError as error:
+        not_run = error.ran == errors.NOT_RUN
+        held.end(errors.NOT_RUN if not_run else errors.UNKNOWN)
+        raise
+    except BaseException:
+        held.end(errors.UNKNOWN)
+        raise
+    reply.body = recording
+    return reply
+
+
+async def _record(
+    held: Held, reply: exchange_module.Reply, *, durable: bool
+) -> AsyncIterator[bytes]:
+    """Passes an answer on and records it when it is whole."""
+    kept: list[bytes] | None = []
+    size = 0
+    body = reply.body
+    try:
+        async for chunk in body:
+            size += len(chunk)
+            if size > claims.RECORDED_BYTES:
+                kept = None
+            if kept is not None:
+                kept.append(chunk)
+            yield chunk
+    except BaseException:
+        held.end(errors.UNKNOWN)
+        raise
+    whole = b"".join(kept) if kept is not None else None
+    held.end(*_result(reply, whole, durable=durable))
+
+
+def _result(
+    reply: exchange_module.Reply, whole: bytes | None, *, durable: bool
+) -> tuple[str, claims.Recorded | None]:
+    """Returns whether the request ran, and the answer to keep."""
+    if not durable and reply.status >= 500:
+        return errors.UNKNOWN, None
+    if whole is None:
+        return errors.RAN, None
+    if relay.is_event_stream(reply) and relay.DONE not in whole[-64:]:
+        return errors.UNKNOWN, None
+    headers = {
+        name: reply.headers[name]
+        for name in KEPT_HEADERS
+        if name in reply.headers
+    }
+    return errors.RAN, claims.Recorded(reply.status, headers, whole)
+
+
+async def _read_ahead(
+    reply: exchange_module.Reply, recording: AsyncIterator[bytes]
+) -> exchange_module.Reply:
+    """Reads an answer up to the size that is recorded."""
+    chunks = []
+    size = 0
+    async for chunk in recording:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > claims.RECORDED_BYTES:
+            reply.body = _chunks(chunks, recording)
+            return reply
+    reply.body = _chunks(chunks)
+    return reply
+
+
+async def _chunks(
+    chunks: list[bytes], rest: AsyncIterator[bytes] | None = None
+) -> AsyncIterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+    if rest is not None:
+        async for chunk in rest:
+            yield chunk
--- a/src/ibisknot/dispatch.py
+++ b/src/ibisknot/dispatch.py
@@ -84,7 +84,7 @@
             except errors.EndpointError as error:
                 last = error
                 log_failure(exchange, name, error)
-                if not may_retry(exchange, error):
+                if not may_retry(exchange):
                     raise
         assert last is not None
         raise last
@@ -92,11 +92,13 @@
     return run
 
 
-def may_retry(
-    exchange: exchange_module.Exchange, error: errors.EndpointError
-) -> bool:
-    """Returns whether another endpoint may be tried after a failure."""
-    return error.ran == errors.NOT_RUN or exchange.goal().idempotent
+def may_retry(exchange: exchange_module.Exchange) -> bool:
+    """Returns whether another endpoint may be tried after a failure.
+
+    A request that may not be repeated is sent once under its claim, whatever
+    became of it.
+    """
+    return exchange.goal().idempotent
 
 
 def log_failure(
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -12,6 +12,9 @@
 
 import ibisknot
 from ibisknot import batches
+from ibisknot import claims_owner
+from ibisknot import claims_runner
+from ibisknot import deduplicate
 from ibisknot import dispatch
 from ibisknot import distribution
 from ibisknot import engine
@@ -52,12 +55,14 @@
     source: distribution.Distribution,
     engines: engine.Engines,
     shares: rates_runner.Runner,
+    client: claims_runner.Client,
 ) -> exchange.Next:
     """Puts the online path together."""
     if loaded.policy == settings.NAIVE:
         limit = online.limit_rate_static(source, lambda: len(daemon.vms.live()))
     else:
         limit = limits.limit_rate(shares)
+    claim = deduplicate.claim_once(client, daemon.group)
     return exchange.pipeline(
         online.trace,
         online.account,
@@ -65,6 +70,7 @@
         online.authenticate(source),
         limit,
         online.check_whole,
+        claim,
         dispatch.naive_filter(source, engines),
     )
 
@@ -103,6 +109,28 @@
     return runner
 
 
+def start_claims(
+    daemon: program.Daemon, view: membership.View
+) -> claims_runner.Client:
+    """Starts this VM's part in the idempotency claims."""
+    client = claims_runner.Client(
+        vm=daemon.loaded.vm.name,
+        peers=daemon.peers,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+    )
+    client.owner = claims_owner.Owner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        clock=daemon.clock,
+        preferred=client.preferred,
+        vm_gone=lambda name: name not in daemon.vms.vms,
+    )
+    client.owner.start(daemon.server)
+    return client
+
+
 def online_routes(
     step: exchange.Next, limits: settings.Limits
 ) -> list[routing.BaseRoute]:
@@ -181,7 +209,8 @@
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
         view = start_membership(daemon)
         shares = start_rates(daemon, source, view)
-        step = online_pipeline(daemon, loaded, source, engines, shares)
+        client = start_claims(daemon, view)
+        step = online_pipeline(daemon, loaded, source, engines, shares, client)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
             source, daemon.store, daemon.peers, daemon.vms, loaded.limits
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -115,6 +115,22 @@
     ran = NOT_RUN
 
 
+class OutcomeUnknownError(IbisknotError):
+    """A request that may not be repeated was sent; its end is not known."""
+
+    code = "outcome_unknown"
+    status = 409
+    ran = UNKNOWN
+
+
+class AnswerNotKeptError(IbisknotError):
+    """A request under this key ran; its answer is not kept."""
+
+    code = "answer_not_kept"
+    status = 409
+    ran = RAN
+
+
 class BodyTooLargeError(IbisknotError):
     """The request body is over the limit."""
 
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -7,6 +7,7 @@
 from starlette import requests
 from starlette import responses
 
+from ibisknot import buckets
 from ibisknot import configuration
 from ibisknot import distribution
 from ibisknot import errors
@@ -14,7 +15,6 @@
 from ibisknot import keys
 from ibisknot import logs
 from ibisknot import metrics
-from ibisknot import rates
 from ibisknot import relay
 from ibisknot import settings
 from ibisknot import traces
@@ -128,7 +128,7 @@
     source: distribution.Distribution, vm_count: Callable[[], int]
 ) -> exchange_module.Filter:
     """Returns the baseline's rate filter: an equal static split by VM."""
-    buckets: dict[str, rates.Bucket] = {}
+    by_name: dict[str, buckets.Bucket] = {}
 
     async def run(
         exchange: exchange_module.Exchange, following: exchange_module.Next
@@ -140,13 +140,13 @@
         count = max(1, vm_count())
         rate = organisation.rate_per_s / count
         burst = max(1.0, organisation.burst / count)
-        bucket = buckets.setdefault(
-            exchange.organisation, rates.Bucket(burst, now)
+        bucket = by_name.setdefault(
+            exchange.organisation, buckets.Bucket(burst, now)
         )
-        if not rates.take(bucket, now, rate=rate, burst=burst):
+        if not buckets.take(bucket, now, rate=rate, burst=burst):
             raise errors.RateLimitError(
                 f"organisation {exchange.organisation} is over its rate",
-                retry_after_s=rates.wait_s(bucket, rate=rate),
+                retry_after_s=buckets.wait_s(bucket, rate=rate),
             )
         return await following(exchange)
 
--- a/src/ibisknot/rates.py
+++ b/src/ibisknot/rates.py
@@ -37,40 +37,6 @@
 RECALL_FANOUT = 8
 
 
-@dataclasses.dataclass(slots=True)
-class Bucket:
-    """A token bucket; `level` is in requests, `updated_s` monotonic."""
-
-    level: float
-    updated_s: float
-
-
-def accrue(bucket: Bucket, now: float, *, rate: float, burst: float) -> None:
-    """Adds the tokens that accrued since the last update, up to `burst`."""
-    elapsed_s = max(0.0, now - bucket.updated_s)
-    bucket.level = min(burst, bucket.level + elapsed_s * rate)
-    bucket.updated_s = now
-
-
-def take(bucket: Bucket, now: float, *, rate: float, burst: float) -> bool:
-    """Takes one token if there is one.
-
-    >>> bucket = Bucket(level=1.0, updated_s=0.0)
-    >>> [take(bucket, t, rate=1.0, burst=1.0) for t in (0.0, 0.5, 1.0)]
-    [True, False, True]
-    """
-    accrue(bucket, now, rate=rate, burst=burst)
-    if bucket.level < 1.0:
-        return False
-    bucket.level -= 1.0
-    return True
-
-
-def wait_s(bucket: Bucket, *, rate: float) -> float:
-    """Returns the seconds until the next token, for Retry-After."""
-    return max(0.0, 1.0 - bucket.level) / rate
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Allowance:
     """An organisation's rate in requests a second, and its burst."""
@@ -416,3 +382,12 @@
     if share.units == 0 or cap(share.units, allowance) < TOKEN:
         return 1.0
     return min(10.0, short / (allowance.rate * share.units))
+
+
+def vm_of(holder: str) -> str:
+    """Returns the VM of a holder, which names a VM and its process.
+
+    >>> vm_of("vm-1/0a1b2c3d")
+    'vm-1'
+    """
+    return holder.partition("/")[0]
--- a/src/ibisknot/rates_owner.py
+++ b/src/ibisknot/rates_owner.py
@@ -170,7 +170,7 @@
         async def recall(holder: str) -> None:
             try:
                 answer = await self.runner.peers.call(
-                    self.runner.address(vm_of(holder)),
+                    self.runner.address(rates.vm_of(holder)),
                     "rate_recall",
                     message,
                     ttypes.RateReturn,
@@ -248,8 +248,8 @@
 
     def _holders_with_me(self, holders: list[str]) -> list[str]:
         me = self.runner.holder
-        mine = vm_of(me)
-        return [*(h for h in holders if vm_of(h) != mine), me]
+        mine = rates.vm_of(me)
+        return [*(h for h in holders if rates.vm_of(h) != mine), me]
 
     def _begin(self, shard: int, record: ownership.Record) -> None:
         me = self.runner.holder
@@ -288,7 +288,7 @@
     ) -> None:
         try:
             answer = await self.runner.peers.call(
-                self.runner.address(vm_of(holder)),
+                self.runner.address(rates.vm_of(holder)),
                 "rate_collect",
                 ttypes.RateCollect(shard=shard, epoch=ledger.epoch),
                 ttypes.RateReport,
@@ -317,7 +317,7 @@
         except errors.UnavailableError:
             return
         for holder in list(ledger.waiting):
-            if vm_of(holder) not in self.runner.vms.vms:
+            if rates.vm_of(holder) not in self.runner.vms.vms:
                 rates.forget_holder(ledger, holder, self.runner.clock.now())
 
     def _add_soon(self, shard: int, holder: str) -> None:
@@ -350,7 +350,7 @@
             if self.ledgers.get(shard) is ledger:
                 del self.ledgers[shard]
             return
-        listed = {n for n in names if vm_of(n) in self.runner.vms.vms}
+        listed = {n for n in names if rates.vm_of(n) in self.runner.vms.vms}
         record.holders = sorted(ledger.known | ledger.waiting | listed)
         record.operation = ownership.operation()
         written = await ownership.replace(
@@ -378,7 +378,7 @@
             return False
         listed = self.runner.vms.vms
         return any(
-            units > 0 and vm_of(holder) not in listed
+            units > 0 and rates.vm_of(holder) not in listed
             for lent in ledger.lent.values()
             for holder, units in lent.items()
         )
@@ -407,12 +407,3 @@
                 shard=shard,
                 cause=error.message,
             )
-
-
-def vm_of(holder: str) -> str:
-    """Returns the VM of a holder.
-
-    >>> vm_of("vm-1/0a1b2c3d")
-    'vm-1'
-    """
-    return holder.partition("/")[0]
--- a/src/ibisknot/standin_weights.py
+++ b/src/ibisknot/standin_weights.py
@@ -11,8 +11,8 @@
 from starlette import routing
 
 import ibisknot
+from ibisknot import buckets
 from ibisknot import errors
-from ibisknot import rates
 from ibisknot import standin
 
 CHUNK_BYTES = 256 * 1024
@@ -24,7 +24,7 @@
     def __init__(self, *, rate_bytes_s: float, size_bytes: int) -> None:
         self.rate_bytes_s = rate_bytes_s
         self.size_bytes = size_bytes
-        self.bucket = rates.Bucket(0.0, 0.0)
+        self.bucket = buckets.Bucket(0.0, 0.0)
 
     def routes(self) -> list[routing.BaseRoute]:
         """Returns the routes."""
@@ -43,8 +43,8 @@
         rate = self.rate_bytes_s / CHUNK_BYTES
         while left > 0:
             now = anyio.current_time()
-            if not rates.take(self.bucket, now, rate=rate, burst=1.0):
-                await anyio.sleep(rates.wait_s(self.bucket, rate=rate))
+            if not buckets.take(self.bucket, now, rate=rate, burst=1.0):
+                await anyio.sleep(buckets.wait_s(self.bucket, rate=rate))
                 continue
             size = min(left, CHUNK_BYTES)
             left -= size
