Add the fleet-cost scenario and count control bytes

Cause: the target sets limits on what a daemon spends for control, and no figure of it exists. Change: counters of bytes to and from peers and the key-value service; a scenario that measures processor time, memory, bytes and key-value calls at 9 to 72 VMs, 8 to 6,800 organisations and three rates of change.

--- a/src/ibisknot/fleet.py
+++ b/src/ibisknot/fleet.py
@@ -84,6 +84,7 @@
         seed: Seed of all random choices of the bench.
         engine_flags: Extra arguments of the engine stand-ins.
         delays: Whether the fault proxy adds the delays between data centres.
+        programs: Programs to start on each VM; a store only with a disk.
         entry: Extra settings of the entries.
         batch: Extra settings of the batch processes.
     """
@@ -93,6 +94,7 @@
     seed: int = 0
     engine_flags: list[str] = dataclasses.field(default_factory=list)
     delays: bool = False
+    programs: tuple[str, ...] = ("entry", "batch", "store")
     entry: dict[str, Any] = dataclasses.field(default_factory=dict)
     batch: dict[str, Any] = dataclasses.field(default_factory=dict)
 
@@ -246,10 +248,9 @@
             has_disk=number < topology.stores,
             processes={},
         )
-        programs = ["entry", "batch"]
-        if vm.has_disk:
-            programs.append("store")
-        for program in programs:
+        for program in self.options.programs:
+            if program == "store" and not vm.has_disk:
+                continue
             vm.processes[program] = self.spawn(
                 f"{vm.name}-{program}",
                 f"ibisknot-{program}",
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ibisknot import errors
+from ibisknot import metrics
 from ibisknot import settings
 
 
@@ -88,8 +89,10 @@
     async def _post(
         self, path: str, body: dict[str, Any], *, writes: bool
     ) -> dict[str, Any]:
+        content = msgspec.json.encode(body)
+        metrics.count_bytes("key_value", sent=len(content))
         try:
-            response = await self.client.post(path, json=body)
+            response = await self.client.post(path, content=content)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             message = f"key-value service not reachable: {error!r}"
             raise errors.KeyValueError(message) from None
@@ -97,6 +100,7 @@
             message = f"no answer from the key-value service: {error!r}"
             kind = errors.KeyValueUnknownError if writes else None
             raise (kind or errors.KeyValueError)(message) from None
+        metrics.count_bytes("key_value", received=len(response.content))
         if response.status_code != 200:
             message = (
                 f"key-value service answered {response.status_code}"
@@ -221,6 +225,7 @@
                 "POST", "/v3/watch", json=request, timeout=timeout
             ) as response:
                 async for line in response.aiter_lines():
+                    metrics.count_bytes("key_value", received=len(line))
                     if line.strip():
                         yield _changes(msgspec.json.decode(line))
         except httpx.HTTPError as error:
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -15,11 +15,13 @@
 import ibisknot
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
+from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_smoke
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
+    "fleet-cost": scenario_fleet_cost.run,
 }
 EXIT_VIOLATION = 1
 EXIT_USAGE = 2
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -21,6 +21,20 @@
 BATCH_ITEMS = aioprometheus.Counter(
     "ibisknot_batch_items_total", "Batch items by outcome."
 )
+CONTROL_BYTES = aioprometheus.Counter(
+    "ibisknot_control_bytes_total",
+    "Bytes to and from peers and the platform, by direction and channel.",
+)
+
+
+def count_bytes(channel: str, *, sent: int = 0, received: int = 0) -> None:
+    """Counts control traffic on a channel: `peer` or `key_value`."""
+    if sent:
+        CONTROL_BYTES.add({"channel": channel, "direction": "sent"}, sent)
+    if received:
+        CONTROL_BYTES.add(
+            {"channel": channel, "direction": "received"}, received
+        )
 
 
 async def handle(request: requests.Request) -> responses.Response:
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -19,6 +19,7 @@
 
 from ibisknot import errors
 from ibisknot import logs
+from ibisknot import metrics
 from ibisknot import traces
 from ibisknot.gen.peer import ttypes
 
@@ -66,6 +67,7 @@
     await fill(end)
     frame = bytes(rest[_LENGTH.size : end])
     del rest[:end]
+    metrics.count_bytes("peer", received=end)
     return frame
 
 
@@ -75,6 +77,7 @@
     frame = encode(envelope)
     async with lock:
         await stream.send(_LENGTH.pack(len(frame)) + frame)
+    metrics.count_bytes("peer", sent=_LENGTH.size + len(frame))
 
 
 class Server:
--- /dev/null
+++ b/src/ibisknot/scenario_fleet_cost.py
@@ -0,0 +1,288 @@
+"""Scenario `fleet-cost`: what the control plane costs, by size.
+
+Each size starts a fleet of entries (and batch processes where asked) without
+callers' traffic, applies configuration changes at a fixed rate and reads
+processor time, memory, control bytes and key-value calls over a window.
+"""
+
+import dataclasses
+import statistics
+from typing import Any
+
+import anyio
+import numpy
+import psutil
+
+from ibisknot import fleet as fleet_module
+from ibisknot import keys
+from ibisknot import logs
+from ibisknot import scenario
+
+VM_SIZES = (9, 18, 36, 72)
+ORGANISATION_SIZES = (8, 100, 1000, 6800)
+CHANGE_PERIODS_S = (0.0, 2.0, 0.5)
+SETTLE_S = 5.0
+SAMPLE_VMS = 6
+TARGET_VMS = 420
+TARGET_ORGANISATIONS = 6800
+GROWTH_LIMIT = 1.25
+INTENT_ORGANISATIONS = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Size:
+    """One point of measurement.
+
+    Attributes:
+        vms: Daemons.
+        organisations: Organisations in the configuration.
+        change_period_s: Seconds between configuration changes, 0 for none.
+    """
+
+    vms: int
+    organisations: int
+    change_period_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """What one daemon costs at a size, the median over sampled VMs.
+
+    Attributes:
+        cpu_fraction: Fraction of a core.
+        rss_mb: Resident memory of the entry.
+        bytes_per_s: Control bytes sent and received.
+        kv_calls_per_s: Key-value calls of the whole fleet by kind.
+        kv_watches: Watches that wait at the service.
+        in_force_s: Largest time for a change to be in force everywhere.
+    """
+
+    size: Size
+    cpu_fraction: float
+    rss_mb: float
+    bytes_per_s: float
+    kv_calls_per_s: dict[str, float]
+    kv_watches: int
+    in_force_s: float
+
+    def report(self) -> dict[str, Any]:
+        """Returns the point for the report."""
+        return dataclasses.asdict(self)
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """Counters of one VM's entry at one time."""
+
+    cpu_s: float
+    rss_bytes: int
+    control_bytes: float
+
+
+def sizes(smallest: int = VM_SIZES[0]) -> list[Size]:
+    """Returns the points: each dimension varied with the others fixed.
+
+    >>> len(sizes())
+    9
+    """
+    few = ORGANISATION_SIZES[0]
+    found = [Size(vms, few, 0.0) for vms in VM_SIZES]
+    found.extend(Size(smallest, count, 0.0) for count in ORGANISATION_SIZES[1:])
+    found.extend(Size(smallest, few, period) for period in CHANGE_PERIODS_S[1:])
+    return found
+
+
+def control_bytes(text: str) -> float:
+    """Returns the sum of the control byte counters in a metrics page.
+
+    >>> control_bytes('ibisknot_control_bytes_total{channel="peer"} 7')
+    7.0
+    """
+    return sum(
+        float(line.rpartition(" ")[2])
+        for line in text.splitlines()
+        if line.startswith("ibisknot_control_bytes_total")
+    )
+
+
+async def _read(fleet: fleet_module.Fleet, name: str) -> Reading:
+    vm = fleet.vms[name]
+    response = await fleet.client.get(f"{vm.url()}/metrics")
+    process = psutil.Process(vm.processes["entry"].handle.pid)
+    used = process.cpu_times()
+    return Reading(
+        cpu_s=used.user + used.system,
+        rss_bytes=process.memory_info().rss,
+        control_bytes=control_bytes(response.text),
+    )
+
+
+async def _add_organisations(fleet: fleet_module.Fleet, count: int) -> None:
+    """Adds organisations beyond those that the fleet starts with."""
+    missing = max(0, count - len(fleet.organisations))
+    for first in range(0, missing, INTENT_ORGANISATIONS):
+        last = min(missing, first + INTENT_ORGANISATIONS)
+        entries = {
+            f"tenant-{number}": {
+                "rate_per_s": 5,
+                "burst": 5,
+                "keys": {"first": {"digest": keys.digest(f"key-{number}")}},
+            }
+            for number in range(first, last)
+        }
+        await fleet.confirm({"organisations": entries})
+
+
+async def _changes(
+    fleet: fleet_module.Fleet, size: Size, seconds: float
+) -> float:
+    """Confirms changes through the window; returns the slowest in force."""
+    slowest_s = 0.0
+    end_s = anyio.current_time() + seconds
+    number = 0
+    while size.change_period_s and anyio.current_time() < end_s:
+        next_s = anyio.current_time() + size.change_period_s
+        number += 1
+        intent = {"organisations": {"organisation-1": {"burst": 50 + number}}}
+        version = await fleet.confirm(intent)
+        slowest_s = max(slowest_s, await fleet.wait_in_force(version))
+        await anyio.sleep_until(next_s)
+    await anyio.sleep_until(end_s)
+    return slowest_s
+
+
+async def measure(options: scenario.Run, size: Size) -> Cost:
+    """Starts a fleet of a size and measures its control cost."""
+    topology = options.topology.resized(vms=size.vms, engines=2)
+    started = fleet_module.Options(
+        topology=topology,
+        policy=options.policy,
+        seed=options.seed,
+        programs=("entry",),
+    )
+    async with fleet_module.running(started) as fleet:
+        await _add_organisations(fleet, size.organisations)
+        await anyio.sleep(SETTLE_S)
+        return await _window(fleet, size, options.seconds)
+
+
+async def _window(
+    fleet: fleet_module.Fleet, size: Size, seconds: float
+) -> Cost:
+    """Measures over one window. VM 1 serves the operator and is left out."""
+    names = list(fleet.vms)[1 : 1 + SAMPLE_VMS]
+    before = {name: await _read(fleet, name) for name in names}
+    calls_before = (await fleet.key_value_calls())["calls"]
+    start_s = anyio.current_time()
+    slowest_s = await _changes(fleet, size, seconds)
+    elapsed_s = anyio.current_time() - start_s
+    calls = await fleet.key_value_calls()
+    after = {name: await _read(fleet, name) for name in names}
+
+    def median(field: str) -> float:
+        return statistics.median(
+            getattr(after[n], field) - getattr(before[n], field) for n in names
+        )
+
+    rates = {
+        kind: (count - calls_before.get(kind, 0)) / elapsed_s
+        for kind, count in calls["calls"].items()
+    }
+    memory = statistics.median(after[n].rss_bytes for n in names)
+    return Cost(
+        size=size,
+        cpu_fraction=median("cpu_s") / elapsed_s,
+        rss_mb=memory / 1e6,
+        bytes_per_s=median("control_bytes") / elapsed_s,
+        kv_calls_per_s=rates,
+        kv_watches=calls["watching"],
+        in_force_s=slowest_s,
+    )
+
+
+def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Returns intercept and slope of the least-squares line.
+
+    >>> [round(value, 6) for value in slope([(0, 1), (1, 3), (2, 5)])]
+    [1.0, 2.0]
+    """
+    across = [x for x, _ in points]
+    along = [y for _, y in points]
+    gradient, start = numpy.polyfit(across, along, 1)
+    return float(start), float(gradient)
+
+
+def _calls(cost: Cost) -> float:
+    return sum(cost.kv_calls_per_s.values())
+
+
+def extrapolate(costs: list[Cost]) -> dict[str, Any]:
+    """Returns slopes by VMs and organisations, and the target's cost."""
+    few = ORGANISATION_SIZES[0]
+    calm = [c for c in costs if c.size.change_period_s == 0]
+    by_vms = [c for c in calm if c.size.organisations == few]
+    smallest = min(c.size.vms for c in calm)
+    by_organisations = [c for c in calm if c.size.vms == smallest]
+    found: dict[str, Any] = {}
+    for field in ("cpu_fraction", "rss_mb", "bytes_per_s"):
+        base, per_vm = slope([(c.size.vms, getattr(c, field)) for c in by_vms])
+        _, per_organisation = slope(
+            [
+                (c.size.organisations, getattr(c, field))
+                for c in by_organisations
+            ]
+        )
+        found[field] = {
+            "base": base,
+            "per_vm": per_vm,
+            "per_organisation": per_organisation,
+            "at_target": base
+            + per_vm * TARGET_VMS
+            + per_organisation * (TARGET_ORGANISATIONS - few),
+        }
+    base, per_vm = slope([(c.size.vms, _calls(c)) for c in by_vms])
+    found["kv_calls_per_s"] = {
+        "base": base,
+        "per_vm": per_vm,
+        "at_target": base + per_vm * TARGET_VMS,
+    }
+    return found
+
+
+def _growth(costs: list[Cost], field: str) -> float:
+    """Returns the cost at 72 daemons over the cost at 18."""
+    few = ORGANISATION_SIZES[0]
+    calm = {
+        c.size.vms: getattr(c, field)
+        for c in costs
+        if c.size.change_period_s == 0 and c.size.organisations == few
+    }
+    return calm[72] / calm[18] if calm.get(18) else 0.0
+
+
+async def run(options: scenario.Run) -> scenario.Result:
+    """Measures every size in turn."""
+    result = scenario.Result()
+    costs = []
+    for size in sizes():
+        cost = await measure(options, size)
+        logs.event("fleet_cost", **cost.report())
+        costs.append(cost)
+    result.fields["points"] = [cost.report() for cost in costs]
+    result.fields["slopes"] = extrapolate(costs)
+    for field in ("cpu_fraction", "rss_mb", "bytes_per_s"):
+        result.fields[f"{field}_72_over_18"] = _growth(costs, field)
+    calls = [
+        _calls(c)
+        for c in costs
+        if c.size.vms in (VM_SIZES[0], VM_SIZES[-1])
+        and c.size.change_period_s == 0
+        and c.size.organisations == ORGANISATION_SIZES[0]
+    ]
+    fleet_growth = VM_SIZES[-1] / VM_SIZES[0] - 1
+    calls_growth = calls[1] / calls[0] - 1 if calls[0] else 0.0
+    result.fields["kv_calls_growth_over_fleet_growth"] = (
+        calls_growth / fleet_growth
+    )
+    result.fields["growth_limit"] = GROWTH_LIMIT
+    return result
--- a/src/ibisknot/topology.py
+++ b/src/ibisknot/topology.py
@@ -1,6 +1,7 @@
 """The users' deployments, as the bench starts them on loopback."""
 
 import msgspec
+from msgspec import structs
 
 
 class Topology(msgspec.Struct, frozen=True):
@@ -29,6 +30,10 @@
         """Returns the data centre of the VM or endpoint with a number."""
         return self.data_centres[number % len(self.data_centres)]
 
+    def resized(self, *, vms: int, engines: int) -> "Topology":
+        """Returns the same deployment with other numbers of VMs."""
+        return structs.replace(self, vms=vms, engines=engines)
+
 
 UMURUNGA = Topology(
     name="umurunga",
