Add the scenarios noisy-organisation and kv-outage

Cause: the limits and claims had no run that attacks them. Change: two scenarios, and a reference token bucket fed at the caller.

--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -16,11 +16,15 @@
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
 from ibisknot import scenario_fleet_cost
+from ibisknot import scenario_kv_outage
+from ibisknot import scenario_noisy_organisation
 from ibisknot import scenario_smoke
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
+    "noisy-organisation": scenario_noisy_organisation.run,
+    "kv-outage": scenario_kv_outage.run,
     "fleet-cost": scenario_fleet_cost.run,
 }
 EXIT_VIOLATION = 1
--- /dev/null
+++ b/src/ibisknot/scenario_noisy_organisation.py
@@ -0,0 +1,182 @@
+"""Scenario `noisy-organisation`: one organisation sends 8 times its rate."""
+
+import dataclasses
+
+from ibisknot import configuration
+from ibisknot import fleet as fleet_module
+from ibisknot import generator
+from ibisknot import reference
+from ibisknot import scenario
+from ibisknot import settings
+
+NOISY = "organisation-3"
+NOISE_FACTOR = 8.0
+INSIDE_FACTOR = 0.7
+"""Load of the other organisations as a part of their rate."""
+ROUNDS = 3
+"""Quiet and noisy phases alternate, so that slow drift affects both."""
+WARM_UP_S = 2.0
+TOKENS = 8
+REFUSED_LIMIT = 0.001
+GRANTED_LIMIT = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Phase:
+    """A part of the run, in seconds after its start."""
+
+    start_s: float
+    end_s: float
+    noisy: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Found:
+    """What one version did."""
+
+    in_rate: int = 0
+    in_rate_refused: int = 0
+    not_whole: int = 0
+    requests: int = 0
+    granted_over_allowed: float = 0.0
+    noisy_granted: int = 0
+    noisy_in_rate: int = 0
+    quiet_p99_ms: float = 0.0
+    noisy_p99_ms: float = 0.0
+
+    def refused_fraction(self) -> float:
+        """Returns the fraction of in-rate requests that were refused."""
+        return self.in_rate_refused / max(1, self.in_rate)
+
+    def p99_ratio(self) -> float:
+        """Returns the worst organisation's p99 with noise over without."""
+        return self.noisy_p99_ms / max(1e-9, self.quiet_p99_ms)
+
+
+def phases(seconds: float) -> list[Phase]:
+    """Returns the alternating phases of a run.
+
+    >>> [(p.start_s, p.end_s, p.noisy) for p in phases(6.0)[:2]]
+    [(2.0, 3.0, False), (3.0, 4.0, True)]
+    """
+    length_s = seconds / (2 * ROUNDS)
+    found = []
+    for number in range(2 * ROUNDS):
+        start_s = WARM_UP_S + number * length_s
+        found.append(Phase(start_s, start_s + length_s, number % 2 == 1))
+    return found
+
+
+def streams(rates: dict[str, float], seconds: float) -> list[generator.Stream]:
+    """Returns the load: all inside their rate, one noisy in its phases."""
+    end_s = WARM_UP_S + seconds
+    found = [
+        generator.Stream(name, INSIDE_FACTOR * rate, 0.0, end_s, TOKENS)
+        for name, rate in rates.items()
+        if name != NOISY
+    ]
+    rate = rates[NOISY]
+    for phase in phases(seconds):
+        factor = NOISE_FACTOR if phase.noisy else INSIDE_FACTOR
+        found.append(
+            generator.Stream(
+                NOISY, factor * rate, phase.start_s, phase.end_s, TOKENS
+            )
+        )
+    return found
+
+
+async def run(options: scenario.Run) -> scenario.Result:
+    """Runs the fleet's version, and the baseline beside it."""
+    result = scenario.Result()
+    found = await _measure(options, options.policy)
+    result.in_rate = found.in_rate
+    result.in_rate_refused = found.in_rate_refused
+    _report(result, found, "")
+    result.expect(
+        found.granted_over_allowed <= GRANTED_LIMIT,
+        f"granted {found.granted_over_allowed:.4f} of what is allowed",
+    )
+    result.expect(
+        found.refused_fraction() <= REFUSED_LIMIT,
+        f"refused {found.in_rate_refused} in-rate requests",
+    )
+    result.expect(not found.not_whole, f"{found.not_whole} answers not whole")
+    if options.policy != settings.NAIVE:
+        baseline = await _measure(options, settings.NAIVE)
+        _report(result, baseline, "baseline_")
+        refused = baseline.refused_fraction()
+        result.fields["baseline_refused_in_rate_fraction"] = refused
+    return result
+
+
+def _report(result: scenario.Result, found: Found, prefix: str) -> None:
+    fields = {
+        "granted_over_allowed_max": round(found.granted_over_allowed, 4),
+        "worst_organisation_p99_ratio": round(found.p99_ratio(), 3),
+        "worst_organisation_p99_ms_quiet": found.quiet_p99_ms,
+        "worst_organisation_p99_ms_noisy": found.noisy_p99_ms,
+        "requests": found.requests,
+        "in_rate": found.in_rate,
+        "in_rate_refused": found.in_rate_refused,
+        "noisy_granted": found.noisy_granted,
+        "noisy_granted_by_reference": found.noisy_in_rate,
+    }
+    for name, value in fields.items():
+        result.fields[prefix + name] = value
+
+
+async def _measure(options: scenario.Run, policy: str) -> Found:
+    started = fleet_module.Options(
+        topology=options.topology, policy=policy, seed=options.seed
+    )
+    async with fleet_module.running(started) as fleet:
+        wanted = reference.organisations(options.topology)
+        rates = {name: o.rate_per_s for name, o in wanted.items()}
+        caller = generator.Caller(fleet, seed=options.seed)
+        load = streams(rates, options.seconds)
+        answers = await caller.run(load)
+    return evaluate(answers, wanted, options.seconds)
+
+
+def evaluate(
+    answers: list[generator.Answer],
+    organisations: dict[str, configuration.Organisation],
+    seconds: float,
+) -> Found:
+    """Compares what was answered with the reference buckets."""
+    found = Found(requests=len(answers))
+    begin_s = min(answer.due_s for answer in answers)
+    for name, organisation in organisations.items():
+        own = [a for a in answers if a.organisation == name]
+        over = reference.granted_over_allowed(own, organisation)
+        found.granted_over_allowed = max(found.granted_over_allowed, over)
+        inside, refused = reference.refused_in_rate(own, organisation)
+        if name == NOISY:
+            found.noisy_in_rate = inside
+            found.noisy_granted = sum(a.status == 200 for a in own)
+            continue
+        found.in_rate += inside
+        found.in_rate_refused += refused
+        quiet_ms, noisy_ms = _p99s(own, begin_s, seconds)
+        found.quiet_p99_ms = max(found.quiet_p99_ms, quiet_ms)
+        found.noisy_p99_ms = max(found.noisy_p99_ms, noisy_ms)
+    found.not_whole = sum(
+        not a.whole and a.code != reference.RATE_LIMITED for a in answers
+    )
+    return found
+
+
+def _p99s(
+    answers: list[generator.Answer], begin_s: float, seconds: float
+) -> tuple[float, float]:
+    """Returns an organisation's p99 without and with noise, in ms."""
+    quiet = generator.Latencies()
+    noisy = generator.Latencies()
+    for phase in phases(seconds):
+        latencies = noisy if phase.noisy else quiet
+        for answer in answers:
+            at_s = answer.due_s - begin_s
+            if answer.whole and phase.start_s <= at_s < phase.end_s:
+                latencies.add(answer.first_s)
+    return quiet.quantile_ms(0.99), noisy.quantile_ms(0.99)
