Bound headers and unread answers, and end requests before their connections

Cause: at shutdown hypercorn cancelled connections with open streams, which asyncio printed as stack traces; a caller that never reads could hold a connection for ever, and oversized headers had no typed error.

Change: open requests are ended just before the server's own timeout; unread bytes end a connection after 30 s; headers over 64 KiB get headers_too_large.

--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -123,6 +123,14 @@
     ran = NOT_RUN
 
 
+class HeadersTooLargeError(IbisknotError):
+    """The request's headers are over the limit."""
+
+    code = "headers_too_large"
+    status = 431
+    ran = NOT_RUN
+
+
 class RateLimitError(IbisknotError):
     """The organisation is over its rate and burst."""
 
--- a/src/ibisknot/web.py
+++ b/src/ibisknot/web.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import signal
+import socket
 from typing import Any
 from typing import TypeVar
 
@@ -15,12 +16,18 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from ibisknot import errors
 from ibisknot import logs
 from ibisknot import settings
 
 JSON = "application/json"
+MAXIMUM_HEADER_BYTES = 64 * 1024
+UNREAD_TIMEOUT_S = 30.0
+"""Seconds after which a connection ends whose caller does not read."""
+CLOSE_TIMEOUT_S = 2.0
+"""Seconds for connections to close once their requests have ended."""
 Handler = Callable[[requests.Request], Awaitable[responses.Response]]
 T = TypeVar("T")
 
@@ -103,7 +110,7 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         message = f"the body is not valid: {error}"
         raise errors.BadRequestError(message) from None
 
@@ -137,6 +144,58 @@
     )
 
 
+class ServerConfig(hypercorn_config.Config):
+    """Server configuration that bounds how long written bytes may wait."""
+
+    def create_sockets(self) -> hypercorn_config.Sockets:
+        """Creates the listeners; accepted connections inherit the bound."""
+        sockets = super().create_sockets()
+        timeout_ms = int(UNREAD_TIMEOUT_S * 1000)
+        for one in [*sockets.secure_sockets, *sockets.insecure_sockets]:
+            one.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+        return sockets
+
+
+class Edge:
+    """ASGI wrapper that bounds headers and ends requests at shutdown.
+
+    hypercorn cancels whole connections at the end of its own timeout, which
+    asyncio reports with a stack trace; ending the requests first avoids that.
+    """
+
+    def __init__(self, app: types.ASGIApp) -> None:
+        self.app = app
+        self.scopes: set[anyio.CancelScope] = set()
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Runs one request."""
+        if scope["type"] != "http":
+            if scope["type"] == "lifespan":
+                await self.app(scope, receive, send)
+            return
+        size = sum(len(n) + len(v) for n, v in scope["headers"])
+        if size > MAXIMUM_HEADER_BYTES:
+            message = f"the headers are over {MAXIMUM_HEADER_BYTES} bytes"
+            error = errors.HeadersTooLargeError(message)
+            await error_response(error)(scope, receive, send)
+            return
+        with anyio.CancelScope() as cancel_scope:
+            self.scopes.add(cancel_scope)
+            try:
+                await self.app(scope, receive, send)
+            finally:
+                self.scopes.discard(cancel_scope)
+
+    def end_requests(self) -> None:
+        """Ends the requests that still run; their connections close."""
+        for cancel_scope in list(self.scopes):
+            cancel_scope.cancel()
+
+
 async def serve(
     app: applications.Starlette,
     *,
@@ -145,33 +204,54 @@
     stop: anyio.Event,
     tls: settings.Tls | None = None,
     graceful_s: float = 60.0,
+    idle_timeout_s: float = 75.0,
 ) -> None:
-    """Serves HTTP until `stop` is set and open requests have ended."""
-    config = hypercorn_config.Config()
+    """Serves HTTP until `stop` is set and open requests have ended.
+
+    Args:
+        app: The application.
+        address: The IP number to listen on.
+        port: The port to listen on.
+        stop: Set to stop listening.
+        tls: Certificate files, for HTTPS.
+        graceful_s: Seconds that open requests may take after `stop`.
+        idle_timeout_s: Seconds that a connection may stay without a whole
+            request head.
+    """
+    config = ServerConfig()
     config.bind = [f"{address}:{port}"]
     config.accesslog = None
     config.errorlog = None
-    config.graceful_timeout = graceful_s
-    config.shutdown_timeout = graceful_s
-    config.keep_alive_timeout = 75.0
+    config.graceful_timeout = graceful_s + CLOSE_TIMEOUT_S
+    config.shutdown_timeout = graceful_s + CLOSE_TIMEOUT_S
+    config.keep_alive_timeout = idle_timeout_s
     config.read_timeout = None
-    config.h11_max_incomplete_size = 64 * 1024
+    config.h11_max_incomplete_size = 2 * MAXIMUM_HEADER_BYTES
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.private_key
+    edge = Edge(app)
 
     async def run() -> None:
         await hypercorn_asyncio.serve(
-            app,  # type: ignore[arg-type]
+            edge,  # type: ignore[arg-type]
             config,
             shutdown_trigger=stop.wait,
             mode="asgi",
         )
 
+    async def end_requests() -> None:
+        await stop.wait()
+        await anyio.sleep(graceful_s)
+        edge.end_requests()
+
     # hypercorn leaves a pending cancellation on its task at shutdown, so it
     # gets a task of its own.
-    async with anyio.create_task_group() as group:
-        group.start_soon(run)
+    async with anyio.create_task_group() as outer:
+        outer.start_soon(end_requests)
+        async with anyio.create_task_group() as group:
+            group.start_soon(run)
+        outer.cancel_scope.cancel()
 
 
 async def stop_on_signal(stop: anyio.Event) -> None:
