Complete the engine stand-in and test the stand-ins

Change: the engine serves /engine/cache/{events,export,import} and /engine/state, takes adapter orders, and refuses the version `broken`. Tests start the stand-ins as processes and require a quiet end on SIGTERM.

--- a/src/ibisknot/_engine_model.py
+++ b/src/ibisknot/_engine_model.py
@@ -1,6 +1,7 @@
 """Continuous batching with a token-time model, as an engine does it."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 
 import anyio
@@ -111,8 +112,13 @@
 class Batcher:
     """Admits sequences as they come and runs them step by step."""
 
-    def __init__(self, costs: Costs) -> None:
+    def __init__(
+        self,
+        costs: Costs,
+        on_cache: Callable[[list[int], list[int]], None] | None = None,
+    ) -> None:
         self.costs = costs
+        self.on_cache = on_cache
         self.waiting: collections.deque[Sequence] = collections.deque()
         self.running: list[Sequence] = []
         self.cache = PrefixCache(costs.cache_blocks)
@@ -142,7 +148,9 @@
             if sequence.cancelled:
                 continue
             blocks = prompt_blocks(sequence.prompt)
-            hits, _, _ = self.cache.use(blocks)
+            hits, added, evicted = self.cache.use(blocks)
+            if self.on_cache is not None:
+                self.on_cache(added, evicted)
             size = len(sequence.prompt.split()) + sequence.first
             fresh = max(1, size - hits * BLOCK_WORDS)
             prefill_s += fresh * self.costs.prefill_s
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -69,6 +69,10 @@
     body_bytes: Bytes = 4 * 1024 * 1024
     file_bytes: Bytes = 4 * 1024 * 1024 * 1024
     read_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 75.0
+    """Time that a connection may stay without a whole request head."""
+    send_timeout_s: Seconds = 30.0
+    """Time that a caller may leave a part of its answer unread."""
     request_timeout_s: Seconds = 60.0
 
 
--- a/src/ibisknot/standin_engine.py
+++ b/src/ibisknot/standin_engine.py
@@ -16,7 +16,9 @@
 from starlette import routing
 
 import ibisknot
+from ibisknot import _engine_cache
 from ibisknot import _engine_model
+from ibisknot import _engine_orders
 from ibisknot import _engine_text
 from ibisknot import errors
 from ibisknot import standin
@@ -58,16 +60,6 @@
         return limit or DEFAULT_TOKENS
 
 
-class Order(msgspec.Struct):
-    """An order: load or unload a version of a model, or change role."""
-
-    kind: str
-    fencing: int
-    model: str = ""
-    version: str = ""
-    role: str = ""
-
-
 @dataclasses.dataclass
 class Arguments:
     """Stands in for a model engine."""
@@ -77,6 +69,13 @@
     models: Annotated[str, cappa.Arg(long=True, help="Comma list.")] = "small"
     ignores_fencing: Annotated[bool, cappa.Arg(long=True)] = False
     report_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
+    event_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.3
+    event_loss: Annotated[float, cappa.Arg(long=True)] = 0.02
+    load_s: Annotated[float, cappa.Arg(long=True)] = 0.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    instant: Annotated[
+        bool, cappa.Arg(long=True, help="Answer at once, without batching.")
+    ] = False
     slots: Annotated[int, cappa.Arg(long=True)] = 32
     step_s: Annotated[float, cappa.Arg(long=True)] = 0.008
     sequence_s: Annotated[float, cappa.Arg(long=True)] = 0.0004
@@ -93,12 +92,18 @@
             prefill_s=arguments.prefill_s,
             slots=arguments.slots,
         )
-        self.batcher = _engine_model.Batcher(costs)
-        self.versions = {name: "1" for name in arguments.models.split(",")}
+        self.events = _engine_cache.EventLog(
+            lag_s=arguments.event_lag_s,
+            loss=arguments.event_loss,
+            seed=arguments.seed,
+        )
+        self.batcher = _engine_model.Batcher(costs, self._cache_changed)
+        versions = {name: "1" for name in arguments.models.split(",")}
+        self.state = _engine_orders.State(versions)
         self.checks_fencing = not arguments.ignores_fencing
         self.report_lag_s = arguments.report_lag_s
-        self.fencing = 0
-        self.role = "mixed"
+        self.load_s = arguments.load_s
+        self.instant = arguments.instant
         self.reports: list[tuple[float, dict[str, Any]]] = []
         self.served: list[str] = []
 
@@ -112,6 +117,14 @@
             routing.Route("/engine/cancel", self.cancel, methods=post),
             routing.Route("/engine/load", self.load),
             routing.Route("/engine/orders", self.order, methods=post),
+            routing.Route("/engine/state", self.show_state),
+            routing.Route("/engine/cache/events", self.cache_events),
+            routing.Route(
+                "/engine/cache/export", self.export_cache, methods=post
+            ),
+            routing.Route(
+                "/engine/cache/import", self.import_cache, methods=post
+            ),
             routing.Route("/admin/served", self.list_served),
         ]
 
@@ -130,15 +143,15 @@
             "waiting": len(self.batcher.waiting),
             "tokens": self.batcher.tokens,
             "slots": self.batcher.costs.slots,
-            "versions": dict(self.versions),
-            "role": self.role,
+            "versions": dict(self.state.versions),
+            "role": self.state.role,
         }
 
     async def list_models(
         self, _request: requests.Request
     ) -> responses.Response:
         """Lists the loaded models."""
-        data = [{"id": name, "object": "model"} for name in self.versions]
+        data = [{"id": name, "object": "model"} for name in self.state.names()]
         return web.json_response({"object": "list", "data": data})
 
     async def load(self, _request: requests.Request) -> responses.Response:
@@ -155,22 +168,55 @@
 
     async def order(self, request: requests.Request) -> responses.Response:
         """Takes an order; an old fencing number is refused if checked."""
-        order = web.decode_body(await request.body(), Order)
-        if self.checks_fencing and order.fencing < self.fencing:
-            raise errors.FencedError(
-                f"fencing number {order.fencing} is below {self.fencing}"
+        order = web.decode_body(await request.body(), _engine_orders.Order)
+        _engine_orders.check_fencing(
+            self.state, order, checks=self.checks_fencing
+        )
+        if order.kind in ("load", "load_adapter"):
+            await anyio.sleep(self.load_s)
+            # A newer order may have come while this one was loading.
+            _engine_orders.check_fencing(
+                self.state, order, checks=self.checks_fencing
             )
-        self.fencing = max(self.fencing, order.fencing)
-        if order.kind == "load":
-            self.versions[order.model] = order.version
-        elif order.kind == "unload":
-            self.versions.pop(order.model, None)
-        elif order.kind == "role":
-            self.role = order.role
-        else:
-            raise errors.BadRequestError(f"unknown order {order.kind!r}")
+        _engine_orders.apply(self.state, order)
         return web.json_response(self._report())
 
+    async def show_state(
+        self, _request: requests.Request
+    ) -> responses.Response:
+        """Returns what is loaded now, to read orders back."""
+        return web.json_response(self.state)
+
+    def _cache_changed(self, stored: list[int], evicted: list[int]) -> None:
+        self.events.record(anyio.current_time(), stored, evicted)
+
+    async def cache_events(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Returns the cache events after the number `after`."""
+        try:
+            after = int(request.query_params.get("after", "0"))
+        except ValueError:
+            raise errors.BadRequestError("`after` is no number") from None
+        return web.json_response(self.events.read(anyio.current_time(), after))
+
+    async def export_cache(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Returns the cached leading blocks of a prompt."""
+        wanted = web.decode_body(await request.body(), ModelRequest)
+        data = _engine_cache.export_blocks(self.batcher.cache, wanted.text())
+        return responses.Response(data, media_type="application/octet-stream")
+
+    async def import_cache(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Adds exported blocks to the cache."""
+        data = await request.body()
+        added, evicted = _engine_cache.import_blocks(self.batcher.cache, data)
+        self._cache_changed(added, evicted)
+        return web.json_response({"added": len(added)})
+
     async def list_served(
         self, _request: requests.Request
     ) -> responses.Response:
@@ -189,7 +235,7 @@
         self, request: requests.Request, *, chat: bool
     ) -> responses.Response:
         wanted = web.decode_body(await request.body(), ModelRequest)
-        if wanted.model not in self.versions:
+        if not self.state.serves(wanted.model):
             raise errors.ModelNotFoundError(f"no model {wanted.model}")
         prompt = wanted.text()
         if CRASH_MARK in prompt:
@@ -203,7 +249,10 @@
             limit=wanted.limit(),
             made=wanted.resume_from,
         )
-        self.batcher.add(sequence)
+        if self.instant:
+            sequence.made = sequence.limit
+        else:
+            self.batcher.add(sequence)
         writer = _Writer(wanted, sequence, chat=chat)
         if wanted.stream:
             return _EventResponse(sequence, writer.events())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,24 @@
 """Fixtures shared by the tests."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 import json
 import pathlib
 import signal
 import subprocess
 import sys
+import time
 from typing import Any
 
+from anyio import from_thread
+import httpx
 import pytest
 
+from ibisknot import _fleet_parts
+from ibisknot import fleet as fleet_module
+from ibisknot import topology
+
 BIN = pathlib.Path(sys.executable).parent
 
 
@@ -26,6 +35,101 @@
         process.wait(timeout=60)
 
 
+@dataclasses.dataclass
+class StandIn:
+    """A started stand-in."""
+
+    url: str
+    address: str
+    process: subprocess.Popen[bytes]
+
+    def post(self, path: str, body: Any) -> httpx.Response:
+        """Posts JSON to it."""
+        return httpx.post(self.url + path, json=body, trust_env=False)
+
+    def get(self, path: str) -> httpx.Response:
+        """Gets a path."""
+        return httpx.get(self.url + path, trust_env=False)
+
+
+@pytest.fixture
+def standin(tmp_path: pathlib.Path) -> Iterator[Callable[..., StandIn]]:
+    """Starts stand-ins; at the end they must stop with no error output."""
+    started: list[tuple[StandIn, pathlib.Path]] = []
+
+    def start(name: str, *flags: str) -> StandIn:
+        host = f"{_fleet_parts.free_subnet()}.{_fleet_parts.PLATFORM_HOST}"
+        log = tmp_path / f"{name}-{len(started)}.log"
+        program = str(BIN / f"ibisknot-standin-{name}")
+        command = [program, "--address", host, "--port", "2379", *flags]
+        with log.open("wb") as stream:
+            process = subprocess.Popen(command, stderr=stream)
+        made = StandIn(f"http://{host}:2379", host, process)
+        started.append((made, log))
+        for _ in range(200):
+            try:
+                made.get("/admin/none")
+                break
+            except httpx.HTTPError:
+                time.sleep(0.05)
+        return made
+
+    yield start
+    for made, _ in started:
+        made.process.send_signal(signal.SIGTERM)
+    for made, log in started:
+        assert made.process.wait(timeout=20) == 0
+        assert "Traceback" not in log.read_text()
+
+
+SMALL = topology.Topology(
+    name="small",
+    data_centres=("one", "two"),
+    vms=2,
+    stores=2,
+    engines=1,
+    delay_s=0.001,
+    client_delay_s=0.001,
+    rates=(1000.0,),
+)
+
+
+@dataclasses.dataclass
+class SmallFleet:
+    """A fleet of two VMs, called from tests without an event loop."""
+
+    fleet: fleet_module.Fleet
+    portal: from_thread.BlockingPortal
+    spans: pathlib.Path
+
+    def key(self) -> str:
+        """Returns the organisation's key."""
+        return self.fleet.organisations["organisation-1"]
+
+    def host(self, vm: str = "vm-1") -> str:
+        """Returns the address of a VM."""
+        return self.fleet.vms[vm].address
+
+
+@pytest.fixture(scope="session")
+def small_fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[SmallFleet]:
+    """Two VMs with short limits, one engine, and spans in files."""
+    spans = tmp_path_factory.mktemp("spans")
+    limits = {"read_timeout_s": 1.0, "idle_timeout_s": 2.0}
+    options = fleet_module.Options(
+        topology=SMALL,
+        entry={"limits": {**limits, "send_timeout_s": 2.0}},
+        trace_folder=spans,
+        proxied=True,
+    )
+    with from_thread.start_blocking_portal() as portal:
+        running = fleet_module.running(options)
+        with portal.wrap_async_context_manager(running) as started:
+            yield SmallFleet(started, portal, spans)
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Runs async tests on asyncio, as the programs do."""
--- /dev/null
+++ b/tests/test_standin_engine.py
@@ -0,0 +1,140 @@
+"""The engine stand-in."""
+
+from collections.abc import Callable
+
+import conftest
+import httpx
+import pytest
+
+from ibisknot import _engine_cache
+from ibisknot import _engine_model
+
+Start = Callable[..., conftest.StandIn]
+LONG = " ".join(f"w{number}" for number in range(64))
+
+
+def complete(engine: conftest.StandIn, **fields: object) -> httpx.Response:
+    body = {"model": "small", "prompt": LONG, "max_tokens": 1, **fields}
+    return engine.post("/v1/completions", body)
+
+
+def test_cache_events_come_late_and_with_gaps() -> None:
+    """Guards against events that show at once or are never lost."""
+    log = _engine_cache.EventLog(lag_s=1.0, loss=0.5, seed=3)
+    for number in range(100):
+        log.record(0.0, [number], [])
+    assert log.read(0.9, 0).events == []
+    numbers = [e.number for e in log.read(1.0, 0).events]
+    assert 20 < len(numbers) < 80
+    assert numbers == sorted(set(numbers))
+    rest = log.read(1.0, numbers[4])
+    assert [e.number for e in rest.events] == numbers[5:]
+    assert rest.following == numbers[-1]
+
+
+def test_eviction_is_an_event() -> None:
+    """Guards against a reader that believes evicted blocks are cached."""
+    cache = _engine_model.PrefixCache(2)
+    cache.use([1, 2])
+    _, added, evicted = cache.use([3])
+    assert (added, evicted) == ([3], [1])
+
+
+def test_exported_cache_is_imported_elsewhere(standin: Start) -> None:
+    """Guards against an export that the importer cannot use."""
+    flags = ("--event-lag-s", "0", "--event-loss", "0")
+    first, second = standin("engine", *flags), standin("engine", *flags)
+    assert complete(first).status_code == 200
+    body = {"model": "small", "prompt": LONG}
+    data = first.post("/engine/cache/export", body).content
+    url = second.url + "/engine/cache/import"
+    assert httpx.post(url, content=data).json() == {"added": 4}
+    events = second.get("/engine/cache/events").json()["events"]
+    assert events[0]["stored"] == _engine_model.prompt_blocks(LONG)
+    assert second.post("/engine/cache/export", body).content == data
+    assert httpx.post(url, content=data[:-1]).status_code == 400
+    damaged = data[:-1] + bytes([data[-1] ^ 1])
+    assert httpx.post(url, content=damaged).status_code == 400
+
+
+def test_adapter_serves_until_its_model_changes(standin: Start) -> None:
+    """Guards against an adapter outliving the version it was made for."""
+    engine = standin("engine")
+    assert complete(engine, model="small:shoes").status_code == 404
+    order = {
+        "kind": "load_adapter",
+        "fencing": 1,
+        "model": "small",
+        "adapter": "shoes",
+    }
+    assert engine.post("/engine/orders", order).status_code == 200
+    assert complete(engine, model="small:shoes").status_code == 200
+    load = {"kind": "load", "fencing": 2, "model": "small", "version": "2"}
+    assert engine.post("/engine/orders", load).status_code == 200
+    assert complete(engine, model="small:shoes").status_code == 404
+    assert engine.get("/engine/state").json()["versions"] == {"small": "2"}
+
+
+def test_version_that_fails_to_load_leaves_the_old_one(standin: Start) -> None:
+    """Guards against an engine that serves nothing after a failed load."""
+    engine = standin("engine")
+    order = {
+        "kind": "load",
+        "fencing": 1,
+        "model": "small",
+        "version": "broken",
+    }
+    assert engine.post("/engine/orders", order).status_code == 503
+    state = engine.get("/engine/state").json()
+    assert state["versions"] == {"small": "1"}
+    assert state["failed"] == {"small": "broken"}
+    assert complete(engine).status_code == 200
+
+
+@pytest.mark.parametrize(("flags", "status"), [((), 409), (("-i",), 200)])
+def test_old_fencing_number(
+    standin: Start, flags: tuple[str, ...], status: int
+) -> None:
+    """Guards against both kinds of engine behaving the same."""
+    engine = standin("engine", *(("--ignores-fencing",) if flags else ()))
+    new = {"kind": "role", "fencing": 5, "role": "decode"}
+    assert engine.post("/engine/orders", new).status_code == 200
+    old = {"kind": "role", "fencing": 4, "role": "prefill"}
+    assert engine.post("/engine/orders", old).status_code == status
+    role = engine.get("/engine/state").json()["role"]
+    assert role == ("prefill" if flags else "decode")
+
+
+def test_load_report_lags(standin: Start) -> None:
+    """Guards against a report that is always current."""
+    engine = standin("engine", "--report-lag-s", "3600")
+    assert complete(engine).status_code == 200
+    assert engine.get("/engine/load").json() == {}
+
+
+def test_resumed_stream_continues_the_text(standin: Start) -> None:
+    """Guards against a resumed answer that differs from a whole one."""
+    engine = standin("engine")
+
+    def text(**fields: object) -> str:
+        return complete(engine, **fields).json()["choices"][0]["text"]
+
+    whole = text(max_tokens=8)
+    assert text(max_tokens=3) + text(max_tokens=8, resume_from=3) == whole
+
+
+def test_engine_stops_quietly_in_mid_stream(standin: Start) -> None:
+    """Guards against stack traces at shutdown; the fixture checks it."""
+    engine = standin("engine")
+    body = {
+        "model": "small",
+        "prompt": "p",
+        "max_tokens": 10_000,
+        "stream": True,
+    }
+    with httpx.stream(
+        "POST", engine.url + "/v1/completions", json=body
+    ) as stream:
+        assert next(stream.iter_raw()).startswith(b"data: ")
+        engine.process.terminate()
+        assert engine.process.wait(timeout=20) == 0
