Distribute the configuration by deltas between VMs

Head record, changed groups and the record of the change go out in one guarded transaction. Three VMs chosen by rendezvous hashing watch the service; the others get changes from two parents each and ask peers periodically. A state is adopted only if it matches the digests in its head record. Evidence that the version is current travels with answers as ages; a VM with no confirmation by the service goes on while it has heard of more than half of the listed VMs. A lost answer is resolved by reading the operation id back, and by sending the same guarded write again when it is not found.

--- a/src/ibisknot/batch.py
+++ b/src/ibisknot/batch.py
@@ -17,6 +17,7 @@
 from ibisknot import distribution
 from ibisknot import engine
 from ibisknot import errors
+from ibisknot import follow
 from ibisknot import jobs
 from ibisknot import keyvalue
 from ibisknot import logs
@@ -77,7 +78,9 @@
         self.daemon = daemon
         self.loaded = loaded
         self.store = daemon.store
-        self.source = distribution.Distribution(daemon.store)
+        self.source = distribution.Distribution(
+            me=loaded.vm.name, listed=lambda: list(daemon.vms.vms)
+        )
         self.copies = replicas.Replicas(
             daemon.peers, daemon.vms, port=loaded.store_port
         )
@@ -330,7 +333,7 @@
     async with program.daemon(loaded, name="ibisknot-batch") as daemon:
         runner = Runner(daemon, loaded)
         daemon.server.on("job_progress", ttypes.JobAsk, runner.progress)
-        daemon.group.start_soon(runner.source.run)
+        follow.start_batch(daemon, runner.source)
         period_s = loaded.lease_s / 3
         daemon.clock.subscribe("lease", period_s, runner.hold_lease)
         daemon.clock.subscribe("scan", SCAN_PERIOD_S, runner.scan)
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -18,6 +18,7 @@
 from ibisknot import errors
 from ibisknot import exchange
 from ibisknot import files
+from ibisknot import follow
 from ibisknot import logs
 from ibisknot import online
 from ibisknot import operators
@@ -107,12 +108,11 @@
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
-        source = distribution.Distribution(daemon.store)
-        engines = engine.Engines(overrides=loaded.address_overrides)
-        daemon.group.start_soon(source.run)
-        daemon.clock.subscribe(
-            "configuration", distribution.READ_PERIOD_S, source.refresh
+        source = distribution.Distribution(
+            me=loaded.vm.name, listed=lambda: list(daemon.vms.vms)
         )
+        engines = engine.Engines(overrides=loaded.address_overrides)
+        follower = follow.start_entry(daemon, source)
         copies = replicas.Replicas(
             daemon.peers, daemon.vms, port=loaded.store_port
         )
@@ -140,7 +140,7 @@
             source, daemon.store, daemon.peers, daemon.vms, loaded.limits
         )
         operator_handlers = operators.Operators(
-            source, daemon.store, daemon.vms, loaded, ask_version
+            follower, daemon.store, daemon.vms, loaded, ask_version
         )
 
         async def drain() -> None:
--- a/src/ibisknot/gen/config/ttypes.py
+++ b/src/ibisknot/gen/config/ttypes.py
@@ -136,6 +136,460 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ConfigDigest(object):
+    """
+    Tells a peer what the sender has, and asks for what is newer.
+
+    Attributes:
+     - vm
+     - version
+     - wants_heard: Whether the answer says which VMs the peer has heard of.
+     - digests: Digest by group; given when changes alone do not lead to the newest state.
+
+    """
+
+    __slots__ = (
+        'vm',
+        'version',
+        'wants_heard',
+        'digests',
+    )
+
+
+    def __init__(self, vm=None, version=None, wants_heard=None, digests=None,):
+        self.vm = vm
+        self.version = version
+        self.wants_heard = wants_heard
+        self.digests = digests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.wants_heard = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.digests = {}
+                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
+                    for _i4 in range(_size0):
+                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val6 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests[_key5] = _val6
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigDigest')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.wants_heard is not None:
+            oprot.writeFieldBegin('wants_heard', TType.BOOL, 3)
+            oprot.writeBool(self.wants_heard)
+            oprot.writeFieldEnd()
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digests))
+            for kiter7, viter8 in self.digests.items():
+                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
+                oprot.writeString(viter8.encode('utf-8') if sys.version_info[0] == 2 else viter8)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.wants_heard is None:
+            raise TProtocolException(message='Required field wants_heard is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigDelta(object):
+    """
+    What leads from the asker's version to the sender's.
+
+    Attributes:
+     - vm
+     - version
+     - service_age_ms: Age of the newest confirmation by the key-value service; -1 when none.
+     - heard: Hash (4 bytes) and age in units of 20 ms (1 byte) of each VM heard of.
+     - head: The head record; absent when the asker has the same version or a newer one.
+     - changes: Changes of each version after the asker's.
+     - groups: Whole groups that differ from the asker's digests.
+     - needs_digests: Whether the asker has to send its digests to get the newest state.
+
+    """
+
+    __slots__ = (
+        'vm',
+        'version',
+        'service_age_ms',
+        'heard',
+        'head',
+        'changes',
+        'groups',
+        'needs_digests',
+    )
+
+
+    def __init__(self, vm=None, version=None, service_age_ms=None, heard=None, head=None, changes=None, groups=None, needs_digests=None,):
+        self.vm = vm
+        self.version = version
+        self.service_age_ms = service_age_ms
+        self.heard = heard
+        self.head = head
+        self.changes = changes
+        self.groups = groups
+        self.needs_digests = needs_digests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.service_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.heard = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.head = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype12, _size9) = iprot.readListBegin()
+                    for _i13 in range(_size9):
+                        _elem14 = iprot.readBinary()
+                        self.changes.append(_elem14)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.groups = {}
+                    (_ktype16, _vtype17, _size15) = iprot.readMapBegin()
+                    for _i19 in range(_size15):
+                        _key20 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val21 = iprot.readBinary()
+                        self.groups[_key20] = _val21
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.needs_digests = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigDelta')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.service_age_ms is not None:
+            oprot.writeFieldBegin('service_age_ms', TType.I64, 3)
+            oprot.writeI64(self.service_age_ms)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.STRING, 4)
+            oprot.writeBinary(self.heard)
+            oprot.writeFieldEnd()
+        if self.head is not None:
+            oprot.writeFieldBegin('head', TType.STRING, 5)
+            oprot.writeBinary(self.head)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.changes))
+            for iter22 in self.changes:
+                oprot.writeBinary(iter22)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.groups))
+            for kiter23, viter24 in self.groups.items():
+                oprot.writeString(kiter23.encode('utf-8') if sys.version_info[0] == 2 else kiter23)
+                oprot.writeBinary(viter24)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.needs_digests is not None:
+            oprot.writeFieldBegin('needs_digests', TType.BOOL, 8)
+            oprot.writeBool(self.needs_digests)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.service_age_ms is None:
+            raise TProtocolException(message='Required field service_age_ms is unset!')
+        if self.heard is None:
+            raise TProtocolException(message='Required field heard is unset!')
+        if self.needs_digests is None:
+            raise TProtocolException(message='Required field needs_digests is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EventsAsk(object):
+    """
+    Attributes:
+     - subject
+
+    """
+
+    __slots__ = (
+        'subject',
+    )
+
+
+    def __init__(self, subject=None,):
+        self.subject = subject
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.subject = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EventsAsk')
+        if self.subject is not None:
+            oprot.writeFieldBegin('subject', TType.STRING, 1)
+            oprot.writeString(self.subject.encode('utf-8') if sys.version_info[0] == 2 else self.subject)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.subject is None:
+            raise TProtocolException(message='Required field subject is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Events(object):
+    """
+    Recent decision events about a subject, each as one JSON object.
+
+    Attributes:
+     - events
+
+    """
+
+    __slots__ = (
+        'events',
+    )
+
+
+    def __init__(self, events=None,):
+        self.events = events
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.events = []
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readBinary()
+                        self.events.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Events')
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.events))
+            for iter31 in self.events:
+                oprot.writeBinary(iter31)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.events is None:
+            raise TProtocolException(message='Required field events is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(VersionAsk)
 VersionAsk.thrift_spec = (
 )
@@ -144,5 +598,35 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
 )
+all_structs.append(ConfigDigest)
+ConfigDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.BOOL, 'wants_heard', None, None, ),  # 3
+    (4, TType.MAP, 'digests', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 4
+)
+all_structs.append(ConfigDelta)
+ConfigDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'service_age_ms', None, None, ),  # 3
+    (4, TType.STRING, 'heard', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'head', 'BINARY', None, ),  # 5
+    (6, TType.LIST, 'changes', (TType.STRING, 'BINARY', False), None, ),  # 6
+    (7, TType.MAP, 'groups', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 7
+    (8, TType.BOOL, 'needs_digests', None, None, ),  # 8
+)
+all_structs.append(EventsAsk)
+EventsAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'subject', 'UTF8', None, ),  # 1
+)
+all_structs.append(Events)
+Events.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'events', (TType.STRING, 'BINARY', False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -119,12 +119,23 @@
     async def list_prefix(self, prefix: str, *, limit: int = 0) -> list[Pair]:
         """Returns all pairs whose key has a prefix, in key order.
 
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        end = prefix_end(prefix)
+        return await self.list_range(prefix, end, limit=limit)
+
+    async def list_range(
+        self, first: str, end: str, *, limit: int = 0
+    ) -> list[Pair]:
+        """Returns the pairs from a key up to, not with, another, in order.
+
         Raises:
             KeyValueError: The service did not answer.
         """
         body = {
-            "key": _encode(prefix),
-            "range_end": _encode(prefix_end(prefix)),
+            "key": _encode(first),
+            "range_end": _encode(end),
             "limit": str(limit),
         }
         answer = await self._post("/v3/kv/range", body, writes=False)
@@ -136,9 +147,16 @@
         puts: list[Put],
         *,
         deletes: list[str] | None = None,
+        delete_prefixes: list[str] | None = None,
     ) -> bool:
         """Writes all or nothing, if every guard holds.
 
+        Args:
+            guards: Conditions on the current state.
+            puts: Pairs to write.
+            deletes: Keys to delete.
+            delete_prefixes: Prefixes whose keys are all deleted.
+
         Returns:
             Whether the guards held and the writes took effect.
 
@@ -167,6 +185,12 @@
         ]
         for key in deletes or []:
             success.append({"request_delete_range": {"key": _encode(key)}})
+        for prefix in delete_prefixes or []:
+            target = {
+                "key": _encode(prefix),
+                "range_end": _encode(prefix_end(prefix)),
+            }
+            success.append({"request_delete_range": target})
         body = {"compare": compare, "success": success, "failure": []}
         answer = await self._post("/v3/kv/txn", body, writes=True)
         return bool(answer.get("succeeded", False))
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -20,9 +20,6 @@
 from ibisknot import traces
 from ibisknot import web
 
-STALE_AFTER_S = 3.0
-"""Age of the last confirmation after which keyed requests are refused."""
-
 
 class ModelRequest(msgspec.Struct):
     """The fields of a model request that the path needs."""
@@ -95,9 +92,7 @@
         StaleConfigurationError: This VM cannot know whether keys are current.
         AuthenticationError: The key is missing, unknown or withdrawn.
     """
-    if anyio.current_time() - source.confirmed_s > STALE_AFTER_S:
-        message = "this VM cannot confirm that its keys are current"
-        raise errors.StaleConfigurationError(message, retry_after_s=1.0)
+    source.check_current(anyio.current_time())
     key = keys.from_header(request.headers.get("authorization"))
     if key is None:
         raise errors.AuthenticationError("a key is needed")
--- a/src/ibisknot/operators.py
+++ b/src/ibisknot/operators.py
@@ -9,9 +9,10 @@
 from starlette import responses
 from starlette import routing
 
+from ibisknot import commit
 from ibisknot import configuration
-from ibisknot import distribution
 from ibisknot import errors
+from ibisknot import follow
 from ibisknot import intent as intent_module
 from ibisknot import keys
 from ibisknot import keyvalue
@@ -49,13 +50,14 @@
 
     def __init__(
         self,
-        source: distribution.Distribution,
+        follower: follow.Follower,
         store: keyvalue.KeyValue,
         vms: vmlist.VmList,
         loaded: settings.Entry,
         ask_version: VersionCall,
     ) -> None:
-        self.source = source
+        self.follower = follower
+        self.source = follower.source
         self.store = store
         self.vms = vms
         self.limits = loaded.limits
@@ -99,7 +101,7 @@
         author = self.operator(request)
         body = await self._body(request)
         wanted = web.decode_body(body, intent_module.Intent)
-        await self.source.read()
+        await self.follower.read()
         made = plan_module.make(self.source.current, wanted, author=author)
         lease = await self.store.grant(PLAN_LIFETIME_S)
         put = keyvalue.Put(PLANS + made.id, msgspec.json.encode(made), lease)
@@ -113,7 +115,7 @@
         if pair is None:
             raise errors.NotFoundError("the plan does not exist or expired")
         made = msgspec.json.decode(pair.value, type=plan_module.Plan)
-        await self.source.read()
+        await self.follower.read()
         current = self.source.current
         if made.base_version != current.version:
             message = (
@@ -122,8 +124,11 @@
             )
             raise errors.ConflictError(message)
         wanted = intent_module.apply(current, made.intent)
-        await self.source.commit(
-            wanted, author=author, intent=msgspec.json.encode(made.intent)
+        await self.follower.commit(
+            wanted,
+            operation=made.id,
+            author=author,
+            intent=msgspec.json.encode(made.intent),
         )
         logs.event("plan_confirmed", plan=made.id, version=wanted.version)
         return web.json_response({"version": wanted.version})
@@ -164,4 +169,4 @@
     async def history(self, request: requests.Request) -> responses.Response:
         """Returns the confirmed changes, newest first."""
         self.operator(request)
-        return web.json_response(await self.source.history())
+        return web.json_response(await commit.history(self.store))
--- /dev/null
+++ b/src/ibisknot/spread.py
@@ -0,0 +1,69 @@
+"""Who watches the key-value service, and who passes changes to whom.
+
+The live VMs are ranked by rendezvous hashing. The first few watch the service;
+each other VM has two parents of lower rank, so the loss of one parent delays
+nothing and the work of a VM does not grow with the fleet.
+"""
+
+import xxhash
+
+WATCHER_COUNT = 3
+FANOUT = 8
+PARENT_COUNT = 2
+
+
+def ranking(names: list[str]) -> list[str]:
+    """Returns the VMs in order of rank.
+
+    >>> sorted(ranking(["b", "a"]))
+    ['a', 'b']
+    """
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(f"config/{name}".encode()),
+    )
+
+
+def is_watcher(ranked: list[str], me: str) -> bool:
+    """Returns whether a VM watches the key-value service."""
+    return me in ranked[:WATCHER_COUNT]
+
+
+def _parent_ranks(rank: int) -> list[int]:
+    if rank < WATCHER_COUNT:
+        return []
+    first = (rank - WATCHER_COUNT) // FANOUT
+    # The second parent is another VM of the same level or a lower one.
+    second = first - 1 if first > 0 else WATCHER_COUNT - 1
+    return [first, second][:PARENT_COUNT]
+
+
+def parents(ranked: list[str], me: str) -> list[str]:
+    """Returns the VMs that a VM gets changes from.
+
+    >>> names = [f"vm-{n}" for n in range(9)]
+    >>> ranked = ranking(names)
+    >>> set(parents(ranked, ranked[8])) <= set(ranked[:3])
+    True
+    """
+    if me not in ranked:
+        return ranked[:PARENT_COUNT]
+    ranks = _parent_ranks(ranked.index(me))
+    return [ranked[rank] for rank in ranks]
+
+
+def children(ranked: list[str], me: str) -> list[str]:
+    """Returns the VMs that a VM passes changes to.
+
+    >>> ranked = ranking([f"vm-{n}" for n in range(9)])
+    >>> children(ranked, ranked[8])
+    []
+    """
+    if me not in ranked:
+        return []
+    rank = ranked.index(me)
+    found = []
+    for other in range(WATCHER_COUNT, len(ranked)):
+        if rank in _parent_ranks(other):
+            found.append(ranked[other])
+    return found
--- /dev/null
+++ b/tests/test_commit.py
@@ -0,0 +1,137 @@
+"""Writes of the configuration, with lost answers."""
+
+from fake_keyvalue import DROP
+from fake_keyvalue import FAIL
+from fake_keyvalue import LOSE
+from fake_keyvalue import FakeKeyValue
+import msgspec
+import pytest
+
+from ibisknot import commit
+from ibisknot import configuration
+from ibisknot import errors
+from ibisknot import groups
+from ibisknot import standin_keyvalue
+
+TXN = "/v3/kv/txn"
+RANGE = "/v3/kv/range"
+
+
+def wanted(version: int, rate: float = 1.0) -> configuration.Configuration:
+    organisation = configuration.Organisation(rate_per_s=rate, burst=1.0)
+    return configuration.Configuration(
+        version=version, organisations={"a": organisation}
+    )
+
+
+async def write(
+    store: FakeKeyValue,
+    before: groups.State,
+    operation: str,
+    rate: float = 1.0,
+) -> groups.State:
+    after, _ = await commit.write(
+        store,
+        before,
+        wanted(before.head.version + 1, rate),
+        operation=operation,
+        author="tester",
+        intent=b"{}",
+    )
+    return after
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("fault", [LOSE, DROP])
+async def test_lost_answer_is_resolved(fault: str) -> None:
+    """Guards against a lost answer taken for a failure, or for a success."""
+    store = FakeKeyValue()
+    store.script[TXN] = [fault]
+    state = await write(store, groups.empty(), "first")
+    read, _ = await commit.read_newer(store, groups.empty())
+    assert read == state
+    assert len(await commit.history(store)) == 1
+
+
+@pytest.mark.anyio
+async def test_unresolved_answer_is_unknown_and_names_the_operation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a guess when the outcome cannot be read back."""
+    monkeypatch.setattr(commit, "RESOLVE_S", 0.0)
+    store = FakeKeyValue()
+    store.script[TXN] = [LOSE]
+    store.script[RANGE] = ["", "", FAIL]
+    with pytest.raises(errors.KeyValueUnknownError) as caught:
+        await write(store, groups.empty(), "first")
+    assert "first" in caught.value.message
+    assert caught.value.ran == errors.UNKNOWN
+
+
+@pytest.mark.anyio
+async def test_refused_call_is_not_run() -> None:
+    """Guards against `unknown` for a write that was never sent."""
+    store = FakeKeyValue()
+    store.script[TXN] = [FAIL]
+    with pytest.raises(errors.KeyValueError) as caught:
+        await write(store, groups.empty(), "first")
+    assert caught.value.ran == errors.NOT_RUN
+
+
+@pytest.mark.anyio
+async def test_second_writer_conflicts_and_repeat_is_done() -> None:
+    """Guards against two changes from one base, and a change done twice."""
+    store = FakeKeyValue()
+    state = await write(store, groups.empty(), "first")
+    with pytest.raises(errors.ConflictError):
+        await write(store, groups.empty(), "second", rate=2.0)
+    assert await write(store, groups.empty(), "first") == state
+    assert len(await commit.history(store)) == 1
+
+
+@pytest.mark.anyio
+async def test_full_size_stays_below_the_value_limit() -> None:
+    """Guards against values over 1 MB at 6,800 organisations."""
+    organisations = {
+        f"organisation-{number}": configuration.Organisation(
+            rate_per_s=10.0,
+            burst=10.0,
+            keys={
+                f"key-{k}": configuration.Key(f"{number * 3 + k:064x}")
+                for k in range(3)
+            },
+        )
+        for number in range(6800)
+    }
+    full = configuration.Configuration(version=1, organisations=organisations)
+    store = FakeKeyValue()
+    after, _ = await commit.write(
+        store,
+        groups.empty(),
+        full,
+        operation="first",
+        author="tester",
+        intent=b"{}",
+    )
+    values = store.service.data.values.values()
+    limit = standin_keyvalue.MAXIMUM_VALUE_BYTES
+    assert max(len(value.data) for value in values) < limit
+    read, _ = await commit.read_newer(store, groups.empty())
+    assert read == after
+    assert read.configuration.organisations == organisations
+
+
+@pytest.mark.anyio
+async def test_older_version_is_rebuilt() -> None:
+    """Guards against a revert that restores the wrong content."""
+    store = FakeKeyValue()
+    state = groups.empty()
+    seen = [state.configuration]
+    for number in range(5):
+        state = await write(store, state, f"op-{number}", rate=number + 1.0)
+        seen.append(state.configuration)
+    for version, content in enumerate(seen):
+        found = await commit.at_version(store, state, version)
+        assert msgspec.to_builtins(found) == msgspec.to_builtins(content)
+    with pytest.raises(errors.NotFoundError):
+        await commit.at_version(store, state, 9)
