--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -71,6 +71,10 @@
     body_bytes: Bytes = 4 * 1024 * 1024
     file_bytes: Bytes = 4 * 1024 * 1024 * 1024
     read_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 75.0
+    """Time that a connection may stay without a whole request head."""
+    send_timeout_s: Seconds = 30.0
+    """Time that a caller may leave a part of its answer unread."""
     request_timeout_s: Seconds = 60.0
 
 
@@ -90,6 +94,8 @@
     log: Log = msgspec.field(default_factory=lambda: Log(level="info"))
     trace: Trace = msgspec.field(default_factory=Trace)
     peer_port: Port = 7000
+    entry_port: Port = 7000
+    batch_port: Port = 7001
     store_port: Port = 7002
     address_overrides: dict[str, str] = {}
     """Dial addresses to use in place of a peer's listed `host:port`."""
