Keep background errors from ending the program; count from the send time

Change: background tasks log their errors; answers carry the time they were sent, and the reference uses it; a longer demand estimate lends fewer units to VMs that see two requests by chance.

--- a/src/ibisknot/claims_owner.py
+++ b/src/ibisknot/claims_owner.py
@@ -7,6 +7,7 @@
 from anyio import abc
 import msgspec
 
+from ibisknot import background
 from ibisknot import claims
 from ibisknot import errors
 from ibisknot import keyvalue
@@ -227,7 +228,7 @@
         shard.pending.append(pending)
         if not shard.committing:
             shard.committing = True
-            self.group.start_soon(self._commit_loop, number, shard)
+            background.start(self.group, self._commit_loop, number, shard)
         await pending.done.wait()
         if pending.error is not None:
             raise pending.error
--- a/src/ibisknot/deduplicate.py
+++ b/src/ibisknot/deduplicate.py
@@ -5,6 +5,7 @@
 
 from anyio import abc
 
+from ibisknot import background
 from ibisknot import claims
 from ibisknot import claims_runner
 from ibisknot import errors
@@ -43,7 +44,7 @@
         message = ttypes.ClaimEnd(
             claim=self.claim, request=self.request, ran=ran, recorded=wire
         )
-        self.group.start_soon(self.client.end, message)
+        background.start(self.group, self.client.end, message)
 
 
 def claim_once(
--- a/src/ibisknot/generator.py
+++ b/src/ibisknot/generator.py
@@ -44,6 +44,7 @@
     Attributes:
         organisation: Who sent it.
         due_s: Monotonic time at which it was due to start.
+        sent_s: Monotonic time at which it started.
         status: HTTP status, 0 when the connection broke.
         code: The error's code.
         whole: Whether the answer is whole and its own.
@@ -53,6 +54,7 @@
 
     organisation: str
     due_s: float
+    sent_s: float = 0.0
     status: int = 0
     code: str = ""
     whole: bool = False
@@ -145,7 +147,7 @@
 
     async def send(self, stream: Stream, due_s: float) -> Answer:
         """Sends one streamed chat request and checks its answer."""
-        answer = Answer(stream.organisation, due_s)
+        answer = Answer(stream.organisation, due_s, anyio.current_time())
         self.answers.append(answer)
         content = self.content(stream.words)
         try:
--- a/src/ibisknot/rates.py
+++ b/src/ibisknot/rates.py
@@ -22,7 +22,7 @@
 ORGANISATION_UNITS = 1_000_000
 TOKEN = 1_000_000
 """One request, in the unit of token levels."""
-DEMAND_TIME_S = 1.0
+DEMAND_TIME_S = 4.0
 """Time constant of the demand estimate."""
 HEADROOM = 1.25
 """Units wanted for the measured demand."""
--- a/src/ibisknot/rates_owner.py
+++ b/src/ibisknot/rates_owner.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ibisknot import background
 from ibisknot import errors
 from ibisknot import keyvalue
 from ibisknot import logs
@@ -270,7 +271,7 @@
         logs.event(
             "shard_taken", kind=rates.KIND, shard=shard, epoch=record.epoch
         )
-        self.runner.group.start_soon(self._collect, shard, ledger)
+        background.start(self.runner.group, self._collect, shard, ledger)
 
     async def _collect(self, shard: int, ledger: rates.Ledger) -> None:
         """Asks the holders until all have answered or are gone."""
@@ -323,7 +324,7 @@
     def _add_soon(self, shard: int, holder: str) -> None:
         waiting = self.newcomers.setdefault(shard, set())
         if not waiting:
-            self.runner.group.start_soon(self._add, shard)
+            background.start(self.runner.group, self._add, shard)
         waiting.add(holder)
 
     async def _add(self, shard: int) -> None:
--- a/src/ibisknot/rates_runner.py
+++ b/src/ibisknot/rates_runner.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio import abc
 
+from ibisknot import background
 from ibisknot import errors
 from ibisknot import keyvalue
 from ibisknot import logs
@@ -18,9 +19,9 @@
 from ibisknot import vmlist
 from ibisknot.gen.rates import ttypes
 
-DRAW_TIMEOUT_S = 0.25
+DRAW_TIMEOUT_S = 0.5
 """Longest wait of a request for tokens from other VMs."""
-ASK_TIMEOUT_S = 0.2
+ASK_TIMEOUT_S = 0.4
 LONGEST_SHORTAGE_S = 0.05
 """Time for which a VM believes the owner that there are no tokens.
 
@@ -170,7 +171,7 @@
     def _ask_soon(self, organisation: str, asking: Asking) -> None:
         if not asking.running:
             asking.running = True
-            self.group.start_soon(self._ask_loop, organisation, asking)
+            background.start(self.group, self._ask_loop, organisation, asking)
 
     async def _ask_loop(self, organisation: str, asking: Asking) -> None:
         try:
--- a/src/ibisknot/reference.py
+++ b/src/ibisknot/reference.py
@@ -49,8 +49,8 @@
     answers: list[generator.Answer], organisation: configuration.Organisation
 ) -> tuple[int, int]:
     """Returns how many requests were in rate, and how many of them refused."""
-    ordered = sorted(answers, key=lambda answer: answer.due_s)
-    inside = within_rate([a.due_s for a in ordered], organisation)
+    ordered = sorted(answers, key=lambda answer: answer.sent_s)
+    inside = within_rate([a.sent_s for a in ordered], organisation)
     refused = [
         answer.code == RATE_LIMITED
         for answer, is_inside in zip(ordered, inside, strict=True)
@@ -69,16 +69,16 @@
 
     >>> organisation = configuration.Organisation(rate_per_s=1.0, burst=2.0)
     >>> answers = [
-    ...     generator.Answer("a", due_s=t, status=200, first_s=0.5)
+    ...     generator.Answer("a", t, t, status=200, first_s=0.5)
     ...     for t in (0.0, 0.0, 0.0, 9.5)
     ... ]
     >>> granted_over_allowed(answers, organisation)
     1.2
     """
     granted = [a for a in answers if a.status == 200]
-    begun = sorted((a.due_s + a.first_s, a.due_s) for a in granted)
+    begun = sorted((a.due_s + a.first_s, a.sent_s) for a in granted)
     worst = 0.0
-    for start_s in sorted({answer.due_s for answer in granted}):
+    for start_s in sorted({answer.sent_s for answer in granted}):
         count = 0
         for end_s, sent_s in begun:
             if sent_s < start_s:
