--- a/src/ibisknot/batches.py
+++ b/src/ibisknot/batches.py
@@ -13,9 +13,11 @@
 from ibisknot import files
 from ibisknot import jobs
 from ibisknot import keyvalue
+from ibisknot import logs
 from ibisknot import online
 from ibisknot import ownership
 from ibisknot import peer
+from ibisknot import replicas
 from ibisknot import settings
 from ibisknot import vmlist
 from ibisknot import web
@@ -24,6 +26,7 @@
 ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
 UPDATE_TRIES = 5
 LIST_LIMIT = 1000
+OWNER_TIMEOUT_S = 1.0
 
 
 class BatchRequest(msgspec.Struct):
@@ -35,9 +38,14 @@
     metadata: dict[str, str] | None = None
 
 
-def batch_object(job: jobs.JobRecord) -> dict[str, Any]:
-    """Returns a job as callers see it."""
-    ended = job.state in jobs.FINAL
+def batch_object(
+    job: jobs.JobRecord, progress: ttypes.JobProgress | None = None
+) -> dict[str, Any]:
+    """Returns a job as callers see it, with its owner's word on progress."""
+    ended = job.state in jobs.FINAL and not job.deleted
+    if progress is not None:
+        job.completed = progress.completed
+        job.failed = progress.failed
     error_id = f"{files.ERROR_PREFIX}{job.id}" if job.failed else None
     return {
         "id": job.id,
@@ -61,9 +69,39 @@
             "failed": job.failed,
         },
         "metadata": job.metadata,
+        "estimated_finish_at": progress.finish_at if progress else None,
+        "deadline_at_risk": bool(progress and progress.at_risk),
     }
 
 
+def _new_job(
+    wanted: BatchRequest,
+    file: jobs.FileRecord,
+    window_s: int,
+    request: requests.Request,
+) -> jobs.JobRecord:
+    now = int(time.time())
+    return jobs.JobRecord(
+        id=jobs.job_id(
+            file.organisation,
+            file.id,
+            wanted.endpoint,
+            wanted.completion_window,
+            wanted.metadata,
+            request.headers.get("idempotency-key", ""),
+        ),
+        organisation=file.organisation,
+        input_file_id=file.id,
+        endpoint=wanted.endpoint,
+        completion_window=wanted.completion_window,
+        created_at=now,
+        deadline_at=now + window_s,
+        counts=file.counts,
+        replicas=list(file.replicas),
+        metadata=wanted.metadata,
+    )
+
+
 def _when(job: jobs.JobRecord, state: str) -> int | None:
     return job.finished_at if job.state == state else None
 
@@ -78,6 +116,7 @@
         peers: peer.Client,
         vms: vmlist.VmList,
         limits: settings.Limits,
+        copies: replicas.Replicas,
         *,
         batch_port: int = 7001,
     ) -> None:
@@ -86,6 +125,7 @@
         self.peers = peers
         self.vms = vms
         self.limits = limits
+        self.copies = copies
         self.batch_port = batch_port
 
     def routes(self) -> list[routing.BaseRoute]:
@@ -115,28 +155,47 @@
         file = await jobs.read_file(self.store, wanted.input_file_id)
         if file.organisation != owner.organisation:
             raise errors.NotFoundError(f"no file {wanted.input_file_id}")
-        now = int(time.time())
-        job = jobs.JobRecord(
-            id=jobs.job_id(
-                owner.organisation,
-                file.id,
-                wanted.endpoint,
-                wanted.metadata,
-                request.headers.get("idempotency-key", ""),
-            ),
-            organisation=owner.organisation,
-            input_file_id=file.id,
-            endpoint=wanted.endpoint,
-            completion_window=wanted.completion_window,
-            created_at=now,
-            deadline_at=now + window_s,
-            segments=file.segments,
-            metadata=wanted.metadata,
-        )
-        if not await jobs.create(self.store, jobs.job_key(job.id), job):
-            job, _ = await jobs.read_job(self.store, job.id)
+        job = _new_job(wanted, file, window_s, request)
+        job = await self._accept(job, file)
         return web.json_response(batch_object(job))
 
+    async def _accept(
+        self, job: jobs.JobRecord, file: jobs.FileRecord
+    ) -> jobs.JobRecord:
+        """Gives the job its own copy of the items, then records it, once."""
+        try:
+            known, _ = await jobs.read_job(self.store, job.id)
+        except errors.NotFoundError:
+            pass
+        else:
+            return known
+        await self._copy_items(job, file)
+        if await jobs.create(self.store, jobs.job_key(job.id), job):
+            logs.event("job_accepted", job=job.id, stores=job.replicas)
+            return job
+        known, _ = await jobs.read_job(self.store, job.id)
+        return known
+
+    async def _copy_items(
+        self, job: jobs.JobRecord, file: jobs.FileRecord
+    ) -> None:
+        """Puts the items under the job's name on two stores.
+
+        Raises:
+            UnavailableError: Too few stores took them.
+        """
+        count = len(job.counts)
+        failed = await self.copies.link(job.replicas, file.id, job.id, count)
+        kept = [name for name in job.replicas if name not in failed]
+        if not kept:
+            cause = next(iter(failed.values())).message
+            text = f"no store has the file's items: {cause}"
+            raise errors.UnavailableError(text, retry_after_s=1.0)
+        avoid = frozenset(failed)
+        job.replicas = self.copies.choose(kept, avoid=avoid)
+        for name in job.replicas[len(kept) :]:
+            await self.copies.copy_items(kept[0], name, job.id, count)
+
     async def _owned(
         self, request: requests.Request
     ) -> tuple[jobs.JobRecord, int]:
@@ -152,26 +211,47 @@
         """Returns a job with its progress."""
         job, _ = await self._owned(request)
         if job.state not in jobs.FINAL:
-            await self._add_progress(job)
+            progress = await self.ask_progress(job.id)
+            return web.json_response(batch_object(job, progress))
         return web.json_response(batch_object(job))
 
-    async def _add_progress(self, job: jobs.JobRecord) -> None:
-        """Fills in the counts from the job's owner, if it answers."""
-        holder = await ownership.holder(self.store, "jobs", jobs.shard(job.id))
+    async def _owner(self, job: str) -> str | None:
+        """Returns the peer address of a job's owner, if it is known."""
+        holder = await ownership.holder(self.store, "jobs", jobs.shard(job))
         listed = self.vms.vms.get(holder.vm) if holder is not None else None
         if listed is None:
-            return
+            return None
+        return f"{listed.address}:{self.batch_port}"
+
+    async def ask_progress(self, job: str) -> ttypes.JobProgress | None:
+        """Returns a running job's progress, if its owner answers."""
         try:
-            progress = await self.peers.call(
-                f"{listed.address}:{self.batch_port}",
+            address = await self._owner(job)
+            if address is None:
+                return None
+            return await self.peers.call(
+                address,
                 "job_progress",
-                ttypes.JobAsk(job=job.id),
+                ttypes.JobAsk(job=job),
                 ttypes.JobProgress,
+                timeout_s=OWNER_TIMEOUT_S,
             )
         except errors.IbisknotError:
-            return
-        job.completed = progress.completed
-        job.failed = progress.failed
+            return None
+
+    async def _tell_owner(self, job: str) -> None:
+        """Tells the owner of a cancel; its watch tells it too."""
+        try:
+            address = await self._owner(job)
+            if address is not None:
+                await self.peers.call(
+                    address,
+                    "job_cancel",
+                    ttypes.JobCancel(job=job),
+                    timeout_s=OWNER_TIMEOUT_S,
+                )
+        except errors.IbisknotError as error:
+            logs.event("owner_not_told", level="warning", cause=error.message)
 
     async def list_all(self, request: requests.Request) -> responses.Response:
         """Lists the organisation's jobs."""
@@ -197,8 +277,7 @@
                 return web.json_response(batch_object(job))
             job.state = jobs.CANCELLING
             key = jobs.job_key(job.id)
-            put = keyvalue.Put(key, msgspec.json.encode(job))
-            guard = keyvalue.Guard(key, revision)
-            if await self.store.transact([guard], [put]):
+            if await jobs.replace(self.store, key, job, revision):
+                await self._tell_owner(job.id)
                 return web.json_response(batch_object(job))
         raise errors.ConflictError("the batch is changing; try again")
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -137,7 +137,12 @@
         step = online_pipeline(daemon, source, engines)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
-            source, daemon.store, daemon.peers, daemon.vms, loaded.limits
+            source,
+            daemon.store,
+            daemon.peers,
+            daemon.vms,
+            loaded.limits,
+            copies,
         )
         operator_handlers = operators.Operators(
             source, daemon.store, daemon.vms, loaded, ask_version
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -203,6 +203,12 @@
     code = "segment_error"
 
 
+class SegmentMissingError(SegmentError):
+    """A store does not have a segment, or has it damaged."""
+
+    code = "segment_missing"
+
+
 class DiskFullError(IbisknotError):
     """The disk has no room for the write."""
 
--- a/src/ibisknot/files.py
+++ b/src/ibisknot/files.py
@@ -1,28 +1,36 @@
 """Callers' files: upload, listing and download (OpenAI-compatible)."""
 
 from collections.abc import AsyncIterator
+import dataclasses
+import hashlib
 import time
 from typing import Any
+import uuid
 
+import anyio
 import msgspec
-from starlette import datastructures
 from starlette import requests
 from starlette import responses
 from starlette import routing
-import xxhash
 
 from ibisknot import distribution
 from ibisknot import errors
 from ibisknot import jobs
 from ibisknot import keyvalue
+from ibisknot import logs
 from ibisknot import online
+from ibisknot import outputs
 from ibisknot import replicas
 from ibisknot import settings
+from ibisknot import uploads
 from ibisknot import web
 
 OUTPUT_PREFIX = "file-out-"
 ERROR_PREFIX = "file-err-"
 LIST_LIMIT = 1000
+ACCEPT_TRIES = 5
+CONCURRENT_UPLOADS = 4
+"""Each upload holds a segment and its encodings in memory."""
 
 
 def file_object(record: jobs.FileRecord) -> dict[str, Any]:
@@ -38,6 +46,14 @@
     }
 
 
+@dataclasses.dataclass(slots=True)
+class Staged:
+    """An upload's segments before their file is accepted."""
+
+    group: str
+    replicas: list[str] = dataclasses.field(default_factory=list)
+
+
 class Files:
     """HTTP handlers of `/v1/files`."""
 
@@ -52,6 +68,7 @@
         self.store = store
         self.copies = copies
         self.limits = limits
+        self.uploading = anyio.CapacityLimiter(CONCURRENT_UPLOADS)
 
     def routes(self) -> list[routing.BaseRoute]:
         """Returns the routes."""
@@ -66,49 +83,82 @@
     async def upload(self, request: requests.Request) -> responses.Response:
         """Stores an uploaded file on two disks, then records it."""
         owner = online.key_owner(self.source, request)
-        async with request.form(max_files=1, max_fields=16) as form:
-            file = form.get("file")
-            if not isinstance(file, datastructures.UploadFile):
-                raise errors.BadRequestError("the form needs a file")
-            purpose = str(form.get("purpose", "batch"))
-            record = await self._store(owner.organisation, purpose, file)
+        async with self.uploading:
+            staged = Staged(f"up-{uuid.uuid4().hex}")
+            try:
+                record = await self._receive(
+                    owner.organisation, request, staged
+                )
+                record = await self._accept(record, staged)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    names = staged.replicas
+                    await self.copies.delete(names, staged.group, 0)
         return web.json_response(file_object(record))
 
-    async def _store(
-        self, organisation: str, purpose: str, file: datastructures.UploadFile
+    async def _receive(
+        self, organisation: str, request: requests.Request, staged: Staged
     ) -> jobs.FileRecord:
-        digest = xxhash.xxh3_128(f"{organisation}/{purpose}/".encode())
-        segments: list[jobs.SegmentRecord] = []
-        size = 0
-        count = 0
-        async for chunk in _segments(_lines(file, self.limits.body_bytes)):
-            for line in chunk:
-                _check_item(line, count)
-                digest.update(line + b"\n")
-                size += len(line) + 1
-                count += 1
-            if count > jobs.MAXIMUM_ITEMS:
+        """Writes a file's segments as they arrive."""
+        form = uploads.Form(self.limits)
+        digest = hashlib.blake2b(digest_size=16)
+        counts: list[int] = []
+        position = 0
+        async for items in uploads.segments(uploads.lines(request, form)):
+            for line in items:
+                uploads.check_item(line, position)
+                digest.update(len(line).to_bytes(8, "big"))
+                digest.update(line)
+                position += 1
+            if position > jobs.MAXIMUM_ITEMS:
                 message = f"a file holds at most {jobs.MAXIMUM_ITEMS} items"
                 raise errors.BodyTooLargeError(message)
-            # A resent file has the same prefix digests, so its segments are
-            # rewritten in place rather than stored twice.
-            segment = f"seg-{digest.hexdigest()}"
-            names = await self.copies.write(segment, chunk)
-            segments.append(jobs.SegmentRecord(segment, len(chunk), names))
-        if not segments:
+            if not counts:
+                staged.replicas = self.copies.choose([])
+            staged.replicas = await self.copies.write(
+                staged.replicas, staged.group, len(counts), items
+            )
+            counts.append(len(items))
+        if not counts:
             raise errors.BadRequestError("the file is empty")
-        record = jobs.FileRecord(
-            id=f"file-{digest.hexdigest()}",
+        purpose = form.fields.get(uploads.PURPOSE_PART, b"batch").decode()
+        return jobs.FileRecord(
+            id=uploads.file_id(organisation, purpose, digest.hexdigest()),
             organisation=organisation,
-            filename=file.filename or "upload.jsonl",
+            filename=form.filename or "upload.jsonl",
             purpose=purpose,
-            size_bytes=size,
+            size_bytes=form.size_bytes,
             created_at=int(time.time()),
-            segments=segments,
+            counts=counts,
+            replicas=staged.replicas,
         )
-        if not await jobs.create(self.store, jobs.FILES + record.id, record):
-            return await jobs.read_file(self.store, record.id)
-        return record
+
+    async def _accept(
+        self, record: jobs.FileRecord, staged: Staged
+    ) -> jobs.FileRecord:
+        """Records a file whose segments are on two disks, once."""
+        key = jobs.FILES + record.id
+        for _ in range(ACCEPT_TRIES):
+            pair = await self.store.get(key)
+            if pair is not None:
+                known = msgspec.json.decode(pair.value, type=jobs.FileRecord)
+                if not known.deleting:
+                    return known
+                await self._finish_delete(known, pair.revision)
+            failed = await self.copies.link(
+                record.replicas, staged.group, record.id, len(record.counts)
+            )
+            if failed:
+                raise errors.UnavailableError(
+                    f"a store failed: {next(iter(failed.values())).message}",
+                    retry_after_s=1.0,
+                )
+            if await jobs.create(self.store, key, record):
+                logs.event(
+                    "file_accepted", file=record.id, stores=record.replicas
+                )
+                return record
+        raise errors.ConflictError("the file is changing; try again")
 
     async def _owned(self, request: requests.Request) -> jobs.FileRecord:
         owner = online.key_owner(self.source, request)
@@ -127,7 +177,7 @@
         data = [
             file_object(r)
             for r in records
-            if r.organisation == owner.organisation
+            if r.organisation == owner.organisation and not r.deleting
         ]
         return web.json_response(
             {"object": "list", "data": data, "has_more": False}
@@ -152,13 +202,53 @@
         return web.json_response(file_object(await self._owned(request)))
 
     async def delete(self, request: requests.Request) -> responses.Response:
-        """Deletes a file's record; jobs made from it keep their segments."""
-        record = await self._owned(request)
-        await self.store.transact([], [], deletes=[jobs.FILES + record.id])
+        """Deletes a file, or a finished job's results.
+
+        Jobs made from a file have its segments under their own name, so they
+        go on.
+        """
+        name = request.path_params["id"]
+        if name.startswith((OUTPUT_PREFIX, ERROR_PREFIX)):
+            await self._delete_results(await self._job(request))
+        else:
+            record = await self._owned(request)
+            pair = await self.store.get(jobs.FILES + record.id)
+            record.deleting = True
+            key = jobs.FILES + record.id
+            revision = pair.revision if pair is not None else 0
+            if not await jobs.replace(self.store, key, record, revision):
+                raise errors.ConflictError("the file is changing; try again")
+            pair = await self.store.get(key)
+            if pair is not None:
+                await self._finish_delete(record, pair.revision)
         return web.json_response(
-            {"id": record.id, "object": "file", "deleted": True}
+            {"id": name, "object": "file", "deleted": True}
         )
 
+    async def _finish_delete(
+        self, record: jobs.FileRecord, revision: int
+    ) -> None:
+        """Removes the segments, then the record of a file.
+
+        The record goes last, so that a delete that broke off is completed by
+        the next delete or upload of the same file.
+        """
+        await self.copies.delete(record.replicas, record.id, 0)
+        key = jobs.FILES + record.id
+        await self.store.transact(
+            [keyvalue.Guard(key, revision)], [], deletes=[key]
+        )
+
+    async def _delete_results(self, job: jobs.JobRecord) -> None:
+        if job.state not in jobs.FINAL:
+            raise errors.ConflictError(f"batch {job.id} has not ended")
+        job, revision = await jobs.read_job(self.store, job.id)
+        job.deleted = True
+        key = jobs.job_key(job.id)
+        if not await jobs.replace(self.store, key, job, revision):
+            raise errors.ConflictError("the batch is changing; try again")
+        await self.copies.delete(job.replicas, job.id, jobs.LAST_EPOCH)
+
     async def _job(self, request: requests.Request) -> jobs.JobRecord:
         owner = online.key_owner(self.source, request)
         name = request.path_params["id"]
@@ -166,6 +256,8 @@
         job, _ = await jobs.read_job(self.store, job_id)
         if job.organisation != owner.organisation:
             raise errors.NotFoundError(f"no file {name}")
+        if job.deleted:
+            raise errors.NotFoundError(f"file {name} was deleted")
         return job
 
     async def content(self, request: requests.Request) -> responses.Response:
@@ -176,60 +268,19 @@
             failed = name.startswith(ERROR_PREFIX)
             body = self._results(job, failed=failed)
         else:
-            body = self._items((await self._owned(request)).segments)
+            body = self._items(await self._owned(request))
         return responses.StreamingResponse(body, media_type="application/jsonl")
 
-    async def _items(
-        self, records: list[jobs.SegmentRecord]
-    ) -> AsyncIterator[bytes]:
-        for record in records:
-            async for item in self.copies.items(record):
+    async def _items(self, record: jobs.FileRecord) -> AsyncIterator[bytes]:
+        for number in range(len(record.counts)):
+            for item in await self.copies.segment(
+                record.replicas, record.id, number
+            ):
                 yield item + b"\n"
 
     async def _results(
         self, job: jobs.JobRecord, *, failed: bool
     ) -> AsyncIterator[bytes]:
-        for record in job.segments:
-            for result in await self.copies.results(record):
-                if result.failed == failed:
-                    yield result.body + b"\n"
-
-
-def _check_item(line: bytes, number: int) -> None:
-    try:
-        msgspec.json.decode(line, type=jobs.Item)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        message = f"line {number + 1} is no batch item: {error}"
-        raise errors.BadRequestError(message) from None
-
-
-async def _lines(
-    file: datastructures.UploadFile, limit: int
-) -> AsyncIterator[bytes]:
-    rest = b""
-    while chunk := await file.read(256 * 1024):
-        lines = (rest + chunk).split(b"\n")
-        rest = lines.pop()
-        if len(rest) > limit:
-            raise errors.BodyTooLargeError(f"a line is over {limit} bytes")
-        for line in lines:
-            if line.strip():
-                yield line
-    if rest.strip():
-        yield rest
-
-
-async def _segments(
-    lines: AsyncIterator[bytes],
-) -> AsyncIterator[list[bytes]]:
-    chunk: list[bytes] = []
-    size = 0
-    async for line in lines:
-        full = size + len(line) > jobs.SEGMENT_BYTES
-        if chunk and (full or len(chunk) >= jobs.SEGMENT_ITEMS):
-            yield chunk
-            chunk, size = [], 0
-        chunk.append(line)
-        size += len(line)
-    if chunk:
-        yield chunk
+        async for result in outputs.merged(self.copies, job):
+            if result.failed == failed:
+                yield result.body + b"\n"
--- a/src/ibisknot/gen/jobs/ttypes.py
+++ b/src/ibisknot/gen/jobs/ttypes.py
@@ -93,6 +93,8 @@
      - total
      - completed
      - failed
+     - finish_at: Wall-clock seconds of the estimated finish; absent when unknown.
+     - at_risk
 
     """
 
@@ -101,14 +103,18 @@
         'total',
         'completed',
         'failed',
+        'finish_at',
+        'at_risk',
     )
 
 
-    def __init__(self, job=None, total=None, completed=None, failed=None,):
+    def __init__(self, job=None, total=None, completed=None, failed=None, finish_at=None, at_risk=None,):
         self.job = job
         self.total = total
         self.completed = completed
         self.failed = failed
+        self.finish_at = finish_at
+        self.at_risk = at_risk
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -139,6 +145,16 @@
                     self.failed = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.finish_at = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.at_risk = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -165,6 +181,14 @@
             oprot.writeFieldBegin('failed', TType.I64, 4)
             oprot.writeI64(self.failed)
             oprot.writeFieldEnd()
+        if self.finish_at is not None:
+            oprot.writeFieldBegin('finish_at', TType.I64, 5)
+            oprot.writeI64(self.finish_at)
+            oprot.writeFieldEnd()
+        if self.at_risk is not None:
+            oprot.writeFieldBegin('at_risk', TType.BOOL, 6)
+            oprot.writeBool(self.at_risk)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -196,6 +220,78 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class JobCancel(object):
+    """
+    Tells a job's owner at once that the job's record is now `cancelling`.
+
+    Attributes:
+     - job
+
+    """
+
+    __slots__ = (
+        'job',
+    )
+
+
+    def __init__(self, job=None,):
+        self.job = job
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobCancel')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.job is None:
+            raise TProtocolException(message='Required field job is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(JobAsk)
 JobAsk.thrift_spec = (
     None,  # 0
@@ -208,6 +304,13 @@
     (2, TType.I64, 'total', None, None, ),  # 2
     (3, TType.I64, 'completed', None, None, ),  # 3
     (4, TType.I64, 'failed', None, None, ),  # 4
+    (5, TType.I64, 'finish_at', None, None, ),  # 5
+    (6, TType.BOOL, 'at_risk', None, None, ),  # 6
+)
+all_structs.append(JobCancel)
+JobCancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/gen/segments/ttypes.py
+++ b/src/ibisknot/gen/segments/ttypes.py
@@ -116,22 +116,25 @@
 
 class SegmentWrite(object):
     """
-    Writes one whole segment; an equal rewrite is accepted, a different one refused.
+    Writes one whole segment of a group; an equal rewrite is accepted, a different one refused.
 
     Attributes:
-     - segment
+     - group
+     - number
      - items
 
     """
 
     __slots__ = (
-        'segment',
+        'group',
+        'number',
         'items',
     )
 
 
-    def __init__(self, segment=None, items=None,):
-        self.segment = segment
+    def __init__(self, group=None, number=None, items=None,):
+        self.group = group
+        self.number = number
         self.items = items
 
     def read(self, iprot):
@@ -145,10 +148,15 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -168,12 +176,16 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SegmentWrite')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
             oprot.writeFieldEnd()
         if self.items is not None:
-            oprot.writeFieldBegin('items', TType.LIST, 2)
+            oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.items))
             for iter6 in self.items:
                 oprot.writeBinary(iter6)
@@ -183,8 +195,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
         if self.items is None:
             raise TProtocolException(message='Required field items is unset!')
         return
@@ -278,25 +292,27 @@
         return not (self == other)
 
 
-class SegmentRead(object):
+class SegmentLink(object):
     """
+    Gives a group's segments to another group; the source may then be deleted.
+
     Attributes:
-     - segment
-     - first
+     - source
+     - target
      - count
 
     """
 
     __slots__ = (
-        'segment',
-        'first',
+        'source',
+        'target',
         'count',
     )
 
 
-    def __init__(self, segment=None, first=None, count=None,):
-        self.segment = segment
-        self.first = first
+    def __init__(self, source=None, target=None, count=None,):
+        self.source = source
+        self.target = target
         self.count = count
 
     def read(self, iprot):
@@ -310,12 +326,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.first = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -332,14 +348,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('SegmentRead')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        oprot.writeStructBegin('SegmentLink')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
             oprot.writeFieldEnd()
-        if self.first is not None:
-            oprot.writeFieldBegin('first', TType.I64, 2)
-            oprot.writeI64(self.first)
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
             oprot.writeFieldEnd()
         if self.count is not None:
             oprot.writeFieldBegin('count', TType.I64, 3)
@@ -349,10 +365,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
-        if self.first is None:
-            raise TProtocolException(message='Required field first is unset!')
+        if self.source is None:
+            raise TProtocolException(message='Required field source is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
         if self.count is None:
             raise TProtocolException(message='Required field count is unset!')
         return
@@ -376,6 +392,90 @@
         return not (self == other)
 
 
+class SegmentRead(object):
+    """
+    Attributes:
+     - group
+     - number
+
+    """
+
+    __slots__ = (
+        'group',
+        'number',
+    )
+
+
+    def __init__(self, group=None, number=None,):
+        self.group = group
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SegmentRead')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SegmentItems(object):
     """
     Attributes:
@@ -456,22 +556,22 @@
 
 class SegmentSeal(object):
     """
-    Refuses every later append to the segment's results with a lower epoch.
+    Refuses every later append to the group's results with a lower epoch.
 
     Attributes:
-     - segment
+     - group
      - epoch
 
     """
 
     __slots__ = (
-        'segment',
+        'group',
         'epoch',
     )
 
 
-    def __init__(self, segment=None, epoch=None,):
-        self.segment = segment
+    def __init__(self, group=None, epoch=None,):
+        self.group = group
         self.epoch = epoch
 
     def read(self, iprot):
@@ -485,7 +585,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -503,9 +603,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SegmentSeal')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 2)
@@ -515,8 +615,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
         if self.epoch is None:
             raise TProtocolException(message='Required field epoch is unset!')
         return
@@ -545,21 +645,21 @@
     Appends results; the first result of an item stays.
 
     Attributes:
-     - segment
+     - group
      - epoch
      - results
 
     """
 
     __slots__ = (
-        'segment',
+        'group',
         'epoch',
         'results',
     )
 
 
-    def __init__(self, segment=None, epoch=None, results=None,):
-        self.segment = segment
+    def __init__(self, group=None, epoch=None, results=None,):
+        self.group = group
         self.epoch = epoch
         self.results = results
 
@@ -574,7 +674,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -603,9 +703,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ResultAppend')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 2)
@@ -622,8 +722,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
         if self.epoch is None:
             raise TProtocolException(message='Required field epoch is unset!')
         if self.results is None:
@@ -651,18 +751,23 @@
 
 class ResultRead(object):
     """
+    Asks for results of item `first` and later, as many as fit into an answer.
+
     Attributes:
-     - segment
+     - group
+     - first
 
     """
 
     __slots__ = (
-        'segment',
+        'group',
+        'first',
     )
 
 
-    def __init__(self, segment=None,):
-        self.segment = segment
+    def __init__(self, group=None, first=None,):
+        self.group = group
+        self.first = first
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -675,7 +780,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.first = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -688,16 +798,22 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ResultRead')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.first is not None:
+            oprot.writeFieldBegin('first', TType.I64, 2)
+            oprot.writeI64(self.first)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.first is None:
+            raise TProtocolException(message='Required field first is unset!')
         return
 
     def __repr__(self):
@@ -721,18 +837,23 @@
 
 class Results(object):
     """
+    Results in item order; `next` is the item to go on with, or -1 at the end.
+
     Attributes:
      - results
+     - next
 
     """
 
     __slots__ = (
         'results',
+        'next',
     )
 
 
-    def __init__(self, results=None,):
+    def __init__(self, results=None, next=None,):
         self.results = results
+        self.next = next
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -754,6 +875,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.next = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -771,12 +897,358 @@
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.next is not None:
+            oprot.writeFieldBegin('next', TType.I64, 2)
+            oprot.writeI64(self.next)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.results is None:
             raise TProtocolException(message='Required field results is unset!')
+        if self.next is None:
+            raise TProtocolException(message='Required field next is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupAsk(object):
+    """
+    Attributes:
+     - group
+
+    """
+
+    __slots__ = (
+        'group',
+    )
+
+
+    def __init__(self, group=None,):
+        self.group = group
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupAsk')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupState(object):
+    """
+    Bit maps of the items with a result, and of those whose result is an error.
+
+    Attributes:
+     - epoch
+     - segments
+     - done
+     - failed
+
+    """
+
+    __slots__ = (
+        'epoch',
+        'segments',
+        'done',
+        'failed',
+    )
+
+
+    def __init__(self, epoch=None, segments=None, done=None, failed=None,):
+        self.epoch = epoch
+        self.segments = segments
+        self.done = done
+        self.failed = failed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.segments = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.done = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupState')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 1)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.segments is not None:
+            oprot.writeFieldBegin('segments', TType.I64, 2)
+            oprot.writeI64(self.segments)
+            oprot.writeFieldEnd()
+        if self.done is not None:
+            oprot.writeFieldBegin('done', TType.STRING, 3)
+            oprot.writeBinary(self.done)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.STRING, 4)
+            oprot.writeBinary(self.failed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.segments is None:
+            raise TProtocolException(message='Required field segments is unset!')
+        if self.done is None:
+            raise TProtocolException(message='Required field done is unset!')
+        if self.failed is None:
+            raise TProtocolException(message='Required field failed is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupsAsk(object):
+    """
+    Attributes:
+     - groups
+
+    """
+
+    __slots__ = (
+        'groups',
+    )
+
+
+    def __init__(self, groups=None,):
+        self.groups = groups
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.groups.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupsAsk')
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.groups))
+            for iter34 in self.groups:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.groups is None:
+            raise TProtocolException(message='Required field groups is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupsMissing(object):
+    """
+    Attributes:
+     - groups
+
+    """
+
+    __slots__ = (
+        'groups',
+    )
+
+
+    def __init__(self, groups=None,):
+        self.groups = groups
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.groups.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupsMissing')
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.groups))
+            for iter41 in self.groups:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.groups is None:
+            raise TProtocolException(message='Required field groups is unset!')
         return
 
     def __repr__(self):
@@ -800,18 +1272,23 @@
 
 class SegmentDelete(object):
     """
+    Deletes a group unless a higher epoch has sealed it.
+
     Attributes:
-     - segment
+     - group
+     - epoch
 
     """
 
     __slots__ = (
-        'segment',
+        'group',
+        'epoch',
     )
 
 
-    def __init__(self, segment=None,):
-        self.segment = segment
+    def __init__(self, group=None, epoch=None,):
+        self.group = group
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -824,7 +1301,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.segment = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -837,16 +1319,22 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SegmentDelete')
-        if self.segment is not None:
-            oprot.writeFieldBegin('segment', TType.STRING, 1)
-            oprot.writeString(self.segment.encode('utf-8') if sys.version_info[0] == 2 else self.segment)
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.segment is None:
-            raise TProtocolException(message='Required field segment is unset!')
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
         return
 
     def __repr__(self):
@@ -876,20 +1364,27 @@
 all_structs.append(SegmentWrite)
 SegmentWrite.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'items', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'items', (TType.STRING, 'BINARY', False), None, ),  # 3
 )
 all_structs.append(SegmentWritten)
 SegmentWritten.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
 )
+all_structs.append(SegmentLink)
+SegmentLink.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'count', None, None, ),  # 3
+)
 all_structs.append(SegmentRead)
 SegmentRead.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'first', None, None, ),  # 2
-    (3, TType.I64, 'count', None, None, ),  # 3
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
 )
 all_structs.append(SegmentItems)
 SegmentItems.thrift_spec = (
@@ -899,30 +1394,56 @@
 all_structs.append(SegmentSeal)
 SegmentSeal.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
 )
 all_structs.append(ResultAppend)
 ResultAppend.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.LIST, 'results', (TType.STRUCT, [Result, None], False), None, ),  # 3
 )
 all_structs.append(ResultRead)
 ResultRead.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'first', None, None, ),  # 2
 )
 all_structs.append(Results)
 Results.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'results', (TType.STRUCT, [Result, None], False), None, ),  # 1
+    (2, TType.I64, 'next', None, None, ),  # 2
+)
+all_structs.append(GroupAsk)
+GroupAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+)
+all_structs.append(GroupState)
+GroupState.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'epoch', None, None, ),  # 1
+    (2, TType.I64, 'segments', None, None, ),  # 2
+    (3, TType.STRING, 'done', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'failed', 'BINARY', None, ),  # 4
+)
+all_structs.append(GroupsAsk)
+GroupsAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'groups', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(GroupsMissing)
+GroupsMissing.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'groups', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
 all_structs.append(SegmentDelete)
 SegmentDelete.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'segment', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -21,6 +21,17 @@
 BATCH_ITEMS = aioprometheus.Counter(
     "ibisknot_batch_items_total", "Batch items by outcome."
 )
+BATCH_JOBS = aioprometheus.Counter(
+    "ibisknot_batch_jobs_total", "Batch jobs by final state."
+)
+BATCH_REMAINING = aioprometheus.Gauge(
+    "ibisknot_batch_items_remaining",
+    "Items without a result in the jobs that this process runs.",
+)
+BATCH_AT_RISK = aioprometheus.Gauge(
+    "ibisknot_batch_jobs_at_risk",
+    "Jobs of this process that will miss their deadline at this rate.",
+)
 
 
 async def handle(request: requests.Request) -> responses.Response:
--- a/src/ibisknot/replicas.py
+++ b/src/ibisknot/replicas.py
@@ -1,24 +1,24 @@
-"""Writes and reads segments on the stores of several VMs."""
+"""Writes and reads groups of segments on the stores of several VMs."""
 
 from collections.abc import AsyncIterator
 import random
+from typing import Any
 
 import anyio
 
 from ibisknot import errors
-from ibisknot import jobs
 from ibisknot import logs
 from ibisknot import peer
 from ibisknot import vmlist
 from ibisknot.gen.segments import ttypes
 
 COPIES = 2
-WRITE_TIMEOUT_S = 10.0
-READ_ITEMS = 200
+CALL_TIMEOUT_S = 10.0
+COPY_RESULTS = 500
 
 
 class Replicas:
-    """Access to segments through the stores that hold copies."""
+    """Access to groups through the stores that hold copies."""
 
     def __init__(
         self, peers: peer.Client, vms: vmlist.VmList, *, port: int
@@ -28,166 +28,230 @@
         self.port = port
         self.choice = random.Random()
 
-    def address(self, vm: str) -> str:
-        """Returns the peer address of a VM's store.
+    async def call(
+        self, vm: str, method: str, message: Any, kind: Any = None
+    ) -> Any:
+        """Calls the store of a VM.
 
         Raises:
-            PeerError: The VM is not listed.
+            PeerError: The VM is not listed or not reachable.
+            IbisknotError: The store refused.
         """
         listed = self.vms.vms.get(vm)
         if listed is None:
             raise errors.PeerError(f"VM {vm} is not listed")
-        return f"{listed.address}:{self.port}"
+        address = f"{listed.address}:{self.port}"
+        if kind is None:
+            return await self.peers.call(
+                address, method, message, timeout_s=CALL_TIMEOUT_S
+            )
+        return await self.peers.call(
+            address, method, message, kind, timeout_s=CALL_TIMEOUT_S
+        )
+
+    async def each(
+        self, names: list[str], method: str, message: Any
+    ) -> dict[str, errors.IbisknotError]:
+        """Calls several stores at once; returns the errors by VM."""
+        failed: dict[str, errors.IbisknotError] = {}
+
+        async def call(name: str) -> None:
+            try:
+                await self.call(name, method, message)
+            except errors.IbisknotError as error:
+                failed[name] = error
+
+        async with anyio.create_task_group() as group:
+            for name in names:
+                group.start_soon(call, name)
+        return failed
 
-    def choose(self) -> list[str]:
-        """Returns stores for a new segment, in different data centres.
+    def gone(self, vm: str) -> bool:
+        """Returns whether the platform's list no longer has a VM."""
+        return bool(self.vms.vms) and vm not in self.vms.vms
+
+    def choose(
+        self, kept: list[str], *, avoid: frozenset[str] = frozenset()
+    ) -> list[str]:
+        """Returns `kept` filled up with stores in other data centres.
 
         Raises:
             UnavailableError: There are too few stores.
         """
-        stores = self.vms.stores()
-        self.choice.shuffle(stores)
-        if len(stores) < COPIES:
-            message = f"{COPIES} stores are needed, {len(stores)} are live"
-            raise errors.UnavailableError(message, retry_after_s=5.0)
-        first = stores[0]
-        others = sorted(
-            stores[1:], key=lambda vm: vm.data_centre == first.data_centre
-        )
-        return [first.name, *(vm.name for vm in others[: COPIES - 1])]
+        names = list(kept)
+        while len(names) < COPIES:
+            centres = {self.vms.vms[n].data_centre for n in names}
+            others = [
+                vm
+                for vm in self.vms.stores()
+                if vm.name not in names and vm.name not in avoid
+            ]
+            if not others:
+                message = f"{COPIES} stores are needed, {len(names)} are usable"
+                raise errors.UnavailableError(message, retry_after_s=5.0)
+            self.choice.shuffle(others)
+            others.sort(key=lambda vm: vm.data_centre in centres)
+            names.append(others[0].name)
+        return names
 
-    async def write(self, segment: str, items: list[bytes]) -> list[str]:
+    async def write(
+        self, names: list[str], group: str, number: int, items: list[bytes]
+    ) -> list[str]:
         """Writes a segment to two stores; returns their names.
 
+        A store that fails is replaced by another one, which first gets the
+        group's earlier segments.
+
         Raises:
+            DiskFullError: A disk is full and there is no other store.
             UnavailableError: Too few stores took it.
         """
-        names = self.choose()
-        message = ttypes.SegmentWrite(segment=segment, items=items)
-        failed: list[str] = []
-
-        async def write(name: str) -> None:
+        message = ttypes.SegmentWrite(group=group, number=number, items=items)
+        avoid: frozenset[str] = frozenset()
+        while True:
+            failed = await self.each(names, "segment_write", message)
+            if not failed:
+                return names
+            for name, error in failed.items():
+                self._log("segment_write_failed", group, name, error)
+            kept = [name for name in names if name not in failed]
+            avoid |= failed.keys()
+            if number and not kept:
+                raise next(iter(failed.values()))
             try:
-                await self.peers.call(
-                    self.address(name),
-                    "segment_write",
-                    message,
-                    ttypes.SegmentWritten,
-                    timeout_s=WRITE_TIMEOUT_S,
-                )
-            except errors.IbisknotError as error:
-                failed.append(f"{name}: {error.message}")
+                names = self.choose(kept, avoid=avoid)
+            except errors.UnavailableError:
+                if any(
+                    isinstance(error, errors.DiskFullError)
+                    for error in failed.values()
+                ):
+                    raise errors.DiskFullError("the disks are full") from None
+                raise
+            for name in names[len(kept) :] if number else []:
+                await self.copy_items(kept[0], name, group, number)
 
-        async with anyio.create_task_group() as group:
-            for name in names:
-                group.start_soon(write, name)
-        if failed:
-            raise errors.UnavailableError(
-                f"segment not written: {'; '.join(failed)}", retry_after_s=1.0
-            )
-        return names
+    async def link(
+        self, names: list[str], source: str, target: str, count: int
+    ) -> dict[str, errors.IbisknotError]:
+        """Gives a group's segments to another group on some stores."""
+        message = ttypes.SegmentLink(source=source, target=target, count=count)
+        return await self.each(names, "segment_link", message)
+
+    async def delete(self, names: list[str], group: str, epoch: int) -> None:
+        """Deletes a group where its stores answer."""
+        message = ttypes.SegmentDelete(group=group, epoch=epoch)
+        failed = await self.each(names, "segment_delete", message)
+        for name, error in failed.items():
+            self._log("segment_delete_failed", group, name, error)
 
-    async def seal(self, record: jobs.SegmentRecord, epoch: int) -> None:
-        """Seals every copy of a segment.
+    async def seal(self, vm: str, group: str, epoch: int) -> None:
+        """Seals one copy of a group.
 
         Raises:
             FencedError: A higher epoch holds it.
-            PeerError: A copy is not reachable.
+            SegmentMissingError: The copy is not there.
+            PeerError: The copy is not reachable.
         """
-        message = ttypes.SegmentSeal(segment=record.id, epoch=epoch)
-        for name in record.replicas:
-            await self.peers.call(self.address(name), "segment_seal", message)
+        message = ttypes.SegmentSeal(group=group, epoch=epoch)
+        await self.call(vm, "segment_seal", message)
 
-    async def append(
-        self,
-        record: jobs.SegmentRecord,
-        epoch: int,
-        results: list[ttypes.Result],
-    ) -> None:
-        """Appends results to every copy.
+    async def state(self, vm: str, group: str) -> ttypes.GroupState:
+        """Returns which items of one copy have results.
 
         Raises:
-            FencedError: A higher epoch holds the segment.
-            PeerError: A copy is not reachable.
+            PeerError: The copy is not reachable.
         """
-        message = ttypes.ResultAppend(
-            segment=record.id, epoch=epoch, results=results
+        return await self.call(
+            vm, "group_state", ttypes.GroupAsk(group=group), ttypes.GroupState
         )
-        for name in record.replicas:
-            await self.peers.call(
-                self.address(name),
-                "result_append",
-                message,
-                timeout_s=WRITE_TIMEOUT_S,
-            )
 
-    async def results_of(
-        self, name: str, record: jobs.SegmentRecord
-    ) -> list[ttypes.Result]:
-        """Returns the results on one copy.
+    async def segment(
+        self, names: list[str], group: str, number: int
+    ) -> list[bytes]:
+        """Returns the items of a segment from the first copy that answers.
+
+        Raises:
+            UnavailableError: No copy is readable.
+        """
+        message = ttypes.SegmentRead(group=group, number=number)
+        for name in names:
+            try:
+                answer = await self.call(
+                    name, "segment_read", message, ttypes.SegmentItems
+                )
+            except errors.IbisknotError as error:
+                self._log("segment_read_failed", group, name, error)
+                continue
+            return answer.items
+        text = f"no copy of segment {number} of {group} is readable"
+        raise errors.UnavailableError(text, retry_after_s=1.0)
+
+    async def page(self, vm: str, group: str, first: int) -> ttypes.Results:
+        """Returns results of one copy from an item on.
 
         Raises:
             PeerError: The copy is not reachable.
         """
-        answer = await self.peers.call(
-            self.address(name),
-            "result_read",
-            ttypes.ResultRead(segment=record.id),
-            ttypes.Results,
-            timeout_s=WRITE_TIMEOUT_S,
-        )
-        return answer.results
+        message = ttypes.ResultRead(group=group, first=first)
+        return await self.call(vm, "result_read", message, ttypes.Results)
 
-    async def results(self, record: jobs.SegmentRecord) -> list[ttypes.Result]:
-        """Returns the results of a segment that every copy has.
+    async def results(
+        self, vm: str, group: str
+    ) -> AsyncIterator[list[ttypes.Result]]:
+        """Yields the results of one copy in item order, page by page.
 
         Raises:
-            PeerError: A copy is not reachable.
+            PeerError: The copy is not reachable.
         """
-        first = await self.results_of(record.replicas[0], record)
-        for name in record.replicas[1:]:
-            other = {r.index for r in await self.results_of(name, record)}
-            first = [r for r in first if r.index in other]
-        return first
+        first = 0
+        while first >= 0:
+            page = await self.page(vm, group, first)
+            yield page.results
+            first = page.next
 
-    async def items(self, record: jobs.SegmentRecord) -> AsyncIterator[bytes]:
-        """Yields a segment's items from the first copy that answers.
+    async def copy_items(
+        self, source: str, target: str, group: str, count: int
+    ) -> None:
+        """Copies the first `count` segments of a group.
 
         Raises:
-            UnavailableError: No copy is reachable.
+            IbisknotError: One of the stores did not answer or refused.
         """
-        position = 0
-        while position < record.count:
-            items = await self._read(record, position)
-            for item in items:
-                yield item
-            position += len(items)
-
-    async def _read(
-        self, record: jobs.SegmentRecord, position: int
-    ) -> list[bytes]:
-        message = ttypes.SegmentRead(
-            segment=record.id, first=position, count=READ_ITEMS
-        )
-        for name in record.replicas:
-            try:
-                answer = await self.peers.call(
-                    self.address(name),
-                    "segment_read",
-                    message,
-                    ttypes.SegmentItems,
-                    timeout_s=WRITE_TIMEOUT_S,
-                )
-            except errors.IbisknotError as error:
-                logs.event(
-                    "segment_read_failed",
-                    level="warning",
-                    segment=record.id,
-                    vm=name,
-                    error=error.message,
+        for number in range(count):
+            items = await self.segment([source], group, number)
+            message = ttypes.SegmentWrite(
+                group=group, number=number, items=items
+            )
+            await self.call(target, "segment_write", message)
+
+    async def copy_results(
+        self,
+        source: str,
+        target: str,
+        group: str,
+        epoch: int,
+        missing: set[int] | None = None,
+    ) -> None:
+        """Copies results, all of them or only those of some items.
+
+        Raises:
+            IbisknotError: One of the stores did not answer or refused.
+        """
+        async for results in self.results(source, group):
+            wanted = [
+                r for r in results if missing is None or r.index in missing
+            ]
+            for start in range(0, len(wanted), COPY_RESULTS):
+                message = ttypes.ResultAppend(
+                    group=group,
+                    epoch=epoch,
+                    results=wanted[start : start + COPY_RESULTS],
                 )
-                continue
-            if answer.items:
-                return answer.items
-        message_text = f"no copy of segment {record.id} is readable"
-        raise errors.UnavailableError(message_text, retry_after_s=1.0)
+                await self.call(target, "result_append", message)
+
+    def _log(
+        self, name: str, group: str, vm: str, error: errors.IbisknotError
+    ) -> None:
+        logs.event(
+            name, level="warning", group=group, vm=vm, cause=error.message
+        )
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -116,6 +116,8 @@
     policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
     lease_s: Seconds = 5.0
     concurrency: Annotated[int, msgspec.Meta(ge=1, le=10000)] = 16
+    retention_s: Annotated[float, msgspec.Meta(gt=0)] = 30 * 86400.0
+    """How long an ended job and its results are kept."""
 
 
 class Store(Daemon, kw_only=True):
--- a/src/ibisknot/store.py
+++ b/src/ibisknot/store.py
@@ -1,6 +1,8 @@
 """`ibisknot-store`: keeps segments on a VM's disk."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import pathlib
 from typing import Annotated
@@ -11,6 +13,7 @@
 import cappa
 
 import ibisknot
+from ibisknot import errors
 from ibisknot import logs
 from ibisknot import program
 from ibisknot import segments
@@ -28,75 +31,130 @@
     ] = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """An append that waits for its group's next fsync."""
+
+    epoch: int
+    results: list[ttypes.Result]
+    error: errors.IbisknotError | None = None
+
+
 class Service:
     """The store's peer methods."""
 
     def __init__(self, kept: segments.Segments) -> None:
         self.kept = kept
         self.locks: dict[str, anyio.Lock] = {}
+        self.waiting: dict[str, list[Waiting]] = {}
+
+    @contextlib.asynccontextmanager
+    async def _locked(self, group: str) -> AsyncIterator[None]:
+        """Makes calls on one group follow each other."""
+        lock = self.locks.setdefault(group, anyio.Lock())
+        try:
+            async with lock:
+                yield
+        finally:
+            if not lock.locked():
+                self.locks.pop(group, None)
 
     async def _run(
-        self, segment: str, function: Callable[..., Any], *arguments: Any
+        self, group: str, function: Callable[..., Any], *arguments: Any
     ) -> Any:
-        """Runs a blocking call; calls on one segment follow each other."""
-        lock = self.locks.setdefault(segment, anyio.Lock())
-        async with lock:
+        """Runs a blocking call on one group."""
+        async with self._locked(group):
             return await to_thread.run_sync(function, *arguments)
 
     async def write(self, message: ttypes.SegmentWrite) -> Any:
         """Writes a segment."""
         found = await self._run(
-            message.segment, self.kept.write, message.segment, message.items
+            message.group,
+            self.kept.write,
+            message.group,
+            message.number,
+            message.items,
         )
         return ttypes.SegmentWritten(digest=found)
 
-    async def read(self, message: ttypes.SegmentRead) -> Any:
-        """Reads items of a segment."""
-
-        def read() -> list[bytes]:
-            return self.kept.read(
-                message.segment, first=message.first, count=message.count
-            )
+    async def link(self, message: ttypes.SegmentLink) -> None:
+        """Gives a group's segments to another group."""
+        await self._run(
+            message.target,
+            self.kept.link,
+            message.source,
+            message.target,
+            message.count,
+        )
 
-        items = await self._run(message.segment, read)
+    async def read(self, message: ttypes.SegmentRead) -> Any:
+        """Reads the items of a segment."""
+        items = await to_thread.run_sync(
+            self.kept.read, message.group, message.number
+        )
         return ttypes.SegmentItems(items=items)
 
     async def seal(self, message: ttypes.SegmentSeal) -> None:
-        """Seals a segment."""
+        """Seals a group."""
         await self._run(
-            message.segment, self.kept.seal, message.segment, message.epoch
+            message.group, self.kept.seal, message.group, message.epoch
         )
 
     async def append(self, message: ttypes.ResultAppend) -> None:
-        """Appends results to a segment."""
-        await self._run(
-            message.segment,
-            self.kept.append,
-            message.segment,
-            message.epoch,
-            message.results,
-        )
+        """Appends results; appends that wait together share an fsync."""
+        mine = Waiting(message.epoch, message.results)
+        self.waiting.setdefault(message.group, []).append(mine)
+        async with self._locked(message.group):
+            # An append that held the lock before may have taken this one.
+            taken = self.waiting.pop(message.group, [])
+            if taken:
+                await to_thread.run_sync(self._flush, message.group, taken)
+        if mine.error is not None:
+            raise mine.error
+
+    def _flush(self, group: str, taken: list[Waiting]) -> None:
+        """Writes the appends that wait for a group."""
+        batches = [(entry.epoch, entry.results) for entry in taken]
+        try:
+            outcomes = self.kept.append(group, batches)
+        except errors.IbisknotError as error:
+            outcomes = [error] * len(taken)
+        for entry, outcome in zip(taken, outcomes, strict=True):
+            entry.error = outcome
 
     async def results(self, message: ttypes.ResultRead) -> Any:
-        """Reads the results of a segment."""
-        found = await self._run(
-            message.segment, self.kept.results, message.segment
+        """Reads results of a group."""
+        return await self._run(
+            message.group, self.kept.results, message.group, message.first
         )
-        return ttypes.Results(results=found)
+
+    async def state(self, message: ttypes.GroupAsk) -> Any:
+        """Returns which items of a group have results."""
+        return await self._run(message.group, self.kept.state, message.group)
+
+    async def missing(self, message: ttypes.GroupsAsk) -> Any:
+        """Returns those of some groups that are not here."""
+        found = await to_thread.run_sync(self.kept.missing, message.groups)
+        return ttypes.GroupsMissing(groups=found)
 
     async def delete(self, message: ttypes.SegmentDelete) -> None:
-        """Deletes a segment."""
-        await self._run(message.segment, self.kept.delete, message.segment)
+        """Deletes a group."""
+        await self._run(
+            message.group, self.kept.delete, message.group, message.epoch
+        )
 
 
 def register(daemon: program.Daemon, service: Service) -> None:
     """Registers the store's peer methods."""
     server = daemon.server
     server.on("segment_write", ttypes.SegmentWrite, service.write)
+    server.on("segment_link", ttypes.SegmentLink, service.link)
     server.on("segment_read", ttypes.SegmentRead, service.read)
     server.on("segment_seal", ttypes.SegmentSeal, service.seal)
     server.on("result_append", ttypes.ResultAppend, service.append)
     server.on("result_read", ttypes.ResultRead, service.results)
+    server.on("group_state", ttypes.GroupAsk, service.state)
+    server.on("groups_missing", ttypes.GroupsAsk, service.missing)
     server.on("segment_delete", ttypes.SegmentDelete, service.delete)
 
 
@@ -104,8 +162,9 @@
     """Runs the store until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-store") as daemon:
         kept = segments.Segments(pathlib.Path(loaded.data_folder))
+        damaged = await to_thread.run_sync(kept.check)
         register(daemon, Service(kept))
-        logs.event("store_ready", folder=loaded.data_folder)
+        logs.event("store_ready", folder=loaded.data_folder, damaged=damaged)
         await daemon.serve([])
 
 
