--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -231,7 +231,12 @@
         step = online_pipeline(daemon, loaded, source, engines, shares, client)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
-            source, daemon.store, daemon.peers, daemon.vms, loaded.limits
+            source,
+            daemon.store,
+            daemon.peers,
+            daemon.vms,
+            loaded.limits,
+            copies,
         )
         operator_handlers = operators.Operators(
             follower, daemon.store, loaded, asked, engine_load
