Admit online requests by ticket

Cause: each entry sent requests to a random engine, without knowledge of what the other VMs had in flight there.

Change: endpoints of a model form admission groups; one VM per group admits (admission, admitter), and entry and batch ask it through tickets.Client. Model requests are dispatched under a ticket with retries, resumption of cut streams, a check of the returned id, and suspicion of crash requests. Plain services get circuit breakers and a retry budget. A withdrawn key, a caller that leaves and a passed deadline end a request. The naive filters stay.

--- /dev/null
+++ b/src/ibisknot/_pump.py
@@ -0,0 +1,247 @@
+"""Grants, refuses and revokes tickets of an admission group."""
+
+from collections.abc import Callable
+import math
+
+from ibisknot import _fair
+from ibisknot import _group
+from ibisknot import breaker
+from ibisknot import routing
+
+HEADROOM = 1.0
+"""Slots that batch leaves free, so that an online request starts at once."""
+
+
+Choose = Callable[[list[_group.Endpoint], _fair.Waiting], _group.Endpoint]
+
+
+def least_expected(
+    candidates: list[_group.Endpoint], waiting: _fair.Waiting
+) -> _group.Endpoint:
+    """Chooses the endpoint with the least expected time to first token."""
+    views = [
+        routing.Candidate(e.name, e.staying(), e.capacity, e.known)
+        for e in candidates
+    ]
+    chosen = routing.choose(views, waiting.blocks, waiting.words)
+    return next(e for e in candidates if e.name == chosen.name)
+
+
+def pump(
+    group: _group.Group, now: float, choose: Choose = least_expected
+) -> list[_group.Action]:
+    """Grants, refuses and revokes until nothing more can be done."""
+    actions: list[_group.Action] = []
+    for queue in (group.online, group.batch):
+        for waiting in queue.expire(now):
+            actions.append(
+                _group.Refuse(waiting.id, "no endpoint was free in time")
+            )
+    _reserve(group)
+    while _grant_online(group, now, choose, actions):
+        pass
+    if group.policy.revokes:
+        for endpoint in group.endpoints.values():
+            _yield_batch(endpoint, now, group.policy, actions)
+    while _grant_batch(group, now, choose, actions):
+        pass
+    return actions
+
+
+def _usable(
+    group: _group.Group, now: float, waiting: _fair.Waiting | None = None
+) -> list[_group.Endpoint]:
+    found = [
+        e for e in group.endpoints.values() if breaker.allows(e.circuit, now)
+    ]
+    if waiting is None:
+        return found
+    others = [e for e in found if e.name not in waiting.avoid]
+    return others or found
+
+
+def _reserve(group: _group.Group) -> None:
+    """Reserves one endpoint while a suspect waits and there is a choice."""
+    suspects = [w for w in group.online.all() if w.suspect]
+    suspects += [w for w in group.batch.all() if w.suspect]
+    for endpoint in group.endpoints.values():
+        if endpoint.reserved and not suspects:
+            endpoint.reserved = False
+    if not suspects or len(group.endpoints) < 2:
+        return
+    if any(e.reserved for e in group.endpoints.values()):
+        return
+    choices = [
+        e
+        for e in group.endpoints.values()
+        if e.name not in suspects[0].avoid and not e.has_alone()
+    ]
+    if len(choices) > 1:
+        chosen = min(choices, key=lambda e: (e.online(), len(e.held), e.name))
+        chosen.reserved = True
+
+
+def _alone_choice(endpoints: list[_group.Endpoint]) -> list[_group.Endpoint]:
+    """Returns where a suspect may run; only an empty endpoint will do."""
+    return [e for e in endpoints if not e.held]
+
+
+def _shared(endpoints: list[_group.Endpoint]) -> list[_group.Endpoint]:
+    return [e for e in endpoints if not e.reserved and not e.has_alone()]
+
+
+def _room(endpoint: _group.Endpoint) -> bool:
+    return endpoint.staying() < int(endpoint.capacity.limit)
+
+
+def _grant_online(
+    group: _group.Group,
+    now: float,
+    choose: Choose,
+    actions: list[_group.Action],
+) -> bool:
+    """Grants one waiting online request if one can be granted."""
+    for waiting in _in_order(group.online, now):
+        usable = _usable(group, now, waiting)
+        if waiting.suspect and len(group.endpoints) > 1:
+            free = _alone_choice(usable)
+            if free:
+                _grant(group, now, waiting, choose(free, waiting), actions)
+                return True
+            _empty_reserved(group, actions)
+            continue
+        shared = _shared(usable)
+        free = [e for e in shared if _room(e)]
+        if not free and group.policy.revokes:
+            free = _make_room(shared, actions)
+        if free:
+            _grant(group, now, waiting, choose(free, waiting), actions)
+            return True
+    return False
+
+
+def _in_order(queue: _fair.Fair, now: float) -> list[_fair.Waiting]:
+    """Returns the next request, and those that a suspect must not hold up."""
+    first = queue.first(now)
+    if first is None:
+        return []
+    if not first.suspect:
+        return [first]
+    others = [w for w in queue.all() if not w.suspect]
+    others.sort(
+        key=lambda w: (queue.given(w.organisation, now), w.arrived_s, w.id)
+    )
+    return [first, *others[:1]]
+
+
+def _make_room(
+    endpoints: list[_group.Endpoint], actions: list[_group.Action]
+) -> list[_group.Endpoint]:
+    """Revokes one batch ticket where most of them run."""
+    with_batch = [e for e in endpoints if e.batch()]
+    if not with_batch:
+        return []
+    chosen = max(with_batch, key=lambda e: (len(e.batch()), e.name))
+    _revoke(_youngest(chosen), actions)
+    return [chosen] if _room(chosen) else []
+
+
+def _youngest(endpoint: _group.Endpoint) -> _group.Held:
+    return max(endpoint.batch(), key=lambda t: (t.granted_s, t.id))
+
+
+def _revoke(held: _group.Held, actions: list[_group.Action]) -> None:
+    held.revoked = True
+    actions.append(_group.Revoke(held.id, held.holder))
+
+
+def _empty_reserved(group: _group.Group, actions: list[_group.Action]) -> None:
+    if not group.policy.revokes:
+        return
+    for endpoint in group.endpoints.values():
+        if endpoint.reserved:
+            for held in endpoint.batch():
+                _revoke(held, actions)
+
+
+def _allowed_batch(
+    endpoint: _group.Endpoint, now: float, policy: _group.Policy
+) -> int:
+    online = _group.level(endpoint, now)
+    idle = endpoint.capacity.limit - policy.displaced * online - HEADROOM
+    return max(0, math.floor(idle * policy.batch_weight))
+
+
+def _yield_batch(
+    endpoint: _group.Endpoint,
+    now: float,
+    policy: _group.Policy,
+    actions: list[_group.Action],
+) -> None:
+    """Revokes the batch tickets that online requests would suffer from."""
+    if not endpoint.online():
+        return
+    allowed = _allowed_batch(endpoint, now, policy)
+    for _ in range(len(endpoint.batch()) - allowed):
+        _revoke(_youngest(endpoint), actions)
+
+
+def _grant_batch(
+    group: _group.Group,
+    now: float,
+    choose: Choose,
+    actions: list[_group.Action],
+) -> bool:
+    """Grants one waiting batch request unless online requests wait."""
+    if any(not w.suspect for w in group.online.all()):
+        return False
+    for waiting in _in_order(group.batch, now):
+        usable = _usable(group, now, waiting)
+        if waiting.suspect and len(group.endpoints) > 1:
+            free = _alone_choice(usable)
+            if not free:
+                _empty_reserved(group, actions)
+        else:
+            free = [
+                e
+                for e in _shared(usable)
+                if _batch_total(e) < _allowed_batch(e, now, group.policy)
+            ]
+        if free:
+            _grant(group, now, waiting, choose(free, waiting), actions)
+            return True
+    return False
+
+
+def _batch_total(endpoint: _group.Endpoint) -> int:
+    """Returns the batch tickets, those being cancelled included."""
+    return sum(t.kind == _group.BATCH for t in endpoint.held.values())
+
+
+def _grant(
+    group: _group.Group,
+    now: float,
+    waiting: _fair.Waiting,
+    endpoint: _group.Endpoint,
+    actions: list[_group.Action],
+) -> None:
+    _group.queue_of(group, waiting.kind).take(waiting, now)
+    held = _group.Held(
+        id=waiting.id,
+        kind=waiting.kind,
+        organisation=waiting.organisation,
+        holder=waiting.holder,
+        endpoint=endpoint.name,
+        granted_s=now,
+        tokens=waiting.tokens,
+        words=waiting.words,
+        beside=len(endpoint.held),
+        suspect=waiting.suspect,
+        alone=waiting.suspect and not endpoint.held,
+    )
+    if waiting.suspect:
+        endpoint.reserved = False
+    breaker.sent(endpoint.circuit)
+    routing.sent(endpoint.known, waiting.blocks)
+    _group.put(endpoint, now, held)
+    actions.append(_group.Grant(held))
--- /dev/null
+++ b/src/ibisknot/admission.py
@@ -0,0 +1,178 @@
+"""Decides which request runs where, for one admission group.
+
+Every function is pure: it takes the group's state, the time and an event,
+changes only that state, and returns the actions to carry out.
+"""
+
+from collections.abc import Iterable
+
+from ibisknot import _capacity
+from ibisknot import _fair
+from ibisknot import _group
+from ibisknot import _pump
+from ibisknot import breaker
+from ibisknot import routing
+
+ONLINE = _group.ONLINE
+BATCH = _group.BATCH
+OK = _group.OK
+CANCELLED = _group.CANCELLED
+UNREACHABLE = _group.UNREACHABLE
+FAILED = _group.FAILED
+CRASHED = _group.CRASHED
+Policy = _group.Policy
+Held = _group.Held
+Endpoint = _group.Endpoint
+Group = _group.Group
+Grant = _group.Grant
+Refuse = _group.Refuse
+Revoke = _group.Revoke
+Action = _group.Action
+Measured = _group.Measured
+Waiting = _fair.Waiting
+Capacity = _capacity.Capacity
+all_held = _group.all_held
+
+ENDED_KEEP_S = 10.0
+"""Ids of returned tickets are kept so long for messages that come late."""
+TAKEN_BACK_AFTER_S = 2.0
+"""A grant may be on its way to its holder for so long."""
+
+
+def set_endpoints(
+    group: _group.Group, now: float, names: Iterable[str]
+) -> list[_group.Action]:
+    """Puts the list of active endpoints in force."""
+    wanted = set(names)
+    for name in list(group.endpoints):
+        if name not in wanted:
+            group.leaving[name] = group.endpoints.pop(name)
+    for name in sorted(wanted):
+        if name not in group.endpoints:
+            known = group.leaving.pop(name, None)
+            group.endpoints[name] = known or _group.Endpoint(name, level_s=now)
+    for name in [n for n, e in group.leaving.items() if not e.held]:
+        del group.leaving[name]
+    return _pump.pump(group, now)
+
+
+def ask(
+    group: _group.Group, now: float, waiting: _fair.Waiting
+) -> list[_group.Action]:
+    """Takes a request into the queue and grants what can be granted."""
+    if waiting.id in group.ended:
+        return [_group.Refuse(waiting.id, "the ticket was given back")]
+    held = _group.find(group, waiting.id)
+    if held is not None:
+        return [_group.Grant(held)]
+    _group.queue_of(group, waiting.kind).push(waiting)
+    return _pump.pump(group, now)
+
+
+def give_up(
+    group: _group.Group, now: float, number: str
+) -> list[_group.Action]:
+    """Takes a request out of the queue; a ticket stays until returned."""
+    if not group.online.remove(number):
+        group.batch.remove(number)
+    return _pump.pump(group, now)
+
+
+def give_back(
+    group: _group.Group, now: float, number: str, measured: _group.Measured
+) -> list[_group.Action]:
+    """Takes a ticket back, or ends the wait of a caller that has gone."""
+    group.ended[number] = now
+    held = _group.find(group, number)
+    if held is None:
+        return give_up(group, now, number)
+    _group.remove(group, now, held)
+    _learn(group, now, held, measured)
+    return _pump.pump(group, now)
+
+
+def reconcile(
+    group: _group.Group,
+    now: float,
+    holder: str,
+    reported: Iterable[_group.Held],
+) -> list[_group.Action]:
+    """Adopts what a holder says it has in flight."""
+    theirs = {t.id: t for t in reported}
+    for held in _group.all_held(group):
+        if held.holder != holder or held.id in theirs:
+            continue
+        if now - held.granted_s >= TAKEN_BACK_AFTER_S:
+            _group.remove(group, now, held)
+    for number, ticket in theirs.items():
+        if number in group.ended or _group.find(group, number) is not None:
+            continue
+        endpoint = _group.endpoint_of(group, ticket.endpoint)
+        if endpoint is not None:
+            _group.put(endpoint, now, ticket)
+    return _pump.pump(group, now)
+
+
+def take_back(
+    group: _group.Group, now: float, holder: str
+) -> list[_group.Action]:
+    """Takes back the tickets of a holder that died."""
+    for held in _group.all_held(group):
+        if held.holder == holder:
+            _group.remove(group, now, held)
+            group.ended[held.id] = now
+    for queue in (group.online, group.batch):
+        for waiting in queue.all():
+            if waiting.holder == holder:
+                queue.remove(waiting.id)
+    return _pump.pump(group, now)
+
+
+def report_load(group: _group.Group, name: str, report: routing.Report) -> None:
+    """Applies an engine's lagged load report."""
+    endpoint = group.endpoints.get(name)
+    if endpoint is not None:
+        routing.reported(endpoint.known, report)
+
+
+def tick(group: _group.Group, now: float) -> list[_group.Action]:
+    """Does what only the passing of time causes."""
+    for number in [n for n, s in group.ended.items() if s < now - ENDED_KEEP_S]:
+        del group.ended[number]
+    return _pump.pump(group, now)
+
+
+def load(group: _group.Group) -> float:
+    """Returns what is in flight or waits, by unit of capacity.
+
+    Batch does not count, because it gives way.
+    """
+    online = sum(e.online() for e in group.endpoints.values())
+    limit = sum(e.capacity.limit for e in group.endpoints.values())
+    return (online + group.online.size) / max(1.0, limit)
+
+
+def _learn(
+    group: _group.Group,
+    now: float,
+    held: _group.Held,
+    measured: _group.Measured,
+) -> None:
+    endpoint = _group.endpoint_of(group, held.endpoint)
+    if endpoint is None:
+        return
+    if measured.outcome == _group.OK:
+        breaker.succeeded(endpoint.circuit)
+        _capacity.learn(
+            endpoint.capacity,
+            now,
+            running=(held.beside + len(endpoint.held)) / 2 + 1,
+            token_gap_s=measured.token_gap_s,
+            first_token_s=measured.first_token_s,
+            words=held.words,
+        )
+    elif measured.outcome == _group.CANCELLED:
+        endpoint.circuit.probing = False
+    else:
+        down = measured.outcome in (_group.UNREACHABLE, _group.CRASHED)
+        breaker.failed(endpoint.circuit, now, certain=down)
--- a/src/ibisknot/dispatch.py
+++ b/src/ibisknot/dispatch.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from ibisknot import configuration
 from ibisknot import distribution
 from ibisknot import engine
 from ibisknot import errors
@@ -54,6 +55,46 @@
     return parse.urlencode(pairs)
 
 
+def upstream_url(
+    exchange: exchange_module.Exchange, endpoint: configuration.Endpoint
+) -> str:
+    """Returns the URL at an endpoint, without any key."""
+    url = endpoint.url + exchange.goal().path
+    query = upstream_query(exchange)
+    return f"{url}?{query}" if query else url
+
+
+def returned_headers(
+    exchange: exchange_module.Exchange, response: httpx.Response
+) -> dict[str, str]:
+    """Returns the headers for the caller."""
+    headers = {
+        header: response.headers[header]
+        for header in RETURNED_HEADERS
+        if header in response.headers
+    }
+    headers["x-request-id"] = exchange.id
+    return headers
+
+
+def is_stream(response: httpx.Response) -> bool:
+    """Returns whether an answer is a stream of server-sent events."""
+    kind = response.headers.get("content-type", "")
+    return kind.startswith("text/event-stream")
+
+
+_RAN_ORDER = (errors.NOT_RUN, errors.UNKNOWN, errors.RAN)
+
+
+def note_ran(exchange: exchange_module.Exchange, ran: str) -> None:
+    """Notes what one try has shown; later tries cannot undo it.
+
+    >>> _RAN_ORDER.index(errors.RAN) > _RAN_ORDER.index(errors.UNKNOWN)
+    True
+    """
+    exchange.ran = max(exchange.ran, ran, key=_RAN_ORDER.index)
+
+
 def candidates(
     source: distribution.Distribution, target: exchange_module.Target
 ) -> list[str]:
@@ -92,6 +133,21 @@
     return run
 
 
+def fleet_filter(
+    models: exchange_module.Next, services: exchange_module.Next
+) -> exchange_module.Filter:
+    """Returns a last filter for model requests and calls of services."""
+
+    async def run(
+        exchange: exchange_module.Exchange, _next: exchange_module.Next
+    ) -> exchange_module.Reply:
+        if exchange.goal().kind == configuration.ENGINE:
+            return await models(exchange)
+        return await services(exchange)
+
+    return run
+
+
 def may_retry(
     exchange: exchange_module.Exchange, error: errors.EndpointError
 ) -> bool:
@@ -126,11 +182,7 @@
     Raises:
         EndpointError: The endpoint failed before its answer began.
     """
-    endpoint = source.current.endpoints[name]
-    url = endpoint.url + exchange.goal().path
-    query = upstream_query(exchange)
-    if query:
-        url = f"{url}?{query}"
+    url = upstream_url(exchange, source.current.endpoints[name])
     exchange.endpoint = name
     with traces.span("dispatch", endpoint=name, request=exchange.id):
         opened = engines.open(
@@ -142,18 +194,17 @@
         try:
             response = await exchange.closing.enter_async_context(opened)
         except errors.EndpointError as error:
-            exchange.ran = error.ran
+            note_ran(exchange, error.ran)
             raise
-    exchange.ran = errors.RAN
+    note_ran(exchange, errors.RAN)
     metrics.IN_FLIGHT.inc({"endpoint": name})
     exchange.closing.callback(metrics.IN_FLIGHT.dec, {"endpoint": name})
-    headers = {
-        header: response.headers[header]
-        for header in RETURNED_HEADERS
-        if header in response.headers
-    }
-    headers["x-request-id"] = exchange.id
-    return exchange_module.Reply(response.status_code, headers, _body(response))
+    return exchange_module.Reply(
+        response.status_code,
+        returned_headers(exchange, response),
+        _body(response),
+        upstream_id=response.headers.get("x-request-id", ""),
+    )
 
 
 async def _body(response: httpx.Response) -> AsyncIterator[bytes]:
--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -3,15 +3,25 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import anyio
 import httpx
+import msgspec
 
 from ibisknot import errors
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
+PROBE_TIMEOUT_S = 0.5
 MAXIMUM_CONNECTIONS = 2000
 
 
+class Load(msgspec.Struct):
+    """An engine's load report; it is as old as the engine's report lag."""
+
+    running: int = 0
+    waiting: int = 0
+
+
 class Engines:
     """Connections to endpoints."""
 
@@ -26,6 +36,35 @@
             trust_env=False,
         )
 
+    async def listens(self, url: str) -> bool:
+        """Returns whether an endpoint still accepts connections.
+
+        A refused connection shows that the process has ended. A timeout does
+        not: the endpoint may be cut off or paused.
+        """
+        dialled = self._dial(url)
+        try:
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                stream = await anyio.connect_tcp(
+                    dialled.host, dialled.port or 80
+                )
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+
+    async def load(self, url: str) -> Load | None:
+        """Returns an engine's lagged load report, if there is one."""
+        try:
+            response = await self.client.get(
+                self._dial(f"{url}/engine/load"), timeout=PROBE_TIMEOUT_S
+            )
+            return msgspec.json.decode(response.content, type=Load)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return None
+
     async def aclose(self) -> None:
         """Closes the connections."""
         await self.client.aclose()
@@ -59,7 +98,11 @@
                 method, self._dial(url), headers=headers, content=body
             ) as response:
                 yield response
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            httpx.PoolTimeout,
+        ) as error:
             message = f"endpoint {url} not reachable: {error!r}"
             raise errors.EndpointError(message, ran=errors.NOT_RUN) from None
         except httpx.HTTPError as error:
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -11,6 +11,7 @@
 from starlette import routing
 
 import ibisknot
+from ibisknot import admitter as admitter_module
 from ibisknot import batches
 from ibisknot import dispatch
 from ibisknot import distribution
@@ -19,16 +20,21 @@
 from ibisknot import exchange
 from ibisknot import files
 from ibisknot import logs
+from ibisknot import model_dispatch
+from ibisknot import notices as notices_module
 from ibisknot import online
 from ibisknot import operators
 from ibisknot import program
 from ibisknot import replicas
+from ibisknot import service_dispatch
 from ibisknot import settings
+from ibisknot import tickets
 from ibisknot import vmlist
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
 STATUS_TIMEOUT_S = 1.0
+NAIVE = "naive"
 
 
 @dataclasses.dataclass
@@ -41,28 +47,69 @@
     ] = False
 
 
-def online_pipeline(
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """The parts that an entry's online path uses."""
+
+    daemon: program.Daemon
+    source: distribution.Distribution
+    engines: engine.Engines
+    admitter: admitter_module.Admitter
+    client: tickets.Client
+    notices: notices_module.Notices
+
+
+def online_parts(
     daemon: program.Daemon,
     source: distribution.Distribution,
-    engines: engine.Engines,
-) -> exchange.Next:
+    loaded: settings.Entry,
+) -> Parts:
+    """Creates the parts of the online path."""
+    engines = engine.Engines(overrides=loaded.address_overrides)
+    admitter = admitter_module.Admitter(
+        daemon, source, engines, daemon.vms.live, loaded
+    )
+    admitter.register(daemon.server)
+    client = tickets.Client(daemon, source, daemon.vms.live, local=admitter)
+    notices = notices_module.Notices(daemon, daemon.vms.live)
+    return Parts(daemon, source, engines, admitter, client, notices)
+
+
+def online_pipeline(parts: Parts, *, policy: str) -> exchange.Next:
     """Puts the online path together."""
-    return exchange.pipeline(
+    source, vms = parts.source, parts.daemon.vms
+    common = [
         online.trace,
         online.account,
         online.identify(source),
         online.authenticate(source),
-        online.limit_rate_static(source, lambda: len(daemon.vms.live())),
+        online.limit_rate_static(source, lambda: len(vms.live())),
+    ]
+    if policy == NAIVE:
+        return exchange.pipeline(
+            *common,
+            online.check_whole,
+            dispatch.naive_filter(source, parts.engines),
+        )
+    models = model_dispatch.ModelDispatch(
+        source, parts.engines, parts.client, parts.notices
+    )
+    services = service_dispatch.ServiceDispatch(source, parts.engines)
+    return exchange.pipeline(
+        *common,
+        online.refuse_crash_requests(parts.notices),
         online.check_whole,
-        dispatch.naive_filter(source, engines),
+        dispatch.fleet_filter(models.run, services.run),
     )
 
 
 def online_routes(
-    step: exchange.Next, limits: settings.Limits
+    step: exchange.Next,
+    source: distribution.Distribution,
+    limits: settings.Limits,
 ) -> list[routing.BaseRoute]:
     """Returns the routes of the online path."""
-    handle = online.handler(step, limits)
+    handle = online.handler(step, source, limits)
     methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
     return [
         routing.Route("/v1/chat/completions", handle, methods=["POST"]),
@@ -108,7 +155,7 @@
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
         source = distribution.Distribution(daemon.store)
-        engines = engine.Engines(overrides=loaded.address_overrides)
+        parts = online_parts(daemon, source, loaded)
         daemon.group.start_soon(source.run)
         daemon.clock.subscribe(
             "configuration", distribution.READ_PERIOD_S, source.refresh
@@ -134,7 +181,7 @@
             return answer.version
 
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
-        step = online_pipeline(daemon, source, engines)
+        step = online_pipeline(parts, policy=loaded.policy)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
             source, daemon.store, daemon.peers, daemon.vms, loaded.limits
@@ -145,11 +192,12 @@
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
+            await parts.admitter.drain()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
             [
-                *online_routes(step, loaded.limits),
+                *online_routes(step, source, loaded.limits),
                 *model_routes(source),
                 *file_handlers.routes(),
                 *batch_handlers.routes(),
@@ -159,7 +207,7 @@
             drain=drain,
             graceful_s=loaded.drain_timeout_s,
         )
-        await engines.aclose()
+        await parts.engines.aclose()
 
 
 def main() -> None:
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -107,6 +107,20 @@
     ran = NOT_RUN
 
 
+class DeadlineError(IbisknotError):
+    """The answer was not whole at the request's deadline."""
+
+    code = "deadline_exceeded"
+    status = 504
+
+
+class CallerGoneError(IbisknotError):
+    """The caller closed its connection before the answer was whole."""
+
+    code = "caller_gone"
+    status = 499
+
+
 class ConflictError(IbisknotError):
     """The object changed since the caller read it."""
 
@@ -147,6 +161,20 @@
     ran = NOT_RUN
 
 
+class MovedError(UnavailableError):
+    """Another VM admits for this group now."""
+
+    code = "moved"
+
+
+class CrashRequestError(IbisknotError):
+    """The request has crashed the endpoints that ran it."""
+
+    code = "crash_request"
+    status = 422
+    ran = RAN
+
+
 class StaleConfigurationError(UnavailableError):
     """This VM cannot know whether its configuration is current."""
 
--- a/src/ibisknot/exchange.py
+++ b/src/ibisknot/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 import uuid
 
 from starlette import requests
@@ -33,11 +34,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Reply:
-    """An endpoint's answer, its body still to be read."""
+    """An endpoint's answer, its body still to be read.
+
+    Attributes:
+        upstream_id: The request id that the endpoint's headers name, if any.
+    """
 
     status: int
     headers: dict[str, str]
     body: AsyncIterator[bytes]
+    upstream_id: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +62,11 @@
         endpoint: Name of the endpoint that it was dispatched to.
         ran: Whether it ran, as far as known.
         accepted_s: Monotonic time of its arrival.
+        prompt: The prompt of a model request, as engines see it.
+        tokens: Tokens that a model request generates at most.
+        deadline_s: Monotonic time after which the caller does not wait.
+        fingerprint: Hash that a resent request has in common.
+        suspect: Whether it was in flight on an endpoint that crashed.
         closing: Run when the answer has been sent or given up.
     """
 
@@ -70,6 +81,11 @@
     stream: bool = False
     endpoint: str = ""
     ran: str = errors.NOT_RUN
+    prompt: str = ""
+    tokens: int = 0
+    deadline_s: float = math.inf
+    fingerprint: str = ""
+    suspect: bool = False
     closing: contextlib.AsyncExitStack = dataclasses.field(
         default_factory=contextlib.AsyncExitStack
     )
--- /dev/null
+++ b/src/ibisknot/notices.py
@@ -0,0 +1,109 @@
+"""Spreads crash fingerprints to all live VMs."""
+
+from collections.abc import Callable
+
+import anyio
+
+from ibisknot import crashes
+from ibisknot import errors
+from ibisknot import logs
+from ibisknot import program
+from ibisknot import vmlist
+from ibisknot.gen.admission import ttypes
+
+SPREAD_TIMEOUT_S = 0.3
+"""The caller's answer waits for the spread, so that a resend meets it."""
+
+
+class Notices:
+    """Sends and takes crash notices.
+
+    Attributes:
+        register: What is known on this VM.
+    """
+
+    def __init__(
+        self,
+        daemon: program.Daemon,
+        live: Callable[[], list[vmlist.ListedVm]],
+    ) -> None:
+        self.daemon = daemon
+        self.live = live
+        self.register = crashes.Register()
+        daemon.server.on("crash_notice", ttypes.CrashNotice, self.take)
+
+    async def take(self, notice: ttypes.CrashNotice) -> None:
+        """Peer method: takes a notice."""
+        if notice.cleared:
+            crashes.clear(self.register, notice.fingerprint)
+            return
+        crash = crashes.Crash(
+            endpoint=notice.endpoint,
+            request=notice.request,
+            alone=notice.alone,
+            strong=notice.strong,
+        )
+        now = self.daemon.clock.now()
+        crashes.note(self.register, now, notice.fingerprint, crash)
+
+    def verdict(self, mark: str) -> str:
+        """Returns what is known about a fingerprint."""
+        return crashes.verdict(self.register, mark)
+
+    async def crashed(self, mark: str, crash: crashes.Crash) -> str:
+        """Notes and spreads a crash; returns the new verdict."""
+        notice = ttypes.CrashNotice(
+            fingerprint=mark,
+            endpoint=crash.endpoint,
+            request=crash.request,
+            alone=crash.alone,
+            cleared=False,
+            strong=crash.strong,
+        )
+        await self.take(notice)
+        logs.event(
+            "crash_noted",
+            level="warning",
+            fingerprint=mark,
+            endpoint=crash.endpoint,
+            request=crash.request,
+            alone=crash.alone,
+            strong=crash.strong,
+            verdict=self.verdict(mark),
+        )
+        await self._spread(notice)
+        return self.verdict(mark)
+
+    def completed(self, mark: str) -> None:
+        """Ends the suspicion of a request that ran to its end."""
+        if not crashes.clear(self.register, mark):
+            return
+        notice = ttypes.CrashNotice(
+            fingerprint=mark,
+            endpoint="",
+            request="",
+            alone=False,
+            cleared=True,
+            strong=False,
+        )
+        self.daemon.group.start_soon(self._spread, notice)
+
+    async def _spread(self, notice: ttypes.CrashNotice) -> None:
+        loaded = self.daemon.loaded
+        with anyio.move_on_after(SPREAD_TIMEOUT_S):
+            async with anyio.create_task_group() as group:
+                for vm in self.live():
+                    for port in (loaded.entry_port, loaded.batch_port):
+                        address = f"{vm.address}:{port}"
+                        group.start_soon(self._send, address, notice)
+
+    async def _send(self, address: str, notice: ttypes.CrashNotice) -> None:
+        own = self.daemon.loaded
+        if address == f"{own.vm.address}:{own.peer_port}":
+            return
+        try:
+            await self.daemon.peers.call(address, "crash_notice", notice)
+        except errors.IbisknotError:
+            # A VM that is down needs no notice; a new one starts without
+            # suspects and learns of them at the next crash.
+            pass
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -1,6 +1,7 @@
 """The online path: filters from a caller's request to its answer."""
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import msgspec
@@ -8,18 +9,23 @@
 from starlette import responses
 
 from ibisknot import configuration
+from ibisknot import crashes
 from ibisknot import distribution
 from ibisknot import errors
 from ibisknot import exchange as exchange_module
 from ibisknot import keys
 from ibisknot import logs
 from ibisknot import metrics
+from ibisknot import notices as notices_module
 from ibisknot import rates
 from ibisknot import relay
 from ibisknot import settings
 from ibisknot import traces
 from ibisknot import web
 
+DEFAULT_TOKENS = 16
+"""Charged for a request that states no limit."""
+DEADLINE_HEADER = "x-request-timeout-s"
 STALE_AFTER_S = 3.0
 """Age of the last confirmation after which keyed requests are refused."""
 
@@ -29,6 +35,26 @@
 
     model: str
     stream: bool = False
+    messages: Any = None
+    prompt: Any = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    def text(self) -> str:
+        """Returns the prompt as engines read it."""
+        if not isinstance(self.messages, list):
+            return self.prompt if isinstance(self.prompt, str) else ""
+        return "\n".join(_line(message) for message in self.messages)
+
+    def limit(self) -> int:
+        """Returns the tokens to generate at most."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_TOKENS
+
+
+def _line(message: Any) -> str:
+    if not isinstance(message, dict):
+        return ""
+    return f"{message.get('role', '')}: {message.get('content', '')}"
 
 
 async def trace(
@@ -79,6 +105,11 @@
         message = f"the model {wanted.model!r} does not exist"
         raise errors.ModelNotFoundError(message)
     exchange.stream = wanted.stream
+    exchange.prompt = wanted.text()
+    exchange.tokens = wanted.limit()
+    exchange.fingerprint = crashes.fingerprint(
+        configuration.ENGINE, wanted.model, exchange.prompt
+    )
     return exchange_module.Target(
         kind=configuration.ENGINE,
         name=wanted.model,
@@ -153,16 +184,87 @@
     return run
 
 
+def refuse_crash_requests(
+    notices: notices_module.Notices,
+) -> exchange_module.Filter:
+    """Returns the filter that refuses requests that crash endpoints."""
+
+    async def run(
+        exchange: exchange_module.Exchange, following: exchange_module.Next
+    ) -> exchange_module.Reply:
+        if notices.verdict(exchange.fingerprint) == crashes.REFUSED:
+            message = "the request crashed the endpoints that ran it"
+            raise errors.CrashRequestError(message, ran=errors.NOT_RUN)
+        return await following(exchange)
+
+    return run
+
+
 async def check_whole(
     exchange: exchange_module.Exchange, following: exchange_module.Next
 ) -> exchange_module.Reply:
-    """Ends a stream that was cut with an error instead of as if whole."""
+    """Ends an answer that was cut with an error instead of as if whole.
+
+    A plain answer is read to its end before its first byte goes out, because
+    only then it can still be replaced by an error.
+    """
     reply = await following(exchange)
     if relay.is_event_stream(reply):
         reply.body = relay.checked_events(reply.body, exchange.id)
+        return reply
+    body = await relay.read_whole(reply.body)
+    stated = reply.headers.get("content-length")
+    if stated is not None and stated != str(len(body)):
+        message = f"the answer has {len(body)} bytes instead of {stated}"
+        raise errors.TruncatedStreamError(message)
+    reply.body = relay.single(body)
     return reply
 
 
+def key_withdrawn(
+    source: distribution.Distribution, exchange: exchange_module.Exchange
+) -> relay.Guard:
+    """Returns the guard that ends a request whose key is withdrawn."""
+
+    async def run() -> errors.IbisknotError:
+        while exchange.key_digest in ("", *source.keys):
+            await source.changed.wait()
+        await anyio.sleep(source.current.policy.key_grace_s)
+        return errors.KeyWithdrawnError(
+            "the key was withdrawn", ran=exchange.ran
+        )
+
+    return run
+
+
+def overdue(exchange: exchange_module.Exchange) -> relay.Guard:
+    """Returns the guard that ends a request at its deadline."""
+
+    async def run() -> errors.IbisknotError:
+        await anyio.sleep_until(exchange.deadline_s)
+        message = "the answer was not whole at the request's deadline"
+        return errors.DeadlineError(message, ran=exchange.ran)
+
+    return run
+
+
+def deadline_s(request: requests.Request, limits: settings.Limits) -> float:
+    """Returns how long the caller waits, within the limit.
+
+    Raises:
+        BadRequestError: The header is no number of seconds.
+    """
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return limits.request_timeout_s
+    try:
+        wanted_s = float(text)
+    except ValueError:
+        message = f"{DEADLINE_HEADER} is no number of seconds"
+        raise errors.BadRequestError(message) from None
+    return min(limits.request_timeout_s, wanted_s)
+
+
 async def account(
     exchange: exchange_module.Exchange, following: exchange_module.Next
 ) -> exchange_module.Reply:
@@ -194,7 +296,11 @@
         )
 
 
-def handler(step: exchange_module.Next, limits: settings.Limits) -> web.Handler:
+def handler(
+    step: exchange_module.Next,
+    source: distribution.Distribution,
+    limits: settings.Limits,
+) -> web.Handler:
     """Returns the HTTP handler of the online path."""
 
     async def handle(request: requests.Request) -> responses.Response:
@@ -203,14 +309,32 @@
             request, limit=limits.body_bytes, timeout_s=limits.read_timeout_s
         )
         exchange = exchange_module.Exchange(request, body, accepted_s)
+        exchange.deadline_s = accepted_s + deadline_s(request, limits)
+        guards = [key_withdrawn(source, exchange), overdue(exchange)]
+
+        async def gone() -> errors.IbisknotError:
+            return await relay.caller_gone(request.receive)
+
+        async def work() -> exchange_module.Reply:
+            return await step(exchange)
+
         try:
-            reply = await step(exchange)
+            reply = await relay.first_of(work, [gone, *guards])
         except BaseException as error:
             with anyio.CancelScope(shield=True):
                 await exchange.closing.aclose()
             if isinstance(error, errors.IbisknotError):
+                _correct_ran(exchange, error)
                 return web.error_response(error, exchange.id)
             raise
-        return relay.RelayedResponse(exchange, reply)
+        return relay.RelayedResponse(exchange, reply, guards)
 
     return handle
+
+
+def _correct_ran(
+    exchange: exchange_module.Exchange, error: errors.IbisknotError
+) -> None:
+    """Corrects an error of the last try by what earlier tries have shown."""
+    if error.ran == errors.NOT_RUN and exchange.ran != errors.NOT_RUN:
+        error.ran = exchange.ran
--- a/src/ibisknot/relay.py
+++ b/src/ibisknot/relay.py
@@ -1,6 +1,10 @@
 """Sends an endpoint's answer to the caller and checks that it is whole."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import TypeVar
 
 import anyio
 import msgspec
@@ -13,6 +17,10 @@
 
 DONE = b"data: [DONE]"
 EVENT_STREAM = "text/event-stream"
+PLAIN_LIMIT_BYTES = 64 * 1024 * 1024
+
+T = TypeVar("T")
+Guard = Callable[[], Awaitable[errors.IbisknotError]]
 
 
 def is_event_stream(reply: exchange_module.Reply) -> bool:
@@ -36,40 +44,107 @@
         return
     if error is None:
         error = errors.TruncatedStreamError("the endpoint's stream was cut")
-    body_json = msgspec.json.encode(web.error_body(error, request_id))
-    yield b"\n\ndata: " + body_json + b"\n\n"
+    yield error_event(error, request_id)
+
+
+def error_event(error: errors.IbisknotError, request_id: str) -> bytes:
+    """Returns the event that ends a stream with an error."""
+    body = msgspec.json.encode(web.error_body(error, request_id))
+    return b"\n\ndata: " + body + b"\n\n"
+
+
+async def single(body: bytes) -> AsyncIterator[bytes]:
+    """Yields a body that has been read already."""
+    yield body
+
+
+async def read_whole(body: AsyncIterator[bytes]) -> bytes:
+    """Reads a plain answer to its end.
+
+    Raises:
+        EndpointError: The answer was cut or is over the limit.
+    """
+    chunks = []
+    size = 0
+    async for chunk in body:
+        size += len(chunk)
+        if size > PLAIN_LIMIT_BYTES:
+            message = f"the answer is over {PLAIN_LIMIT_BYTES} bytes"
+            raise errors.EndpointError(message, ran=errors.RAN)
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+async def first_of(
+    work: Callable[[], Awaitable[T]], guards: Iterable[Guard]
+) -> T:
+    """Runs `work`; the first guard that returns an error ends it.
+
+    Raises:
+        IbisknotError: The guard's error, or that of `work`.
+    """
+    results: list[T] = []
+    failures: list[errors.IbisknotError] = []
+
+    async def watch(guard: Guard) -> None:
+        failures.append(await guard())
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        for guard in guards:
+            group.start_soon(watch, guard)
+        try:
+            results.append(await work())
+        except errors.IbisknotError as error:
+            failures.append(error)
+        group.cancel_scope.cancel()
+    if results:
+        return results[0]
+    raise failures[0]
+
+
+async def caller_gone(receive: types.Receive) -> errors.IbisknotError:
+    """Guard: returns when the caller has disconnected."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    return errors.CallerGoneError("the caller closed the connection")
 
 
 class RelayedResponse(responses.Response):
-    """Streams a reply; gives the work up when the caller disconnects."""
+    """Streams a reply; gives the work up when a guard says so."""
 
     def __init__(
-        self, exchange: exchange_module.Exchange, reply: exchange_module.Reply
+        self,
+        exchange: exchange_module.Exchange,
+        reply: exchange_module.Reply,
+        guards: Iterable[Guard] = (),
     ) -> None:
         super().__init__(status_code=reply.status, headers=reply.headers)
         self.exchange = exchange
         self.reply = reply
+        self.guards = list(guards)
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Sends the reply as an ASGI application."""
+
+        async def gone() -> errors.IbisknotError:
+            return await caller_gone(receive)
+
+        async def work() -> None:
+            await self._send(send)
+
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._watch, receive, group.cancel_scope)
-                await self._send(send)
-                group.cancel_scope.cancel()
+            await first_of(work, [gone, *self.guards])
+        except errors.CallerGoneError:
+            pass
+        except errors.IbisknotError as error:
+            await self._end(send, error)
         finally:
             with anyio.CancelScope(shield=True):
                 await self.exchange.closing.aclose()
 
-    async def _watch(
-        self, receive: types.Receive, scope: anyio.CancelScope
-    ) -> None:
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        scope.cancel()
-
     async def _send(self, send: types.Send) -> None:
         headers = [
             (name.encode(), value.encode())
@@ -87,3 +162,15 @@
                 {"type": "http.response.body", "body": chunk, "more_body": True}
             )
         await send({"type": "http.response.body", "body": b""})
+
+    async def _end(self, send: types.Send, error: errors.IbisknotError) -> None:
+        """Ends an event stream with an error, and breaks other answers off.
+
+        Raises:
+            IbisknotError: The answer has no place for an error; the server
+                closes the connection, so that it does not look whole.
+        """
+        if not is_event_stream(self.reply):
+            raise error
+        chunk = error_event(error, self.exchange.id)
+        await send({"type": "http.response.body", "body": chunk})
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -72,6 +72,15 @@
     request_timeout_s: Seconds = 60.0
 
 
+class Admission(Section):
+    """How a VM admits for its groups."""
+
+    displaced: Annotated[float, msgspec.Meta(ge=1, le=64)] = 4.0
+    """Batch sequences that give way to one online request."""
+    revokes: bool = True
+    """Whether batch tickets are revoked when online requests would suffer."""
+
+
 class Operator(Section):
     """One operator who may use the operators' interface."""
 
@@ -89,6 +98,10 @@
     trace: Trace = msgspec.field(default_factory=Trace)
     peer_port: Port = 7000
     store_port: Port = 7002
+    entry_port: Port = 7000
+    batch_port: Port = 7001
+    admission_group_size: Annotated[int, msgspec.Meta(ge=1, le=64)] = 16
+    """Largest number of endpoints that one VM admits for as one group."""
     address_overrides: dict[str, str] = {}
     """Dial addresses to use in place of a peer's listed `host:port`."""
 
@@ -102,6 +115,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     operators: list[Operator] = []
     policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
+    admission: Admission = msgspec.field(default_factory=Admission)
     drain_notice_s: Seconds = 1.0
     """Time that the balancer needs to notice a failing health check."""
     drain_timeout_s: Seconds = 60.0
