--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -16,12 +16,14 @@
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
 from ibisknot import scenario_fleet_cost
+from ibisknot import scenario_online_burst
 from ibisknot import scenario_smoke
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
     "fleet-cost": scenario_fleet_cost.run,
+    "online-burst": scenario_online_burst.run,
 }
 EXIT_VIOLATION = 1
 EXIT_USAGE = 2
