--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -248,6 +248,10 @@
             async with self.client.stream(
                 "POST", "/v3/watch", json=request, timeout=timeout
             ) as response:
+                if response.status_code != 200:
+                    status = response.status_code
+                    message = f"watch of {prefix} was refused with {status}"
+                    raise errors.KeyValueError(message)
                 async for line in response.aiter_lines():
                     metrics.count_bytes("key_value", received=len(line))
                     if line.strip():
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -18,6 +18,7 @@
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_kv_outage
 from ibisknot import scenario_noisy_organisation
+from ibisknot import scenario_online_burst
 from ibisknot import scenario_smoke
 from ibisknot import topology as topology_module
 
@@ -26,6 +27,7 @@
     "noisy-organisation": scenario_noisy_organisation.run,
     "kv-outage": scenario_kv_outage.run,
     "fleet-cost": scenario_fleet_cost.run,
+    "online-burst": scenario_online_burst.run,
 }
 WITH_BASELINE = {"online-burst", "noisy-organisation"}
 """Scenarios whose naive version runs as well, for comparison."""
