Pass a recorded stream on, and test the filters through real processes

Cause: the recording of a streamed answer read itself, so that each keyed request that may be repeated ended with an internal error. Change: the recording gets the body that it records; the baseline has no claims. Conclusion: keyed streams are recorded whole.

--- a/src/ibisknot/deduplicate.py
+++ b/src/ibisknot/deduplicate.py
@@ -143,7 +143,7 @@
     try:
         reply = await following(exchange)
         exchange.closing.callback(held.end, errors.UNKNOWN)
-        recording = _record(held, reply, durable=durable)
+        recording = _record(held, reply, reply.body, durable=durable)
         if durable:
             # The answer is read here, so that a caller that leaves does not
             # end the run, and its resend gets the answer.
@@ -160,12 +160,15 @@
 
 
 async def _record(
-    held: Held, reply: exchange_module.Reply, *, durable: bool
+    held: Held,
+    reply: exchange_module.Reply,
+    body: AsyncIterator[bytes],
+    *,
+    durable: bool,
 ) -> AsyncIterator[bytes]:
     """Passes an answer on and records it when it is whole."""
     kept: list[bytes] | None = []
     size = 0
-    body = reply.body
     try:
         async for chunk in body:
             size += len(chunk)
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -113,7 +113,6 @@
         online.authenticate(source),
         online.limit_rate_static(source, lambda: len(vms.live())),
         online.check_whole,
-        deduplicate.claim_once(parts.claims, parts.daemon.group),
         dispatch.naive_filter(source, parts.engines),
     )
 
--- a/src/ibisknot/exchange.py
+++ b/src/ibisknot/exchange.py
@@ -117,8 +117,3 @@
         return await part(exchange, following)
 
     return run
-
-
-async def passing(exchange: Exchange, following: Next) -> Reply:
-    """Does nothing, where the baseline lacks a filter."""
-    return await following(exchange)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,95 @@
+"""Rates and claims through real processes."""
+
+from concurrent import futures
+import json
+from typing import Any
+
+import httpx
+
+
+def post(
+    fleet: dict[str, Any],
+    vm: int,
+    path: str,
+    body: bytes,
+    *,
+    key: str | None = None,
+    organisation: int = 0,
+) -> httpx.Response:
+    base = fleet["base_urls"][vm].removesuffix("/v1")
+    secret = fleet["organisations"][organisation]["key"]
+    headers = {"authorization": f"Bearer {secret}"}
+    if key is not None:
+        headers["idempotency-key"] = key
+    return httpx.post(base + path, content=body, headers=headers, timeout=30.0)
+
+
+def test_resend_through_another_vm_is_answered_once(
+    fleet: dict[str, Any],
+) -> None:
+    """Guards against a call that may run once and runs for each resend."""
+    path = "/services/bids/place"
+    with futures.ThreadPoolExecutor(6) as pool:
+        sent = [
+            pool.submit(post, fleet, vm, path, b"bid", key="bid-1")
+            for vm in range(6)
+        ]
+        answers = [future.result() for future in sent]
+    assert [a.status_code for a in answers] == [200] * 6
+    assert {a.json()["run"] for a in answers} == {1}
+    ids = {a.json()["headers"]["x-request-id"] for a in answers}
+    assert len(ids) == 1
+
+
+def test_key_is_bound_to_body_and_organisation(fleet: dict[str, Any]) -> None:
+    """Guards against another request's answer under the same key."""
+    path = "/services/quotes/price"
+    first = post(fleet, 1, path, b"lot 1", key="quote-1")
+    other = post(fleet, 2, path, b"lot 2", key="quote-1")
+    assert first.json()["body"] == "lot 1"
+    assert other.status_code == 409
+    assert other.json()["error"]["code"] == "conflict"
+    assert other.json()["error"]["ran"] == "not_run"
+    foreign = post(fleet, 2, path, b"lot 2", key="quote-1", organisation=1)
+    assert foreign.json()["body"] == "lot 2"
+
+
+def test_stream_is_recorded_whole(fleet: dict[str, Any]) -> None:
+    """Guards against a resend that gets a part of a stream."""
+    body = {
+        "model": fleet["models"][0],
+        "messages": [{"role": "user", "content": "which strap fits"}],
+        "max_tokens": 8,
+        "stream": True,
+    }
+    path = "/v1/chat/completions"
+    content = json.dumps(body).encode()
+    first = post(fleet, 0, path, content, key="chat-1")
+    again = post(fleet, 3, path, content, key="chat-1")
+    assert again.headers["idempotency-replayed"] == "true"
+    assert again.text == first.text
+    assert "[DONE]" in again.text
+
+
+def test_refusal_over_the_rate_is_typed(fleet: dict[str, Any]) -> None:
+    """Guards against refusals that do not say when to come back."""
+    with futures.ThreadPoolExecutor(12) as pool:
+        sent = [
+            pool.submit(
+                post,
+                fleet,
+                number % 9,
+                "/services/quotes/price",
+                b"",
+                organisation=7,
+            )
+            for number in range(200)
+        ]
+        answers = [future.result() for future in sent]
+    refused = [a for a in answers if a.status_code != 200]
+    assert refused
+    for answer in refused:
+        assert answer.status_code == 429
+        assert answer.json()["error"]["code"] == "rate_limited"
+        assert answer.json()["error"]["ran"] == "not_run"
+        assert int(answer.headers["retry-after"]) >= 1
