--- a/idl/rates.thrift
+++ b/idl/rates.thrift
@@ -43,6 +43,8 @@
 struct RateCollect {
   1: required i64 shard,
   2: required i64 epoch,
+  /** VM of the new owner, for the holder's next asks. */
+  3: required string owner,
 }
 
 struct RateHeld {
--- a/src/ibisknot/gen/rates/ttypes.py
+++ b/src/ibisknot/gen/rates/ttypes.py
@@ -521,18 +521,21 @@
     Attributes:
      - shard
      - epoch
+     - owner: VM of the new owner, for the holder's next asks.
 
     """
 
     __slots__ = (
         'shard',
         'epoch',
+        'owner',
     )
 
 
-    def __init__(self, shard=None, epoch=None,):
+    def __init__(self, shard=None, epoch=None, owner=None,):
         self.shard = shard
         self.epoch = epoch
+        self.owner = owner
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -553,6 +556,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -571,6 +579,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 2)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 3)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -579,6 +591,8 @@
             raise TProtocolException(message='Required field shard is unset!')
         if self.epoch is None:
             raise TProtocolException(message='Required field epoch is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
         return
 
     def __repr__(self):
@@ -915,6 +929,7 @@
     None,  # 0
     (1, TType.I64, 'shard', None, None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
 )
 all_structs.append(RateHeld)
 RateHeld.thrift_spec = (
--- a/src/ibisknot/rates_owner.py
+++ b/src/ibisknot/rates_owner.py
@@ -115,6 +115,7 @@
         parcel = rates.Parcel()
         known = ask.holder in ledger.known
         if not known:
+            self._note_restart(shard, ledger, ask.holder)
             self._add_soon(shard, ask.holder)
         elif ask.holder != ledger.owner and ask.holder not in ledger.waiting:
             parcel = rates.lend(
@@ -222,6 +223,8 @@
             self._accept(shard, ledger, message, allowance)
 
     async def _on_handover(self, message: ttypes.RateHandover) -> None:
+        if self.runner.leaving:
+            raise errors.FencedError("this VM is shutting down")
         await self.take(message.shard, handed=True)
 
     async def take(self, shard: int, *, handed: bool = False) -> None:
@@ -291,7 +294,9 @@
             answer = await self.runner.peers.call(
                 self.runner.address(rates.vm_of(holder)),
                 "rate_collect",
-                ttypes.RateCollect(shard=shard, epoch=ledger.epoch),
+                ttypes.RateCollect(
+                    shard=shard, epoch=ledger.epoch, owner=self.runner.vm
+                ),
                 ttypes.RateReport,
                 timeout_s=COLLECT_TIMEOUT_S,
             )
@@ -321,6 +326,15 @@
             if rates.vm_of(holder) not in self.runner.vms.vms:
                 rates.forget_holder(ledger, holder, self.runner.clock.now())
 
+    def _note_restart(
+        self, shard: int, ledger: rates.Ledger, newcomer: str
+    ) -> None:
+        """Lets the units of a VM's earlier process be recovered."""
+        vm = rates.vm_of(newcomer)
+        for lent in ledger.lent.values():
+            if any(rates.vm_of(h) == vm and lent[h] > 0 for h in lent):
+                self.damaged.add(shard)
+
     def _add_soon(self, shard: int, holder: str) -> None:
         waiting = self.newcomers.setdefault(shard, set())
         if not waiting:
--- a/src/ibisknot/rates_runner.py
+++ b/src/ibisknot/rates_runner.py
@@ -300,6 +300,7 @@
         if held is None:
             raise errors.FencedError("the owner has an old epoch")
         self.owner.ledgers.pop(ask.shard, None)
+        self.last_owner[ask.shard] = ask.owner
         return ttypes.RateReport(
             holder=self.holder,
             epoch=ask.epoch,
