Keep units at the VM that is next in line for a rates shard

Cause: in a trial, killing the owner of three organisations' shard refused all of their requests until the platform's list would drop it. Change: the owner lends 400,000 units to the next VM in line, which serves draws from them, and takes the shard when the owner counts as not live; VMs that did not answer are asked last for 1 s.

--- a/idl/rates.thrift
+++ b/idl/rates.thrift
@@ -23,6 +23,15 @@
   5: required double wait_s,
 }
 
+/** Gives units to the VM that owns the shard next; only `holder` takes them. */
+struct RateLend {
+  1: required string organisation,
+  2: required i64 epoch,
+  3: required string holder,
+  4: required i64 units,
+  5: required i64 tokens,
+}
+
 /** Hands units and their tokens back to the owner. */
 struct RateReturn {
   1: required string organisation,
--- a/src/ibisknot/gen/rates/ttypes.py
+++ b/src/ibisknot/gen/rates/ttypes.py
@@ -286,6 +286,134 @@
         return not (self == other)
 
 
+class RateLend(object):
+    """
+    Gives units to the VM that owns the shard next; only `holder` takes them.
+
+    Attributes:
+     - organisation
+     - epoch
+     - holder
+     - units
+     - tokens
+
+    """
+
+    __slots__ = (
+        'organisation',
+        'epoch',
+        'holder',
+        'units',
+        'tokens',
+    )
+
+
+    def __init__(self, organisation=None, epoch=None, holder=None, units=None, tokens=None,):
+        self.organisation = organisation
+        self.epoch = epoch
+        self.holder = holder
+        self.units = units
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.units = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLend')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 3)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.I64, 4)
+            oprot.writeI64(self.units)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 5)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.holder is None:
+            raise TProtocolException(message='Required field holder is unset!')
+        if self.units is None:
+            raise TProtocolException(message='Required field units is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RateReturn(object):
     """
     Hands units and their tokens back to the owner.
@@ -908,6 +1036,15 @@
     (4, TType.I64, 'drawn', None, None, ),  # 4
     (5, TType.DOUBLE, 'wait_s', None, None, ),  # 5
 )
+all_structs.append(RateLend)
+RateLend.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'units', None, None, ),  # 4
+    (5, TType.I64, 'tokens', None, None, ),  # 5
+)
 all_structs.append(RateReturn)
 RateReturn.thrift_spec = (
     None,  # 0
--- a/src/ibisknot/ownership.py
+++ b/src/ibisknot/ownership.py
@@ -40,6 +40,26 @@
     )
 
 
+def ranked(
+    kind: str, shard: int, vms: list[str], *, count: int = 2
+) -> list[str]:
+    """Returns the VM that should own a shard, and those that come next.
+
+    >>> ranked("rates", 0, ["a", "b", "c"])[0] == preferred(
+    ...     "rates", 0, ["a", "b", "c"]
+    ... )
+    True
+    """
+    left = list(vms)
+    found: list[str] = []
+    while left and len(found) < count:
+        first = preferred(kind, shard, left)
+        assert first is not None
+        left.remove(first)
+        found.append(first)
+    return found
+
+
 def shard_key(kind: str, shard: int) -> str:
     """Returns the key of a shard's holder."""
     return f"{SHARDS}{kind}/{shard:04d}"
--- a/src/ibisknot/rates.py
+++ b/src/ibisknot/rates.py
@@ -33,6 +33,12 @@
 """
 OWNER_RESERVE_UNITS = 250_000
 """Units that the owner keeps for draws."""
+DEPUTY_UNITS = 400_000
+"""Units that the VM next in line for a shard keeps.
+
+They stay available when the owner is lost, whose own units are missing until
+the platform's list drops it.
+"""
 IDLE_S = 1.0
 RECALL_FANOUT = 8
 
@@ -212,14 +218,31 @@
     return True
 
 
-def excess(share: Share, now: float, allowance: Allowance) -> int:
+def excess(
+    share: Share, now: float, allowance: Allowance, *, deputy: bool = False
+) -> int:
     """Returns the units that a holder no longer needs."""
-    if now - share.used_s >= IDLE_S:
-        return share.units
-    kept = 2 * wanted_units(share, allowance)
+    idle = now - share.used_s >= IDLE_S
+    kept = 0 if idle else 2 * wanted_units(share, allowance)
+    if deputy:
+        kept = max(kept, DEPUTY_UNITS)
     return max(0, share.units - kept)
 
 
+def deputy_units(lent: int, pool: Share) -> int:
+    """Returns the units to give to the VM that is next in line.
+
+    >>> deputy_units(0, Share(units=1_000_000))
+    400000
+    >>> deputy_units(300_000, Share(units=700_000))
+    0
+    """
+    if lent >= DEPUTY_UNITS // 2:
+        return 0
+    spare_units = pool.units - OWNER_RESERVE_UNITS
+    return max(0, min(DEPUTY_UNITS - lent, spare_units))
+
+
 def spare(
     share: Share, tokens: int, now: float, allowance: Allowance
 ) -> Parcel:
--- a/src/ibisknot/rates_owner.py
+++ b/src/ibisknot/rates_owner.py
@@ -13,6 +13,7 @@
 from ibisknot import ownership
 from ibisknot import peer
 from ibisknot import rates
+from ibisknot import rates_deputy
 from ibisknot.gen.rates import ttypes
 
 if typing.TYPE_CHECKING:
@@ -71,6 +72,9 @@
         allowance = self.runner.allowance(ask.organisation)
         if allowance is None:
             raise errors.NotFoundError(f"no organisation {ask.organisation}")
+        held = self._held_draw(shard, ask, allowance)
+        if held is not None:
+            return held
         ledger = await self._ledger(shard, ask.epoch)
         if ask.lost:
             self.damaged.add(shard)
@@ -82,6 +86,27 @@
             raise errors.FencedError("the shard has a new owner")
         return self._grant(shard, ledger, ask, allowance)
 
+    def _held_draw(
+        self, shard: int, ask: ttypes.RateAsk, allowance: rates.Allowance
+    ) -> ttypes.RateGrant | None:
+        """Serves a draw from this VM's own units while it is not the owner."""
+        if shard in self.ledgers:
+            return None
+        if self.runner.preferred(shard) == self.runner.vm:
+            return None
+        share = self.runner.share(ask.organisation, allowance)
+        now = self.runner.clock.now()
+        drawn = rates.draw(share, ask.tokens, now, allowance)
+        if not drawn:
+            return None
+        return ttypes.RateGrant(
+            epoch=self.runner.shard_holdings(shard).epoch,
+            units=0,
+            tokens=0,
+            drawn=drawn,
+            wait_s=rates.next_token_s(share, allowance),
+        )
+
     async def _ledger(self, shard: int, epoch: int) -> rates.Ledger:
         ledger = self.ledgers.get(shard)
         if ledger is None and self.runner.preferred(shard) == self.runner.vm:
@@ -91,13 +116,14 @@
             raise errors.FencedError(f"not the owner of rates shard {shard}")
         return ledger
 
-    def _pool(
+    def pool(
         self,
         shard: int,
         ledger: rates.Ledger,
         organisation: str,
         allowance: rates.Allowance,
     ) -> rates.Share:
+        """Returns the units and tokens that are not lent."""
         holdings = self.runner.shard_holdings(shard)
         now = self.runner.clock.now()
         return rates.pool(ledger, holdings, organisation, now, allowance)
@@ -110,13 +136,13 @@
         allowance: rates.Allowance,
     ) -> ttypes.RateGrant:
         now = self.runner.clock.now()
-        pool = self._pool(shard, ledger, ask.organisation, allowance)
+        pool = self.pool(shard, ledger, ask.organisation, allowance)
         drawn = rates.draw(pool, ask.tokens, now, allowance)
         parcel = rates.Parcel()
         known = ask.holder in ledger.known
         if not known:
             self._note_restart(shard, ledger, ask.holder)
-            self._add_soon(shard, ask.holder)
+            self.add_soon(shard, ask.holder)
         elif ask.holder != ledger.owner and ask.holder not in ledger.waiting:
             parcel = rates.lend(
                 ledger,
@@ -143,7 +169,7 @@
         allowance: rates.Allowance,
     ) -> None:
         name = ask.organisation
-        pool = self._pool(shard, ledger, name, allowance)
+        pool = self.pool(shard, ledger, name, allowance)
         if pool.level >= ask.tokens:
             return
         async with self.recalls.setdefault(name, anyio.Lock()):
@@ -202,7 +228,7 @@
             return
         if answer.epoch != ledger.epoch:
             return
-        pool = self._pool(shard, ledger, answer.organisation, allowance)
+        pool = self.pool(shard, ledger, answer.organisation, allowance)
         rates.take_back(
             ledger,
             pool,
@@ -335,7 +361,8 @@
             if any(rates.vm_of(h) == vm and lent[h] > 0 for h in lent):
                 self.damaged.add(shard)
 
-    def _add_soon(self, shard: int, holder: str) -> None:
+    def add_soon(self, shard: int, holder: str) -> None:
+        """Adds a holder to the shard record, with others that wait."""
         waiting = self.newcomers.setdefault(shard, set())
         if not waiting:
             background.start(self.runner.group, self._add, shard)
@@ -387,6 +414,8 @@
                 await self.take(shard)
             elif self.runner.preferred(shard) != self.runner.vm:
                 await self._hand_over(shard)
+            elif not ledger.waiting:
+                await rates_deputy.supply(self, shard, ledger)
 
     def _gone_lenders(self, ledger: rates.Ledger) -> bool:
         if ledger.waiting:
--- a/src/ibisknot/rates_runner.py
+++ b/src/ibisknot/rates_runner.py
@@ -27,6 +27,8 @@
 
 Without it each request over the rate would cost a message to the owner.
 """
+AVOID_S = 1.0
+"""Time for which a VM that did not answer is asked last."""
 RETURN_PERIOD_S = 0.5
 FORGET_S = 30.0
 """Time after which an unused, empty share is dropped."""
@@ -88,12 +90,14 @@
         self.holdings: dict[int, rates.Holdings] = {}
         self.asking: dict[str, Asking] = {}
         self.last_owner: dict[int, str] = {}
+        self.avoided_s: dict[str, float] = {}
         self.owner = rates_owner.Owner(self, store)
 
     def start(self, server: peer.Server) -> None:
         """Registers the handlers and the periodic work."""
         self.owner.start(server)
         server.on("rate_recall", ttypes.RateRecall, self._on_recall)
+        server.on("rate_lend", ttypes.RateLend, self._on_lend)
         server.on("rate_collect", ttypes.RateCollect, self._on_collect)
         self.clock.subscribe("rates", RETURN_PERIOD_S, self.return_excess)
 
@@ -101,12 +105,16 @@
         """Returns what this VM holds of a shard."""
         return self.holdings.setdefault(shard, rates.Holdings())
 
-    def preferred(self, shard: int) -> str | None:
-        """Returns the VM that should own a shard."""
+    def ranked(self, shard: int) -> list[str]:
+        """Returns the VM that should own a shard, and the next in line."""
         names = [vm.name for vm in self.live()]
         if self.leaving and self.vm in names:
             names.remove(self.vm)
-        return ownership.preferred(rates.KIND, shard, names)
+        return ownership.ranked(rates.KIND, shard, names)
+
+    def preferred(self, shard: int) -> str | None:
+        """Returns the VM that should own a shard."""
+        return next(iter(self.ranked(shard)), None)
 
     def address(self, vm: str) -> str:
         """Returns a VM's peer address.
@@ -242,11 +250,8 @@
             tokens=count * rates.TOKEN,
             lost=asking.lost,
         )
-        names = [self.last_owner.get(shard), self.preferred(shard)]
-        if shard in self.owner.ledgers:
-            names.insert(0, self.vm)
         failure: errors.IbisknotError | None = None
-        for name in dict.fromkeys(n for n in names if n is not None):
+        for name in self._owners(shard):
             try:
                 if name == self.vm:
                     return await self.owner.on_ask(ask)
@@ -263,12 +268,39 @@
                 lost = lost and error.ran != errors.NOT_RUN
                 asking.lost = asking.lost or lost
                 self.last_owner.pop(shard, None)
+                if isinstance(error, errors.PeerError):
+                    self.avoided_s[name] = self.clock.now() + AVOID_S
             else:
                 self.last_owner[shard] = name
                 asking.lost = False
                 return grant
         raise failure or errors.UnavailableError("no VM owns the rates")
 
+    def _owners(self, shard: int) -> list[str]:
+        """Returns the VMs to ask, those that did not answer of late last."""
+        names = self.ranked(shard)
+        if shard in self.last_owner:
+            names.insert(0, self.last_owner[shard])
+        if shard in self.owner.ledgers:
+            names.insert(0, self.vm)
+        now = self.clock.now()
+        names.sort(key=lambda name: self.avoided_s.get(name, 0.0) > now)
+        return list(dict.fromkeys(names))
+
+    async def _on_lend(self, message: ttypes.RateLend) -> None:
+        shard = rates.shard_of(message.organisation)
+        holdings = self.shard_holdings(shard)
+        allowance = self.allowance(message.organisation)
+        refused = message.holder != self.holder or allowance is None
+        if refused or shard in self.owner.ledgers:
+            raise errors.FencedError("the units are not for this process")
+        if not rates.accepts(holdings, message.epoch):
+            raise errors.FencedError("the units have an old epoch")
+        assert allowance is not None
+        share = self.share(message.organisation, allowance)
+        parcel = rates.Parcel(message.units, message.tokens)
+        rates.add(share, parcel, self.clock.now(), allowance)
+
     async def _on_recall(self, ask: ttypes.RateRecall) -> ttypes.RateReturn:
         shard = rates.shard_of(ask.organisation)
         holdings = self.shard_holdings(shard)
@@ -322,7 +354,8 @@
                     del holdings.shares[name]
                     self.asking.pop(name, None)
                 elif allowance is not None and share.units:
-                    units = rates.excess(share, now, allowance)
+                    deputy = self.vm in self.ranked(shard)
+                    units = rates.excess(share, now, allowance, deputy=deputy)
                     await self._return(name, share, units, allowance)
 
     async def _return(
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -90,7 +90,9 @@
             node.pending = 0
 
     @stateful.rule(
-        kept=strategies.sampled_from(["", "grant", "return", "recalled"])
+        kept=strategies.sampled_from(
+            ["", "grant", "lend", "return", "recalled"]
+        )
     )
     def deliver_others(self, kept: str) -> None:
         """Delivers all messages but one kind, which is delayed."""
@@ -178,6 +180,29 @@
             message.tokens = rates.TOKEN
             self.messages.append(message)
 
+    @stateful.rule(number=ANY_NODE, deputy=ANY_NODE)
+    def supply_deputy(self, number: int, deputy: int) -> None:
+        node = self.nodes[number]
+        ledger = node.ledger
+        name = self.nodes[deputy].name
+        if not node.alive or ledger is None or number == deputy:
+            return
+        if name not in ledger.known or name in ledger.waiting:
+            return
+        pool = self.share(node)
+        units = rates.deputy_units(0, pool)
+        parcel = rates.lend(
+            ledger, pool, NAME, name, units, self.now, ALLOWANCE
+        )
+        message = Message("lend", number, deputy, ledger.epoch)
+        message.units, message.tokens = parcel.units, parcel.tokens
+        self.messages.append(message)
+
+    def on_lend(self, node: Node, message: Message) -> None:
+        if node.ledger is None and rates.accepts(node.holdings, message.epoch):
+            parcel = rates.Parcel(message.units, message.tokens)
+            rates.add(self.share(node), parcel, self.now, ALLOWANCE)
+
     @stateful.rule(number=ANY_NODE)
     def recall(self, number: int) -> None:
         node = self.nodes[number]
@@ -322,7 +347,8 @@
         moving = sum(
             m.tokens
             for m in self.messages
-            if m.kind in ("grant", "return", "recalled") and self.acceptable(m)
+            if m.kind in ("grant", "lend", "return", "recalled")
+            and self.acceptable(m)
         )
         assert level + moving <= BURST
 
