Test draws from the next in line before the owner is suspected

Cause: without these draws no test failed. Change: the lost owner still counts as live at first. Conclusion: the path is guarded.

--- a/tests/test_rates_runner.py
+++ b/tests/test_rates_runner.py
@@ -27,11 +27,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Network:
-    """Calls handlers directly; `down` VMs do not answer."""
+    """Calls handlers directly.
+
+    Attributes:
+        down: VMs that do not answer.
+        suspected: VMs that do not count as live any more.
+    """
 
     servers: dict[str, peer.Server] = dataclasses.field(default_factory=dict)
     vms: dict[str, vmlist.ListedVm] = dataclasses.field(default_factory=dict)
     down: set[str] = dataclasses.field(default_factory=set)
+    suspected: set[str] = dataclasses.field(default_factory=set)
 
     async def call(
         self, address: str, method: str, request: Any, *_: Any, **__: Any
@@ -46,7 +52,9 @@
         await anyio.sleep(0)
 
     def live(self) -> list[vmlist.ListedVm]:
-        return [vm for name, vm in self.vms.items() if name not in self.down]
+        return [
+            vm for name, vm in self.vms.items() if name not in self.suspected
+        ]
 
 
 @contextlib.asynccontextmanager
@@ -108,7 +116,9 @@
         await warm_up(runners)
         network.down.add(owner)
         await runners[last].admit(NAME)
-        await runners[deputy].admit(NAME)
+        network.suspected.add(owner)
+        await runners[last].admit(NAME)
+        assert SHARD in runners[deputy].owner.ledgers
 
 
 @pytest.mark.anyio
