Send the noise of noisy-organisation from a process of its own

Change: the noisy organisation's load and the others' come from two processes that start at the same time.

--- a/src/ibisknot/scenario_noisy_organisation.py
+++ b/src/ibisknot/scenario_noisy_organisation.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+import anyio
+from anyio import to_process
+
 from ibisknot import configuration
 from ibisknot import fleet as fleet_module
 from ibisknot import generator
@@ -15,11 +18,21 @@
 ROUNDS = 3
 """Quiet and noisy phases alternate, so that slow drift affects both."""
 WARM_UP_S = 2.0
+PROCESS_START_S = 2.0
+"""Time that the processes of the load need to start."""
 TOKENS = 4
 REFUSED_LIMIT = 0.001
 GRANTED_LIMIT = 1.0
 
 
+@dataclasses.dataclass(slots=True)
+class Target:
+    """The part of a fleet that the generator needs in another process."""
+
+    vms: dict[str, fleet_module.Vm]
+    organisations: dict[str, str]
+
+
 @dataclasses.dataclass(slots=True)
 class Phase:
     """A part of the run, in seconds after its start."""
@@ -125,23 +138,71 @@
     started = fleet_module.Options(
         topology=options.topology, policy=options.policy, seed=options.seed
     )
+    wanted = reference.organisations(options.topology)
+    rates = {name: o.rate_per_s for name, o in wanted.items()}
+    load = streams(rates, options.seconds)
     async with fleet_module.running(started) as fleet:
-        wanted = reference.organisations(options.topology)
-        rates = {name: o.rate_per_s for name, o in wanted.items()}
-        caller = generator.Caller(fleet, seed=options.seed)
-        load = streams(rates, options.seconds)
-        answers = await caller.run(load)
-    return evaluate(answers, wanted, options.seconds)
+        target = Target(
+            vms={
+                name: dataclasses.replace(vm, processes={})
+                for name, vm in fleet.vms.items()
+            },
+            organisations=fleet.organisations,
+        )
+        start_s = anyio.current_time() + PROCESS_START_S
+        answers = await _send_all(target, load, options.seed, start_s)
+    return evaluate(answers, wanted, options.seconds, start_s)
+
+
+async def _send_all(
+    target: Target, load: list[generator.Stream], seed: int, start_s: float
+) -> list[generator.Answer]:
+    """Sends the load of the noisy organisation and of the others apart.
+
+    The noise has a process of its own, so that it does not slow down the
+    process that measures the others.
+    """
+    found: list[generator.Answer] = []
+
+    async def send(own: list[generator.Stream], own_seed: int) -> None:
+        found.extend(
+            await to_process.run_sync(
+                send_streams, target, own, own_seed, start_s
+            )
+        )
+
+    async with anyio.create_task_group() as group:
+        noise = [stream for stream in load if stream.organisation == NOISY]
+        others = [stream for stream in load if stream.organisation != NOISY]
+        group.start_soon(send, noise, seed + 1)
+        group.start_soon(send, others, seed)
+    return found
+
+
+def send_streams(
+    target: Target,
+    load: list[generator.Stream],
+    seed: int,
+    start_s: float,
+) -> list[generator.Answer]:
+    """Sends streams from a process of their own; returns all answers."""
+
+    async def send() -> list[generator.Answer]:
+        caller = generator.Caller(target, seed=seed)  # type: ignore[arg-type]
+        await anyio.sleep_until(start_s)
+        return await caller.run(load)
+
+    return anyio.run(send)
 
 
 def evaluate(
     answers: list[generator.Answer],
     organisations: dict[str, configuration.Organisation],
     seconds: float,
+    begin_s: float,
 ) -> Found:
     """Compares what was answered with the reference buckets."""
     found = Found(requests=len(answers))
-    begin_s = min(answer.due_s for answer in answers)
     for name, organisation in organisations.items():
         own = [a for a in answers if a.organisation == name]
         over = reference.granted_over_allowed(own, organisation)
