Tell an outage from a long way to the service, and idle more cheaply

Cause: with one limit of 1 s for the age of the service's confirmation, VMs two levels down the distribution tree saw an outage in normal operation and asked the service themselves; the timer polled 50 times a second.

--- a/src/ibisknot/follow.py
+++ b/src/ibisknot/follow.py
@@ -106,6 +106,12 @@
         after, change = await commit.write(self.store, before, wanted, **record)
         self.source.adopt(after, [msgspec.json.encode(change.changes)])
 
+    def sees_outage(self, now: float) -> bool:
+        """Returns whether the service's confirmation is overdue."""
+        depth = spread.depth(self.ranked(), self.source.me)
+        limit_s = freshness.direct_after_s(depth)
+        return now - self.source.service_s > limit_s
+
     async def ask(self, name: str, address: str) -> bool:
         """Asks a peer for what is newer; False when it did not answer."""
         if name in self.asking:
@@ -121,7 +127,7 @@
 
     async def _ask(self, address: str) -> None:
         asked_s = anyio.current_time()
-        outage = asked_s - self.source.service_s > freshness.DIRECT_AFTER_S
+        outage = self.sees_outage(asked_s)
         delta = await self._call(address, self.source.ask(wants_heard=outage))
         if not self.source.take(delta):
             again = self.source.ask(wants_heard=outage, with_digests=True)
@@ -151,7 +157,7 @@
     async def tick(self, now: float) -> None:
         """Timer callback: asks peers, and the service if it is our turn."""
         self.ticks += 1
-        outage = now - self.source.service_s > freshness.DIRECT_AFTER_S
+        outage = self.sees_outage(now)
         calm = not outage and self.source.state.head.version > 0
         if calm and self.ticks % CALM_TICKS:
             return
--- a/src/ibisknot/freshness.py
+++ b/src/ibisknot/freshness.py
@@ -17,7 +17,11 @@
 AGE_UNIT_S = 0.02
 MAXIMUM_AGE_UNITS = 250
 DIRECT_AFTER_S = 1.0
-"""Age of the service's confirmation from which a VM asks it directly."""
+"""Age of the service's confirmation from which a watcher sees an outage."""
+LEVEL_S = 0.5
+"""Age that a confirmation gains at each VM that passes it on."""
+LONGEST_DIRECT_AFTER_S = 2.0
+"""Leaves time to gather evidence from peers before it is stale."""
 DIRECT_CALLS_PER_S = 12.0
 """Direct calls of the whole fleet while the service does not answer."""
 _ENTRY = struct.Struct("!IB")
@@ -96,6 +100,19 @@
             heard[number] = at_s
 
 
+def direct_after_s(depth: int) -> float:
+    """Returns the age of the service's confirmation that means an outage.
+
+    Confirmations reach a VM later the more VMs they pass. With one limit for
+    all, the deeper VMs of a large fleet kept asking the service themselves.
+
+    >>> [direct_after_s(depth) for depth in range(4)]
+    [1.0, 1.5, 2.0, 2.0]
+    """
+    age_s = DIRECT_AFTER_S + depth * LEVEL_S
+    return min(LONGEST_DIRECT_AFTER_S, age_s)
+
+
 def direct_wait_s(vm_count: int, *, answered: bool) -> float:
     """Returns the pause until a VM asks the service directly again.
 
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -39,7 +39,7 @@
 
 
 def count_bytes(channel: str, *, sent: int = 0, received: int = 0) -> None:
-    """Counts control traffic on a channel: `peer` or `key_value`."""
+    """Counts control traffic of a peer method or of `key_value`."""
     if sent:
         CONTROL_BYTES.add({"channel": channel, "direction": "sent"}, sent)
     if received:
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -67,7 +67,6 @@
     await fill(end)
     frame = bytes(rest[_LENGTH.size : end])
     del rest[:end]
-    metrics.count_bytes("peer", received=end)
     return frame
 
 
@@ -77,7 +76,14 @@
     frame = encode(envelope)
     async with lock:
         await stream.send(_LENGTH.pack(len(frame)) + frame)
-    metrics.count_bytes("peer", sent=_LENGTH.size + len(frame))
+    metrics.count_bytes(envelope.method, sent=_LENGTH.size + len(frame))
+
+
+def _open(frame: bytes) -> ttypes.Envelope:
+    envelope = decode(frame, ttypes.Envelope)
+    size = _LENGTH.size + len(frame)
+    metrics.count_bytes(envelope.method, received=size)
+    return envelope
 
 
 class Server:
@@ -108,7 +114,7 @@
             async with stream, anyio.create_task_group() as group:
                 while True:
                     frame = await _receive_frame(stream, rest)
-                    envelope = decode(frame, ttypes.Envelope)
+                    envelope = _open(frame)
                     group.start_soon(self._answer, stream, lock, envelope)
         except* (
             anyio.EndOfStream,
@@ -190,7 +196,7 @@
         try:
             while True:
                 frame = await _receive_frame(self.stream, rest)
-                envelope = decode(frame, ttypes.Envelope)
+                envelope = _open(frame)
                 waiter = self.waiting.pop(envelope.id, None)
                 if waiter is not None:
                     waiter[1].append(envelope)
--- a/src/ibisknot/spread.py
+++ b/src/ibisknot/spread.py
@@ -38,6 +38,22 @@
     return [first, second][:PARENT_COUNT]
 
 
+def depth(ranked: list[str], me: str) -> int:
+    """Returns how many VMs a confirmation passes before it reaches this one.
+
+    >>> names = [f"vm-{n}" for n in range(420)]
+    >>> ranked = ranking(names)
+    >>> [depth(ranked, ranked[rank]) for rank in (0, 3, 27, 419)]
+    [0, 1, 2, 3]
+    """
+    rank = ranked.index(me) if me in ranked else len(ranked)
+    levels = 0
+    while rank >= WATCHER_COUNT:
+        rank = (rank - WATCHER_COUNT) // FANOUT
+        levels += 1
+    return levels
+
+
 def parents(ranked: list[str], me: str) -> list[str]:
     """Returns the VMs that a VM gets changes from.
 
--- a/src/ibisknot/timer.py
+++ b/src/ibisknot/timer.py
@@ -37,7 +37,7 @@
     Tests pass a clock of their own and call `tick`.
     """
 
-    RESOLUTION_S = 0.02
+    LONGEST_PAUSE_S = 0.1
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock = clock
@@ -91,10 +91,18 @@
         for subscription in self.due():
             await self.call(subscription)
 
+    def pause_s(self) -> float:
+        """Returns the seconds until the next call is due."""
+        due_s = [s.due_s for s in self.subscriptions if not s.running]
+        next_s = min(due_s, default=self.now() + self.LONGEST_PAUSE_S)
+        return max(0.0, min(next_s - self.now(), self.LONGEST_PAUSE_S))
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 for subscription in self.due():
                     group.start_soon(self.call, subscription)
-                await anyio.sleep(self.RESOLUTION_S)
+                # Not a wait with a timeout: anyio's timeouts re-arm themselves
+                # up to 20 times, because uvloop's timers fire up to 1 ms early.
+                await anyio.sleep(self.pause_s())
--- a/src/ibisknot/traces.py
+++ b/src/ibisknot/traces.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 import contextlib
+import importlib
 from typing import Any
 from typing import TextIO
 
 from opentelemetry import context
 from opentelemetry import propagate
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
 from opentelemetry.sdk.trace import export
@@ -27,7 +27,10 @@
     )
     provider = sdk_trace.TracerProvider(resource=resource)
     if target.otlp_url is not None:
-        exporter = trace_exporter.OTLPSpanExporter(endpoint=target.otlp_url)
+        # The exporter takes 4 MB of memory, so it is loaded only when used.
+        name = "opentelemetry.exporter.otlp.proto.http.trace_exporter"
+        exporter_module = importlib.import_module(name)
+        exporter = exporter_module.OTLPSpanExporter(endpoint=target.otlp_url)
         provider.add_span_processor(export.BatchSpanProcessor(exporter))
     if target.file is not None:
         stream: TextIO = open(target.file, "a", encoding="utf-8")  # noqa: PTH123, SIM115
