Show effects in plans, revert forward, wait for a version, explain

Cause: a plan listed changed fields only; a refused confirm did not say what had changed since; a second confirm of the same plan was refused; operators had no way to revert, to wait for a version or to ask why something happened.

Change: plans carry their effects on capacity, running work and limits. The plan's id is the operation id of its write and names the version, so a second confirm gives the same answer, also after the plan has expired. A confirm against a newer version is refused with the difference. `ibisknotctl` gains short commands and exit statuses; each error says what to do.

Conclusion: the operators' interface covers plan, confirm, history, show, revert, status, explain and operation.

--- /dev/null
+++ b/src/ibisknot/_ctl_session.py
@@ -0,0 +1,102 @@
+"""Connection of `ibisknotctl` to the operators' interface."""
+
+from typing import Any
+
+import httpx
+import msgspec
+
+TIMEOUT_S = 90.0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+EXIT_UNKNOWN = 5
+EXIT_NOT_IN_FORCE = 6
+
+ADVICE = {
+    "invalid_key": "check --key or IBISKNOT_OPERATOR_KEY",
+    "conflict": "look at the difference, then plan again",
+    "key_value_unavailable": (
+        "the key-value service does not answer; nothing was changed,"
+        " try again when it is back"
+    ),
+    "key_value_unknown": "run `ibisknotctl operation ID`, or confirm again",
+    "unavailable": "try again in a moment",
+}
+"""What to do about an error, by code."""
+
+
+class CommandError(Exception):
+    """A command failed.
+
+    Attributes:
+        status: The exit status.
+        answer: The decoded error answer, if there was one.
+    """
+
+    def __init__(self, message: str, status: int, answer: Any = None) -> None:
+        super().__init__(message)
+        self.status = status
+        self.answer = answer
+
+
+def exit_status(code: str, status: int) -> int:
+    """Returns the exit status of an error answer.
+
+    >>> exit_status("conflict", 409), exit_status("bad_request", 400)
+    (3, 1)
+    """
+    if code == "key_value_unknown":
+        return EXIT_UNKNOWN
+    if status == 409:
+        return EXIT_CONFLICT
+    if status == 503:
+        return EXIT_UNREACHABLE
+    return EXIT_REFUSED
+
+
+def refusal(status: int, answer: Any) -> CommandError:
+    """Returns the error of a refused call, with what to do about it."""
+    error = answer["error"]
+    code = error["code"]
+    message = f"{code}: {error['message']}"
+    if code in ADVICE:
+        message += f" ({ADVICE[code]})"
+    return CommandError(message, exit_status(code, status), answer)
+
+
+class Session:
+    """A connection to the operators' interface."""
+
+    def __init__(self, url: str, key: str, authority: str = "") -> None:
+        self.client = httpx.Client(
+            base_url=url,
+            headers={"authorization": f"Bearer {key}"},
+            timeout=TIMEOUT_S,
+            trust_env=False,
+            verify=authority or True,
+        )
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Calls the interface and returns the decoded answer.
+
+        Raises:
+            CommandError: The call failed or was refused.
+        """
+        content = None if body is None else msgspec.json.encode(body)
+        try:
+            response = self.client.request(method, path, content=content)
+        except httpx.HTTPError as error:
+            message = (
+                f"{self.client.base_url}: not reachable: {error}"
+                " (try the URL of another VM)"
+            )
+            raise CommandError(message, EXIT_UNREACHABLE) from None
+        try:
+            answer = msgspec.json.decode(response.content)
+        except msgspec.DecodeError:
+            message = f"{self.client.base_url} is no operators' interface"
+            raise CommandError(message, EXIT_USAGE) from None
+        if response.is_success:
+            return answer
+        raise refusal(response.status_code, answer)
--- a/src/ibisknot/batch.py
+++ b/src/ibisknot/batch.py
@@ -24,6 +24,7 @@
 from ibisknot import metrics
 from ibisknot import ownership
 from ibisknot import program
+from ibisknot import recent
 from ibisknot import replicas
 from ibisknot import settings
 from ibisknot import traces
@@ -334,6 +335,7 @@
         runner = Runner(daemon, loaded)
         daemon.server.on("job_progress", ttypes.JobAsk, runner.progress)
         follow.start_batch(daemon, runner.source)
+        recent.keep(daemon.server)
         period_s = loaded.lease_s / 3
         daemon.clock.subscribe("lease", period_s, runner.hold_lease)
         daemon.clock.subscribe("scan", SCAN_PERIOD_S, runner.scan)
--- a/src/ibisknot/commit.py
+++ b/src/ibisknot/commit.py
@@ -39,6 +39,7 @@
     Attributes:
         version: The version that it led to.
         author: The operator who confirmed it.
+        planned_by: The operator who made the plan.
         operation: The id of the write.
         at: Wall-clock time of the confirmation, for people.
         intent: What the operator asked for.
@@ -51,6 +52,7 @@
     at: float
     intent: msgspec.Raw
     changes: list[groups.EntryChange] = []
+    planned_by: str = ""
 
 
 def decide(
@@ -248,6 +250,7 @@
     operation: str,
     author: str,
     intent: bytes,
+    planned_by: str = "",
 ) -> tuple[groups.State, Change]:
     """Writes a configuration if its predecessor is still the current one.
 
@@ -268,6 +271,7 @@
         at=time.time(),
         intent=msgspec.Raw(intent),
         changes=groups.differences(before.configuration, wanted),
+        planned_by=planned_by or author,
     )
     after, puts = _puts(before, wanted, change)
     await _resolve(store, base, operation, puts)
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -6,6 +6,8 @@
 
 import anyio
 import cappa
+import httpx
+import msgspec
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -14,6 +16,7 @@
 from ibisknot import batches
 from ibisknot import dispatch
 from ibisknot import distribution
+from ibisknot import effects
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import exchange
@@ -23,13 +26,14 @@
 from ibisknot import online
 from ibisknot import operators
 from ibisknot import program
+from ibisknot import recent
 from ibisknot import replicas
 from ibisknot import settings
-from ibisknot import vmlist
+from ibisknot import survey
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
-STATUS_TIMEOUT_S = 1.0
+LOAD_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -105,6 +109,26 @@
     ]
 
 
+async def operator_load(
+    engines: engine.Engines, url: str
+) -> effects.Load | None:
+    """Returns an engine's load report, None when it does not answer."""
+    try:
+        with anyio.fail_after(LOAD_TIMEOUT_S):
+            async with engines.open(
+                "GET", url + "/engine/load", headers={}, body=b""
+            ) as response:
+                data = await response.aread()
+        return msgspec.json.decode(data, type=effects.Load)
+    except (
+        errors.IbisknotError,
+        httpx.HTTPError,
+        msgspec.MsgspecError,
+        TimeoutError,
+    ):
+        return None
+
+
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
@@ -120,19 +144,13 @@
         async def in_force(_ask: ttypes.VersionAsk) -> Any:
             return ttypes.VersionInForce(version=source.current.version)
 
-        async def ask_version(vm: vmlist.ListedVm) -> int | None:
-            try:
-                answer = await daemon.peers.call(
-                    f"{vm.address}:{loaded.peer_port}",
-                    "version_in_force",
-                    ttypes.VersionAsk(),
-                    ttypes.VersionInForce,
-                    timeout_s=STATUS_TIMEOUT_S,
-                )
-            except errors.IbisknotError:
-                return None
-            return answer.version
+        async def engine_load(url: str) -> effects.Load | None:
+            return await operator_load(engines, url)
 
+        recent.keep(daemon.server)
+        asked = survey.Survey(
+            daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
+        )
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
         step = online_pipeline(daemon, source, engines)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
@@ -140,7 +158,7 @@
             source, daemon.store, daemon.peers, daemon.vms, loaded.limits
         )
         operator_handlers = operators.Operators(
-            follower, daemon.store, daemon.vms, loaded, ask_version
+            follower, daemon.store, loaded, asked, engine_load
         )
 
         async def drain() -> None:
--- a/src/ibisknot/follow.py
+++ b/src/ibisknot/follow.py
@@ -18,6 +18,7 @@
 from ibisknot import distribution
 from ibisknot import errors
 from ibisknot import freshness
+from ibisknot import groups
 from ibisknot import keyvalue
 from ibisknot import logs
 from ibisknot import peer
@@ -86,27 +87,23 @@
 
     async def commit(
         self,
+        before: groups.State,
         wanted: configuration.Configuration,
-        *,
-        operation: str,
-        author: str,
-        intent: bytes,
+        **record: Any,
     ) -> None:
-        """Writes a configuration that follows the one in force.
+        """Writes a configuration that follows a state, and puts it in force.
+
+        Args:
+            before: The state that the change is based on.
+            wanted: The configuration to write.
+            **record: What `commit.write` records.
 
         Raises:
             ConflictError: Another change came first.
             KeyValueUnknownError: The outcome could not be read back.
             KeyValueError: The service did not take the call.
         """
-        after, change = await commit.write(
-            self.store,
-            self.source.state,
-            wanted,
-            operation=operation,
-            author=author,
-            intent=intent,
-        )
+        after, change = await commit.write(self.store, before, wanted, **record)
         self.source.adopt(after, [msgspec.json.encode(change.changes)])
 
     async def ask(self, name: str, address: str) -> bool:
--- a/src/ibisknot/intent.py
+++ b/src/ibisknot/intent.py
@@ -23,6 +23,7 @@
         routes: Routes by name.
         policy: Fields of the policy to set.
         replace: Whether entries that the intent does not name are removed.
+        revert_to: Version whose content is wanted again.
     """
 
     organisations: dict[str, dict[str, Any] | None] = {}
@@ -31,6 +32,7 @@
     routes: dict[str, dict[str, Any] | None] = {}
     policy: dict[str, Any] = {}
     replace: bool = False
+    revert_to: int | None = None
 
 
 def _merge(base: Any, patch: Any) -> Any:
@@ -46,11 +48,41 @@
     return merged
 
 
+def revert(
+    current: configuration.Configuration, old: configuration.Configuration
+) -> configuration.Configuration:
+    """Returns an old content as the next version.
+
+    Only keys that are still valid are kept, so a key that was withdrawn since
+    then does not work again.
+    """
+    valid = configuration.key_index(current)
+    organisations = {}
+    for name, organisation in old.organisations.items():
+        keys = {
+            key_id: key
+            for key_id, key in organisation.keys.items()
+            if valid.get(key.digest) == configuration.KeyOwner(name, key_id)
+        }
+        organisations[name] = msgspec.structs.replace(organisation, keys=keys)
+    return msgspec.structs.replace(
+        old, version=current.version + 1, organisations=organisations
+    )
+
+
 def apply(
-    current: configuration.Configuration, intent: Intent
+    current: configuration.Configuration,
+    intent: Intent,
+    *,
+    old: configuration.Configuration | None = None,
 ) -> configuration.Configuration:
     """Returns the configuration that an intent leads to, one version up.
 
+    Args:
+        current: The current configuration.
+        intent: What is wanted.
+        old: The configuration of version `intent.revert_to`.
+
     Raises:
         BadRequestError: The result is no valid configuration.
 
@@ -59,6 +91,11 @@
     >>> after.version, list(after.models)
     (1, ['small'])
     """
+    if old is not None:
+        if intent != Intent(revert_to=intent.revert_to):
+            message = "an intent with revert_to states nothing else"
+            raise errors.BadRequestError(message)
+        return revert(current, old)
     state = msgspec.to_builtins(current)
     for group in GROUPS:
         patch = getattr(intent, group)
--- a/src/ibisknot/logs.py
+++ b/src/ibisknot/logs.py
@@ -1,5 +1,6 @@
 """Structured log lines through absl.logging."""
 
+from collections.abc import Callable
 import datetime
 import logging as standard_logging
 import sys
@@ -40,9 +41,15 @@
         handler.python_handler.stream = sys.stderr
 
 
+LISTENERS: list[Callable[[dict[str, Any]], None]] = []
+"""Called with each event's fields, such as the ring of recent events."""
+
+
 def event(name: str, *, level: str = "info", **fields: Any) -> None:
     """Writes one line: the event's name and its fields as JSON."""
     now = datetime.datetime.now(datetime.UTC).isoformat()
     line = {"time": now, "level": level, "event": name, **fields}
+    for listener in LISTENERS:
+        listener(line)
     payload = msgspec.json.encode(line, enc_hook=str)
     _LOGGERS[level]("%s", payload.decode())
--- a/src/ibisknot/operators.py
+++ b/src/ibisknot/operators.py
@@ -1,7 +1,6 @@
-"""Operators' HTTP interface: plan, confirm, show, status, history."""
+"""Operators' HTTP interface: plan, confirm, show, status, explain."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
+from typing import Any
 
 import anyio
 import msgspec
@@ -16,17 +15,13 @@
 from ibisknot import intent as intent_module
 from ibisknot import keys
 from ibisknot import keyvalue
-from ibisknot import logs
-from ibisknot import plan as plan_module
+from ibisknot import plans
 from ibisknot import settings
-from ibisknot import vmlist
+from ibisknot import survey
 from ibisknot import web
 
-PLANS = "/ibisknot/plans/"
-PLAN_LIFETIME_S = 900.0
-
-VersionCall = Callable[[vmlist.ListedVm], Awaitable[int | None]]
-"""Returns the version in force on a VM, or None without an answer."""
+DEFAULT_HISTORY = 100
+MAXIMUM_HISTORY = 1000
 
 
 class KeyRequest(msgspec.Struct):
@@ -36,13 +31,23 @@
     key_id: str
 
 
-class VmStatus(msgspec.Struct):
-    """The version in force on one VM, or None when it did not answer."""
+def _number(
+    request: requests.Request, name: str, default: float, *, most: float
+) -> float:
+    """Returns a query parameter between 0 and `most`.
 
-    vm: str
-    data_centre: str
-    state: str
-    version: int | None
+    Raises:
+        BadRequestError: It is no number in the range.
+    """
+    text = request.query_params.get(name, str(default))
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= most:
+        message = f"{name}={text!r} is no number from 0 to {most:g}"
+        raise errors.BadRequestError(message)
+    return value
 
 
 class Operators:
@@ -52,29 +57,33 @@
         self,
         follower: follow.Follower,
         store: keyvalue.KeyValue,
-        vms: vmlist.VmList,
         loaded: settings.Entry,
-        ask_version: VersionCall,
+        asked: survey.Survey,
+        load: plans.LoadCall,
     ) -> None:
         self.follower = follower
         self.source = follower.source
         self.store = store
-        self.vms = vms
         self.limits = loaded.limits
         self.operators = {o.key_hash: o.name for o in loaded.operators}
-        self.ask_version = ask_version
+        self.survey = asked
+        self.plans = plans.Plans(follower, store, load)
 
     def routes(self) -> list[routing.BaseRoute]:
         """Returns the routes."""
+        post = ["POST"]
         return [
-            routing.Route("/operator/plans", self.plan, methods=["POST"]),
+            routing.Route("/operator/plans", self.plan, methods=post),
+            routing.Route("/operator/plans/{id}", self.show_plan),
             routing.Route(
-                "/operator/plans/{id}/confirm", self.confirm, methods=["POST"]
+                "/operator/plans/{id}/confirm", self.confirm, methods=post
             ),
-            routing.Route("/operator/keys", self.make_key, methods=["POST"]),
+            routing.Route("/operator/operations/{id}", self.operation),
+            routing.Route("/operator/keys", self.make_key, methods=post),
             routing.Route("/operator/configuration", self.show),
             routing.Route("/operator/status", self.status),
             routing.Route("/operator/history", self.history),
+            routing.Route("/operator/explain/{subject:path}", self.explain),
         ]
 
     def operator(self, request: requests.Request) -> str:
@@ -101,72 +110,120 @@
         author = self.operator(request)
         body = await self._body(request)
         wanted = web.decode_body(body, intent_module.Intent)
-        await self.follower.read()
-        made = plan_module.make(self.source.current, wanted, author=author)
-        lease = await self.store.grant(PLAN_LIFETIME_S)
-        put = keyvalue.Put(PLANS + made.id, msgspec.json.encode(made), lease)
-        await self.store.transact([], [put])
-        return web.json_response(made)
+        return web.json_response(await self.plans.make(wanted, author=author))
+
+    async def show_plan(self, request: requests.Request) -> responses.Response:
+        """Returns a plan that was made before."""
+        self.operator(request)
+        found = await self.plans.find(request.path_params["id"])
+        return web.json_response(found)
 
     async def confirm(self, request: requests.Request) -> responses.Response:
         """Puts a plan in force if its base version is still current."""
         author = self.operator(request)
-        pair = await self.store.get(PLANS + request.path_params["id"])
-        if pair is None:
-            raise errors.NotFoundError("the plan does not exist or expired")
-        made = msgspec.json.decode(pair.value, type=plan_module.Plan)
-        await self.follower.read()
-        current = self.source.current
-        if made.base_version != current.version:
-            message = (
-                f"version {current.version} is current; the plan was made"
-                f" from version {made.base_version}"
+        plan = request.path_params["id"]
+        most = survey.MAXIMUM_WAIT_S
+        wait_s = _number(request, "wait_s", 0.0, most=most)
+        try:
+            version = await self.plans.confirm(plan, author=author)
+        except plans.PlanConflictError as error:
+            return _refusal(
+                error,
+                base_version=error.base_version,
+                current_version=error.current_version,
+                difference=error.difference,
             )
-            raise errors.ConflictError(message)
-        wanted = intent_module.apply(current, made.intent)
-        await self.follower.commit(
-            wanted,
-            operation=made.id,
-            author=author,
-            intent=msgspec.json.encode(made.intent),
-        )
-        logs.event("plan_confirmed", plan=made.id, version=wanted.version)
-        return web.json_response({"version": wanted.version})
+        except errors.KeyValueUnknownError as error:
+            error.message = commit.unknown_message(plan)
+            return _refusal(error, operation=plan)
+        answer: dict[str, Any] = {"version": version, "operation": plan}
+        if wait_s > 0:
+            missing = await self.survey.missing(version, wait_s=wait_s)
+            answer["in_force"] = not missing
+            answer["missing"] = missing
+        return web.json_response(answer)
+
+    async def operation(self, request: requests.Request) -> responses.Response:
+        """Returns whether an operation took effect."""
+        self.operator(request)
+        found = await self.plans.operation(request.path_params["id"])
+        return web.json_response(found)
 
     async def make_key(self, request: requests.Request) -> responses.Response:
         """Makes a key; it works once the returned intent is confirmed."""
         self.operator(request)
         wanted = web.decode_body(await self._body(request), KeyRequest)
+        organisation = self.source.current.organisations.get(
+            wanted.organisation
+        )
+        if organisation is None:
+            message = f"there is no organisation {wanted.organisation!r}"
+            raise errors.NotFoundError(message)
+        if wanted.key_id in organisation.keys:
+            message = (
+                f"organisation {wanted.organisation} has a key"
+                f" {wanted.key_id!r} already; choose another name"
+            )
+            raise errors.BadRequestError(message)
         key = keys.create()
         entry = {"keys": {wanted.key_id: {"digest": keys.digest(key)}}}
         intent = {"organisations": {wanted.organisation: entry}}
         return web.json_response({"key": key, "intent": intent})
 
     async def show(self, request: requests.Request) -> responses.Response:
-        """Returns the configuration in force on this VM."""
+        """Returns the configuration in force here, or an older version."""
         self.operator(request)
+        found = self.source.current
+        if "version" in request.query_params:
+            version = int(_number(request, "version", 0.0, most=1e12))
+            await self.follower.read()
+            state = self.source.state
+            found = await commit.at_version(self.store, state, version)
         return responses.Response(
-            configuration.encode(self.source.current), media_type=web.JSON
+            configuration.encode(found), media_type=web.JSON
         )
 
     async def status(self, request: requests.Request) -> responses.Response:
         """Returns the version in force on each listed VM."""
         self.operator(request)
-        found: list[VmStatus] = []
-
-        async def ask(vm: vmlist.ListedVm) -> None:
-            version = await self.ask_version(vm)
-            found.append(VmStatus(vm.name, vm.data_centre, vm.state, version))
-
-        async with anyio.create_task_group() as group:
-            for vm in self.vms.vms.values():
-                group.start_soon(ask, vm)
-        found.sort(key=lambda status: status.vm)
+        found = await self.survey.versions()
+        now = anyio.current_time()
+        age_s = now - self.source.service_s
         return web.json_response(
-            {"version": self.source.current.version, "vms": found}
+            {
+                "version": self.source.current.version,
+                "vms": found,
+                "current": self.source.is_current(now),
+                "confirmed_s_ago": round(age_s, 3) if age_s < 1e6 else None,
+            }
         )
 
     async def history(self, request: requests.Request) -> responses.Response:
         """Returns the confirmed changes, newest first."""
         self.operator(request)
-        return web.json_response(await commit.history(self.store))
+        limit = _number(request, "limit", DEFAULT_HISTORY, most=MAXIMUM_HISTORY)
+        found = await commit.history(self.store, limit=int(limit))
+        return web.json_response(found)
+
+    async def explain(self, request: requests.Request) -> responses.Response:
+        """Returns what all VMs recently decided about a subject."""
+        self.operator(request)
+        subject = request.path_params["subject"]
+        events, silent = await self.survey.events(subject)
+        current = self.source.current
+        entry = current.organisations.get(subject)
+        stated = entry or current.endpoints.get(subject)
+        return web.json_response(
+            {
+                "subject": subject,
+                "configuration": stated,
+                "events": events,
+                "no_answer": silent,
+            }
+        )
+
+
+def _refusal(error: errors.IbisknotError, **fields: Any) -> responses.Response:
+    body = web.error_body(error)
+    body["error"].update(fields)
+    return web.json_response(body, status=error.status)
--- a/src/ibisknot/plan.py
+++ b/src/ibisknot/plan.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from ibisknot import configuration
+from ibisknot import effects
+from ibisknot import errors
 from ibisknot import intent as intent_module
 
 
@@ -26,7 +28,9 @@
         base_version: The version it was made from.
         intent: The intent.
         changes: Every field that changes.
-        warnings: Effects that the operator should know of.
+        effects: Effects on capacity, running work and limits.
+        warnings: What the change takes away from callers.
+        expires_at: Wall-clock time after which it cannot be confirmed.
     """
 
     id: str
@@ -34,7 +38,9 @@
     base_version: int
     intent: intent_module.Intent
     changes: list[Difference]
+    effects: list[effects.Effect]
     warnings: list[str]
+    expires_at: float = 0.0
 
 
 def _flatten(value: Any, path: str, into: dict[str, Any]) -> None:
@@ -60,21 +66,19 @@
     ]
 
 
-def warnings(
-    before: configuration.Configuration, after: configuration.Configuration
-) -> list[str]:
-    """Returns what the change takes away from callers."""
-    found = []
-    for model in before.models:
-        if before.engines(model) and not after.engines(model):
-            found.append(f"model {model} will have no active engine")
-    for name, organisation in before.organisations.items():
-        later = after.organisations.get(name)
-        kept = later.keys if later is not None else {}
-        for key_id in organisation.keys:
-            if key_id not in kept:
-                found.append(f"key {name}/{key_id} stops working")
-    return found
+def version_of(plan: str) -> int:
+    """Returns the version that a plan leads to, from the plan's id.
+
+    Raises:
+        NotFoundError: The id is no plan's id.
+
+    >>> version_of("plan-7-0123456789abcdef")
+    7
+    """
+    parts = plan.split("-")
+    if len(parts) != 3 or parts[0] != "plan" or not parts[1].isdigit():
+        raise errors.NotFoundError(f"{plan!r} is no plan's id")
+    return int(parts[1])
 
 
 def make(
@@ -82,21 +86,34 @@
     intent: intent_module.Intent,
     *,
     author: str,
-) -> Plan:
+    old: configuration.Configuration | None = None,
+) -> tuple[Plan, configuration.Configuration]:
     """Makes the plan of an intent against the current configuration.
 
+    Args:
+        current: The current configuration.
+        intent: What is wanted.
+        author: Who wants it.
+        old: The configuration to revert to, when the intent is a revert.
+
+    Returns:
+        The plan without effects, and the configuration that it leads to.
+
     Raises:
         BadRequestError: The intent leads to no valid configuration.
     """
-    wanted = intent_module.apply(current, intent)
+    wanted = intent_module.apply(current, intent, old=old)
     content = msgspec.json.encode(
         (current.version, author, intent), order="sorted"
     )
-    return Plan(
-        id=f"plan-{hashlib.sha256(content).hexdigest()[:16]}",
+    digest = hashlib.sha256(content).hexdigest()[:16]
+    made = Plan(
+        id=f"plan-{wanted.version}-{digest}",
         author=author,
         base_version=current.version,
         intent=intent,
         changes=difference(current, wanted),
-        warnings=warnings(current, wanted),
+        effects=[],
+        warnings=effects.warnings(current, wanted),
     )
+    return made, wanted
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -89,6 +89,7 @@
     trace: Trace = msgspec.field(default_factory=Trace)
     peer_port: Port = 7000
     entry_port: Port = 7000
+    batch_port: Port = 7001
     store_port: Port = 7002
     address_overrides: dict[str, str] = {}
     """Dial addresses to use in place of a peer's listed `host:port`."""
--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,119 @@
+"""Intents, plans and their effects."""
+
+import msgspec
+import pytest
+
+from ibisknot import configuration
+from ibisknot import effects
+from ibisknot import errors
+from ibisknot import intent
+from ibisknot import plan
+
+
+def current() -> configuration.Configuration:
+    organisation = configuration.Organisation(
+        rate_per_s=10.0,
+        burst=5.0,
+        keys={
+            "first": configuration.Key("d1"),
+            "second": configuration.Key("d2"),
+        },
+    )
+    engine = configuration.Endpoint(
+        "engine", "http://127.0.0.1:1", ["small"], "x"
+    )
+    return configuration.Configuration(
+        version=4,
+        organisations={"a": organisation},
+        models={"small": configuration.Model()},
+        endpoints={"e1": engine, "e2": msgspec.structs.replace(engine)},
+    )
+
+
+def test_plan_names_effects_on_capacity_work_and_limits() -> None:
+    """Guards against plans that hide what a change takes away."""
+    wanted = intent.apply(
+        current(),
+        intent.Intent(
+            organisations={"a": {"rate_per_s": 4, "keys": {"first": None}}},
+            endpoints={"e1": {"state": "leaving"}},
+        ),
+    )
+    loads: dict[str, effects.Load | None] = {"e1": effects.Load(3, 2, 32)}
+    found = [
+        (e.kind, e.subject, e.before, e.after)
+        for e in effects.effects(current(), wanted, loads)
+    ]
+    assert (effects.CAPACITY, "small", 2, 1) in found
+    assert (effects.CAPACITY, "small", 32, 0) in found
+    assert (effects.RUNNING, "e1", 5, 0) in found
+    assert (effects.LIMITS, "a", 10.0, 4.0) in found
+    assert "key a/first stops working" in effects.warnings(current(), wanted)
+
+
+def test_unknown_load_is_not_shown_as_none_running() -> None:
+    """Guards against a plan that calls an unreachable engine idle."""
+    wanted = intent.apply(current(), intent.Intent(endpoints={"e1": None}))
+    found = effects.effects(current(), wanted, {"e1": None})
+    running = [e for e in found if e.kind == effects.RUNNING]
+    assert [e.before for e in running] == [None]
+
+
+def test_revert_keeps_withdrawn_keys_withdrawn() -> None:
+    """Guards against a withdrawn key that a revert brings back."""
+    old = current()
+    middle = intent.apply(
+        old,
+        intent.Intent(
+            organisations={"a": {"rate_per_s": 99, "keys": {"first": None}}}
+        ),
+    )
+    made, wanted = plan.make(
+        middle, intent.Intent(revert_to=4), author="x", old=old
+    )
+    assert wanted.version == 6
+    assert wanted.organisations["a"].rate_per_s == 10.0
+    assert list(wanted.organisations["a"].keys) == ["second"]
+    assert [c.path for c in made.changes] == ["organisations/a/rate_per_s"]
+
+
+def test_key_that_moved_is_not_restored_to_its_old_owner() -> None:
+    """Guards against one digest with two owners after a revert."""
+    old = current()
+    taken = configuration.Organisation(
+        1.0, 1.0, {"first": configuration.Key("d1")}
+    )
+    now = configuration.Configuration(5, {"b": taken})
+    reverted = intent.revert(now, old)
+    assert reverted.organisations["a"].keys == {}
+
+
+def test_revert_states_nothing_else() -> None:
+    """Guards against a revert whose other changes are silently dropped."""
+    mixed = intent.Intent(models={"new": {}}, revert_to=4)
+    with pytest.raises(errors.BadRequestError):
+        intent.apply(current(), mixed, old=current())
+
+
+@pytest.mark.parametrize(
+    "stated",
+    [
+        {"organisations": {"a": {"rate_per_s": -1}}},
+        {"organisations": {"new": {"burst": 1}}},
+        {"organisations": {"a b": {"rate_per_s": 1, "burst": 1}}},
+        {"endpoints": {"e1": {"serves": ["unknown"]}}},
+        {"endpoints": {"e1": {"kind": "other"}}},
+    ],
+)
+def test_invalid_intents_are_refused(stated: dict[str, object]) -> None:
+    """Guards against configurations that no VM could apply."""
+    with pytest.raises(errors.BadRequestError):
+        intent.apply(current(), msgspec.convert(stated, intent.Intent))
+
+
+def test_plan_id_carries_its_version() -> None:
+    """Guards against a confirm that cannot be read back after expiry."""
+    made, _ = plan.make(current(), intent.Intent(), author="x")
+    assert plan.version_of(made.id) == 5
+    with pytest.raises(errors.NotFoundError):
+        plan.version_of("plan-x-1")
