--- a/src/ibisknot/configuration.py
+++ b/src/ibisknot/configuration.py
@@ -34,9 +34,15 @@
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True):
-    """A model that the fleet serves, with its wanted version."""
+    """A model that the fleet serves, with its wanted version.
+
+    Attributes:
+        version: The version to load.
+        adapter_of: For an adapter, the model that it extends.
+    """
 
     version: str = "1"
+    adapter_of: Name | None = None
 
 
 class Endpoint(msgspec.Struct, forbid_unknown_fields=True):
@@ -49,6 +55,7 @@
         data_centre: Where it runs.
         checks_fencing: Whether it refuses orders with an old number.
         state: `active`, or `leaving` when it gets no new work.
+        role: What an engine does: `mixed`, `prefill` or `decode`.
     """
 
     kind: Annotated[str, msgspec.Meta(pattern="^(engine|service)$")]
@@ -57,6 +64,9 @@
     data_centre: str
     checks_fencing: bool = True
     state: Annotated[str, msgspec.Meta(pattern="^(active|leaving)$")] = ACTIVE
+    role: Annotated[str, msgspec.Meta(pattern="^(mixed|prefill|decode)$")] = (
+        "mixed"
+    )
 
 
 class Route(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -3,6 +3,7 @@
 import base64
 from collections.abc import AsyncIterator
 import dataclasses
+import math
 from typing import Any
 
 import httpx
@@ -205,7 +206,9 @@
         Raises:
             KeyValueError: The service did not answer.
         """
-        body = {"TTL": str(max(1, round(ttl_s)))}
+        # Rounded up: a lease shorter than the caller's count of it would end
+        # while the caller still acts on it.
+        body = {"TTL": str(max(1, math.ceil(ttl_s)))}
         answer = await self._post("/v3/lease/grant", body, writes=False)
         return int(answer["ID"])
 
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -79,6 +79,26 @@
     key_hash: str
 
 
+class Orders(Section):
+    """How orders to engines are issued.
+
+    `lease_s`, `longest_pause_s` and `longest_order_s` together are the time
+    that a new holder waits before it orders an engine that does not check
+    fencing numbers.
+    """
+
+    lease_s: Seconds = 5.0
+    longest_pause_s: Seconds = 10.0
+    longest_order_s: Seconds = 60.0
+    trial_s: Seconds = 10.0
+    """Time that a newly loaded version must run before others get it."""
+    crash_after_s: Seconds = 3.0
+    """Silence of an engine that counts as a crash of a version on trial."""
+    weight_rate_bytes_s: Annotated[float, msgspec.Meta(gt=0)] = 64e6
+    weight_bytes: Bytes = 16_000_000
+    """Bytes of the largest model's weights on one engine."""
+
+
 class Daemon(Section):
     """Settings that every daemon has."""
 
@@ -103,6 +123,7 @@
     peer_tls: Tls | None = None
     limits: Limits = msgspec.field(default_factory=Limits)
     operators: list[Operator] = []
+    orders: Orders = msgspec.field(default_factory=Orders)
     policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
     drain_notice_s: Seconds = 1.0
     """Time that the balancer needs to notice a failing health check."""
