--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -14,6 +14,9 @@
 
 import ibisknot
 from ibisknot import batches
+from ibisknot import claims_owner
+from ibisknot import claims_runner
+from ibisknot import deduplicate
 from ibisknot import dispatch
 from ibisknot import distribution
 from ibisknot import effects
@@ -22,10 +25,14 @@
 from ibisknot import exchange
 from ibisknot import files
 from ibisknot import follow
+from ibisknot import limits
 from ibisknot import logs
+from ibisknot import membership
+from ibisknot import membership_runner
 from ibisknot import online
 from ibisknot import operators
 from ibisknot import program
+from ibisknot import rates_runner
 from ibisknot import recent
 from ibisknot import replicas
 from ibisknot import settings
@@ -33,6 +40,7 @@
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
+HAND_BACK_TIMEOUT_S = 2.0
 LOAD_TIMEOUT_S = 1.0
 
 
@@ -48,21 +56,86 @@
 
 def online_pipeline(
     daemon: program.Daemon,
+    loaded: settings.Entry,
     source: distribution.Distribution,
     engines: engine.Engines,
+    shares: rates_runner.Runner,
+    client: claims_runner.Client,
 ) -> exchange.Next:
     """Puts the online path together."""
+    if loaded.policy == settings.NAIVE:
+        limit = online.limit_rate_static(source, lambda: len(daemon.vms.live()))
+    else:
+        limit = limits.limit_rate(shares)
+    claim = deduplicate.claim_once(client, daemon.group)
     return exchange.pipeline(
         online.trace,
         online.account,
         online.identify(source),
         online.authenticate(source),
-        online.limit_rate_static(source, lambda: len(daemon.vms.live())),
+        limit,
         online.check_whole,
+        claim,
         dispatch.naive_filter(source, engines),
     )
 
 
+def start_membership(daemon: program.Daemon) -> membership.View:
+    """Starts the probes; returns this VM's view of the fleet."""
+    runner = membership_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        listed=lambda: list(daemon.vms.vms.values()),
+        peers=daemon.peers,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+    )
+    runner.start(daemon.server)
+    return runner.view
+
+
+def start_rates(
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    view: membership.View,
+) -> rates_runner.Runner:
+    """Starts this VM's part in the rates over the fleet."""
+    runner = rates_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        peers=daemon.peers,
+        vms=daemon.vms,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+        allowance=lambda name: limits.allowance(source, name),
+    )
+    runner.start(daemon.server)
+    return runner
+
+
+def start_claims(
+    daemon: program.Daemon, view: membership.View
+) -> claims_runner.Client:
+    """Starts this VM's part in the idempotency claims."""
+    client = claims_runner.Client(
+        vm=daemon.loaded.vm.name,
+        peers=daemon.peers,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+    )
+    client.owner = claims_owner.Owner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        clock=daemon.clock,
+        preferred=client.preferred,
+        vm_gone=lambda name: name not in daemon.vms.vms,
+    )
+    client.owner.start(daemon.server)
+    return client
+
+
 def online_routes(
     step: exchange.Next, limits: settings.Limits
 ) -> list[routing.BaseRoute]:
@@ -152,10 +225,18 @@
             daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
         )
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
-        step = online_pipeline(daemon, source, engines)
+        view = start_membership(daemon)
+        shares = start_rates(daemon, source, view)
+        client = start_claims(daemon, view)
+        step = online_pipeline(daemon, loaded, source, engines, shares, client)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
-            source, daemon.store, daemon.peers, daemon.vms, loaded.limits
+            source,
+            daemon.store,
+            daemon.peers,
+            daemon.vms,
+            loaded.limits,
+            copies,
         )
         operator_handlers = operators.Operators(
             follower, daemon.store, loaded, asked, engine_load
@@ -163,6 +244,8 @@
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
+            with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
+                await shares.hand_back()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -115,6 +115,22 @@
     ran = NOT_RUN
 
 
+class OutcomeUnknownError(IbisknotError):
+    """A request that may not be repeated was sent; its end is not known."""
+
+    code = "outcome_unknown"
+    status = 409
+    ran = UNKNOWN
+
+
+class AnswerNotKeptError(IbisknotError):
+    """A request under this key ran; its answer is not kept."""
+
+    code = "answer_not_kept"
+    status = 409
+    ran = RAN
+
+
 class BodyTooLargeError(IbisknotError):
     """The request body is over the limit."""
 
@@ -123,6 +139,14 @@
     ran = NOT_RUN
 
 
+class HeadersTooLargeError(IbisknotError):
+    """The request's headers are over the limit."""
+
+    code = "headers_too_large"
+    status = 431
+    ran = NOT_RUN
+
+
 class RateLimitError(IbisknotError):
     """The organisation is over its rate and burst."""
 
@@ -203,6 +227,12 @@
     code = "segment_error"
 
 
+class SegmentMissingError(SegmentError):
+    """A store does not have a segment, or has it damaged."""
+
+    code = "segment_missing"
+
+
 class DiskFullError(IbisknotError):
     """The disk has no room for the write."""
 
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -13,6 +13,8 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Bytes = Annotated[int, msgspec.Meta(ge=1)]
+NAIVE = "naive"
+FLEET = "fleet"
 
 
 class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -69,6 +71,10 @@
     body_bytes: Bytes = 4 * 1024 * 1024
     file_bytes: Bytes = 4 * 1024 * 1024 * 1024
     read_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 75.0
+    """Time that a connection may stay without a whole request head."""
+    send_timeout_s: Seconds = 30.0
+    """Time that a caller may leave a part of its answer unread."""
     request_timeout_s: Seconds = 60.0
 
 
@@ -139,6 +145,8 @@
     policy: Annotated[str, msgspec.Meta(pattern="^(naive|fleet)$")] = "fleet"
     lease_s: Seconds = 5.0
     concurrency: Annotated[int, msgspec.Meta(ge=1, le=10000)] = 16
+    retention_s: Annotated[float, msgspec.Meta(gt=0)] = 30 * 86400.0
+    """How long an ended job and its results are kept."""
 
 
 class Store(Daemon, kw_only=True):
