Issue orders to engines from the entry that holds the orders shard

Cause: the runner of orders was not started, and a version's trial blocked every other order to its engine.

Change: the entry starts the runner. The record of an order and the version on trial are kept apart, so adapters follow a load at once. Orders are read back from the engine's current state; an order of a lost holder is sent again with the new number or dropped when it is no longer wanted. Watchers and the orders' holder are chosen from the membership's live VMs.

Conclusion: a load waits as long as the model's traffic needs all its engines; an operator who cannot wait marks the engine leaving first.

--- a/src/ibisknot/_ctl_commands.py
+++ b/src/ibisknot/_ctl_commands.py
@@ -287,7 +287,7 @@
             query = "" if version is None else f"?version={version}"
             return session.call("GET", f"/operator/configuration{query}")
         case Status():
-            return session.call("GET", "/operator/status")
+            return session.call("GET", "/operator/status?orders=1")
         case History(limit):
             return session.call("GET", f"/operator/history?limit={limit}")
         case Operation(operation):
--- a/src/ibisknot/configuration.py
+++ b/src/ibisknot/configuration.py
@@ -38,11 +38,11 @@
 
     Attributes:
         version: The version to load.
-        adapter_of: For an adapter, the model that it extends.
+        adapters: Its adapters, each served as `MODEL:ADAPTER`.
     """
 
     version: str = "1"
-    adapter_of: Name | None = None
+    adapters: list[Name] = []
 
 
 class Endpoint(msgspec.Struct, forbid_unknown_fields=True):
@@ -107,8 +107,20 @@
     policy: Policy = msgspec.field(default_factory=Policy)
 
     def engines(self, model: str) -> list[str]:
-        """Returns the names of the active engines that serve a model."""
-        return self._serving(ENGINE, model)
+        """Returns the names of the active engines that serve a model.
+
+        Args:
+            model: A model, or an adapter as `MODEL:ADAPTER`.
+        """
+        return self._serving(ENGINE, model.partition(":")[0])
+
+    def has_model(self, name: str) -> bool:
+        """Returns whether a model, or `MODEL:ADAPTER`, is stated."""
+        base, _, adapter = name.partition(":")
+        stated = self.models.get(base)
+        if stated is None:
+            return False
+        return not adapter or adapter in stated.adapters
 
     def services(self, service: str) -> list[str]:
         """Returns the names of the active endpoints of a plain service."""
--- /dev/null
+++ b/src/ibisknot/engine_control.py
@@ -0,0 +1,101 @@
+"""Orders to engines and their reports, over HTTP."""
+
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+
+from ibisknot import effects
+from ibisknot import engine
+from ibisknot import errors
+from ibisknot import orders
+
+READ_TIMEOUT_S = 1.0
+
+
+async def _read(engines: engine.Engines, url: str) -> bytes | None:
+    try:
+        with anyio.fail_after(READ_TIMEOUT_S):
+            async with engines.open(
+                "GET", url, headers={}, body=b""
+            ) as response:
+                data = await response.aread()
+                return data if response.status_code == 200 else None
+    except (errors.IbisknotError, httpx.HTTPError, TimeoutError):
+        return None
+
+
+async def load(engines: engine.Engines, url: str) -> effects.Load | None:
+    """Returns an engine's load, None when it does not answer."""
+    data = await _read(engines, url + "/engine/load")
+    try:
+        return msgspec.json.decode(data or b"", type=effects.Load)
+    except msgspec.MsgspecError:
+        return None
+
+
+async def report(engines: engine.Engines, url: str) -> orders.Report | None:
+    """Returns what an engine has loaded, None when it does not answer.
+
+    The state is current and the load lags, as engines have it.
+    """
+    data = await _read(engines, url + "/engine/state")
+    try:
+        found = msgspec.json.decode(data or b"", type=orders.Report)
+    except msgspec.MsgspecError:
+        return None
+    lagged = await load(engines, url)
+    if lagged is not None:
+        found.running = lagged.running
+        found.waiting = lagged.waiting
+        found.slots = max(1, lagged.slots)
+    return found
+
+
+def _body(order: orders.Order, fencing: int) -> bytes:
+    fields: dict[str, Any] = msgspec.structs.asdict(order)
+    del fields["endpoint"]
+    return msgspec.json.encode({**fields, "fencing": fencing})
+
+
+async def send(
+    engines: engine.Engines,
+    url: str,
+    order: orders.Order,
+    fencing: int,
+    *,
+    timeout_s: float,
+) -> str:
+    """Sends an order; returns an empty text, or why the engine refused.
+
+    Raises:
+        FencedError: The engine has seen a higher fencing number.
+        EndpointError: The engine did not answer.
+    """
+    headers = {"content-type": "application/json"}
+    try:
+        with anyio.fail_after(timeout_s):
+            async with engines.open(
+                "POST",
+                url + "/engine/orders",
+                headers=headers,
+                body=_body(order, fencing),
+            ) as response:
+                data = await response.aread()
+    except (httpx.HTTPError, TimeoutError) as error:
+        message = f"no answer to an order from {url}: {error!r}"
+        raise errors.EndpointError(message) from None
+    if response.status_code == 200:
+        return ""
+    refusal = _message(data)
+    if response.status_code == errors.FencedError.status:
+        raise errors.FencedError(refusal)
+    return refusal
+
+
+def _message(data: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(data)["error"]["message"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return data.decode(errors="replace")[:200] or "refused"
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -1,13 +1,12 @@
 """`ibisknot-entry`: the callers' and operators' entry on every VM."""
 
 import dataclasses
+import functools
 from typing import Annotated
 from typing import Any
 
 import anyio
 import cappa
-import httpx
-import msgspec
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -19,8 +18,8 @@
 from ibisknot import deduplicate
 from ibisknot import dispatch
 from ibisknot import distribution
-from ibisknot import effects
 from ibisknot import engine
+from ibisknot import engine_control
 from ibisknot import errors
 from ibisknot import exchange
 from ibisknot import files
@@ -31,6 +30,7 @@
 from ibisknot import membership_runner
 from ibisknot import online
 from ibisknot import operators
+from ibisknot import orders_runner
 from ibisknot import program
 from ibisknot import rates_runner
 from ibisknot import recent
@@ -41,7 +41,6 @@
 from ibisknot.gen.config import ttypes
 
 HAND_BACK_TIMEOUT_S = 2.0
-LOAD_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -182,24 +181,28 @@
     ]
 
 
-async def operator_load(
-    engines: engine.Engines, url: str
-) -> effects.Load | None:
-    """Returns an engine's load report, None when it does not answer."""
-    try:
-        with anyio.fail_after(LOAD_TIMEOUT_S):
-            async with engines.open(
-                "GET", url + "/engine/load", headers={}, body=b""
-            ) as response:
-                data = await response.aread()
-        return msgspec.json.decode(data, type=effects.Load)
-    except (
-        errors.IbisknotError,
-        httpx.HTTPError,
-        msgspec.MsgspecError,
-        TimeoutError,
-    ):
-        return None
+def start_orders(
+    daemon: program.Daemon,
+    loaded: settings.Entry,
+    source: distribution.Distribution,
+    engines: engine.Engines,
+    view: membership.View,
+) -> orders_runner.Runner:
+    """Starts this VM's part in the orders to engines."""
+    send = functools.partial(
+        engine_control.send, engines, timeout_s=loaded.orders.longest_order_s
+    )
+    runner = orders_runner.Runner(
+        source,
+        daemon.store,
+        live=lambda: [vm.name for vm in view.live()],
+        limits=loaded.orders,
+        report=functools.partial(engine_control.report, engines),
+        send=send,
+        group=daemon.group,
+    )
+    daemon.clock.subscribe("orders", orders_runner.TICK_S, runner.tick)
+    return runner
 
 
 async def run(loaded: settings.Entry) -> None:
@@ -217,15 +220,14 @@
         async def in_force(_ask: ttypes.VersionAsk) -> Any:
             return ttypes.VersionInForce(version=source.current.version)
 
-        async def engine_load(url: str) -> effects.Load | None:
-            return await operator_load(engines, url)
-
         recent.keep(daemon.server)
         asked = survey.Survey(
             daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
         )
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
         view = start_membership(daemon)
+        follower.live = view.live
+        ordering = start_orders(daemon, loaded, source, engines, view)
         shares = start_rates(daemon, source, view)
         client = start_claims(daemon, view)
         step = online_pipeline(daemon, loaded, source, engines, shares, client)
@@ -239,13 +241,18 @@
             copies,
         )
         operator_handlers = operators.Operators(
-            follower, daemon.store, loaded, asked, engine_load
+            follower,
+            daemon.store,
+            loaded,
+            asked,
+            functools.partial(engine_control.load, engines),
         )
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
             with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
                 await shares.hand_back()
+                await ordering.give_back()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
--- a/src/ibisknot/follow.py
+++ b/src/ibisknot/follow.py
@@ -37,7 +37,11 @@
 
 
 class Follower:
-    """Moves the configuration's messages of an entry."""
+    """Moves the configuration's messages of an entry.
+
+    Attributes:
+        live: Returns the live VMs, a hint that ranks are taken from.
+    """
 
     def __init__(
         self,
@@ -55,6 +59,7 @@
         self.vms = vms
         self.group = group
         self.entry_port = entry_port
+        self.live = vms.live
         self.random = random.Random(source.me)
         self.reading = anyio.Lock()
         self.asking: set[str] = set()
@@ -64,7 +69,7 @@
 
     def ranked(self) -> list[str]:
         """Returns the live VMs in order of rank."""
-        return spread.ranking([vm.name for vm in self.vms.live()])
+        return spread.ranking([vm.name for vm in self.live()])
 
     def watches(self) -> bool:
         """Returns whether this VM watches the key-value service."""
--- a/src/ibisknot/intent.py
+++ b/src/ibisknot/intent.py
@@ -113,10 +113,9 @@
 
 def _check(wanted: configuration.Configuration) -> None:
     """Checks references between groups."""
-    for name, entry in wanted.models.items():
-        base = entry.adapter_of
-        if base is not None and base not in wanted.models:
-            message = f"adapter {name} extends unknown model {base}"
+    for name in wanted.models:
+        if ":" in name:
+            message = f"model {name} has a colon, which adapters' names use"
             raise errors.BadRequestError(message)
     for name, endpoint in wanted.endpoints.items():
         if endpoint.kind != configuration.ENGINE:
--- a/src/ibisknot/operators.py
+++ b/src/ibisknot/operators.py
@@ -15,6 +15,7 @@
 from ibisknot import intent as intent_module
 from ibisknot import keys
 from ibisknot import keyvalue
+from ibisknot import order_records
 from ibisknot import plans
 from ibisknot import settings
 from ibisknot import survey
@@ -184,20 +185,31 @@
         )
 
     async def status(self, request: requests.Request) -> responses.Response:
-        """Returns the version in force on each listed VM."""
+        """Returns the version on each listed VM, with `orders` the orders."""
         self.operator(request)
         found = await self.survey.versions()
         now = anyio.current_time()
         age_s = now - self.source.service_s
+        try:
+            ordered = await order_records.shown(self.store, self.source.current)
+        except errors.KeyValueError:
+            ordered = None
         return web.json_response(
             {
                 "version": self.source.current.version,
                 "vms": found,
                 "current": self.source.is_current(now),
+                "orders": ordered,
                 "confirmed_s_ago": round(age_s, 3) if age_s < 1e6 else None,
             }
         )
 
+    async def _orders(self) -> list[order_records.Shown] | None:
+        try:
+            return await order_records.shown(self.store, self.source.current)
+        except errors.KeyValueError:
+            return None
+
     async def history(self, request: requests.Request) -> responses.Response:
         """Returns the confirmed changes, newest first."""
         self.operator(request)
--- a/src/ibisknot/orders.py
+++ b/src/ibisknot/orders.py
@@ -14,10 +14,11 @@
 
 LOAD = "load"
 UNLOAD = "unload"
+LOAD_ADAPTER = "load_adapter"
+UNLOAD_ADAPTER = "unload_adapter"
 ROLE = "role"
 
 ORDERED = "ordered"
-TRIAL = "trial"
 DONE = "done"
 FAILED = "failed"
 
@@ -38,8 +39,12 @@
     kind: str
     model: str = ""
     version: str = ""
+    adapter: str = ""
     role: str = ""
-    adapter_of: str | None = None
+
+    def target(self) -> str:
+        """Returns what the order leads to, for people."""
+        return self.version or self.adapter or self.role
 
 
 class Record(msgspec.Struct):
@@ -48,14 +53,16 @@
     Attributes:
         order: The order.
         fencing: Fencing number of the holder that issued it.
-        state: `ordered`, `trial`, `done` or `failed`.
+        state: `ordered`, `done` or `failed`.
         reason: Why it failed.
+        trial: The newest load, while its version is on trial here.
     """
 
     order: Order
     fencing: int
     state: str = ORDERED
     reason: str = ""
+    trial: Order | None = None
 
 
 class ModelRecord(msgspec.Struct):
@@ -75,7 +82,8 @@
 class Report(msgspec.Struct):
     """The part of an engine's report that orders use."""
 
-    versions: dict[str, str] = {}
+    versions: dict[str, str]
+    adapters: dict[str, list[str]] = {}
     role: str = ""
     running: int = 0
     waiting: int = 0
@@ -161,29 +169,47 @@
     """
     stated = wanted.endpoints[endpoint]
     versions = wanted_versions(wanted, endpoint, models)
-    bases_first = sorted(
-        versions, key=lambda m: (wanted.models[m].adapter_of is not None, m)
-    )
-    for model in bases_first:
-        if report.versions.get(model) != versions[model]:
-            base = wanted.models[model].adapter_of
-            return Order(
-                endpoint, LOAD, model, versions[model], adapter_of=base
-            )
+    for model, version in sorted(versions.items()):
+        if report.versions.get(model) != version:
+            return Order(endpoint, LOAD, model, version)
     for model, version in sorted(report.versions.items()):
         if model not in stated.serves:
             return Order(endpoint, UNLOAD, model, version)
+    for model in sorted(versions):
+        order = _adapter_order(
+            endpoint,
+            model,
+            set(wanted.models[model].adapters),
+            set(report.adapters.get(model, [])),
+        )
+        if order is not None:
+            return order
     if report.role and report.role != stated.role:
         return Order(endpoint, ROLE, role=stated.role)
     return None
 
 
+def _adapter_order(
+    endpoint: str, model: str, wanted: set[str], loaded: set[str]
+) -> Order | None:
+    for adapter in sorted(wanted - loaded):
+        return Order(endpoint, LOAD_ADAPTER, model, adapter=adapter)
+    for adapter in sorted(loaded - wanted):
+        return Order(endpoint, UNLOAD_ADAPTER, model, adapter=adapter)
+    return None
+
+
 def carried_out(order: Order, report: Report) -> bool:
     """Returns whether an engine's report shows that an order took effect."""
     if order.kind == LOAD:
         return report.versions.get(order.model) == order.version
     if order.kind == UNLOAD:
         return order.model not in report.versions
+    loaded = report.adapters.get(order.model, [])
+    if order.kind == LOAD_ADAPTER:
+        return order.adapter in loaded
+    if order.kind == UNLOAD_ADAPTER:
+        return order.adapter not in loaded
     return report.role == order.role
 
 
@@ -196,18 +222,15 @@
 
     Returns:
         `waiting`, `resend` for an order that a former holder may not have
-        sent, or one of the record's states.
+        sent, or `done` or `failed`.
     """
     record = engine.record
     assert record is not None
     if record.state in (DONE, FAILED):
         return record.state, record.reason
-    silent_s = now - engine.heard_s
-    if record.state == TRIAL:
-        return _judge_trial(engine, now, silent_s, limits)
     report = engine.report if engine.heard_s >= engine.sent_s else None
     if report is not None and carried_out(record.order, report):
-        return (TRIAL if record.order.kind == LOAD else DONE), ""
+        return DONE, ""
     if record.fencing < fencing:
         return RESEND, ""
     if now - engine.sent_s > limits.longest_order_s:
@@ -216,12 +239,14 @@
     return WAITING, ""
 
 
-def _judge_trial(
-    engine: Engine, now: float, silent_s: float, limits: settings.Orders
+def judge_trial(
+    engine: Engine, now: float, *, limits: settings.Orders
 ) -> tuple[str, str]:
+    """Returns what became of the version on trial on an engine, and why."""
     assert engine.record is not None
-    order = engine.record.order
-    if silent_s > limits.crash_after_s:
+    order = engine.record.trial
+    assert order is not None
+    if now - engine.heard_s > limits.crash_after_s:
         return FAILED, "the engine stopped answering after the load"
     if engine.report is not None and not carried_out(order, engine.report):
         return FAILED, "the engine lost the version after the load"
@@ -230,6 +255,48 @@
     return WAITING, ""
 
 
+def settled_models(
+    wanted: configuration.Configuration,
+    engines: dict[str, Engine],
+    models: dict[str, ModelRecord],
+) -> dict[str, ModelRecord]:
+    """Returns the records of models that are out of date.
+
+    A version that all engines of a model have, without a trial, is good:
+    this is how a fleet starts. What is known against a version is forgotten
+    once operators want another one, so that it can be tried again later.
+    """
+    found = {}
+    for model, stated in wanted.models.items():
+        known = models.get(model, ModelRecord())
+        record = ModelRecord(
+            known.good,
+            {v: n for v, n in known.failures.items() if v == stated.version},
+            {v: w for v, w in known.stopped.items() if v == stated.version},
+        )
+        if _runs_everywhere(wanted, model, stated.version, engines):
+            record.good = stated.version
+        if record != known:
+            found[model] = record
+    return found
+
+
+def _runs_everywhere(
+    wanted: configuration.Configuration,
+    model: str,
+    version: str,
+    engines: dict[str, Engine],
+) -> bool:
+    names = [n for n, e in wanted.endpoints.items() if model in e.serves]
+    for name in names:
+        engine = engines.get(name, Engine())
+        if engine.report is None or in_change(engine) is not None:
+            return False
+        if engine.report.versions.get(model) != version:
+            return False
+    return bool(names)
+
+
 def count_failure(record: ModelRecord, version: str, reason: str) -> None:
     """Counts a failure of a version; stops the version when it is too many.
 
@@ -248,9 +315,9 @@
 
     An idle fleet can always give up one engine, also its only one.
 
-    >>> needed_engines([Report(slots=10)] * 5)
+    >>> needed_engines([Report({}, slots=10)] * 5)
     3
-    >>> needed_engines([Report(running=9, slots=10)] * 5)
+    >>> needed_engines([Report({}, running=9, slots=10)] * 5)
     5
     """
     if not reports:
@@ -265,8 +332,14 @@
 
 def in_change(engine: Engine) -> Order | None:
     """Returns the load under way or on trial on an engine, if any."""
+    trial = engine.record.trial if engine.record is not None else None
+    return loading(engine) or trial
+
+
+def loading(engine: Engine) -> Order | None:
+    """Returns the load under way on an engine, if any."""
     record = engine.record
-    if record is None or record.state not in (ORDERED, TRIAL):
+    if record is None or record.state != ORDERED:
         return None
     return record.order if record.order.kind == LOAD else None
 
@@ -286,22 +359,17 @@
         models: What is known of each model.
         at_once: How many loads the weight store has capacity for.
     """
-    changing = [o for e in engines.values() if (o := in_change(e)) is not None]
-    loading = [
-        e
-        for e in engines.values()
-        if in_change(e) is not None
-        and e.record is not None
-        and e.record.state == ORDERED
-    ]
-    if len(loading) >= at_once:
+    if sum(loading(e) is not None for e in engines.values()) >= at_once:
         return False
-    same = [o for o in changing if o.model == order.model]
+    changing = [in_change(e) for e in engines.values()]
+    same = {
+        o.endpoint for o in changing if o is not None and o.model == order.model
+    } - {order.endpoint}
     record = models.get(order.model, ModelRecord())
-    if record.good and record.good != order.version and same:
+    if record.good != order.version and same:
         # Until a version has passed one trial, one engine at a time has it.
         return False
-    return _enough_serving(order, engines, {o.endpoint for o in same})
+    return _enough_serving(order, engines, same)
 
 
 def _enough_serving(
--- a/src/ibisknot/orders_runner.py
+++ b/src/ibisknot/orders_runner.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 
 import anyio
+from anyio import abc
 import msgspec
 
 from ibisknot import configuration
@@ -13,6 +13,7 @@
 from ibisknot import keyvalue
 from ibisknot import lease as lease_module
 from ibisknot import logs
+from ibisknot import order_records
 from ibisknot import orders
 from ibisknot import ownership
 from ibisknot import settings
@@ -20,8 +21,6 @@
 
 KIND = "orders"
 SHARD = 0
-RECORDS = "/ibisknot/orders/"
-MODELS = "/ibisknot/order-models/"
 TICK_S = 0.5
 
 ReportCall = Callable[[str], Awaitable[orders.Report | None]]
@@ -34,23 +33,13 @@
 """
 
 
-@dataclasses.dataclass(slots=True)
-class Shown:
-    """The state of one endpoint's order, for status."""
-
-    endpoint: str
-    model: str
-    wanted: str
-    state: str
-    reason: str
-
-
 class Runner:
     """Takes the orders shard when it is this VM's turn, and works it.
 
     Attributes:
         epoch: The fencing number while the shard is held, else 0.
-        guard: Revision of the shard's holder record while it is held.
+        book: The records of the orders and of the models.
+        refused: Orders that engines refused since the last tick, and why.
     """
 
     def __init__(
@@ -62,6 +51,7 @@
         limits: settings.Orders,
         report: ReportCall,
         send: SendCall,
+        group: abc.TaskGroup,
     ) -> None:
         self.source = source
         self.store = store
@@ -69,14 +59,13 @@
         self.limits = limits
         self.report = report
         self.send = send
+        self.group = group
         self.lease = lease_module.Lease(limits.lease_s)
         self.epoch = 0
-        self.guard = 0
+        self.book = order_records.Book(store)
         self.renew_s = float("-inf")
-        self.engines: dict[str, orders.Engine] = {}
         self.polled: dict[str, float] = {}
-        self.models: dict[str, orders.ModelRecord] = {}
-        self.revisions: dict[str, int] = {}
+        self.refused: dict[str, tuple[orders.Record, str]] = {}
         self.pace = weights.Pace()
 
     def holds(self) -> bool:
@@ -98,7 +87,10 @@
         await self._hold(me)
         if self.holds():
             await self._poll()
-            await self._work()
+            try:
+                await self._work()
+            except order_records.LostShardError:
+                self._drop()
 
     async def _hold(self, me: str) -> None:
         asked_s = anyio.current_time()
@@ -124,34 +116,14 @@
         if pair is None:
             return
         lease_module.granted(self.lease, number, asked_s)
-        self.guard = pair.revision
-        await self._load_records()
+        self.polled.clear()
+        self.refused.clear()
+        guard = keyvalue.Guard(pair.key, pair.revision)
+        await self.book.load(guard)
         self.epoch = epoch
         self.renew_s = asked_s + self.limits.lease_s / 3
         logs.event("shard_taken", kind=KIND, shard=SHARD, epoch=epoch)
 
-    async def _load_records(self) -> None:
-        self.engines.clear()
-        self.polled.clear()
-        for pair in await self.store.list_prefix(RECORDS):
-            name = pair.key.removeprefix(RECORDS)
-            record = msgspec.json.decode(pair.value, type=orders.Record)
-            # A trial that a former holder began starts again from now.
-            self.engines[name] = orders.Engine(
-                record=record,
-                revision=pair.revision,
-                trial_s=anyio.current_time(),
-                heard_s=anyio.current_time(),
-            )
-        self.models.clear()
-        self.revisions.clear()
-        for pair in await self.store.list_prefix(MODELS):
-            name = pair.key.removeprefix(MODELS)
-            self.models[name] = msgspec.json.decode(
-                pair.value, type=orders.ModelRecord
-            )
-            self.revisions[name] = pair.revision
-
     def _drop(self) -> None:
         logs.event("shard_lost", level="warning", kind=KIND, epoch=self.epoch)
         lease_module.lost(self.lease)
@@ -178,8 +150,8 @@
     async def _poll(self) -> None:
         """Reads the reports that are due."""
         stated = self._stated()
-        for name in self.engines.keys() - stated.keys():
-            del self.engines[name]
+        for name in self.book.engines.keys() - stated.keys():
+            del self.book.engines[name]
         now = anyio.current_time()
 
         async def read(name: str, engine: orders.Engine) -> None:
@@ -192,7 +164,7 @@
 
         async with anyio.create_task_group() as group:
             for name in stated:
-                engine = self.engines.setdefault(name, orders.Engine())
+                engine = self.book.engines.setdefault(name, orders.Engine())
                 period_s = orders.poll_period_s(
                     engine, settled=self._settled(name, engine)
                 )
@@ -201,9 +173,8 @@
 
     def _settled(self, name: str, engine: orders.Engine) -> bool:
         record = engine.record
-        if record is not None and record.state in (
-            orders.ORDERED,
-            orders.TRIAL,
+        if record is not None and (
+            record.state == orders.ORDERED or record.trial is not None
         ):
             return False
         return self._next(name, engine) is None
@@ -212,69 +183,116 @@
         if engine.report is None:
             return None
         return orders.next_order(
-            self.source.current, name, engine.report, self.models
+            self.source.current, name, engine.report, self.book.models
         )
 
     async def _work(self) -> None:
+        stale = orders.settled_models(
+            self.source.current, self.book.engines, self.book.models
+        )
+        for model, record in stale.items():
+            await self.book.write_model(model, record)
         for name in sorted(self._stated()):
             if not self.holds():
                 return
-            engine = self.engines[name]
+            engine = self.book.engines[name]
             if engine.record is not None:
-                await self._follow_up(name, engine)
-            if engine.record is None or engine.record.state in (
-                orders.DONE,
-                orders.FAILED,
-            ):
+                await self._follow_up(name, engine, engine.record)
+            record_now = engine.record
+            if record_now is None or record_now.state != orders.ORDERED:
                 await self._order_next(name, engine)
 
-    async def _follow_up(self, name: str, engine: orders.Engine) -> None:
-        record = engine.record
-        assert record is not None
+    async def _follow_up(
+        self, name: str, engine: orders.Engine, record: orders.Record
+    ) -> None:
+        now = anyio.current_time()
+        refused, refusal = self.refused.pop(name, (None, ""))
+        if refused is record and record.state == orders.ORDERED:
+            await self._settle(name, engine, orders.FAILED, refusal)
+            return
+        if record.trial is not None:
+            state, reason = orders.judge_trial(engine, now, limits=self.limits)
+            if state != orders.WAITING:
+                await self._end_trial(name, engine, record.trial, state, reason)
+                return
         state, reason = orders.judge(
-            engine,
-            anyio.current_time(),
-            fencing=self.epoch,
-            limits=self.limits,
+            engine, now, fencing=self.epoch, limits=self.limits
         )
         if state == orders.RESEND:
-            if self._may_order(name):
-                await self._issue(name, engine, record.order)
+            await self._resend(name, engine, record)
         elif state not in (orders.WAITING, record.state):
             await self._settle(name, engine, state, reason)
 
+    async def _resend(
+        self, name: str, engine: orders.Engine, record: orders.Record
+    ) -> None:
+        """Takes over an order of a former holder."""
+        if engine.report is None or not self._may_order(name):
+            return
+        if self._next(name, engine) == record.order:
+            await self._issue(name, engine, record.order)
+            return
+        ended = msgspec.structs.replace(
+            record, state=orders.FAILED, reason="no longer wanted"
+        )
+        await self.book.write_record(name, engine, ended)
+
+    async def _end_trial(
+        self,
+        name: str,
+        engine: orders.Engine,
+        order: orders.Order,
+        state: str,
+        reason: str,
+    ) -> None:
+        await self._note_version(name, order, state, reason)
+        assert engine.record is not None
+        ended = msgspec.structs.replace(engine.record, trial=None)
+        await self.book.write_record(name, engine, ended)
+        self._log("trial_" + state, order, reason=reason)
+
+    async def _note_version(
+        self, name: str, order: orders.Order, state: str, reason: str
+    ) -> None:
+        """Records what an engine's load says of a version."""
+        known = self.book.models.get(order.model, orders.ModelRecord())
+        changed = orders.ModelRecord(
+            known.good, dict(known.failures), dict(known.stopped)
+        )
+        if state == orders.DONE:
+            changed.good = order.version
+        else:
+            why = f"{name}: {reason}"
+            orders.count_failure(changed, order.version, why)
+        await self.book.write_model(order.model, changed)
+
+    def _log(self, event: str, order: orders.Order, **fields: str) -> None:
+        logs.event(
+            event,
+            endpoint=order.endpoint,
+            kind=order.kind,
+            model=order.model,
+            target=order.target(),
+            fencing=self.epoch,
+            **fields,
+        )
+
     async def _settle(
         self, name: str, engine: orders.Engine, state: str, reason: str
     ) -> None:
-        """Records what became of an order, and what it says of a version."""
+        """Records what became of an order."""
         record = engine.record
         assert record is not None
         order = record.order
-        if order.kind == orders.LOAD and state in (orders.DONE, orders.FAILED):
-            known = self.models.get(order.model, orders.ModelRecord())
-            changed = msgspec.convert(
-                msgspec.to_builtins(known), orders.ModelRecord
-            )
-            if state == orders.DONE:
-                changed.good = order.version
-            else:
-                why = f"{name}: {reason}"
-                orders.count_failure(changed, order.version, why)
-            if not await self._write_model(order.model, changed):
-                return
+        loads = order.kind == orders.LOAD
+        if loads and state == orders.FAILED:
+            await self._note_version(name, order, state, reason)
         settled = msgspec.structs.replace(record, state=state, reason=reason)
-        if not await self._write_record(name, engine, settled):
-            return
-        if state == orders.TRIAL:
+        if loads and state == orders.DONE:
+            settled.trial = order
             engine.trial_s = anyio.current_time()
-        logs.event(
-            "order_" + state,
-            endpoint=name,
-            kind=order.kind,
-            model=order.model,
-            version=order.version,
-            reason=reason,
-        )
+        await self.book.write_record(name, engine, settled)
+        self._log("order_" + state, order, reason=reason)
 
     def _may_order(self, name: str) -> bool:
         return orders.may_order(
@@ -294,111 +312,40 @@
             if not weights.may_start(self.pace, now):
                 return
             if not orders.may_load(
-                order, self.engines, self.models, at_once=at_once
+                order, self.book.engines, self.book.models, at_once=at_once
             ):
                 return
-            weights.started(self.pace, now, self.limits)
         await self._issue(name, engine, order)
 
     async def _issue(
         self, name: str, engine: orders.Engine, order: orders.Order
     ) -> None:
         """Writes an order's record, then sends the order."""
-        record = orders.Record(order, self.epoch)
-        if not await self._write_record(name, engine, record):
-            return
+        trial = engine.record.trial if engine.record is not None else None
+        if order.kind == orders.LOAD:
+            trial = None
+            weights.started(self.pace, anyio.current_time(), self.limits)
+        record = orders.Record(order, self.epoch, trial=trial)
+        await self.book.write_record(name, engine, record)
         if not self.holds():
             return
         engine.sent_s = anyio.current_time()
-        logs.event(
-            "order_sent",
-            endpoint=name,
-            kind=order.kind,
-            model=order.model,
-            version=order.version,
-            fencing=self.epoch,
-        )
+        self._log("order_sent", order)
         url = self.source.current.endpoints[name].url
+        self.group.start_soon(self._deliver, url, record, self.epoch)
+
+    async def _deliver(
+        self, url: str, record: orders.Record, epoch: int
+    ) -> None:
+        """Sends an order; a load can take long, so no tick waits for it."""
         try:
-            refusal = await self.send(url, order, self.epoch)
+            refusal = await self.send(url, record.order, epoch)
         except errors.FencedError:
-            self._drop()
+            if self.epoch == epoch:
+                self._drop()
             return
         except errors.EndpointError:
             # Whether it took effect shows in the engine's next reports.
             return
         if refusal:
-            await self._settle(name, engine, orders.FAILED, refusal)
-
-    async def _write(self, key: str, revision: int, value: bytes) -> int:
-        """Writes under the shard's guard; returns the revision, 0 if refused.
-
-        Raises:
-            KeyValueError: The service did not take the call, or what it did
-                could not be read back.
-        """
-        shard = ownership.shard_key(KIND, SHARD)
-        guards = [
-            keyvalue.Guard(shard, self.guard),
-            keyvalue.Guard(key, revision),
-        ]
-        try:
-            await self.store.transact(guards, [keyvalue.Put(key, value)])
-        except errors.KeyValueUnknownError:
-            logs.event("write_answer_lost", level="warning", key=key)
-        pair = await self.store.get(key)
-        if pair is not None and pair.revision != revision:
-            if pair.value == value:
-                return pair.revision
-        self._drop()
-        return 0
-
-    async def _write_record(
-        self, name: str, engine: orders.Engine, record: orders.Record
-    ) -> bool:
-        revision = await self._write(
-            RECORDS + name, engine.revision, msgspec.json.encode(record)
-        )
-        if revision:
-            engine.record = record
-            engine.revision = revision
-        return revision > 0
-
-    async def _write_model(
-        self, model: str, record: orders.ModelRecord
-    ) -> bool:
-        revision = await self._write(
-            MODELS + model,
-            self.revisions.get(model, 0),
-            msgspec.json.encode(record),
-        )
-        if revision:
-            self.models[model] = record
-            self.revisions[model] = revision
-        return revision > 0
-
-
-async def shown(
-    store: keyvalue.KeyValue, wanted: configuration.Configuration
-) -> list[Shown]:
-    """Returns the orders for status, the stopped versions first.
-
-    Raises:
-        KeyValueError: The service did not answer.
-    """
-    found = []
-    for pair in await store.list_prefix(MODELS):
-        model = pair.key.removeprefix(MODELS)
-        known = msgspec.json.decode(pair.value, type=orders.ModelRecord)
-        for version, reason in known.stopped.items():
-            found.append(Shown("", model, version, "stopped", reason))
-    for pair in await store.list_prefix(RECORDS):
-        name = pair.key.removeprefix(RECORDS)
-        record = msgspec.json.decode(pair.value, type=orders.Record)
-        if name in wanted.endpoints:
-            order = record.order
-            target = order.version or order.role
-            found.append(
-                Shown(name, order.model, target, record.state, record.reason)
-            )
-    return found
+            self.refused[record.order.endpoint] = (record, refusal)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -6,6 +6,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 from typing import Any
 
 import httpx
@@ -134,3 +135,25 @@
     )
     assert done.returncode == 0
     assert "ibisknotctl" in done.stdout
+
+
+def wait_orders(fleet: dict[str, Any], state: str, model_version: str) -> bool:
+    """Waits until status shows an order in a state."""
+    for _ in range(200):
+        _, found, _ = run(fleet, "status")
+        for order in found["orders"] or []:
+            if (order["state"], order["wanted"]) == (state, model_version):
+                return True
+        time.sleep(0.1)
+    return False
+
+
+def test_version_that_does_not_load_is_stopped(fleet: dict[str, Any]) -> None:
+    """Guards against a broken version that status does not tell of."""
+    model = fleet["models"][0]
+    confirmed(fleet, "version", model, "broken")
+    assert wait_orders(fleet, "stopped", "broken")
+    url = fleet["endpoints"][0]["url"]
+    state = httpx.get(f"{url}/engine/state").json()
+    assert state["versions"] == {model: "1"}
+    confirmed(fleet, "version", model, "1")
