--- a/src/ibisknot/engine_control.py
+++ b/src/ibisknot/engine_control.py
@@ -1,15 +1,22 @@
 """Orders to engines and their reports, over HTTP."""
 
+from collections.abc import Callable
+import functools
 from typing import Any
 
 import anyio
 import httpx
 import msgspec
 
+from ibisknot import distribution
 from ibisknot import effects
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import orders
+from ibisknot import orders_runner
+from ibisknot import program
+from ibisknot import settings
+from ibisknot import vmlist
 
 READ_TIMEOUT_S = 1.0
 
@@ -99,3 +106,25 @@
         return str(msgspec.json.decode(data)["error"]["message"])
     except (msgspec.MsgspecError, KeyError, TypeError):
         return data.decode(errors="replace")[:200] or "refused"
+
+
+def start_orders(
+    daemon: program.Daemon,
+    loaded: settings.Entry,
+    source: distribution.Distribution,
+    engines: engine.Engines,
+    live: Callable[[], list[vmlist.ListedVm]],
+) -> orders_runner.Runner:
+    """Starts this VM's part in the orders to engines."""
+    timeout_s = loaded.orders.longest_order_s
+    runner = orders_runner.Runner(
+        source,
+        daemon.store,
+        live=lambda: [vm.name for vm in live()],
+        limits=loaded.orders,
+        report=functools.partial(report, engines),
+        send=functools.partial(send, engines, timeout_s=timeout_s),
+        group=daemon.group,
+    )
+    daemon.clock.subscribe("orders", orders_runner.TICK_S, runner.tick)
+    return runner
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -12,6 +12,7 @@
 from starlette import routing
 
 import ibisknot
+from ibisknot import admitter as admitter_module
 from ibisknot import batches
 from ibisknot import claims_owner
 from ibisknot import claims_runner
@@ -28,15 +29,18 @@
 from ibisknot import logs
 from ibisknot import membership
 from ibisknot import membership_runner
+from ibisknot import model_dispatch
+from ibisknot import notices as notices_module
 from ibisknot import online
 from ibisknot import operators
-from ibisknot import orders_runner
 from ibisknot import program
 from ibisknot import rates_runner
 from ibisknot import recent
 from ibisknot import replicas
+from ibisknot import service_dispatch
 from ibisknot import settings
 from ibisknot import survey
+from ibisknot import tickets
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
@@ -53,29 +57,84 @@
     ] = False
 
 
-def online_pipeline(
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """The parts that an entry's online path uses."""
+
+    daemon: program.Daemon
+    view: membership.View
+    source: distribution.Distribution
+    engines: engine.Engines
+    admitter: admitter_module.Admitter
+    tickets: tickets.Client
+    notices: notices_module.Notices
+    shares: rates_runner.Runner
+    claims: claims_runner.Client
+
+
+def online_parts(
     daemon: program.Daemon,
-    loaded: settings.Entry,
     source: distribution.Distribution,
     engines: engine.Engines,
-    shares: rates_runner.Runner,
-    client: claims_runner.Client,
-) -> exchange.Next:
+    loaded: settings.Entry,
+) -> Parts:
+    """Starts the parts of the online path."""
+    view = start_membership(daemon)
+    admitter = admitter_module.Admitter(
+        daemon, source, engines, view.live, loaded
+    )
+    admitter.register(daemon.server)
+    return Parts(
+        daemon=daemon,
+        view=view,
+        source=source,
+        engines=engines,
+        admitter=admitter,
+        tickets=tickets.Client(daemon, source, view.live, local=admitter),
+        notices=notices_module.Notices(daemon, view.live),
+        shares=start_rates(daemon, source, view),
+        claims=start_claims(daemon, view),
+    )
+
+
+def online_pipeline(parts: Parts, *, policy: str) -> exchange.Next:
     """Puts the online path together."""
-    if loaded.policy == settings.NAIVE:
-        limit = online.limit_rate_static(source, lambda: len(daemon.vms.live()))
-    else:
-        limit = limits.limit_rate(shares)
-    claim = deduplicate.claim_once(client, daemon.group)
+    naive = policy == settings.NAIVE
+    return (naive_pipeline if naive else fleet_pipeline)(parts)
+
+
+def naive_pipeline(parts: Parts) -> exchange.Next:
+    """Returns the baseline: static rates, a random endpoint."""
+    source, vms = parts.source, parts.daemon.vms
+    return exchange.pipeline(
+        online.trace,
+        online.account,
+        online.identify(source),
+        online.authenticate(source),
+        online.limit_rate_static(source, lambda: len(vms.live())),
+        online.check_whole,
+        deduplicate.claim_once(parts.claims, parts.daemon.group),
+        dispatch.naive_filter(source, parts.engines),
+    )
+
+
+def fleet_pipeline(parts: Parts) -> exchange.Next:
+    """Returns the path whose decisions are made with the whole fleet."""
+    source = parts.source
+    models = model_dispatch.ModelDispatch(
+        source, parts.engines, parts.tickets, parts.notices
+    )
+    services = service_dispatch.ServiceDispatch(source, parts.engines)
     return exchange.pipeline(
         online.trace,
         online.account,
         online.identify(source),
         online.authenticate(source),
-        limit,
+        limits.limit_rate(parts.shares),
         online.check_whole,
-        claim,
-        dispatch.naive_filter(source, engines),
+        deduplicate.claim_once(parts.claims, parts.daemon.group),
+        online.refuse_crash_requests(parts.notices),
+        dispatch.fleet_filter(models.run, services.run),
     )
 
 
@@ -136,10 +195,12 @@
 
 
 def online_routes(
-    step: exchange.Next, limits: settings.Limits
+    step: exchange.Next,
+    source: distribution.Distribution,
+    limits: settings.Limits,
 ) -> list[routing.BaseRoute]:
     """Returns the routes of the online path."""
-    handle = online.handler(step, limits)
+    handle = online.handler(step, source, limits)
     methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
     return [
         routing.Route("/v1/chat/completions", handle, methods=["POST"]),
@@ -181,30 +242,6 @@
     ]
 
 
-def start_orders(
-    daemon: program.Daemon,
-    loaded: settings.Entry,
-    source: distribution.Distribution,
-    engines: engine.Engines,
-    view: membership.View,
-) -> orders_runner.Runner:
-    """Starts this VM's part in the orders to engines."""
-    send = functools.partial(
-        engine_control.send, engines, timeout_s=loaded.orders.longest_order_s
-    )
-    runner = orders_runner.Runner(
-        source,
-        daemon.store,
-        live=lambda: [vm.name for vm in view.live()],
-        limits=loaded.orders,
-        report=functools.partial(engine_control.report, engines),
-        send=send,
-        group=daemon.group,
-    )
-    daemon.clock.subscribe("orders", orders_runner.TICK_S, runner.tick)
-    return runner
-
-
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
@@ -225,12 +262,12 @@
             daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
         )
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
-        view = start_membership(daemon)
-        follower.live = view.live
-        ordering = start_orders(daemon, loaded, source, engines, view)
-        shares = start_rates(daemon, source, view)
-        client = start_claims(daemon, view)
-        step = online_pipeline(daemon, loaded, source, engines, shares, client)
+        parts = online_parts(daemon, source, engines, loaded)
+        step = online_pipeline(parts, policy=loaded.policy)
+        follower.live = parts.view.live
+        ordering = engine_control.start_orders(
+            daemon, loaded, source, engines, parts.view.live
+        )
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
             source,
@@ -250,14 +287,15 @@
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
+            await parts.admitter.drain()
             with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
-                await shares.hand_back()
+                await parts.shares.hand_back()
                 await ordering.give_back()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
             [
-                *online_routes(step, loaded.limits),
+                *online_routes(step, source, loaded.limits),
                 *model_routes(source),
                 *file_handlers.routes(),
                 *batch_handlers.routes(),
