Reload certificates in place, and use mutual TLS between VMs

Change: contexts are reloaded in place when their files change, after the pair has been tried on another context. A handshake has a time limit and closes its connection when it fails. Peers without a certificate of the fleet's authority are refused.

Conclusion: a new authority is added at reload; an old one is dropped at the next restart.

--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -14,6 +14,7 @@
 
 import anyio
 from anyio import abc
+from anyio.streams import tls as anyio_tls
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
@@ -104,7 +105,7 @@
         rest = bytearray()
         try:
             if self.tls is not None:
-                stream = await _tls_server(stream, self.tls)
+                stream = await _tls(stream, self.tls, server_side=True)
             async with stream, anyio.create_task_group() as group:
                 while True:
                     frame = await _receive_frame(stream, rest)
@@ -166,14 +167,28 @@
         return encode(answer if answer is not None else ttypes.Empty())
 
 
-async def _tls_server(
-    stream: abc.ByteStream, context: ssl.SSLContext
+async def _tls(
+    stream: abc.ByteStream, context: ssl.SSLContext, *, server_side: bool
 ) -> abc.ByteStream:
-    from anyio.streams import tls
+    """Wraps a stream; one whose handshake fails is closed.
 
-    return await tls.TLSStream.wrap(
-        stream, server_side=True, ssl_context=context
-    )
+    Raises:
+        OSError: The peer showed no valid certificate.
+        TimeoutError: The handshake took too long.
+    """
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            # Frames carry their length, so a closing handshake, which fails
+            # on a broken connection, adds nothing.
+            return await anyio_tls.TLSStream.wrap(
+                stream,
+                server_side=server_side,
+                ssl_context=context,
+                standard_compatible=False,
+            )
+    except BaseException:
+        await anyio.aclose_forcefully(stream)
+        raise
 
 
 class _Connection:
@@ -247,8 +262,13 @@
                         host, int(port)
                     )
                     if self.tls is not None:
-                        stream = await _tls_client(stream, self.tls)
-            except (OSError, TimeoutError) as error:
+                        stream = await _tls(stream, self.tls, server_side=False)
+            except (
+                OSError,
+                TimeoutError,
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+            ) as error:
                 message = f"peer {address} not reachable: {error!r}"
                 raise errors.PeerError(message, ran=errors.NOT_RUN) from None
             connection = _Connection(stream)
@@ -308,13 +328,3 @@
         if answer.error_code is not None:
             raise errors.from_code(answer.error_code, answer.error_message)
         return decode(answer.payload, kind)
-
-
-async def _tls_client(
-    stream: abc.ByteStream, context: ssl.SSLContext
-) -> abc.ByteStream:
-    from anyio.streams import tls
-
-    return await tls.TLSStream.wrap(
-        stream, server_side=False, ssl_context=context
-    )
--- a/src/ibisknot/program.py
+++ b/src/ibisknot/program.py
@@ -41,6 +41,7 @@
         server: Answers peers.
         peers: Calls peers.
         stop: Set when shutdown was requested.
+        certificates: Reloads certificates whose files change.
         ready: Whether `/readyz` answers 200.
     """
 
@@ -52,6 +53,7 @@
     server: peer.Server
     peers: peer.Client
     stop: anyio.Event
+    certificates: tls.Reloader
     ready: bool = True
 
     async def refresh_vms(self, _now: float) -> None:
@@ -87,6 +89,9 @@
             port=self.loaded.http_port,
             stop=stopped,
             tls=tls_files,
+            tls_context=self.certificates.watch(
+                tls_files, tls.caller_context(tls_files)
+            ),
             graceful_s=graceful_s,
         )
 
@@ -114,6 +119,10 @@
     store = keyvalue.KeyValue(loaded.key_value)
     vms = vmlist.VmList(loaded.vm_list)
     stop = anyio.Event()
+    certificates = tls.Reloader()
+    peer_tls = loaded.peer_tls
+    server_tls = certificates.watch(peer_tls, tls.server_context(peer_tls))
+    client_tls = certificates.watch(peer_tls, tls.client_context(peer_tls))
     async with anyio.create_task_group() as group:
         made = Daemon(
             loaded=loaded,
@@ -121,16 +130,18 @@
             clock=clock,
             store=store,
             vms=vms,
-            server=peer.Server(tls=tls.server_context(loaded.peer_tls)),
+            server=peer.Server(tls=server_tls),
             peers=peer.Client(
                 group,
                 overrides=loaded.address_overrides,
-                tls=tls.client_context(loaded.peer_tls),
+                tls=client_tls,
             ),
             stop=stop,
+            certificates=certificates,
         )
         await made.refresh_vms(0.0)
         clock.subscribe("vm_list", loaded.vm_list.period_s, made.refresh_vms)
+        clock.subscribe("tls", tls.RELOAD_PERIOD_S, certificates.tick)
         group.start_soon(clock.run)
         group.start_soon(web.stop_on_signal, stop)
         group.start_soon(made.server.serve, loaded.vm.address, loaded.peer_port)
--- a/src/ibisknot/web.py
+++ b/src/ibisknot/web.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import signal
 import socket
+import ssl
 from typing import Any
 from typing import TypeVar
 
@@ -145,7 +146,17 @@
 
 
 class ServerConfig(hypercorn_config.Config):
-    """Server configuration that bounds how long written bytes may wait."""
+    """Server configuration that bounds how long written bytes may wait.
+
+    Attributes:
+        tls_context: The context for HTTPS, which its owner may reload.
+    """
+
+    tls_context: ssl.SSLContext | None = None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the context for HTTPS."""
+        return self.tls_context or super().create_ssl_context()
 
     def create_sockets(self) -> hypercorn_config.Sockets:
         """Creates the listeners; accepted connections inherit the bound."""
@@ -203,6 +214,7 @@
     port: int,
     stop: anyio.Event,
     tls: settings.Tls | None = None,
+    tls_context: ssl.SSLContext | None = None,
     graceful_s: float = 60.0,
     idle_timeout_s: float = 75.0,
 ) -> None:
@@ -214,6 +226,7 @@
         port: The port to listen on.
         stop: Set to stop listening.
         tls: Certificate files, for HTTPS.
+        tls_context: The context that uses them, for HTTPS.
         graceful_s: Seconds that open requests may take after `stop`.
         idle_timeout_s: Seconds that a connection may stay without a whole
             request head.
@@ -230,6 +243,7 @@
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.private_key
+        config.tls_context = tls_context
     edge = Edge(app)
 
     async def run() -> None:
--- /dev/null
+++ b/tests/certificates.py
@@ -0,0 +1,82 @@
+"""Certificates for tests, signed by an authority of their own."""
+
+import datetime
+import pathlib
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from ibisknot import settings
+
+START = datetime.datetime(2024, 1, 1, tzinfo=datetime.UTC)
+END = datetime.datetime(2124, 1, 1, tzinfo=datetime.UTC)
+
+
+def _name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+
+
+class Authority:
+    """Signs certificates into a folder."""
+
+    def __init__(self, folder: pathlib.Path, name: str) -> None:
+        self.folder = folder
+        self.name = name
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.path = folder / f"{name}.pem"
+        builder = self._builder(name, self.key.public_key())
+        builder = builder.add_extension(
+            x509.BasicConstraints(ca=True, path_length=None), critical=True
+        )
+        usage = x509.KeyUsage(
+            digital_signature=True,
+            content_commitment=False,
+            key_encipherment=False,
+            data_encipherment=False,
+            key_agreement=False,
+            key_cert_sign=True,
+            crl_sign=True,
+            encipher_only=False,
+            decipher_only=False,
+        )
+        builder = builder.add_extension(usage, critical=True)
+        made = builder.sign(self.key, hashes.SHA256())
+        self.path.write_bytes(made.public_bytes(serialization.Encoding.PEM))
+
+    def _builder(
+        self, subject: str, key: ec.EllipticCurvePublicKey
+    ) -> x509.CertificateBuilder:
+        return (
+            x509.CertificateBuilder()
+            .subject_name(_name(subject))
+            .issuer_name(_name(self.name))
+            .public_key(key)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(START)
+            .not_valid_after(END)
+        )
+
+    def issue(self, name: str, file: str) -> settings.Tls:
+        """Writes a certificate and its key; an older one is replaced."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        made = self._builder(name, key.public_key()).sign(
+            self.key, hashes.SHA256()
+        )
+        certificate = self.folder / f"{file}.pem"
+        private_key = self.folder / f"{file}.key"
+        certificate.write_bytes(made.public_bytes(serialization.Encoding.PEM))
+        private_key.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return settings.Tls(
+            certificate=str(certificate),
+            private_key=str(private_key),
+            authority=str(self.path),
+        )
