--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -57,8 +57,13 @@
     server = peer.Server(tls=tls.server_context(files))
     server.on("version_in_force", ttypes.VersionAsk, answer)
     group.start_soon(server.serve, "127.0.0.1", port)
-    await anyio.wait_all_tasks_blocked()
-    return port
+    for _ in range(500):
+        try:
+            async with await anyio.connect_tcp("127.0.0.1", port):
+                return port
+        except OSError:
+            await anyio.sleep(0.02)
+    raise AssertionError("the peer did not start")
 
 
 @pytest.mark.anyio
