--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,8 +7,10 @@
 
 from ibisknot import checker
 from ibisknot import checker_commit
+from ibisknot import checker_evidence
 from ibisknot import checker_orders
 from ibisknot import commit
+from ibisknot import distribution
 
 
 def explore_commit(**mutation: Any) -> checker.Outcome:
@@ -68,3 +70,33 @@
     """Guards against a check that no longer sees a broken rule."""
     with pytest.raises(checker.ViolationError):
         explore_orders(**mutation)
+
+
+def trusting(
+    own: distribution.Distribution, delta: Any, asked_s: float
+) -> None:
+    """Mutation: evidence of a newer version is taken as well."""
+    if delta.service_age_ms >= 0:
+        own.confirm(asked_s - delta.service_age_ms / 1000)
+
+
+def explore_evidence(**mutation: Any) -> checker.Outcome:
+    steps = functools.partial(checker_evidence.steps, **mutation)
+    start = checker_evidence.start()
+    return checker.explore(start, steps, checker_evidence.check)
+
+
+def test_evidence_holds_in_every_interleaving() -> None:
+    """Guards against a VM that serves by keys that it cannot vouch for."""
+    assert explore_evidence().states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [{"take": trusting}, {"from_receipt": True}],
+    ids=["own version", "age from the question"],
+)
+def test_mutated_evidence_is_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_evidence(**mutation)
