Look a key up by its hash when a change comes

Cause: each running request copied all valid keys into a tuple at its start and at each change.

Change: the guard asks `Distribution.key_valid`, one lookup.

Conclusion: same behaviour, less work.

--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -223,7 +223,8 @@
     """Returns the guard that ends a request whose key is withdrawn."""
 
     async def run() -> errors.IbisknotError:
-        while exchange.key_digest in ("", *source.keys):
+        digest = exchange.key_digest
+        while not digest or source.key_valid(digest):
             await source.changed.wait()
         await anyio.sleep(source.current.policy.key_grace_s)
         return errors.KeyWithdrawnError(
