--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -9,6 +9,7 @@
 from ibisknot import checker_commit
 from ibisknot import checker_evidence
 from ibisknot import checker_orders
+from ibisknot import checker_rates
 from ibisknot import commit
 from ibisknot import distribution
 
@@ -100,3 +101,29 @@
     """Guards against a check that no longer sees a broken rule."""
     with pytest.raises(checker.ViolationError):
         explore_evidence(**mutation)
+
+
+def explore_shares(**mutation: Any) -> checker.Outcome:
+    rules = checker_rates.Rules(**mutation)
+    steps = functools.partial(checker_rates.steps, rules=rules)
+    return checker.explore(checker_rates.start(), steps, checker_rates.check)
+
+
+def test_shares_hold_in_every_interleaving() -> None:
+    """Guards against more units among the VMs than the organisation has."""
+    assert explore_shares().states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        {"accepts": lambda holdings, epoch: True},
+        {"checks_return": False},
+        {"waits": False},
+    ],
+    ids=["epoch of a message", "epoch of a return", "all have answered"],
+)
+def test_mutated_shares_are_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_shares(**mutation)
