--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -15,6 +15,7 @@
 import ibisknot
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
+from ibisknot import scenario_config_storm
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_kv_outage
 from ibisknot import scenario_noisy_organisation
@@ -26,6 +27,7 @@
     "smoke": scenario_smoke.run,
     "noisy-organisation": scenario_noisy_organisation.run,
     "kv-outage": scenario_kv_outage.run,
+    "config-storm": scenario_config_storm.run,
     "fleet-cost": scenario_fleet_cost.run,
     "online-burst": scenario_online_burst.run,
 }
