--- a/src/ibisknot/runs.py
+++ b/src/ibisknot/runs.py
@@ -201,7 +201,7 @@
     run.suspects.clear()
     run.delayed.clear()
     run.results.clear()
-    if not run.cancelled:
+    if not run.cancelled and time.time() < run.job.deadline_at:
         await _work(run, copies, store)
     await finish(run, copies, store)
 
