Run batch items by ticket, and give way at once

Cause: batch items went to a random engine. Change: each try asks admission for a ticket, reports what it measured, closes its stream when the ticket is revoked and resumes from the tokens made. The naive policy keeps the random choice.

--- a/src/ibisknot/batch.py
+++ b/src/ibisknot/batch.py
@@ -18,9 +18,12 @@
 from ibisknot import runner
 from ibisknot import scheduling
 from ibisknot import settings
+from ibisknot import tickets
 from ibisknot import upkeep
 from ibisknot.gen.jobs import ttypes
 
+NAIVE = "naive"
+
 
 @dataclasses.dataclass
 class Arguments:
@@ -40,9 +43,14 @@
     """Puts the batch path together."""
     copies = replicas.Replicas(daemon.peers, daemon.vms, port=loaded.store_port)
     engines = engine.Engines(overrides=loaded.address_overrides)
-    acquire = places.random_places(source, places.Lanes(), random.Random())
-    naive = loaded.policy == "naive"
-    choose = scheduling.first_come if naive else scheduling.by_slack
+    choose: scheduling.Choose
+    if loaded.policy == NAIVE:
+        choose = scheduling.first_come
+        acquire = places.random_places(source, places.Lanes(), random.Random())
+    else:
+        choose = scheduling.by_slack
+        client = tickets.Client(daemon, source, daemon.vms.live)
+        acquire = places.ticketed(source, client)
     return runner.Runner(daemon, loaded, copies, engines, acquire, choose)
 
 
--- a/src/ibisknot/items.py
+++ b/src/ibisknot/items.py
@@ -1,14 +1,15 @@
 """Runs one batch item as a stream and puts its answer together."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import dataclasses
+import time
 from typing import Any
 import uuid
 
 import httpx
 import msgspec
 
+from ibisknot import admission
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import jobs
@@ -41,6 +42,7 @@
         not_before_s: When it may be tried again.
         head: Fields of the answer that the first event carried.
         usage: The usage that the engine stated.
+        avoid: The endpoint that failed it last.
     """
 
     index: int
@@ -53,6 +55,7 @@
     not_before_s: float = 0.0
     head: dict[str, Any] = dataclasses.field(default_factory=dict)
     usage: dict[str, Any] | None = None
+    avoid: frozenset[str] = frozenset()
 
     def streams(self) -> bool:
         """Returns whether the answer can be put together from a stream."""
@@ -78,6 +81,39 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class Meter:
+    """Times of one try, in seconds of a monotonic clock.
+
+    Attributes:
+        tokens: Tokens of this try.
+    """
+
+    started_s: float
+    first_s: float = 0.0
+    last_s: float = 0.0
+    tokens: int = 0
+
+    def note(self, tokens: int) -> None:
+        """Takes in that a try has made so many tokens by now."""
+        if tokens > self.tokens:
+            self.last_s = time.monotonic()
+            self.first_s = self.first_s or self.last_s
+            self.tokens = tokens
+
+    def measured(self, outcome: str) -> admission.Measured:
+        """Returns what to report of the try."""
+        if not self.tokens:
+            return admission.Measured(outcome=outcome)
+        gaps = max(1, self.tokens - 1)
+        return admission.Measured(
+            outcome=outcome,
+            first_token_s=self.first_s - self.started_s,
+            token_gap_s=(self.last_s - self.first_s) / gaps,
+            tokens=self.tokens,
+        )
+
+
 def request_body(work: Work) -> bytes:
     """Returns the request to send, from the first token not yet made."""
     body = dict(work.item.body)
@@ -90,7 +126,11 @@
 
 
 async def attempt(
-    engines: engine.Engines, work: Work, url: str, request_id: str
+    engines: engine.Engines,
+    work: Work,
+    url: str,
+    request_id: str,
+    meter: Meter,
 ) -> Outcome:
     """Tries an item once; the tokens made stay in `work`.
 
@@ -109,20 +149,21 @@
         try:
             if response.status_code != 200 or not work.streams():
                 return Outcome(response.status_code, await response.aread())
-            finish = await _collect(response.aiter_lines(), work)
+            finish = await _collect(response.aiter_lines(), work, meter)
         except httpx.HTTPError as error:
             message = f"the endpoint's answer was cut: {error!r}"
             raise errors.TruncatedStreamError(message) from None
     return Outcome(200, msgspec.json.encode(whole(work, finish)))
 
 
-async def _collect(lines: AsyncIterator[str], work: Work) -> str:
+async def _collect(lines: AsyncIterator[str], work: Work, meter: Meter) -> str:
     """Takes a stream's events; returns why it finished.
 
     Raises:
         TruncatedStreamError: The stream ended before the answer was whole.
     """
     finish: str | None = None
+    before = len(work.parts)
     async for line in lines:
         if not line.startswith("data:"):
             continue
@@ -130,6 +171,7 @@
         if data == "[DONE]":
             break
         finish = take_event(work, data) or finish
+        meter.note(len(work.parts) - before)
     if finish is None:
         message = "the stream ended before the answer was whole"
         raise errors.TruncatedStreamError(message)
@@ -200,23 +242,6 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
-class Place:
-    """Where an item may run now.
-
-    Attributes:
-        name: The endpoint's name.
-        url: Its URL.
-    """
-
-    name: str
-    url: str
-
-
-Lookup = Callable[[str], list[Place]]
-"""Returns the endpoints that serve a model."""
-
-
 def note_failure(work: Work, status: int, *, alone: bool) -> bool:
     """Counts a failed try; returns whether the item is given up.
 
--- a/src/ibisknot/places.py
+++ b/src/ibisknot/places.py
@@ -8,7 +8,9 @@
 
 import anyio
 
+from ibisknot import admission
 from ibisknot import distribution
+from ibisknot import tickets
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +25,7 @@
         tokens: Tokens still to be made.
         deadline_s: Seconds until the job is due.
         alone: Whether no other item may run on the endpoint.
+        avoid: Endpoints that failed this item just now.
     """
 
     model: str
@@ -32,6 +35,7 @@
     tokens: int = 16
     deadline_s: float = 0.0
     alone: bool = False
+    avoid: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -43,14 +47,21 @@
         url: Its URL.
         alone: Whether no other item of this process runs there.
         revoked: Set when the try has to end at once.
+        measured: What is reported when the place is given back.
     """
 
     endpoint: str
     url: str = ""
     alone: bool = False
     revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    measured: admission.Measured = dataclasses.field(
+        default_factory=lambda: admission.Measured(outcome=admission.CANCELLED)
+    )
 
 
+TICKET_WAIT_S = 20.0
+"""An item waits so long for a ticket before the choice is made anew."""
+
 Acquire = Callable[[Ask], contextlib.AbstractAsyncContextManager[Place]]
 """Waits for a place, and gives it back at the end of the context."""
 
@@ -90,6 +101,48 @@
     return found
 
 
+def ticketed(
+    source: distribution.Distribution, client: tickets.Client
+) -> Acquire:
+    """Returns an `Acquire` that takes a ticket from admission.
+
+    Raises:
+        OverloadedError: No endpoint was free in time.
+    """
+
+    @contextlib.asynccontextmanager
+    async def acquire(ask: Ask) -> AsyncIterator[Place]:
+        if not source.current.engines(ask.model):
+            yield Place("")
+            return
+        ticket = await client.acquire(
+            tickets.Ask(
+                kind=admission.BATCH,
+                model=ask.model,
+                organisation=ask.organisation,
+                request_id=ask.request_id,
+                prompt=ask.prompt,
+                tokens=ask.tokens,
+                deadline_s=min(TICKET_WAIT_S, max(1.0, ask.deadline_s)),
+                suspect=ask.alone,
+                avoid=ask.avoid,
+            )
+        )
+        endpoint = source.current.endpoints.get(ticket.endpoint)
+        place = Place(
+            ticket.endpoint,
+            endpoint.url if endpoint is not None else "",
+            alone=ticket.alone,
+            revoked=ticket.revoked,
+        )
+        try:
+            yield place
+        finally:
+            await client.release(ticket, place.measured)
+
+    return acquire
+
+
 def random_places(
     source: distribution.Distribution, lanes: Lanes, choice: random.Random
 ) -> Acquire:
--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from ibisknot import admission
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import items
@@ -170,15 +171,17 @@
     async def _try(self, run: runs.Run, work: items.Work) -> None:
         """Tries an item once, and records its result or puts it back."""
         ask = _ask(run, work)
-        async with self.acquire(ask) as place:
-            if not run.active or not self.shards.may_dispatch():
-                self._retry(run, work, 0.0)
-                return
-            if not place.endpoint:
-                text = b"no active endpoint serves this model"
-                self._failed(run, work, 503, text, alone=False)
-                return
-            await self._run(run, work, place, ask.request_id)
+        try:
+            async with self.acquire(ask) as place:
+                if not run.active or not self.shards.may_dispatch():
+                    self._retry(run, work, RETRY_PAUSE_S)
+                elif not place.endpoint:
+                    text = b"no active endpoint serves this model"
+                    self._failed(run, work, 503, text, alone=False)
+                else:
+                    await self._run(run, work, place, ask.request_id)
+        except errors.OverloadedError:
+            self._retry(run, work, RETRY_PAUSE_S)
 
     async def _run(
         self,
@@ -187,6 +190,7 @@
         place: places.Place,
         request_id: str,
     ) -> None:
+        meter = items.Meter(time.monotonic())
         outcome: items.Outcome | None = None
         failure: errors.EndpointError | None = None
         async with anyio.create_task_group() as group:
@@ -198,32 +202,46 @@
             group.start_soon(give_way)
             try:
                 outcome = await items.attempt(
-                    self.engines, work, place.url, request_id
+                    self.engines, work, place.url, request_id, meter
                 )
             except errors.EndpointError as error:
                 failure = error
             group.cancel_scope.cancel()
-        if outcome is not None and outcome.status == 200:
-            line = items.result_line(work, 200, outcome.body)
-            runs.record(run, work, line, failed=False)
-            self.completed += 1
-        elif outcome is not None:
-            self._failed(
-                run, work, outcome.status, outcome.body, alone=place.alone
-            )
+        result = admission.CANCELLED
+        if outcome is not None:
+            result = admission.OK
+            self._answered(run, work, outcome, place)
         elif failure is not None:
-            self._broke(run, work, failure, place)
+            result = await self._broke(run, work, failure, place)
         else:
             metrics.BATCH_ITEMS.inc({"outcome": "gave_way"})
             self._retry(run, work, 0.0)
+        place.measured = meter.measured(result)
 
-    def _broke(
+    def _answered(
         self,
         run: runs.Run,
         work: items.Work,
-        error: errors.EndpointError,
+        outcome: items.Outcome,
         place: places.Place,
     ) -> None:
+        if outcome.status != 200:
+            self._failed(
+                run, work, outcome.status, outcome.body, alone=place.alone
+            )
+            return
+        line = items.result_line(work, 200, outcome.body)
+        runs.record(run, work, line, failed=False)
+        self.completed += 1
+
+    async def _broke(
+        self,
+        run: runs.Run,
+        work: items.Work,
+        error: errors.EndpointError,
+        place: places.Place,
+    ) -> str:
+        """Takes in a failed try; returns its outcome for admission."""
         logs.event(
             "item_broke_off",
             level="warning",
@@ -234,11 +252,15 @@
             ran=error.ran,
             cause=error.message,
         )
+        work.avoid = frozenset([place.endpoint])
         if error.ran == errors.NOT_RUN:
             self._retry(run, work, UNREACHABLE_PAUSE_S)
-            return
+            return admission.UNREACHABLE
         text = error.message.encode()
         self._failed(run, work, 0, text, alone=place.alone)
+        if await self.engines.listens(place.url):
+            return admission.FAILED
+        return admission.CRASHED
 
     def _failed(
         self,
@@ -339,6 +361,7 @@
         tokens=max(1, limit - len(work.parts)),
         deadline_s=max(0.0, run.job.deadline_at - time.time()),
         alone=work.suspect,
+        avoid=work.avoid,
     )
 
 
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -39,6 +39,7 @@
         self.pairs: dict[str, keyvalue.Pair] = {}
         self.revision = 0
         self.lose_answers = 0
+        self.before_write: Callable[[], None] = lambda: None
 
     def put(self, key: str, value: bytes) -> None:
         self.revision += 1
@@ -69,6 +70,7 @@
         deletes: list[str] | None = None,
     ) -> bool:
         await self.gate(self.owner)
+        self.data.before_write()
         done = all(self.data.holds(guard) for guard in guards)
         if done:
             for put in puts:
