--- a/src/ibisknot/_ctl_commands.py
+++ b/src/ibisknot/_ctl_commands.py
@@ -8,6 +8,7 @@
 import cappa
 import json5
 
+from ibisknot import _ctl_jobs
 from ibisknot import _ctl_session
 
 PLANS = "/operator/plans"
@@ -170,6 +171,7 @@
     | History
     | Operation
     | Explain
+    | _ctl_jobs.Jobs
 )
 PLANNING = (Plan, Key, Withdraw, Organisation, Rate, Route, Version, Endpoint)
 
@@ -292,6 +294,8 @@
             return session.call("GET", f"/operator/history?limit={limit}")
         case Operation(operation):
             return session.call("GET", f"/operator/operations/{operation}")
+        case _ctl_jobs.Jobs():
+            return session.call("GET", _ctl_jobs.PATH)
         case Explain(subject):
             return session.call("GET", f"/operator/explain/{subject}")
         case _:
--- /dev/null
+++ b/src/ibisknot/_ctl_jobs.py
@@ -0,0 +1,65 @@
+"""`ibisknotctl jobs`: the batch jobs with their progress."""
+
+import dataclasses
+import datetime
+from typing import Any
+
+from rich import console as rich_console
+from rich import progress_bar
+from rich import table as rich_table
+
+PATH = "/operator/jobs"
+BAR_WIDTH = 20
+
+
+@dataclasses.dataclass
+class Jobs:
+    """Shows the batch jobs, their progress and estimated finish."""
+
+
+def table(answer: Any) -> rich_table.Table:
+    """Returns the jobs as a table with a progress bar for each."""
+    found = rich_table.Table(
+        "job",
+        "organisation",
+        "state",
+        "progress",
+        "items",
+        "errors",
+        "finish",
+        "deadline",
+        "note",
+    )
+    for job in answer["jobs"]:
+        done = job["completed"] + job["failed"]
+        found.add_row(
+            job["job"],
+            job["organisation"],
+            job["state"],
+            progress_bar.ProgressBar(
+                total=job["total"], completed=done, width=BAR_WIDTH
+            ),
+            f"{done}/{job['total']}",
+            str(job["failed"]),
+            _clock(job["finish_at"]),
+            _clock(job["deadline_at"]),
+            "[red]deadline at risk[/red]" if job["at_risk"] else "",
+        )
+    return found
+
+
+def show(answer: Any, out: rich_console.Console) -> None:
+    """Prints the jobs."""
+    out.print(table(answer))
+
+
+def _clock(seconds: int | None) -> str:
+    """Returns a wall-clock time in UTC.
+
+    >>> _clock(0)
+    '01-01 00:00:00'
+    """
+    if seconds is None:
+        return "unknown"
+    when = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return when.strftime("%m-%d %H:%M:%S")
--- a/src/ibisknot/_ctl_show.py
+++ b/src/ibisknot/_ctl_show.py
@@ -8,6 +8,7 @@
 from rich import table as rich_table
 
 from ibisknot import _ctl_commands
+from ibisknot import _ctl_jobs
 
 
 def differences(
@@ -131,5 +132,7 @@
         _history(answer, out)
     elif isinstance(command, _ctl_commands.Explain):
         _explain(answer, out)
+    elif isinstance(command, _ctl_jobs.Jobs):
+        _ctl_jobs.show(answer, out)
     else:
         out.print_json(msgspec.json.encode(answer).decode())
--- a/src/ibisknot/batches.py
+++ b/src/ibisknot/batches.py
@@ -1,5 +1,6 @@
 """Callers' batch jobs: create, get, list and cancel (OpenAI-compatible)."""
 
+import math
 import time
 from typing import Any
 
@@ -80,7 +81,7 @@
     window_s: int,
     request: requests.Request,
 ) -> jobs.JobRecord:
-    now = int(time.time())
+    now = time.time()
     return jobs.JobRecord(
         id=jobs.job_id(
             file.organisation,
@@ -94,8 +95,8 @@
         input_file_id=file.id,
         endpoint=wanted.endpoint,
         completion_window=wanted.completion_window,
-        created_at=now,
-        deadline_at=now + window_s,
+        created_at=int(now),
+        deadline_at=math.ceil(now) + window_s,
         counts=file.counts,
         replicas=list(file.replicas),
         metadata=wanted.metadata,
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -26,6 +26,7 @@
 from ibisknot import exchange
 from ibisknot import files
 from ibisknot import follow
+from ibisknot import job_status
 from ibisknot import limits
 from ibisknot import logs
 from ibisknot import membership
@@ -299,6 +300,9 @@
         operator_handlers = operators.Operators(
             follower, daemon.store, loaded, asked, engine_load
         )
+        statuses = job_status.JobStatuses(
+            batch_handlers, operator_handlers.operator
+        )
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
@@ -314,6 +318,7 @@
                 *file_handlers.routes(),
                 *batch_handlers.routes(),
                 *operator_handlers.routes(),
+                *statuses.routes(),
             ],
             tls_files=loaded.tls,
             drain=drain,
--- a/src/ibisknot/files.py
+++ b/src/ibisknot/files.py
@@ -107,8 +107,7 @@
         async for items in uploads.segments(uploads.lines(request, form)):
             for line in items:
                 uploads.check_item(line, position)
-                digest.update(len(line).to_bytes(8, "big"))
-                digest.update(line)
+                uploads.digest_line(digest, line)
                 position += 1
             if position > jobs.MAXIMUM_ITEMS:
                 message = f"a file holds at most {jobs.MAXIMUM_ITEMS} items"
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -15,17 +15,21 @@
 import ibisknot
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
+from ibisknot import scenario_batch_deadline
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_online_burst
 from ibisknot import scenario_smoke
+from ibisknot import scenario_vm_loss_batch
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
     "fleet-cost": scenario_fleet_cost.run,
     "online-burst": scenario_online_burst.run,
+    "batch-deadline": scenario_batch_deadline.run,
+    "vm-loss-batch": scenario_vm_loss_batch.run,
 }
-WITH_BASELINE = {"online-burst", "noisy-organisation"}
+WITH_BASELINE = {"online-burst", "noisy-organisation", "batch-deadline"}
 """Scenarios whose naive version runs as well, for comparison."""
 EXIT_VIOLATION = 1
 EXIT_USAGE = 2
--- a/src/ibisknot/result_log.py
+++ b/src/ibisknot/result_log.py
@@ -7,6 +7,7 @@
 import array
 from collections.abc import Callable
 import dataclasses
+import io
 import os
 import pathlib
 import struct
@@ -51,7 +52,7 @@
 
 
 def _checksum(body: bytes) -> int:
-    return xxhash.xxh3_64_intdigest(body, seed=len(body))
+    return xxhash.xxh3_64_intdigest(body)
 
 
 def frame(body: bytes) -> bytes:
@@ -94,6 +95,12 @@
     return found
 
 
+def _write_all(file: io.FileIO, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest) :]
+
+
 class Log:
     """The results of one group, by item; bodies stay on the disk.
 
@@ -118,14 +125,18 @@
         """Returns whether an item has a result."""
         return index < len(self.places) and self.places[index] != 0
 
+    def grow(self, size: int) -> None:
+        """Makes room for items up to a number."""
+        missing = size - len(self.places)
+        if missing > 0:
+            self.places.extend([0] * missing)
+            self.failed.extend(bytes((size + 7) // 8 - len(self.failed)))
+
     def note(self, index: int, failed: bool, offset: int) -> None:
         """Takes a result into the index; the first one stays."""
-        if self.has(index):
+        self.grow(index + 1)
+        if self.places[index]:
             return
-        missing = index + 1 - len(self.places)
-        if missing > 0:
-            self.places.extend([0] * missing)
-            self.failed.extend(bytes((index >> 3) + 1 - len(self.failed)))
         self.places[index] = offset + 1
         if failed:
             self.failed[index >> 3] |= 1 << (index & 7)
@@ -150,19 +161,19 @@
             OSError: The disk failed; `undo` takes the half-done append back.
         """
         path = folder / LOG_NAME
-        fresh = not path.exists()
-        offsets = []
+        fresh = self.size == 0
+        parts: list[bytes] = []
+        offsets: list[int] = []
         position = self.size
-        with path.open("ab") as file:
-            for result in results:
-                head = _RESULT.pack(result.index, result.failed)
-                data = frame(head + result.body)
-                file.write(data)
-                offsets.append(position)
-                position += len(data)
+        for result in results:
+            body = _RESULT.pack(result.index, result.failed) + result.body
+            offsets.append(position)
+            parts.append(_HEADER.pack(MARK, len(body), _checksum(body)))
+            parts.append(body)
+            position += _HEADER.size + len(body)
+        with path.open("ab", buffering=0) as file:
+            _write_all(file, b"".join(parts))
             fault("results-written")
-            file.flush()
-            fault("results-flushed")
             os.fsync(file.fileno())
         if fresh:
             descriptor = os.open(folder, os.O_RDONLY)
@@ -172,6 +183,7 @@
                 os.close(descriptor)
         fault("results-synced")
         self.size = position
+        self.grow(1 + max(result.index for result in results))
         for result, offset in zip(results, offsets, strict=True):
             self.note(result.index, result.failed, offset)
 
--- a/src/ibisknot/segments.py
+++ b/src/ibisknot/segments.py
@@ -275,8 +275,10 @@
             outcome = _refusal(group, known, epoch, results)
             outcomes.append(outcome)
             if outcome is None:
+                known.grow(1 + max((r.index for r in results), default=0))
+                places = known.places
                 for result in results:
-                    if not known.has(result.index):
+                    if not places[result.index]:
                         fresh.setdefault(result.index, result)
         if fresh:
             try:
@@ -344,7 +346,8 @@
     if epoch != known.epoch:
         message = f"group {group} is held by epoch {known.epoch}"
         return errors.FencedError(message)
-    if any(not 0 <= r.index < MAXIMUM_INDEX for r in results):
+    indexes = [result.index for result in results]
+    if indexes and not (min(indexes) >= 0 and max(indexes) < MAXIMUM_INDEX):
         return errors.SegmentError("an item index is out of range")
     return None
 
--- a/src/ibisknot/uploads.py
+++ b/src/ibisknot/uploads.py
@@ -211,6 +211,24 @@
         raise errors.BadRequestError(message) from None
 
 
+def digest_line(state: Any, line: bytes) -> None:
+    """Takes one line into the digest of a file's content."""
+    state.update(len(line).to_bytes(8, "big"))
+    state.update(line)
+
+
+def content_digest(items: list[bytes]) -> str:
+    """Returns the digest of a whole file's lines.
+
+    >>> content_digest([b"ab"]) == content_digest([b"a", b"b"])
+    False
+    """
+    state = hashlib.blake2b(digest_size=16)
+    for line in items:
+        digest_line(state, line)
+    return state.hexdigest()
+
+
 def file_id(organisation: str, purpose: str, content: str) -> str:
     """Returns a file's id; a resent upload gives the same one.
 
