Give the share only while no deadline suffers, and test items and uploads

Cause: the property test of the order found a feasible set of jobs, (13 s, 5 items), (13 s, 8 items), (14 s, 1 item), in which the share of the worst-served organisation made a job late: each job alone had slack, both together had none. Change: the share is given only while every job has room with all the work due before it.

--- a/src/ibisknot/scheduling.py
+++ b/src/ibisknot/scheduling.py
@@ -8,6 +8,8 @@
 MARGIN_FRACTION = 0.2
 """Part of a job's time below which its slack counts as short."""
 MARGIN_MINIMUM_S = 5.0
+RATE_GAIN = 0.3
+"""Weight of the newest period in the measured rate."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +63,7 @@
 
 
 def margin_s(candidate: Candidate) -> float:
-    """Returns the slack below which a job may not wait for others."""
+    """Returns the slack below which a job counts as short of time."""
     window_s = candidate.deadline_s - candidate.accepted_s
     return max(MARGIN_MINIMUM_S, MARGIN_FRACTION * window_s)
 
@@ -98,22 +100,39 @@
     return None
 
 
+def has_room(candidates: list[Candidate], state: State, now_s: float) -> bool:
+    """Returns whether work may run out of order and make no job late.
+
+    Every job must end well before its deadline with all the work that is due
+    before it. Jobs that cannot be saved do not count.
+    """
+    if state.rate_per_s <= 0:
+        return False
+    ahead = 0
+    for candidate in sorted(candidates, key=lambda c: c.deadline_s):
+        if slack_s(candidate, state, now_s) < 0:
+            continue
+        ahead += candidate.remaining
+        end_s = now_s + ahead / state.rate_per_s
+        if candidate.deadline_s - end_s < margin_s(candidate):
+            return False
+    return True
+
+
 def by_slack(
     candidates: list[Candidate], state: State, now_s: float
 ) -> Candidate | None:
     """Chooses the least slack, with a share for the worst-served.
 
-    The share is given only while no job is short of time, so that it makes no
-    job late. A job whose deadline cannot be met any more does not hold up
-    those that still can.
+    The share is given only while there is room, so that it makes no job late.
+    A job whose deadline cannot be met any more does not hold up those that
+    still can.
     """
     if not candidates:
         return None
     slacks = {c.job: slack_s(c, state, now_s) for c in candidates}
-    short = [c for c in candidates if 0 <= slacks[c.job] < margin_s(c)]
-    if short:
-        return min(short, key=lambda c: (slacks[c.job], c.job))
-    if state.turn % SHARE_PERIOD == SHARE_PERIOD - 1:
+    share = state.turn % SHARE_PERIOD == SHARE_PERIOD - 1
+    if share and has_room(candidates, state, now_s):
         return min(
             candidates,
             key=lambda c: (
@@ -148,6 +167,3 @@
         state.rate_per_s = measured
     else:
         state.rate_per_s += RATE_GAIN * (measured - state.rate_per_s)
-
-
-RATE_GAIN = 0.3
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -91,6 +91,25 @@
     assert world.complete()[1] == b"first"
 
 
+async def test_repair_starts_from_nothing(tmp_path: pathlib.Path) -> None:
+    """Guards against what a broken-off repair left on the new copy."""
+    world = batch_world.World(tmp_path)
+    await batch_world.accept(world, [1])
+    for vm, body in (("vm-1", b"right"), ("vm-2", b"stale")):
+        kept = world.services[vm].kept
+        kept.write("batch-1", 0, [batch_world.line(0)])
+        kept.seal("batch-1", 1)
+        result = batch_world.store.ttypes.Result(
+            index=0, body=body, failed=False
+        )
+        kept.append("batch-1", [(1, [result])])
+    world.unlist("vm-0")
+    batch_world.take(world, "x", 2)
+    await batch_world.own(world, "x", 2)
+    check_completed(world, 1)
+    assert world.complete() == {0: b"right"}
+
+
 async def test_output_is_readable_with_one_store_away(
     tmp_path: pathlib.Path,
 ) -> None:
--- /dev/null
+++ b/tests/test_uploads.py
@@ -0,0 +1,127 @@
+"""Uploads that are read as they arrive, and records of jobs."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from starlette import requests
+
+from ibisknot import errors
+from ibisknot import jobs
+from ibisknot import settings
+from ibisknot import uploads
+
+pytestmark = pytest.mark.anyio
+
+HEAD = (
+    b'--B\r\nContent-Disposition: form-data; name="purpose"\r\n\r\nbatch\r\n'
+    b'--B\r\nContent-Disposition: form-data; name="file";'
+    b' filename="in.jsonl"\r\n\r\n'
+)
+TAIL = b"\r\n--B--\r\n"
+
+
+def request(body: bytes, size: int) -> requests.Request:
+    parts = [body[p : p + size] for p in range(0, len(body), size)]
+
+    async def receive() -> dict[str, Any]:
+        more = len(parts) > 1
+        return {
+            "type": "http.request",
+            "body": parts.pop(0),
+            "more_body": more,
+        }
+
+    kind = b"multipart/form-data; boundary=B"
+    scope = {"type": "http", "headers": [(b"content-type", kind)]}
+    return requests.Request(scope, receive)
+
+
+async def read(body: bytes, size: int = 7, **limits: Any) -> list[bytes]:
+    form = uploads.Form(settings.Limits(**limits))
+    found: list[bytes] = []
+    async for lines in uploads.lines(request(body, size), form):
+        found.extend(lines)
+    return found
+
+
+@pytest.mark.parametrize("size", [1, 3, 64, 10_000])
+async def test_lines_do_not_depend_on_the_pieces(size: int) -> None:
+    """Guards against a line that is cut where a piece of the body ends."""
+    body = HEAD + b"one\n\ntwo\r\n--Bx\nthree" + TAIL
+    found = await read(body, size)
+    assert [line.strip() for line in found] == [
+        b"one",
+        b"two",
+        b"--Bx",
+        b"three",
+    ]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [HEAD + b"one\ntw", b"--B--\r\n", b"nonsense", HEAD + b"a" + HEAD[2:]],
+)
+async def test_broken_form_is_refused(body: bytes) -> None:
+    """Guards against a cut upload that passes for a whole file."""
+    with pytest.raises(errors.BadRequestError):
+        await read(body)
+
+
+async def test_limits_hold_while_the_file_arrives() -> None:
+    """Guards against a file that fills the memory or the disks."""
+    body = HEAD + b"x" * 5000 + TAIL
+    with pytest.raises(errors.BodyTooLargeError):
+        await read(body, body_bytes=100)
+    with pytest.raises(errors.BodyTooLargeError):
+        await read(body, file_bytes=1000)
+
+
+async def test_segments_are_bounded() -> None:
+    """Guards against a segment that does not fit into a frame."""
+
+    async def source() -> AsyncIterator[list[bytes]]:
+        yield [b"x"] * (jobs.SEGMENT_ITEMS + 1)
+        yield [b"y" * (jobs.SEGMENT_BYTES // 2 + 1)] * 2
+
+    found = [s async for s in uploads.segments(source())]
+    assert [len(segment) for segment in found] == [jobs.SEGMENT_ITEMS, 2, 1]
+
+
+def job(counts: list[int]) -> jobs.JobRecord:
+    return jobs.JobRecord(
+        id="batch-" + "0" * 32,
+        organisation="o" * 100,
+        input_file_id="file-" + "0" * 32,
+        endpoint="/v1/chat/completions",
+        completion_window="24h",
+        created_at=2**40,
+        deadline_at=2**40,
+        counts=counts,
+        replicas=["vm-" + "0" * 40] * 2,
+        metadata={str(n): "m" * 512 for n in range(16)},
+    )
+
+
+def test_record_of_the_largest_job_fits() -> None:
+    """Guards against a record over the key-value service's 1 MB."""
+    segments = -(-jobs.MAXIMUM_ITEMS // jobs.SEGMENT_ITEMS)
+    limit = settings.Limits(body_bytes=4 * 1024 * 1024)
+    # Any two neighbouring segments hold more bytes than one may.
+    segments += 2 * limit.file_bytes // jobs.SEGMENT_BYTES
+    assert len(jobs.encode(job([1000] * segments))) < 200_000
+    with pytest.raises(errors.BodyTooLargeError):
+        jobs.encode(job([1000] * 400_000))
+
+
+def test_resent_submission_has_the_same_id_and_no_other() -> None:
+    """Guards against a second job, and against another's job."""
+    first = jobs.job_id("a", "f", "/e", "1h", None, "")
+    assert first == jobs.job_id("a", "f", "/e", "1h", None, "")
+    others = [
+        jobs.job_id("b", "f", "/e", "1h", None, ""),
+        jobs.job_id("a", "f", "/e", "2h", None, ""),
+        jobs.job_id("a", "f", "/e", "1h", {"x": "y"}, ""),
+        jobs.job_id("a", "f", "/e", "1h", None, "k"),
+    ]
+    assert len({first, *others}) == 5
