--- a/src/ibisknot/scenario_batch_deadline.py
+++ b/src/ibisknot/scenario_batch_deadline.py
@@ -16,10 +16,10 @@
 """Slow engines, so that they and not the machine bound the throughput."""
 CONCURRENCY = 40
 TOKENS = 8
-LONG_ITEMS_PER_S = 50
+LONG_ITEMS_PER_S = 100
 LONG_WINDOW_S = 120
 SHORT_ITEMS = 80
-SHORT_WINDOWS_S = (8, 10, 12, 14)
+SHORT_WINDOWS_S = (6, 8, 10, 12)
 CANCELLED_ITEMS = 400
 CANCEL_LIMIT_S = 3.0
 CANCEL_WATCH_S = 2.0
