Keep sets of items as bit maps

Cause: sets of item numbers of a job of 350,000 items take tens of megabytes while copies are compared.

--- a/src/ibisknot/repairs.py
+++ b/src/ibisknot/repairs.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from ibisknot import bitmaps
 from ibisknot import errors
 from ibisknot import jobs
 from ibisknot import keyvalue
@@ -170,41 +171,24 @@
         for target in job.replicas:
             if source == target:
                 continue
-            missing = indexes(states[source].done) - indexes(
-                states[target].done
-            )
-            if missing:
+            missing = bitmaps.without(states[source].done, states[target].done)
+            if bitmaps.count(missing):
                 await copies.copy_results(
                     source, target, job.id, epoch, missing
                 )
                 states[target] = await copies.state(target, job.id)
 
 
-def indexes(bits: bytes) -> set[int]:
-    """Returns the items whose bit is set.
-
-    >>> sorted(indexes(bytes([5])))
-    [0, 2]
-    """
-    return {
-        8 * place + bit
-        for place, byte in enumerate(bits)
-        if byte
-        for bit in range(8)
-        if byte >> bit & 1
-    }
-
-
 @dataclasses.dataclass(slots=True)
 class Tally:
     """What the stores hold of a job.
 
     Attributes:
-        done: Items with a result on every copy.
+        done: Bit map of the items with a result on every copy.
         failed: How many of them ended with an error.
     """
 
-    done: set[int]
+    done: bytearray
     failed: int
 
 
@@ -215,8 +199,8 @@
         PeerError: A copy is not reachable.
     """
     states = [await copies.state(vm, job.id) for vm in job.replicas]
-    done = indexes(states[0].done)
+    done = bytearray(states[0].done)
     for state in states[1:]:
-        done &= indexes(state.done)
-    failed = indexes(states[0].failed) & done
-    return Tally(done, len(failed))
+        done = bitmaps.both(done, state.done)
+    failed = bitmaps.both(states[0].failed, done)
+    return Tally(done, bitmaps.count(failed))
--- a/src/ibisknot/replicas.py
+++ b/src/ibisknot/replicas.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ibisknot import bitmaps
 from ibisknot import errors
 from ibisknot import logs
 from ibisknot import peer
@@ -230,7 +231,7 @@
         target: str,
         group: str,
         epoch: int,
-        missing: set[int] | None = None,
+        missing: bytearray | None = None,
     ) -> None:
         """Copies results, all of them or only those of some items.
 
@@ -239,7 +240,9 @@
         """
         async for results in self.results(source, group):
             wanted = [
-                r for r in results if missing is None or r.index in missing
+                r
+                for r in results
+                if missing is None or bitmaps.has(missing, r.index)
             ]
             for start in range(0, len(wanted), COPY_RESULTS):
                 message = ttypes.ResultAppend(
--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -324,7 +324,7 @@
         return ttypes.JobProgress(
             job=ask.job,
             total=run.job.total(),
-            completed=len(run.done) - run.failed,
+            completed=run.ended - run.failed,
             failed=run.failed,
             finish_at=None if finish_s is None else int(finish_s),
             at_risk=run.at_risk,
--- a/src/ibisknot/runs.py
+++ b/src/ibisknot/runs.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from ibisknot import bitmaps
 from ibisknot import errors
 from ibisknot import items
 from ibisknot import jobs
@@ -40,7 +41,8 @@
         guard: Makes a guard that holds only while the epoch owns the shard.
         life: Cancelled when the shard is lost.
         work: Cancelled when no more items may run.
-        done: Items with a result on both copies.
+        done: Bit map of the items with a result on both copies.
+        ended: Number of them.
         failed: How many of them ended with an error.
         ready: Items to run, in order.
         suspects: Items to run alone, in order.
@@ -64,7 +66,8 @@
     work: anyio.CancelScope = dataclasses.field(
         default_factory=anyio.CancelScope
     )
-    done: set[int] = dataclasses.field(default_factory=set)
+    done: bytearray = dataclasses.field(default_factory=bytearray)
+    ended: int = 0
     failed: int = 0
     ready: collections.deque[items.Work] = dataclasses.field(
         default_factory=collections.deque
@@ -92,7 +95,7 @@
 
     def remaining(self) -> int:
         """Returns the items without a result on both copies."""
-        return self.job.total() - len(self.done)
+        return self.job.total() - self.ended
 
     def unfinished(self) -> bool:
         """Returns whether any item has neither ended nor been given up."""
@@ -196,6 +199,7 @@
     await secure(run, copies, store)
     tally = await repairs.tally(copies, run.job)
     run.done, run.failed = tally.done, tally.failed
+    run.ended = bitmaps.count(run.done)
     run.next_segment = 0
     run.ready.clear()
     run.suspects.clear()
@@ -279,7 +283,7 @@
     lines = await copies.segment(run.job.replicas, run.job.id, number)
     first = run.job.first(number)
     for index, line in enumerate(lines, start=first):
-        if index not in run.done:
+        if not bitmaps.has(run.done, index):
             item = msgspec.json.decode(line, type=jobs.Item)
             run.ready.append(items.Work(index, item))
     run.next_segment += 1
@@ -302,11 +306,17 @@
         await _append(run, copies, store, batch)
         for result in batch:
             run.results.popleft()
-            run.done.add(result.index)
-            run.failed += result.failed
+            _note(run, result)
         run.wake()
 
 
+def _note(run: Run, result: ttypes.Result) -> None:
+    if not bitmaps.has(run.done, result.index):
+        bitmaps.add(run.done, result.index)
+        run.ended += 1
+        run.failed += result.failed
+
+
 async def _append(
     run: Run,
     copies: replicas.Replicas,
@@ -353,7 +363,8 @@
     if job.state in jobs.FINAL:
         run.job = job
         return
-    whole = len(tally.done) >= job.total()
+    ended = bitmaps.count(tally.done)
+    whole = ended >= job.total()
     if job.state == jobs.CANCELLING:
         job.state = jobs.CANCELLED
     elif whole:
@@ -362,7 +373,7 @@
         job.state = jobs.EXPIRED
     else:
         raise errors.UnavailableError(f"items of {job.id} are not complete")
-    job.completed = len(tally.done) - tally.failed
+    job.completed = ended - tally.failed
     job.failed = tally.failed
     job.finished_at = int(time.time())
     key = jobs.job_key(job.id)
