Try a third store when the replacement of a failed one fails too

Cause: a test found that an upload ended with an untyped peer error when the store chosen in place of a failed one did not answer either. Change: one function fills a group up to two stores, for uploads and submissions, and leaves out those that fail. Progress is logged every 10 s.

--- a/src/ibisknot/batches.py
+++ b/src/ibisknot/batches.py
@@ -192,10 +192,9 @@
             cause = next(iter(failed.values())).message
             text = f"no store has the file's items: {cause}"
             raise errors.UnavailableError(text, retry_after_s=1.0)
-        avoid = frozenset(failed)
-        job.replicas = self.copies.choose(kept, avoid=avoid)
-        for name in job.replicas[len(kept) :]:
-            await self.copies.copy_items(kept[0], name, job.id, count)
+        job.replicas = await self.copies.fill_up(
+            kept, job.id, count, set(failed)
+        )
 
     async def _owned(
         self, request: requests.Request
--- a/src/ibisknot/replicas.py
+++ b/src/ibisknot/replicas.py
@@ -108,7 +108,7 @@
             UnavailableError: Too few stores took it.
         """
         message = ttypes.SegmentWrite(group=group, number=number, items=items)
-        avoid: frozenset[str] = frozenset()
+        avoid: set[str] = set()
         while True:
             failed = await self.each(names, "segment_write", message)
             if not failed:
@@ -116,20 +116,42 @@
             for name, error in failed.items():
                 self._log("segment_write_failed", group, name, error)
             kept = [name for name in names if name not in failed]
-            avoid |= failed.keys()
+            avoid.update(failed)
             if number and not kept:
-                raise next(iter(failed.values()))
+                raise _too_few(list(failed.values()))
             try:
-                names = self.choose(kept, avoid=avoid)
+                names = await self.fill_up(kept, group, number, avoid)
             except errors.UnavailableError:
-                if any(
-                    isinstance(error, errors.DiskFullError)
-                    for error in failed.values()
-                ):
-                    raise errors.DiskFullError("the disks are full") from None
-                raise
-            for name in names[len(kept) :] if number else []:
-                await self.copy_items(kept[0], name, group, number)
+                raise _too_few(list(failed.values())) from None
+
+    async def fill_up(
+        self, kept: list[str], group: str, count: int, avoid: set[str]
+    ) -> list[str]:
+        """Copies a group's first segments, so that two stores have them.
+
+        Args:
+            kept: Stores that have the segments.
+            group: The group's name.
+            count: Number of segments.
+            avoid: Stores not to use; those that fail are added.
+
+        Returns:
+            The stores that have the segments.
+
+        Raises:
+            UnavailableError: There are too few stores.
+        """
+        while True:
+            names = self.choose(kept, avoid=frozenset(avoid))
+            for name in names[len(kept) :]:
+                try:
+                    if count:
+                        await self.copy_items(kept[0], name, group, count)
+                except errors.IbisknotError as error:
+                    self._log("segment_copy_failed", group, name, error)
+                    avoid.add(name)
+            if avoid.isdisjoint(names):
+                return names
 
     async def link(
         self, names: list[str], source: str, target: str, count: int
@@ -258,3 +280,11 @@
         logs.event(
             name, level="warning", group=group, vm=vm, cause=error.message
         )
+
+
+def _too_few(failed: list[errors.IbisknotError]) -> errors.IbisknotError:
+    """Returns the error of a write for which there is no other store."""
+    if any(isinstance(error, errors.DiskFullError) for error in failed):
+        return errors.DiskFullError("the disks are full")
+    text = f"too few stores took the segment: {failed[0].message}"
+    return errors.UnavailableError(text, retry_after_s=1.0)
--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -28,6 +28,8 @@
 
 POLL_S = 0.05
 RATE_PERIOD_S = 1.0
+PROGRESS_PERIODS = 10
+"""Progress is logged each time the rate was measured so often."""
 RETRY_PAUSE_S = 0.2
 UNREACHABLE_PAUSE_S = 0.5
 DEFAULT_TOKENS = 16
@@ -67,6 +69,7 @@
         self.alone = 0
         self.schedule = scheduling.State()
         self.completed = 0
+        self.measured = 0
         self.freed = anyio.Event()
 
     async def seen(
@@ -292,12 +295,25 @@
         late = scheduling.at_risk(everyone, self.schedule, time.time())
         metrics.BATCH_REMAINING.set({}, sum(c.remaining for c in everyone))
         metrics.BATCH_AT_RISK.set({}, len(late))
+        self.measured += 1
         for candidate in everyone:
             run = self.running[candidate.job]
+            if self.measured % PROGRESS_PERIODS == 0:
+                self._log_progress(run)
             if (candidate.job in late) != run.at_risk:
                 run.at_risk = candidate.job in late
                 self._warn(run, candidate)
 
+    def _log_progress(self, run: runs.Run) -> None:
+        logs.event(
+            "job_progress",
+            job=run.job.id,
+            total=run.job.total(),
+            completed=run.ended - run.failed,
+            failed=run.failed,
+            flying=len(run.flying),
+        )
+
     def _warn(self, run: runs.Run, candidate: scheduling.Candidate) -> None:
         logs.event(
             "job_deadline_at_risk" if run.at_risk else "job_deadline_safe",
