Read result logs window by window

Cause: a store that starts read each log whole, 200 MB for a job of 350,000 items. Change: the scan keeps a window of 1 MB, and finds records behind damage as before. Conclusion: 200 drawn files with a broken record, a torn tail and windows of 1 to 50 bytes give all whole records.

--- a/src/ibisknot/result_log.py
+++ b/src/ibisknot/result_log.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import struct
+from typing import IO
 
 import xxhash
 
@@ -22,33 +23,25 @@
 # Bodies are JSON text, and no UTF-8 text holds this mark, so a caller cannot
 # place a false record into a body.
 MARK = b"\xf1ibr"
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+WINDOW_BYTES = 1024 * 1024
 _HEADER = struct.Struct("!4sIQ")
 _RESULT = struct.Struct("!Q?")
 
 
-@dataclasses.dataclass(slots=True)
-class Record:
-    """A whole record and where its frame begins."""
-
-    offset: int
-    body: bytes
-
-
 @dataclasses.dataclass(slots=True)
 class Scan:
     """What was found in a file of frames.
 
     Attributes:
-        records: The whole records.
         length: Position after the last whole record.
         damaged: Bytes before `length` that belong to no whole record.
         torn: Bytes after `length`.
     """
 
-    records: list[Record]
-    length: int
-    damaged: int
-    torn: int
+    length: int = 0
+    damaged: int = 0
+    torn: int = 0
 
 
 def _checksum(body: bytes) -> int:
@@ -60,41 +53,82 @@
     return _HEADER.pack(MARK, len(body), _checksum(body)) + body
 
 
-def _record_at(data: bytes, position: int) -> bytes | None:
-    if position + _HEADER.size > len(data):
-        return None
-    mark, size, checksum = _HEADER.unpack_from(data, position)
-    start = position + _HEADER.size
-    if mark != MARK or start + size > len(data):
-        return None
-    body = data[start : start + size]
+def _wanted(window: bytes, position: int) -> int:
+    """Returns the bytes of the frame at a position, or 0 if there is none.
+
+    If too few bytes are there to tell, it is the size of a header.
+    """
+    mark = window[position : position + len(MARK)]
+    if mark != MARK[: len(mark)]:
+        return 0
+    if len(window) - position < _HEADER.size:
+        return _HEADER.size
+    size = _HEADER.unpack_from(window, position)[1]
+    return _HEADER.size + size if size <= MAXIMUM_BODY_BYTES else 0
+
+
+def _body(window: bytes, position: int, size: int) -> bytes | None:
+    """Returns the body of a whole frame, or None when it is damaged."""
+    checksum = _HEADER.unpack_from(window, position)[2]
+    body = window[position + _HEADER.size : position + size]
     return body if _checksum(body) == checksum else None
 
 
-def scan(data: bytes) -> Scan:
-    """Finds all whole records, also those behind damage.
+def scan(file: IO[bytes], take: Callable[[int, bytes], None]) -> Scan:
+    """Finds all whole records of a file, also those behind damage.
+
+    Only a window of the file is in memory.
 
+    Args:
+        file: The file, read from where it stands.
+        take: Called with the position and the body of each record.
+
+    >>> found = []
     >>> data = frame(b"a") + frame(b"b") + frame(b"c")
-    >>> [r.body for r in scan(data[:20] + b"?" + data[21:]).records]
+    >>> data = data[:20] + b"?" + data[21:] + b"torn"
+    >>> scan(io.BytesIO(data), lambda _, body: found.append(body)).torn
+    4
+    >>> found
     [b'a', b'c']
     """
-    found = Scan(records=[], length=0, damaged=0, torn=0)
+    found = Scan()
+    window = file.read(WINDOW_BYTES)
+    base = 0
     position = 0
-    while position < len(data):
-        body = _record_at(data, position)
-        if body is None:
-            position = data.find(MARK, position + 1)
-            if position < 0:
+    while True:
+        size = _wanted(window, position)
+        if position + max(size, 1) > len(window):
+            more = file.read(max(WINDOW_BYTES, size))
+            if more:
+                window = window[position:] + more
+                base += position
+                position = 0
+                continue
+            if position >= len(window):
                 break
+            size = 0
+        body = _body(window, position, size) if size else None
+        if body is None:
+            position = _next_mark(window, position + 1)
             continue
-        found.records.append(Record(position, body))
-        found.damaged += position - found.length
-        position += _HEADER.size + len(body)
-        found.length = position
-    found.torn = len(data) - found.length
+        offset = base + position
+        take(offset, body)
+        found.damaged += offset - found.length
+        position += size
+        found.length = base + position
+    found.torn = base + len(window) - found.length
     return found
 
 
+def _next_mark(window: bytes, position: int) -> int:
+    """Returns where the next mark may begin."""
+    found = window.find(MARK, position)
+    if found >= 0:
+        return found
+    # A mark may begin in the last bytes of the window.
+    return max(position, len(window) - len(MARK) + 1)
+
+
 def _write_all(file: io.FileIO, data: bytes) -> None:
     rest = memoryview(data)
     while rest:
@@ -229,7 +263,13 @@
     path = folder / LOG_NAME
     if not path.exists():
         return log
-    found = scan(path.read_bytes())
+
+    def take(offset: int, body: bytes) -> None:
+        index, failed = _RESULT.unpack_from(body)
+        log.note(index, failed, offset)
+
+    with path.open("rb") as file:
+        found = scan(file, take)
     if found.torn:
         os.truncate(path, found.length)
         logs.event("results_tail_cut", group=folder.name, size=found.torn)
@@ -242,7 +282,4 @@
             size=found.damaged,
         )
     log.size = found.length
-    for record in found.records:
-        index, failed = _RESULT.unpack_from(record.body)
-        log.note(index, failed, record.offset)
     return log
--- a/src/ibisknot/segments.py
+++ b/src/ibisknot/segments.py
@@ -157,11 +157,13 @@
         if not path.exists():
             message = f"segment {number} of {group} is missing"
             raise errors.SegmentMissingError(message)
-        scan = result_log.scan(path.read_bytes())
+        items: list[bytes] = []
+        with path.open("rb") as file:
+            scan = result_log.scan(file, lambda _, body: items.append(body))
         if scan.damaged or scan.torn:
             message = f"segment {number} of {group} is damaged"
             raise errors.SegmentMissingError(message)
-        return [record.body for record in scan.records]
+        return items
 
     def count(self, group: str) -> int:
         """Returns the number of a group's segments."""
--- a/tests/test_segments.py
+++ b/tests/test_segments.py
@@ -1,11 +1,14 @@
 """Groups of segments on disk."""
 
 import errno
+import io
 import os
 import pathlib
 import subprocess
 import sys
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from ibisknot import errors
@@ -247,6 +250,36 @@
     assert seen == [0, 1, 2, 3, 4]
 
 
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(
+    sizes=strategies.lists(strategies.integers(0, 40), max_size=8),
+    broken=strategies.integers(0, 7),
+    window=strategies.integers(1, 50),
+    torn=strategies.binary(max_size=20),
+)
+def test_scan_finds_all_records_but_the_broken_one(
+    sizes: list[int], broken: int, window: int, torn: bytes
+) -> None:
+    """Guards against records that are lost where a window ends."""
+    bodies = [bytes([65 + n]) * size for n, size in enumerate(sizes)]
+    frames = [bytearray(result_log.frame(body)) for body in bodies]
+    if broken < len(frames):
+        frames[broken][-1] ^= 255
+        del bodies[broken]
+    found: list[bytes] = []
+    data = b"".join(frames) + torn
+    kept = result_log.WINDOW_BYTES
+    result_log.WINDOW_BYTES = window
+    try:
+        scan = result_log.scan(
+            io.BytesIO(data), lambda _, body: found.append(body)
+        )
+    finally:
+        result_log.WINDOW_BYTES = kept
+    assert found == bodies
+    assert scan.length + scan.torn == len(data)
+
+
 def test_frame_mark_is_no_text() -> None:
     """Guards against a caller's item that passes for a record."""
     with pytest.raises(UnicodeDecodeError):
