Repair files as well as jobs, and follow both by shard

Cause: a file that no job used yet kept one copy after a store was lost. Conclusion: the new test loses both stores of a file in turn and still reads it.

--- a/src/ibisknot/files.py
+++ b/src/ibisknot/files.py
@@ -136,7 +136,7 @@
         self, record: jobs.FileRecord, staged: Staged
     ) -> jobs.FileRecord:
         """Records a file whose segments are on two disks, once."""
-        key = jobs.FILES + record.id
+        key = jobs.file_key(record.id)
         for _ in range(ACCEPT_TRIES):
             pair = await self.store.get(key)
             if pair is not None:
@@ -211,9 +211,9 @@
             await self._delete_results(await self._job(request))
         else:
             record = await self._owned(request)
-            pair = await self.store.get(jobs.FILES + record.id)
+            pair = await self.store.get(jobs.file_key(record.id))
             record.deleting = True
-            key = jobs.FILES + record.id
+            key = jobs.file_key(record.id)
             revision = pair.revision if pair is not None else 0
             if not await jobs.replace(self.store, key, record, revision):
                 raise errors.ConflictError("the file is changing; try again")
@@ -232,8 +232,8 @@
         The record goes last, so that a delete that broke off is completed by
         the next delete or upload of the same file.
         """
-        await self.copies.delete(record.replicas, record.id, 0)
-        key = jobs.FILES + record.id
+        await self.copies.delete(record.replicas, record.id, jobs.LAST_EPOCH)
+        key = jobs.file_key(record.id)
         await self.store.transact(
             [keyvalue.Guard(key, revision)], [], deletes=[key]
         )
--- a/src/ibisknot/jobs.py
+++ b/src/ibisknot/jobs.py
@@ -88,6 +88,23 @@
         return sum(self.counts[:number])
 
 
+Record = FileRecord | JobRecord
+
+
+def key(record: Record) -> str:
+    """Returns a record's key in the key-value service."""
+    if isinstance(record, JobRecord):
+        return job_key(record.id)
+    return file_key(record.id)
+
+
+def closed(record: Record) -> bool:
+    """Returns whether a record's segments are deleted or being deleted."""
+    if isinstance(record, JobRecord):
+        return record.deleted
+    return record.deleting
+
+
 class Item(msgspec.Struct):
     """One line of a batch input file."""
 
@@ -130,9 +147,14 @@
     return f"batch-{hashlib.blake2b(content, digest_size=16).hexdigest()}"
 
 
-def shard(job: str) -> int:
-    """Returns the shard that a job belongs to."""
-    return xxhash.xxh3_64_intdigest(job.encode()) % SHARD_COUNT
+def shard(group: str) -> int:
+    """Returns the shard that a job or file belongs to."""
+    return xxhash.xxh3_64_intdigest(group.encode()) % SHARD_COUNT
+
+
+def file_key(file: str) -> str:
+    """Returns a file's key in the key-value service."""
+    return f"{FILES}{shard(file):04d}/{file}"
 
 
 def job_key(job: str) -> str:
@@ -231,7 +253,7 @@
         NotFoundError: There is no such file.
         KeyValueError: The service did not answer.
     """
-    pair = await store.get(FILES + file)
+    pair = await store.get(file_key(file))
     if pair is None:
         raise errors.NotFoundError(f"no file {file}")
     record = msgspec.json.decode(pair.value, type=FileRecord)
--- a/src/ibisknot/repairs.py
+++ b/src/ibisknot/repairs.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+import msgspec
+
 from ibisknot import bitmaps
 from ibisknot import errors
 from ibisknot import jobs
@@ -48,7 +50,7 @@
 
 
 async def inspect(
-    copies: replicas.Replicas, job: jobs.JobRecord, epoch: int
+    copies: replicas.Replicas, record: jobs.Record, epoch: int
 ) -> Health:
     """Seals the copies of a job and tells which are there.
 
@@ -56,13 +58,13 @@
         FencedError: A higher epoch has sealed a copy.
     """
     health = Health()
-    for vm in job.replicas:
+    for vm in record.replicas:
         if copies.gone(vm):
             health.lost.append(vm)
             continue
         try:
-            await copies.seal(vm, job.id, epoch)
-            state = await copies.state(vm, job.id)
+            await copies.seal(vm, record.id, epoch)
+            state = await copies.state(vm, record.id)
         except errors.FencedError:
             raise
         except errors.SegmentMissingError:
@@ -71,7 +73,7 @@
         except errors.IbisknotError:
             health.away.append(vm)
             continue
-        whole = state.segments >= len(job.counts)
+        whole = state.segments >= len(record.counts)
         (health.sealed if whole else health.lost).append(vm)
     return health
 
@@ -79,7 +81,7 @@
 async def secure(
     copies: replicas.Replicas,
     store: keyvalue.KeyValue,
-    job: jobs.JobRecord,
+    record: jobs.Record,
     owner: Owner,
 ) -> None:
     """Seals every copy of a job, and replaces those that are lost.
@@ -88,20 +90,23 @@
         FencedError: The shard has another owner.
         UnavailableError: A copy does not answer, or no copy is left.
     """
-    health = await inspect(copies, job, owner.epoch)
+    health = await inspect(copies, record, owner.epoch)
     if health.away:
         away = ", ".join(health.away)
         raise errors.UnavailableError(f"stores {away} do not answer")
     if not health.lost:
         return
     if not health.sealed:
-        raise errors.UnavailableError(f"all copies of {job.id} are lost")
+        raise errors.UnavailableError(f"all copies of {record.id} are lost")
     names = _targets(copies, health)
     for vm in names[len(health.sealed) :]:
-        await fill(copies, job, health.sealed[0], vm, owner.epoch)
-    await _change(store, job, names, owner.guard)
+        await fill(copies, record, health.sealed[0], vm, owner.epoch)
+    await _change(store, record, names, owner.guard)
     logs.event(
-        "copy_replaced", job=job.id, lost=health.lost, stores=job.replicas
+        "copy_replaced",
+        group=record.id,
+        lost=health.lost,
+        stores=record.replicas,
     )
 
 
@@ -115,7 +120,7 @@
 
 async def fill(
     copies: replicas.Replicas,
-    job: jobs.JobRecord,
+    record: jobs.Record,
     source: str,
     target: str,
     epoch: int,
@@ -128,35 +133,39 @@
     Raises:
         IbisknotError: One of the stores did not answer or refused.
     """
-    gone = ttypes.SegmentDelete(group=job.id, epoch=epoch)
+    gone = ttypes.SegmentDelete(group=record.id, epoch=epoch)
     await copies.call(target, "segment_delete", gone)
-    await copies.copy_items(source, target, job.id, len(job.counts))
-    await copies.seal(target, job.id, epoch)
-    await copies.copy_results(source, target, job.id, epoch)
+    await copies.copy_items(source, target, record.id, len(record.counts))
+    await copies.seal(target, record.id, epoch)
+    await copies.copy_results(source, target, record.id, epoch)
 
 
 async def _change(
     store: keyvalue.KeyValue,
-    job: jobs.JobRecord,
+    record: jobs.Record,
     names: list[str],
     guard: keyvalue.Guard,
 ) -> None:
-    """Writes a new replica set into a job's record."""
-    old = list(job.replicas)
+    """Writes a new replica set into a record."""
+    key = jobs.key(record)
     for _ in range(CHANGE_TRIES):
-        current, revision = await jobs.read_job(store, job.id)
-        if current.replicas != old:
-            raise errors.FencedError(f"the stores of {job.id} have changed")
+        pair = await store.get(key)
+        if pair is None:
+            raise errors.NotFoundError(f"{record.id} was deleted")
+        current = msgspec.json.decode(pair.value, type=type(record))
+        if current.replicas != record.replicas or jobs.closed(current):
+            raise errors.FencedError(f"the stores of {record.id} have changed")
         current.replicas = names
-        key = jobs.job_key(job.id)
-        if await jobs.replace(store, key, current, revision, guards=[guard]):
-            job.replicas = names
+        if await jobs.replace(
+            store, key, current, pair.revision, guards=[guard]
+        ):
+            record.replicas = names
             return
-    raise errors.FencedError(f"the record of {job.id} could not be changed")
+    raise errors.FencedError(f"the record of {record.id} could not be changed")
 
 
 async def reconcile(
-    copies: replicas.Replicas, job: jobs.JobRecord, epoch: int
+    copies: replicas.Replicas, record: jobs.Record, epoch: int
 ) -> None:
     """Copies results that only some copies have to the others.
 
@@ -166,17 +175,17 @@
     Raises:
         IbisknotError: A copy did not answer or refused.
     """
-    states = {vm: await copies.state(vm, job.id) for vm in job.replicas}
-    for source in job.replicas:
-        for target in job.replicas:
+    states = {vm: await copies.state(vm, record.id) for vm in record.replicas}
+    for source in record.replicas:
+        for target in record.replicas:
             if source == target:
                 continue
             missing = bitmaps.without(states[source].done, states[target].done)
             if bitmaps.count(missing):
                 await copies.copy_results(
-                    source, target, job.id, epoch, missing
+                    source, target, record.id, epoch, missing
                 )
-                states[target] = await copies.state(target, job.id)
+                states[target] = await copies.state(target, record.id)
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,13 +201,13 @@
     failed: int
 
 
-async def tally(copies: replicas.Replicas, job: jobs.JobRecord) -> Tally:
+async def tally(copies: replicas.Replicas, record: jobs.Record) -> Tally:
     """Counts a job's complete items by what the stores hold.
 
     Raises:
         PeerError: A copy is not reachable.
     """
-    states = [await copies.state(vm, job.id) for vm in job.replicas]
+    states = [await copies.state(vm, record.id) for vm in record.replicas]
     done = bytearray(states[0].done)
     for state in states[1:]:
         done = bitmaps.both(done, state.done)
--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -72,14 +72,12 @@
         self.measured = 0
         self.freed = anyio.Event()
 
-    async def seen(
-        self, shard: int, job: jobs.JobRecord, revision: int
-    ) -> None:
-        """Takes a job's record, new or changed."""
+    async def seen(self, shard: int, job: jobs.Record, revision: int) -> None:
+        """Takes a job's or file's record, new or changed."""
         epoch = self.shards.epoch(shard)
         if epoch is None:
             return
-        if job.state in jobs.FINAL:
+        if isinstance(job, jobs.FileRecord) or job.state in jobs.FINAL:
             self.ended.note(job, shard, revision)
             return
         known = self.running.get(job.id)
--- a/src/ibisknot/shards.py
+++ b/src/ibisknot/shards.py
@@ -20,6 +20,10 @@
 from ibisknot import settings
 
 KIND = "jobs"
+FOLLOWED: dict[type[jobs.Record], str] = {
+    jobs.JobRecord: jobs.JOBS,
+    jobs.FileRecord: jobs.FILES,
+}
 RELEASE_TIMEOUT_S = 1.0
 WATCH_RETRY_S = 0.5
 SECOND_PERIOD_S = 10.0
@@ -28,8 +32,8 @@
 """Work starts only this long after the lease was confirmed, so that an owner
 that is cut off stops before a cancel has to be in force (3 s)."""
 
-Seen = Callable[[int, jobs.JobRecord, int], Awaitable[None]]
-"""Called with the shard, a job's record and the record's revision."""
+Seen = Callable[[int, jobs.Record, int], Awaitable[None]]
+"""Called with the shard, a job's or file's record and its revision."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,11 +42,11 @@
 
     Attributes:
         epoch: The fencing number of this ownership.
-        scope: Ends the shard's watch.
+        scopes: End the shard's watches.
     """
 
     epoch: int
-    scope: anyio.CancelScope
+    scopes: list[anyio.CancelScope] = dataclasses.field(default_factory=list)
 
 
 class Shards:
@@ -143,18 +147,23 @@
         )
         if epoch is None:
             return
-        owned = Owned(epoch, anyio.CancelScope())
+        owned = Owned(epoch)
         self.owned[shard] = owned
         logs.event("shard_taken", kind=KIND, shard=shard, epoch=epoch)
-        self.daemon.group.start_soon(self._follow, shard, owned)
+        for kind, prefix in FOLLOWED.items():
+            path = f"{prefix}{shard:04d}/"
+            self.daemon.group.start_soon(self._follow, shard, owned, kind, path)
 
-    async def _follow(self, shard: int, owned: Owned) -> None:
-        """Watches a shard's jobs while it is owned."""
-        prefix = f"{jobs.JOBS}{shard:04d}/"
-        with owned.scope:
+    async def _follow(
+        self, shard: int, owned: Owned, kind: type[jobs.Record], prefix: str
+    ) -> None:
+        """Watches a shard's records of one kind while it is owned."""
+        scope = anyio.CancelScope()
+        owned.scopes.append(scope)
+        with scope:
             while True:
                 try:
-                    await self._watch(shard, prefix)
+                    await self._watch(shard, kind, prefix)
                 except errors.KeyValueError as error:
                     logs.event(
                         "jobs_watch_failed",
@@ -164,21 +173,21 @@
                     )
                 await anyio.sleep(WATCH_RETRY_S)
 
-    async def _watch(self, shard: int, prefix: str) -> None:
-        """Reads a shard's jobs once the watch is open, then follows it."""
+    async def _watch(
+        self, shard: int, kind: type[jobs.Record], prefix: str
+    ) -> None:
+        """Reads a shard's records once the watch is open, then follows it."""
         listed = False
         async for changes in self.store.watch(prefix):
             if not listed:
                 listed = True
                 for pair in await self.store.list_prefix(prefix):
-                    await self._pass_on(shard, pair.value, pair.revision)
+                    record = msgspec.json.decode(pair.value, type=kind)
+                    await self.seen(shard, record, pair.revision)
             for change in changes:
                 if change.value is not None:
-                    await self._pass_on(shard, change.value, change.revision)
-
-    async def _pass_on(self, shard: int, value: bytes, revision: int) -> None:
-        job = msgspec.json.decode(value, type=jobs.JobRecord)
-        await self.seen(shard, job, revision)
+                    record = msgspec.json.decode(change.value, type=kind)
+                    await self.seen(shard, record, change.revision)
 
     async def guard(self, shard: int, epoch: int) -> keyvalue.Guard:
         """Returns a guard that holds only while this epoch owns the shard.
@@ -199,7 +208,8 @@
     def drop(self) -> None:
         """Stops all work, because the lease has run out."""
         for owned in self.owned.values():
-            owned.scope.cancel()
+            for scope in owned.scopes:
+                scope.cancel()
         self.owned.clear()
         self.lease = 0
         self.until_s = 0.0
--- a/src/ibisknot/upkeep.py
+++ b/src/ibisknot/upkeep.py
@@ -1,4 +1,4 @@
-"""Keeps the copies of ended jobs complete, and removes them when old."""
+"""Keeps the copies of files and ended jobs complete; removes old jobs."""
 
 import dataclasses
 import time
@@ -19,20 +19,20 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Ended:
-    """An ended job of an owned shard.
+class Kept:
+    """A file or an ended job of an owned shard.
 
     Attributes:
-        revision: Revision of the job's record.
+        revision: Revision of the record.
     """
 
-    job: jobs.JobRecord
+    record: jobs.Record
     shard: int
     revision: int
 
 
 class Upkeep:
-    """The ended jobs of the owned shards."""
+    """The files and ended jobs of the owned shards."""
 
     def __init__(
         self,
@@ -45,17 +45,17 @@
         self.loaded = loaded
         self.copies = copies
         self.shards = owned
-        self.jobs: dict[str, Ended] = {}
+        self.kept: dict[str, Kept] = {}
 
-    def note(self, job: jobs.JobRecord, shard: int, revision: int) -> None:
-        """Takes an ended job's record."""
-        known = self.jobs.get(job.id)
+    def note(self, record: jobs.Record, shard: int, revision: int) -> None:
+        """Takes the record of a file or an ended job."""
+        known = self.kept.get(record.id)
         if known is None or known.revision < revision:
-            self.jobs[job.id] = Ended(job, shard, revision)
+            self.kept[record.id] = Kept(record, shard, revision)
 
     def clear(self) -> None:
         """Forgets all jobs, because their shards are lost."""
-        self.jobs.clear()
+        self.kept.clear()
 
     async def check(self, _now: float) -> None:
         """Timer callback: repairs copies that are lost, removes old jobs."""
@@ -63,23 +63,23 @@
         for entry in (await self._damaged())[:REPAIRS_A_ROUND]:
             await self._repair(entry)
 
-    async def _damaged(self) -> list[Ended]:
+    async def _damaged(self) -> list[Kept]:
         """Returns the jobs with a copy that is gone or whose disk is empty.
 
         One call to each store asks about all its groups.
         """
-        kept = [e for e in self.jobs.values() if not e.job.deleted]
-        found: dict[str, Ended] = {}
+        kept = [e for e in self.kept.values() if not jobs.closed(e.record)]
+        found: dict[str, Kept] = {}
         by_store: dict[str, list[str]] = {}
         for entry in kept:
-            for vm in entry.job.replicas:
+            for vm in entry.record.replicas:
                 if self.copies.gone(vm):
-                    found[entry.job.id] = entry
+                    found[entry.record.id] = entry
                 else:
-                    by_store.setdefault(vm, []).append(entry.job.id)
+                    by_store.setdefault(vm, []).append(entry.record.id)
         for vm, groups in by_store.items():
             for name in await self._missing(vm, groups):
-                entry_found = self.jobs.get(name)
+                entry_found = self.kept.get(name)
                 if entry_found is not None:
                     found[name] = entry_found
         return list(found.values())
@@ -96,7 +96,7 @@
             return []
         return list(answer.groups)
 
-    async def _repair(self, entry: Ended) -> None:
+    async def _repair(self, entry: Kept) -> None:
         epoch = self.shards.epoch(entry.shard)
         if epoch is None:
             return
@@ -104,29 +104,32 @@
             guard = await self.shards.guard(entry.shard, epoch)
             owner = repairs.Owner(epoch, guard)
             await repairs.secure(
-                self.copies, self.daemon.store, entry.job, owner
+                self.copies, self.daemon.store, entry.record, owner
             )
+        except errors.NotFoundError:
+            self.kept.pop(entry.record.id, None)
         except errors.IbisknotError as error:
             logs.event(
                 "repair_failed",
                 level="warning",
-                job=entry.job.id,
+                group=entry.record.id,
                 cause=error.message,
             )
 
     async def _expire(self) -> None:
         limit = time.time() - self.loaded.retention_s
-        for entry in list(self.jobs.values()):
-            finished_at = entry.job.finished_at or entry.job.created_at
-            if finished_at < limit:
-                await self._remove(entry)
-
-    async def _remove(self, entry: Ended) -> None:
+        for entry in list(self.kept.values()):
+            job = entry.record
+            if not isinstance(job, jobs.JobRecord):
+                continue
+            if (job.finished_at or job.created_at) < limit:
+                await self._remove(entry, job)
+
+    async def _remove(self, entry: Kept, job: jobs.JobRecord) -> None:
         """Deletes an old job's results and then its record."""
         epoch = self.shards.epoch(entry.shard)
         if epoch is None:
             return
-        job = entry.job
         await self.copies.delete(job.replicas, job.id, epoch)
         key = jobs.job_key(job.id)
         guards = [
@@ -134,5 +137,5 @@
             await self.shards.guard(entry.shard, epoch),
         ]
         if await self.daemon.store.transact(guards, [], deletes=[key]):
-            self.jobs.pop(job.id, None)
+            self.kept.pop(job.id, None)
             logs.event("job_removed", job=job.id)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -91,6 +91,26 @@
     assert world.complete()[1] == b"first"
 
 
+async def test_file_without_a_job_is_repaired(tmp_path: pathlib.Path) -> None:
+    """Guards against an acknowledged file that two losses in turn take."""
+    world = batch_world.World(tmp_path)
+    copies = world.copies("x")
+    stores = await copies.write(["vm-0", "vm-1"], "file-1", 0, [b"a"])
+    file = jobs.FileRecord("file-1", "o", "f", "batch", 1, 0, [1], stores)
+    key = jobs.file_key(file.id)
+    world.kv.put(key, jobs.encode(file))
+    batch_world.take(world, "x", 1)
+    await batch_world.accept(world, [1])
+    run, client = batch_world.make_run(world, "x", 1)
+    world.unlist("vm-0")
+    owner = repairs.Owner(1, await run.guard())
+    await repairs.secure(copies, client, file, owner)
+    assert file.replicas == ["vm-1", "vm-2"]
+    world.unlist("vm-1")
+    assert await copies.segment(["vm-2"], "file-1", 0) == [b"a"]
+    assert b'"vm-1","vm-2"' in world.kv.pairs[key].value
+
+
 async def test_repair_starts_from_nothing(tmp_path: pathlib.Path) -> None:
     """Guards against what a broken-off repair left on the new copy."""
     world = batch_world.World(tmp_path)
