Keep one job's unexpected error from ending the process

Cause: a store that leaves the list between two calls raised a KeyError in the choice of stores, and an error of one job's task ended the whole program. Change: the choice goes by the stores that are listed, and a job whose run fails is logged and tried again. Conclusion: the new test passes.

--- a/src/ibisknot/replicas.py
+++ b/src/ibisknot/replicas.py
@@ -81,7 +81,8 @@
         """
         names = list(kept)
         while len(names) < COPIES:
-            centres = {self.vms.vms[n].data_centre for n in names}
+            listed = [self.vms.vms[n] for n in names if n in self.vms.vms]
+            centres = {vm.data_centre for vm in listed}
             others = [
                 vm
                 for vm in self.vms.stores()
--- a/src/ibisknot/runs.py
+++ b/src/ibisknot/runs.py
@@ -157,6 +157,14 @@
                 _interrupted(run, error)
                 if not await _still_owned(run):
                     return
+            except Exception as error:
+                # One job's fault must not end the jobs beside it.
+                logs.event(
+                    "job_error",
+                    level="error",
+                    job=run.job.id,
+                    error=repr(error),
+                )
             await anyio.sleep(RETRY_S)
             await _refresh(run, store)
 
--- a/src/ibisknot/shards.py
+++ b/src/ibisknot/shards.py
@@ -164,12 +164,12 @@
             while True:
                 try:
                     await self._watch(shard, kind, prefix)
-                except errors.KeyValueError as error:
+                except (errors.KeyValueError, msgspec.MsgspecError) as error:
                     logs.event(
                         "jobs_watch_failed",
                         level="warning",
                         shard=shard,
-                        cause=error.message,
+                        cause=repr(error),
                     )
                 await anyio.sleep(WATCH_RETRY_S)
 
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -111,6 +111,26 @@
     assert b'"vm-1","vm-2"' in world.kv.pairs[key].value
 
 
+async def test_unexpected_error_ends_no_other_job(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one job's fault ending the whole process."""
+    world = batch_world.World(tmp_path)
+    await batch_world.accept(world, [2])
+    batch_world.take(world, "x", 1)
+    tally = repairs.tally
+    faults = [KeyError("vm-9")]
+
+    async def failing(*arguments: Any) -> repairs.Tally:
+        if faults:
+            raise faults.pop()
+        return await tally(*arguments)
+
+    monkeypatch.setattr(repairs, "tally", failing)
+    await batch_world.own(world, "x", 1)
+    check_completed(world, 2)
+
+
 async def test_repair_starts_from_nothing(tmp_path: pathlib.Path) -> None:
     """Guards against what a broken-off repair left on the new copy."""
     world = batch_world.World(tmp_path)
