--- a/src/ibisknot/scenario_vm_loss_batch.py
+++ b/src/ibisknot/scenario_vm_loss_batch.py
@@ -46,11 +46,13 @@
     caller = _batch_parts.Caller(fleet)
     await fleet.key_value_faults(lose_answers=0.3)
     made = [await _submit(caller, seed, number) for number in range(3)]
+    stores = [(await _batch_parts.record(fleet, j)).replicas for j in made]
     await _kill_store(fleet, made[0])
     await _kill_owner(fleet, caller, made[1])
     await _pause_owner(fleet, caller, made[2])
     await fleet.key_value_faults(lose_answers=0.0)
     made.append(await _submit(caller, seed, 3))
+    stores.append((await _batch_parts.record(fleet, made[3])).replicas)
     await _empty_store(fleet, caller, made[3])
     await caller.wait(made, END_TIMEOUT_S)
     once = await _batch_parts.check(caller, made, result)
@@ -60,6 +62,11 @@
     result.fields["batch_resent"] = caller.resent
     result.expect(once == accepted, f"{once} of {accepted} items once")
     await _check_repaired(fleet, made, result)
+    records = [await _batch_parts.record(fleet, job) for job in made]
+    result.fields["copies_replaced"] = sum(
+        record.replicas != before
+        for record, before in zip(records, stores, strict=True)
+    )
 
 
 async def _submit(
