Make the callers' HTTP edge end every odd caller with a typed error

Change: the entry gives a request up when its caller leaves, bounds idle connections and unread answers by settings, quotes paths for endpoints, and opens one span for each HTTP call below the caller's trace context.

--- a/src/ibisknot/dispatch.py
+++ b/src/ibisknot/dispatch.py
@@ -32,8 +32,15 @@
 
 
 def upstream_headers(exchange: exchange_module.Exchange) -> dict[str, str]:
-    """Returns the headers for the endpoint, without any key."""
+    """Returns the headers for the endpoint, without any key.
+
+    Raises:
+        BadRequestError: A header to pass on is not ASCII.
+    """
     found = exchange.request.headers
+    for name in PASSED_HEADERS:
+        if not found.get(name, "").isascii():
+            raise errors.BadRequestError(f"the header {name} is not ASCII")
     headers = {
         name: redact(found[name].encode(), exchange.key).decode()
         for name in PASSED_HEADERS
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -158,6 +158,7 @@
             tls_files=loaded.tls,
             drain=drain,
             graceful_s=loaded.drain_timeout_s,
+            limits=loaded.limits,
         )
         await engines.aclose()
 
--- a/src/ibisknot/exchange.py
+++ b/src/ibisknot/exchange.py
@@ -1,10 +1,11 @@
 """A caller's request on its way through the online pipeline."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
 import dataclasses
+from typing import Any
 import uuid
 
 from starlette import requests
@@ -80,8 +81,8 @@
         return self.target
 
 
-Next = Callable[[Exchange], Awaitable[Reply]]
-Filter = Callable[[Exchange, Next], Awaitable[Reply]]
+Next = Callable[[Exchange], Coroutine[Any, Any, Reply]]
+Filter = Callable[[Exchange, Next], Coroutine[Any, Any, Reply]]
 
 
 def pipeline(*filters: Filter) -> Next:
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -1,6 +1,10 @@
 """The online path: filters from a caller's request to its answer."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+from urllib import parse
 
 import anyio
 import msgspec
@@ -20,6 +24,9 @@
 from ibisknot import traces
 from ibisknot import web
 
+T = TypeVar("T")
+PATH_CHARACTERS = "/:@!$&'()*+,;=~"
+"""Characters of a path that need no escape."""
 STALE_AFTER_S = 3.0
 """Age of the last confirmation after which keyed requests are refused."""
 
@@ -34,9 +41,8 @@
 async def trace(
     exchange: exchange_module.Exchange, following: exchange_module.Next
 ) -> exchange_module.Reply:
-    """Opens the request's span below the caller's trace context."""
-    parent = exchange.request.headers.get("traceparent")
-    with traces.span("request", parent=parent, request=exchange.id):
+    """Opens the request's span; its parent is the span of the HTTP call."""
+    with traces.span("request", request=exchange.id):
         return await following(exchange)
 
 
@@ -65,7 +71,7 @@
     return exchange_module.Target(
         kind=configuration.SERVICE,
         name=route.service,
-        path="/" + params.get("path", ""),
+        path=parse.quote("/" + params.get("path", ""), safe=PATH_CHARACTERS),
         open=route.open,
         idempotent=route.idempotent,
     )
@@ -194,6 +200,36 @@
         )
 
 
+async def _unless_gone(
+    request: requests.Request, work: Coroutine[Any, Any, T]
+) -> T:
+    """Runs work for a request; gives it up when the caller leaves.
+
+    Raises:
+        BadRequestError: The caller has left; it gets no answer.
+    """
+    done: list[T] = []
+    failed: list[Exception] = []
+    async with anyio.create_task_group() as group:
+
+        async def watch() -> None:
+            while (await request.receive())["type"] != "http.disconnect":
+                pass
+            group.cancel_scope.cancel()
+
+        group.start_soon(watch)
+        try:
+            done.append(await work)
+        except Exception as error:
+            failed.append(error)
+        group.cancel_scope.cancel()
+    if failed:
+        raise failed[0]
+    if not done:
+        raise errors.BadRequestError("the caller left", ran=errors.UNKNOWN)
+    return done[0]
+
+
 def handler(step: exchange_module.Next, limits: settings.Limits) -> web.Handler:
     """Returns the HTTP handler of the online path."""
 
@@ -204,7 +240,7 @@
         )
         exchange = exchange_module.Exchange(request, body, accepted_s)
         try:
-            reply = await step(exchange)
+            reply = await _unless_gone(request, step(exchange))
         except BaseException as error:
             with anyio.CancelScope(shield=True):
                 await exchange.closing.aclose()
--- a/src/ibisknot/program.py
+++ b/src/ibisknot/program.py
@@ -68,8 +68,10 @@
         tls_files: settings.Tls | None = None,
         drain: Callable[[], Awaitable[None]] | None = None,
         graceful_s: float = 5.0,
+        limits: settings.Limits | None = None,
     ) -> None:
         """Serves HTTP until shutdown is requested and drained."""
+        bounds = limits or settings.Limits()
         stopped = anyio.Event()
 
         async def finish() -> None:
@@ -88,6 +90,8 @@
             stop=stopped,
             tls=tls_files,
             graceful_s=graceful_s,
+            idle_timeout_s=bounds.idle_timeout_s,
+            send_timeout_s=bounds.send_timeout_s,
         )
 
     def _own_routes(self) -> list[routing.BaseRoute]:
--- a/src/ibisknot/traces.py
+++ b/src/ibisknot/traces.py
@@ -1,6 +1,7 @@
 """Trace spans by OpenTelemetry with W3C trace context."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 from typing import Any
 from typing import TextIO
@@ -15,6 +16,7 @@
 
 from ibisknot import settings
 
+EXPORT_PERIOD_S = 1.0
 _TRACER = trace.get_tracer("ibisknot")
 
 
@@ -34,7 +36,10 @@
         console = export.ConsoleSpanExporter(
             out=stream, formatter=lambda span: span.to_json(indent=None) + "\n"
         )
-        provider.add_span_processor(export.BatchSpanProcessor(console))
+        period_ms = EXPORT_PERIOD_S * 1000
+        provider.add_span_processor(
+            export.BatchSpanProcessor(console, schedule_delay_millis=period_ms)
+        )
     trace.set_tracer_provider(provider)
 
 
@@ -59,3 +64,27 @@
     carrier: dict[str, str] = {}
     propagate.inject(carrier)
     return carrier
+
+
+@contextlib.contextmanager
+def server_span(scope: Mapping[str, Any]) -> Iterator[None]:
+    """Opens the span of an HTTP request below its caller's trace context.
+
+    Without an exporter no span is made, but the caller's context is passed
+    on all the same.
+    """
+    parent = None
+    for name, value in scope["headers"]:
+        if name == b"traceparent":
+            parent = value.decode("latin-1")
+    if parent is None and not enabled():
+        yield
+        return
+    method, path = scope["method"], scope["path"]
+    with span("http", parent=parent, method=method, path=path):
+        yield
+
+
+def enabled() -> bool:
+    """Returns whether spans are exported."""
+    return isinstance(trace.get_tracer_provider(), sdk_trace.TracerProvider)
--- a/src/ibisknot/web.py
+++ b/src/ibisknot/web.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
+import math
 import signal
 import socket
 from typing import Any
@@ -21,11 +23,13 @@
 from ibisknot import errors
 from ibisknot import logs
 from ibisknot import settings
+from ibisknot import traces
 
 JSON = "application/json"
 MAXIMUM_HEADER_BYTES = 64 * 1024
-UNREAD_TIMEOUT_S = 30.0
-"""Seconds after which a connection ends whose caller does not read."""
+SEND_TIMEOUT_S = 30.0
+"""Seconds that a caller may leave a part of its answer unread."""
+IDLE_TIMEOUT_S = 75.0
 CLOSE_TIMEOUT_S = 2.0
 """Seconds for connections to close once their requests have ended."""
 Handler = Callable[[requests.Request], Awaitable[responses.Response]]
@@ -147,10 +151,12 @@
 class ServerConfig(hypercorn_config.Config):
     """Server configuration that bounds how long written bytes may wait."""
 
+    unread_timeout_s = SEND_TIMEOUT_S
+
     def create_sockets(self) -> hypercorn_config.Sockets:
         """Creates the listeners; accepted connections inherit the bound."""
         sockets = super().create_sockets()
-        timeout_ms = int(UNREAD_TIMEOUT_S * 1000)
+        timeout_ms = int(self.unread_timeout_s * 1000)
         for one in [*sockets.secure_sockets, *sockets.insecure_sockets]:
             one.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
@@ -158,25 +164,45 @@
         return sockets
 
 
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """A request that is being answered.
+
+    Attributes:
+        scope: Ends it.
+        blocked_s: Monotonic time since which a send waits for the caller.
+    """
+
+    scope: anyio.CancelScope
+    blocked_s: float = math.inf
+
+
 class Edge:
-    """ASGI wrapper that bounds headers and ends requests at shutdown.
+    """ASGI wrapper that bounds headers and unread answers, and opens spans.
 
     hypercorn cancels whole connections at the end of its own timeout, which
     asyncio reports with a stack trace; ending the requests first avoids that.
     """
 
-    def __init__(self, app: types.ASGIApp) -> None:
+    def __init__(
+        self, app: types.ASGIApp, *, send_timeout_s: float = SEND_TIMEOUT_S
+    ) -> None:
         self.app = app
-        self.scopes: set[anyio.CancelScope] = set()
+        self.send_timeout_s = send_timeout_s
+        self.open: dict[int, OpenRequest] = {}
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
-        """Runs one request."""
-        if scope["type"] != "http":
-            if scope["type"] == "lifespan":
-                await self.app(scope, receive, send)
-            return
+        """Runs one request; WebSocket connections are refused."""
+        if scope["type"] == "lifespan":
+            await self.app(scope, receive, send)
+        elif scope["type"] == "http":
+            await self._request(scope, receive, send)
+
+    async def _request(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
         size = sum(len(n) + len(v) for n, v in scope["headers"])
         if size > MAXIMUM_HEADER_BYTES:
             message = f"the headers are over {MAXIMUM_HEADER_BYTES} bytes"
@@ -184,16 +210,37 @@
             await error_response(error)(scope, receive, send)
             return
         with anyio.CancelScope() as cancel_scope:
-            self.scopes.add(cancel_scope)
+            entry = OpenRequest(cancel_scope)
+            self.open[id(entry)] = entry
+
+            async def bounded_send(message: types.Message) -> None:
+                entry.blocked_s = anyio.current_time()
+                await send(message)
+                entry.blocked_s = math.inf
+
             try:
-                await self.app(scope, receive, send)
+                with traces.server_span(scope):
+                    await self.app(scope, receive, bounded_send)
             finally:
-                self.scopes.discard(cancel_scope)
+                del self.open[id(entry)]
 
     def end_requests(self) -> None:
         """Ends the requests that still run; their connections close."""
-        for cancel_scope in list(self.scopes):
-            cancel_scope.cancel()
+        for entry in list(self.open.values()):
+            entry.scope.cancel()
+
+    def end_blocked(self, now: float) -> None:
+        """Ends the requests whose caller has not read for too long."""
+        for entry in list(self.open.values()):
+            if now - entry.blocked_s > self.send_timeout_s:
+                logs.event("caller_does_not_read", level="warning")
+                entry.scope.cancel()
+
+    async def watch_blocked(self) -> None:
+        """Looks for callers that do not read, until cancelled."""
+        while True:
+            await anyio.sleep(self.send_timeout_s / 4)
+            self.end_blocked(anyio.current_time())
 
 
 async def serve(
@@ -204,7 +251,8 @@
     stop: anyio.Event,
     tls: settings.Tls | None = None,
     graceful_s: float = 60.0,
-    idle_timeout_s: float = 75.0,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    send_timeout_s: float = SEND_TIMEOUT_S,
 ) -> None:
     """Serves HTTP until `stop` is set and open requests have ended.
 
@@ -217,6 +265,7 @@
         graceful_s: Seconds that open requests may take after `stop`.
         idle_timeout_s: Seconds that a connection may stay without a whole
             request head.
+        send_timeout_s: Seconds that a caller may leave an answer unread.
     """
     config = ServerConfig()
     config.bind = [f"{address}:{port}"]
@@ -230,7 +279,8 @@
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.private_key
-    edge = Edge(app)
+    config.unread_timeout_s = send_timeout_s
+    edge = Edge(app, send_timeout_s=send_timeout_s)
 
     async def run() -> None:
         await hypercorn_asyncio.serve(
@@ -249,6 +299,7 @@
     # gets a task of its own.
     async with anyio.create_task_group() as outer:
         outer.start_soon(end_requests)
+        outer.start_soon(edge.watch_blocked)
         async with anyio.create_task_group() as group:
             group.start_soon(run)
         outer.cancel_scope.cancel()
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -91,12 +91,14 @@
     assert complete(engine).status_code == 200
 
 
-@pytest.mark.parametrize(("flags", "status"), [((), 409), (("-i",), 200)])
+@pytest.mark.parametrize(
+    ("flags", "status"), [((), 409), (("--ignores-fencing",), 200)]
+)
 def test_old_fencing_number(
     standin: Start, flags: tuple[str, ...], status: int
 ) -> None:
     """Guards against both kinds of engine behaving the same."""
-    engine = standin("engine", *(("--ignores-fencing",) if flags else ()))
+    engine = standin("engine", *flags)
     new = {"kind": "role", "fencing": 5, "role": "decode"}
     assert engine.post("/engine/orders", new).status_code == 200
     old = {"kind": "role", "fencing": 4, "role": "prefill"}
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,241 @@
+"""The callers' HTTP edge, with raw sockets."""
+
+import json
+import re
+import socket
+import time
+
+import conftest
+import httpx
+import pytest
+
+Small = conftest.SmallFleet
+LONG_STREAM_TOKENS = 20_000
+
+
+def connect(small: Small) -> socket.socket:
+    """Opens a connection on which no read blocks for ever."""
+    made = socket.create_connection((small.host(), 8080))
+    made.settimeout(30)
+    return made
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Reads until the server closes; a hang fails by the timeout."""
+    parts = []
+    try:
+        while data := connection.recv(65536):
+            parts.append(data)
+    except ConnectionResetError:
+        pass
+    return b"".join(parts)
+
+
+def head(small: Small, length: int, *, extra: str = "") -> bytes:
+    text = (
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {small.key()}\r\n"
+        f"content-type: application/json\r\ncontent-length: {length}\r\n"
+        f"{extra}\r\n"
+    )
+    return text.encode("latin-1")
+
+
+def body(*, tokens: int, stream: bool) -> bytes:
+    message = {"role": "user", "content": "which strap fits"}
+    fields = {"model": "small", "messages": [message], "max_tokens": tokens}
+    return json.dumps({**fields, "stream": stream}).encode()
+
+
+def code(answer: bytes) -> str:
+    return json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["code"]
+
+
+def running(small: Small) -> int:
+    """Returns the sequences that the engine runs."""
+    url = small.fleet.endpoints["engine-1"].url + "/engine/load"
+    load = httpx.get(url, trust_env=False).json()
+    return load["running"] + load["waiting"]
+
+
+def wait_running(small: Small, wanted: int) -> None:
+    for _ in range(200):
+        if running(small) == wanted:
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"{running(small)} sequences run, not {wanted}")
+
+
+def test_slow_body_gets_a_typed_error(small_fleet: Small) -> None:
+    """Guards against callers that hold a request open by sending slowly."""
+    with connect(small_fleet) as connection:
+        connection.sendall(head(small_fleet, 100) + b"{")
+        answer = read_all(connection)
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert code(answer) == "request_timeout"
+
+
+def test_slow_head_is_closed(small_fleet: Small) -> None:
+    """Guards against connections that never send a whole head."""
+    with connect(small_fleet) as connection:
+        connection.sendall(b"POST /v1/chat/completions HTTP/1.1\r\nhost:")
+        assert read_all(connection) == b""
+
+
+@pytest.mark.parametrize("sent", [0, 10])
+def test_half_closed_caller_is_closed(small_fleet: Small, sent: int) -> None:
+    """Guards against waiting for a body that cannot come."""
+    with connect(small_fleet) as connection:
+        connection.sendall(head(small_fleet, 100) + b"x" * sent)
+        connection.shutdown(socket.SHUT_WR)
+        answer = read_all(connection)
+    assert answer == b"" or code(answer) == "bad_request"
+
+
+def test_headers_over_the_limit_get_a_typed_error(small_fleet: Small) -> None:
+    """Guards against headers that take memory without bound."""
+    extra = "".join(f"x-{n}: {'y' * 1000}\r\n" for n in range(80))
+    with connect(small_fleet) as connection:
+        connection.sendall(head(small_fleet, 0, extra=extra))
+        connection.shutdown(socket.SHUT_WR)
+        answer = read_all(connection)
+    assert answer == b"" or code(answer) == "headers_too_large"
+    headers = {"x-large": "y" * 70_000}
+    url = small_fleet.fleet.vms["vm-1"].direct_url() + "/v1/models"
+    response = httpx.get(url, headers=headers, trust_env=False)
+    assert response.status_code == 431
+    assert response.json()["error"]["code"] == "headers_too_large"
+
+
+def test_endless_head_is_closed(small_fleet: Small) -> None:
+    """Guards against a head that never ends."""
+    with connect(small_fleet) as connection:
+        try:
+            for _ in range(1000):
+                connection.sendall(b"GET / HTTP/1.1\r\nx: " + b"y" * 10_000)
+        except OSError:
+            pass
+        answer = read_all(connection)
+    assert b"Traceback" not in answer
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 4")
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET /\xff\xfe HTTP/1.1\r\nhost: x\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n"
+        b"transfer-encoding: chunked\r\n\r\nzz\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+    ],
+)
+def test_wrong_protocol_is_closed(small_fleet: Small, raw: bytes) -> None:
+    """Guards against stack traces and hangs on bytes that are no HTTP."""
+    with connect(small_fleet) as connection:
+        connection.sendall(raw)
+        connection.shutdown(socket.SHUT_WR)
+        answer = read_all(connection)
+    assert b"Traceback" not in answer
+    assert answer == b"" or re.match(rb"HTTP/1.1 [45]", answer)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"\xff\xfe{}",
+        b"[" * 100_000,
+        b'{"model": "small", "x": ' + b"[" * 100_000,
+        b'{"model": "small", "messages": 7}',
+        b'{"model": ["small"]}',
+        b'{"model": "small", "max_tokens": "many"}',
+        b'{"model": "\\ud800"}',
+    ],
+)
+def test_wrong_content_gets_a_typed_error(
+    small_fleet: Small, content: bytes
+) -> None:
+    """Guards against untyped errors on bodies that are not as agreed."""
+    url = small_fleet.fleet.vms["vm-1"].direct_url() + "/v1/chat/completions"
+    headers = {"authorization": f"Bearer {small_fleet.key()}"}
+    response = httpx.post(url, content=content, headers=headers)
+    assert 400 <= response.status_code < 500
+    assert response.json()["error"]["code"] in (
+        "bad_request",
+        "model_not_found",
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/services/quotes/%0d%0aevil:1", {}),
+        ("/services/quotes/%3Fx=1%23y", {}),
+        ("/services/quotes/%ff%00", {}),
+        ("/services/quotes/a", {"content-type": b"caf\xe9"}),
+        ("/services/quotes/a", {"idempotency-key": b"caf\xe9"}),
+        ("/services/quotes/a?x=%ff%00&&=", {}),
+    ],
+)
+def test_odd_paths_and_headers_never_fail_inside(
+    small_fleet: Small, path: str, headers: dict[str, bytes]
+) -> None:
+    """Guards against input that only fails on the way to the endpoint."""
+    lines = b"".join(
+        name.encode() + b": " + value + b"\r\n"
+        for name, value in headers.items()
+    )
+    key = small_fleet.key().encode()
+    with connect(small_fleet) as connection:
+        connection.sendall(
+            b"GET " + path.encode() + b" HTTP/1.1\r\nhost: x\r\n"
+            b"connection: close\r\nauthorization: Bearer " + key + b"\r\n"
+        )
+        connection.sendall(lines + b"\r\n")
+        answer = read_all(connection)
+    status = int(answer.split(b" ")[1])
+    assert status < 500
+    if status != 200:
+        assert code(answer) in ("bad_request", "not_found")
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_engine_stops_when_the_caller_leaves(
+    small_fleet: Small, stream: bool
+) -> None:
+    """Guards against work for callers that have gone."""
+    content = body(tokens=LONG_STREAM_TOKENS, stream=stream)
+    wait_running(small_fleet, 0)
+    with connect(small_fleet) as connection:
+        connection.sendall(head(small_fleet, len(content)) + content)
+        if stream:
+            assert connection.recv(1000).startswith(b"HTTP/1.1 200")
+        wait_running(small_fleet, 1)
+    wait_running(small_fleet, 0)
+
+
+def test_caller_that_never_reads_is_closed(small_fleet: Small) -> None:
+    """Guards against answers that wait for ever for their caller."""
+    data = b"z" * 3_000_000
+    request = (
+        "POST /services/quotes/echo HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {small_fleet.key()}\r\n"
+        f"content-length: {len(data)}\r\n\r\n"
+    ).encode()
+    with connect(small_fleet) as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        try:
+            for _ in range(6):
+                connection.sendall(request + data)
+        except (TimeoutError, ConnectionError):
+            pass
+        for _ in range(300):
+            state = connection.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )[0]
+            if state != 1:
+                break
+            time.sleep(0.1)
+    assert state != 1, "the connection is still established"
