--- a/src/ibisknot/_fleet_parts.py
+++ b/src/ibisknot/_fleet_parts.py
@@ -111,6 +111,7 @@
             and between callers and VMs. Implies `proxied`.
         proxied: Whether all traffic of VMs goes through the fault proxies,
             which `cut_vm` needs.
+        programs: Programs to start on each VM; a store only with a disk.
         entry: Extra settings of the entries.
         batch: Extra settings of the batch processes.
         store: Extra settings of the stores.
@@ -122,6 +123,7 @@
     seed: int = 0
     engine_flags: list[str] = dataclasses.field(default_factory=list)
     delays: bool = False
+    programs: tuple[str, ...] = ("entry", "batch", "store")
     proxied: bool = False
     entry: dict[str, Any] = dataclasses.field(default_factory=dict)
     batch: dict[str, Any] = dataclasses.field(default_factory=dict)
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -107,6 +107,20 @@
     ran = NOT_RUN
 
 
+class DeadlineError(IbisknotError):
+    """The answer was not whole at the request's deadline."""
+
+    code = "deadline_exceeded"
+    status = 504
+
+
+class CallerGoneError(IbisknotError):
+    """The caller closed its connection before the answer was whole."""
+
+    code = "caller_gone"
+    status = 499
+
+
 class ConflictError(IbisknotError):
     """The object changed since the caller read it."""
 
@@ -115,6 +129,22 @@
     ran = NOT_RUN
 
 
+class OutcomeUnknownError(IbisknotError):
+    """A request that may not be repeated was sent; its end is not known."""
+
+    code = "outcome_unknown"
+    status = 409
+    ran = UNKNOWN
+
+
+class AnswerNotKeptError(IbisknotError):
+    """A request under this key ran; its answer is not kept."""
+
+    code = "answer_not_kept"
+    status = 409
+    ran = RAN
+
+
 class BodyTooLargeError(IbisknotError):
     """The request body is over the limit."""
 
@@ -155,6 +185,20 @@
     ran = NOT_RUN
 
 
+class MovedError(UnavailableError):
+    """Another VM admits for this group now."""
+
+    code = "moved"
+
+
+class CrashRequestError(IbisknotError):
+    """The request has crashed the endpoints that ran it."""
+
+    code = "crash_request"
+    status = 422
+    ran = RAN
+
+
 class StaleConfigurationError(UnavailableError):
     """This VM cannot know whether its configuration is current."""
 
@@ -211,6 +255,12 @@
     code = "segment_error"
 
 
+class SegmentMissingError(SegmentError):
+    """A store does not have a segment, or has it damaged."""
+
+    code = "segment_missing"
+
+
 class DiskFullError(IbisknotError):
     """The disk has no room for the write."""
 
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ibisknot import errors
+from ibisknot import metrics
 from ibisknot import settings
 
 
@@ -88,8 +89,10 @@
     async def _post(
         self, path: str, body: dict[str, Any], *, writes: bool
     ) -> dict[str, Any]:
+        content = msgspec.json.encode(body)
+        metrics.count_bytes("key_value", sent=len(content))
         try:
-            response = await self.client.post(path, json=body)
+            response = await self.client.post(path, content=content)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             message = f"key-value service not reachable: {error!r}"
             raise errors.KeyValueError(message) from None
@@ -97,6 +100,7 @@
             message = f"no answer from the key-value service: {error!r}"
             kind = errors.KeyValueUnknownError if writes else None
             raise (kind or errors.KeyValueError)(message) from None
+        metrics.count_bytes("key_value", received=len(response.content))
         if response.status_code != 200:
             message = (
                 f"key-value service answered {response.status_code}"
@@ -119,12 +123,23 @@
     async def list_prefix(self, prefix: str, *, limit: int = 0) -> list[Pair]:
         """Returns all pairs whose key has a prefix, in key order.
 
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        end = prefix_end(prefix)
+        return await self.list_range(prefix, end, limit=limit)
+
+    async def list_range(
+        self, first: str, end: str, *, limit: int = 0
+    ) -> list[Pair]:
+        """Returns the pairs from a key up to, not with, another, in order.
+
         Raises:
             KeyValueError: The service did not answer.
         """
         body = {
-            "key": _encode(prefix),
-            "range_end": _encode(prefix_end(prefix)),
+            "key": _encode(first),
+            "range_end": _encode(end),
             "limit": str(limit),
         }
         answer = await self._post("/v3/kv/range", body, writes=False)
@@ -136,9 +151,16 @@
         puts: list[Put],
         *,
         deletes: list[str] | None = None,
+        delete_prefixes: list[str] | None = None,
     ) -> bool:
         """Writes all or nothing, if every guard holds.
 
+        Args:
+            guards: Conditions on the current state.
+            puts: Pairs to write.
+            deletes: Keys to delete.
+            delete_prefixes: Prefixes whose keys are all deleted.
+
         Returns:
             Whether the guards held and the writes took effect.
 
@@ -167,6 +189,12 @@
         ]
         for key in deletes or []:
             success.append({"request_delete_range": {"key": _encode(key)}})
+        for prefix in delete_prefixes or []:
+            target = {
+                "key": _encode(prefix),
+                "range_end": _encode(prefix_end(prefix)),
+            }
+            success.append({"request_delete_range": target})
         body = {"compare": compare, "success": success, "failure": []}
         answer = await self._post("/v3/kv/txn", body, writes=True)
         return bool(answer.get("succeeded", False))
@@ -221,6 +249,7 @@
                 "POST", "/v3/watch", json=request, timeout=timeout
             ) as response:
                 async for line in response.aiter_lines():
+                    metrics.count_bytes("key_value", received=len(line))
                     if line.strip():
                         yield _changes(msgspec.json.decode(line))
         except httpx.HTTPError as error:
