Keep the fault proxy up when a connection is reset

Cause: uvloop raises RuntimeError for an operation on a closed transport, so one reset connection ended the proxy with all its links.

Change: the proxy takes it as a closed connection; the fleet ends a run whose platform stand-ins have ended.

Conclusion: test_reset_connections_do_not_end_the_proxy failed before the change and passes with it.

--- a/src/ibisknot/fleet.py
+++ b/src/ibisknot/fleet.py
@@ -190,10 +190,9 @@
     def start_vm(self, name: str) -> None:
         """Starts the processes of a VM, also after they ended."""
         vm = self.vms[name]
-        programs = ["entry", "batch"]
-        if vm.has_disk:
-            programs.append("store")
-        for program in programs:
+        for program in self.options.programs:
+            if program == "store" and not vm.has_disk:
+                continue
             vm.processes[program] = self.spawn(
                 f"{vm.name}-{program}",
                 f"ibisknot-{program}",
@@ -265,7 +264,7 @@
         for process in processes:
             if not process.alive():
                 tail = process.log.read_text(errors="replace")[-2000:]
-                message = f"{process.name} ended at the start:\n{tail}"
+                message = f"{process.name} has ended:\n{tail}"
                 raise errors.UnavailableError(message)
 
     def processes(self) -> list[Process]:
@@ -329,9 +328,15 @@
         """Kills an endpoint; an engine is started again at once."""
         self.endpoints[name].process.send(signal.SIGKILL)
 
-    async def watch_engines(self) -> None:
-        """Restarts engines that ended, and counts those that crashed."""
+    async def watch(self) -> None:
+        """Restarts engines that ended, and counts those that crashed.
+
+        Raises:
+            UnavailableError: A stand-in of the platform ended, so that the
+                run shows nothing.
+        """
         while True:
+            self._check_ended(list(self.platform.values()))
             for number in range(self.options.topology.engines):
                 name = f"engine-{number + 1}"
                 status = self.endpoints[name].process.handle.poll()
@@ -372,7 +377,7 @@
         try:
             await fleet.start()
             async with anyio.create_task_group() as group:
-                group.start_soon(fleet.watch_engines)
+                group.start_soon(fleet.watch)
                 yield fleet
                 group.cancel_scope.cancel()
         finally:
--- a/src/ibisknot/standin_proxy.py
+++ b/src/ibisknot/standin_proxy.py
@@ -23,10 +23,13 @@
 CONNECT_TIMEOUT_S = 2.0
 QUEUE_CHUNKS = 1024
 HALF_OPEN_POLL_S = 0.05
+# uvloop raises RuntimeError for an operation on a closed transport.
 CLOSED = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
+    OSError,
+    RuntimeError,
 )
 
 
@@ -199,7 +202,7 @@
                 data = await source.receive(CHUNK_BYTES)
                 delay_s = link.faults.delay_s + connection.jitter_s
                 await send.send((anyio.current_time() + delay_s, data))
-        except (*CLOSED, OSError):
+        except CLOSED:
             pass
 
     async def _deliver(
@@ -227,7 +230,7 @@
                         await target.send(data)
             if not link.faults.half_open:
                 await target.send_eof()
-        except (*CLOSED, OSError):
+        except CLOSED:
             pass
 
 
--- a/tests/test_standin_proxy.py
+++ b/tests/test_standin_proxy.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -169,3 +170,18 @@
     body = {"pattern": "*", "faults": {"no_such_fault": True}}
     assert made.proxy.post("/admin/faults", body).status_code == 400
     assert made.fault() == 1
+
+
+def test_reset_connections_do_not_end_the_proxy(
+    link: tuple[Link, list[bytes]],
+) -> None:
+    """Guards against one broken connection ending all links."""
+    made, _ = link
+    linger = struct.pack("ii", 1, 0)
+    for _ in range(20):
+        with made.connect() as connection:
+            assert ask(connection, b"x") == b"x"
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    with made.connect() as connection:
+        assert ask(connection, b"y") == b"y"
+    assert made.proxy.process.poll() is None
