--- a/src/ibisknot/generator.py
+++ b/src/ibisknot/generator.py
@@ -11,10 +11,15 @@
 
 from ibisknot import _engine_text
 from ibisknot import fleet as fleet_module
+from ibisknot import scenario
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 DIGITS = 3
+CURVE_FRACTIONS = (
+    *(k / 50 for k in range(1, 48)),
+    0.95, 0.96, 0.97, 0.98, 0.985, 0.99, 0.995, 0.999, 1.0,
+)  # fmt: skip
 
 
 class Latencies:
@@ -32,6 +37,13 @@
         """Returns a quantile in milliseconds."""
         return self.values.get_value_at_percentile(quantile * 100) / 1000
 
+    def curve(self) -> list[scenario.Point]:
+        """Returns the distribution, dense at the tail, for plots."""
+        return [
+            scenario.Point(fraction, self.quantile_ms(fraction))
+            for fraction in CURVE_FRACTIONS
+        ]
+
     def count(self) -> int:
         """Returns the number of recorded latencies."""
         return self.values.get_total_count()
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -1,6 +1,7 @@
 """`ibisknot-load`: load, faults, experiments and reports."""
 
 import dataclasses
+import pathlib
 import signal
 import sys
 from typing import Annotated
@@ -50,6 +51,29 @@
         bool, cappa.Arg(long=True, help="Run the naive version alone.")
     ] = False
     json: Annotated[bool, cappa.Arg(long=True)] = False
+    save: Annotated[
+        str | None, cappa.Arg(long=True, help="Folder for the result.")
+    ] = None
+
+
+@dataclasses.dataclass
+class Bench:
+    """Runs the scenarios small, saves them and writes the report."""
+
+    scenarios: Annotated[
+        str, cappa.Arg(long=True, help="Comma list; all without.")
+    ] = ""
+    seconds: Annotated[float, cappa.Arg(long=True)] = 10.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    topology: Annotated[str, cappa.Arg(long=True)] = "umurunga"
+    save: Annotated[str, cappa.Arg(long=True)] = "results"
+
+
+@dataclasses.dataclass
+class Report:
+    """Turns saved runs into one HTML page with plots."""
+
+    folder: Annotated[str, cappa.Arg(help="Folder of saved runs.")] = "results"
 
 
 @cappa.command(name="fleet")
@@ -66,7 +90,7 @@
 class Arguments:
     """Runs load and faults against a local fleet."""
 
-    command: cappa.Subcommands[List | RunScenario | RunFleet]
+    command: cappa.Subcommands[List | RunScenario | RunFleet | Bench | Report]
 
 
 def _topology(name: str) -> topology_module.Topology:
@@ -77,30 +101,34 @@
     return topology_module.TOPOLOGIES[name]
 
 
-async def run_scenario(command: RunScenario) -> dict[str, Any]:
-    """Runs a scenario and returns its report.
+async def run_scenario(command: RunScenario) -> scenario.Saved:
+    """Runs a scenario and returns what it found.
 
     A scenario in `WITH_BASELINE` also runs with the naive policy, whose
     fields get the prefix `baseline_`.
     """
-    run = SCENARIOS[command.scenario]
     options = scenario.Run(
         topology=_topology(command.topology),
         seconds=command.seconds,
         seed=command.seed,
         policy="naive" if command.baseline else "fleet",
     )
-    report = (await run(options)).report(command.scenario, options)
-    if command.baseline or command.scenario not in WITH_BASELINE:
-        return report
-    naive = dataclasses.replace(options, policy="naive")
-    baseline = (await run(naive)).report(command.scenario, naive)
-    return scenario.compared(report, baseline)
+    saved = await _run_policy(command.scenario, options)
+    if not command.baseline and command.scenario in WITH_BASELINE:
+        naive = dataclasses.replace(options, policy="naive")
+        baseline = await _run_policy(command.scenario, naive)
+        saved = scenario.compared(saved, baseline)
+    return saved
+
+
+async def _run_policy(name: str, options: scenario.Run) -> scenario.Saved:
+    result = await SCENARIOS[name](options)
+    return scenario.Saved(result.report(name, options), result.curves)
 
 
-async def _run_until_signal(command: RunScenario) -> dict[str, Any] | None:
+async def _run_until_signal(command: RunScenario) -> scenario.Saved | None:
     """Runs a scenario; a signal ends it with all its processes."""
-    report: dict[str, Any] | None = None
+    saved: scenario.Saved | None = None
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(
             signal.SIGINT, signal.SIGTERM
@@ -112,19 +140,81 @@
                     return
 
             group.start_soon(wait)
-            report = await run_scenario(command)
+            saved = await run_scenario(command)
             group.cancel_scope.cancel()
-    return report
+    return saved
+
+
+def _execute(command: RunScenario) -> dict[str, Any]:
+    """Runs a scenario, saves and shows it; returns its report."""
+    saved = anyio.run(_run_until_signal, command)
+    if saved is None:
+        raise SystemExit(EXIT_INTERRUPTED)
+    if command.save is not None:
+        scenario.save(saved, pathlib.Path(command.save))
+    _show(saved.report, as_json=command.json)
+    return saved.report
 
 
 def _show(report: dict[str, Any], *, as_json: bool) -> None:
     if as_json:
         print(msgspec.json.encode(report).decode(), flush=True)
         return
-    table = rich_table.Table("field", "value")
+    title = f"{report['scenario']} on {report['topology']}"
+    table = rich_table.Table("field", "value", title=title)
     for name, value in report.items():
-        table.add_row(name, str(value))
-    rich_console.Console().print(table)
+        if name not in ("violations", *scenario.SHARED_FIELDS):
+            table.add_row(name.replace("_", " "), _readable(value))
+    console = rich_console.Console()
+    console.print(table)
+    for violation in report["violations"]:
+        console.print(f"violation: {violation}", markup=False)
+    seconds, seed = report["seconds"], report["seed"]
+    verdict = "all checks passed" if report["ok"] else "CHECKS FAILED"
+    console.print(f"{verdict} ({seconds:g} s of load, seed {seed})")
+
+
+def _readable(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    return str(value)
+
+
+def _bench(command: Bench) -> bool:
+    """Runs the scenarios one after the other; returns whether all passed."""
+    folder = pathlib.Path(command.save)
+    passed = True
+    for name in (
+        command.scenarios.split(",") if command.scenarios else SCENARIOS
+    ):
+        run = RunScenario(
+            scenario=name,
+            seconds=command.seconds,
+            seed=command.seed,
+            topology=command.topology,
+            save=command.save,
+        )
+        _check_name(name)
+        passed = bool(_execute(run)["ok"]) and passed
+    _report(folder)
+    return passed
+
+
+def _report(folder: pathlib.Path) -> None:
+    # The plots' library is large, and only this command needs it.
+    from ibisknot import report
+
+    path = report.write(folder)
+    print(f"report: {path}")
+
+
+def _check_name(name: str) -> None:
+    if name not in SCENARIOS:
+        known = ", ".join(SCENARIOS)
+        print(f"unknown scenario {name!r}; known: {known}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE)
 
 
 async def _keep_fleet(command: RunFleet) -> None:
@@ -148,13 +238,12 @@
             print(name)
     elif isinstance(command, RunFleet):
         anyio.run(_keep_fleet, command)
+    elif isinstance(command, Report):
+        _report(pathlib.Path(command.folder))
+    elif isinstance(command, Bench):
+        if not _bench(command):
+            raise SystemExit(EXIT_VIOLATION)
     else:
-        if command.scenario not in SCENARIOS:
-            print(f"unknown scenario {command.scenario!r}", file=sys.stderr)
-            raise SystemExit(EXIT_USAGE)
-        report = anyio.run(_run_until_signal, command)
-        if report is None:
-            raise SystemExit(EXIT_INTERRUPTED)
-        _show(report, as_json=command.json)
-        if not report["ok"]:
+        _check_name(command.scenario)
+        if not _execute(command)["ok"]:
             raise SystemExit(EXIT_VIOLATION)
--- a/src/ibisknot/scenario.py
+++ b/src/ibisknot/scenario.py
@@ -3,11 +3,38 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import pathlib
 from typing import Any
 
+import msgspec
+
 from ibisknot import topology as topology_module
 
 
+class Point(msgspec.Struct, array_like=True):
+    """A point of a distribution: a fraction of all, and their latency."""
+
+    fraction: float
+    latency_ms: float
+
+
+class Saved(msgspec.Struct):
+    """A run as `--save` writes it.
+
+    Attributes:
+        report: The run's report.
+        curves: Latency distributions by name.
+    """
+
+    report: dict[str, Any]
+    curves: dict[str, list[Point]] = {}
+
+    def file_name(self) -> str:
+        """Returns the name of its file; the same run replaces its file."""
+        shown = ("scenario", "topology", "policy", "seed")
+        return "-".join(str(self.report[name]) for name in shown) + ".json"
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """The options of one run.
@@ -36,6 +63,8 @@
         in_rate: Requests that were inside their organisation's rate.
         in_rate_refused: Those of them that were refused.
         fields: The scenario's own fields.
+        curves: Latency distributions by name, for plots; see
+            `generator.Latencies.curve`.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -44,6 +73,7 @@
     in_rate: int = 0
     in_rate_refused: int = 0
     fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+    curves: dict[str, list[Point]] = dataclasses.field(default_factory=dict)
 
     def expect(self, holds: bool, violation: str) -> None:
         """Records a violation unless a condition holds."""
@@ -73,22 +103,38 @@
 BASELINE_PREFIX = "baseline_"
 
 
-def compared(
-    report: dict[str, Any], baseline: dict[str, Any]
-) -> dict[str, Any]:
-    """Returns a report with its baseline's fields added.
+def compared(saved: Saved, baseline: Saved) -> Saved:
+    """Returns a run with its baseline's fields and curves added.
 
     The baseline is there for comparison; what it violates does not count.
 
-    >>> compared({"ok": True, "p99": 2}, {"ok": False, "p99": 5})
+    >>> one = Saved({"ok": True, "p99": 2})
+    >>> compared(one, Saved({"ok": False, "p99": 5})).report
     {'ok': True, 'p99': 2, 'baseline_ok': False, 'baseline_p99': 5}
     """
-    added = {
+    fields = {
         BASELINE_PREFIX + name: value
-        for name, value in baseline.items()
+        for name, value in baseline.report.items()
         if name not in SHARED_FIELDS
     }
-    return {**report, **added}
+    curves = {BASELINE_PREFIX + n: c for n, c in baseline.curves.items()}
+    return Saved({**saved.report, **fields}, {**saved.curves, **curves})
+
+
+def save(saved: Saved, folder: pathlib.Path) -> pathlib.Path:
+    """Writes a run into a folder; returns its file."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / saved.file_name()
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(saved)) + b"\n")
+    return path
+
+
+def load(folder: pathlib.Path) -> list[Saved]:
+    """Returns the runs saved in a folder, by file name."""
+    return [
+        msgspec.json.decode(path.read_bytes(), type=Saved)
+        for path in sorted(folder.glob("*.json"))
+    ]
 
 
 Scenario = Callable[[Run], Awaitable[Result]]
--- a/src/ibisknot/scenario_online_burst.py
+++ b/src/ibisknot/scenario_online_burst.py
@@ -88,6 +88,7 @@
         for answer in answers:
             if answer.whole:
                 latencies.add(answer.first_s)
+        result.curves[f"first token {name}"] = latencies.curve()
         result.fields[f"requests_{name}"] = latencies.count()
         result.fields[f"ttft_p50_ms_{name}"] = latencies.quantile_ms(0.5)
         found.append(latencies.quantile_ms(0.99))
--- a/src/ibisknot/scenario_smoke.py
+++ b/src/ibisknot/scenario_smoke.py
@@ -50,6 +50,7 @@
     latencies = generator.Latencies()
     for answer in whole:
         latencies.add(answer.first_s)
+    result.curves["first token"] = latencies.curve()
     result.in_rate = len(answers)
     result.in_rate_refused = sum(a.status == 429 for a in answers)
     for answer in answers:
