Add the throughput scenario

Cause: nothing measured what an entry costs and the latency that it adds.

Change: engines can answer at once; a lean client saturates one entry and then asks at half of that rate, through the entry and directly, in alternating slices.

--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -19,12 +19,14 @@
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_online_burst
 from ibisknot import scenario_smoke
+from ibisknot import scenario_throughput
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
     "fleet-cost": scenario_fleet_cost.run,
     "online-burst": scenario_online_burst.run,
+    "throughput": scenario_throughput.run,
 }
 WITH_BASELINE = {"online-burst", "noisy-organisation"}
 """Scenarios whose naive version runs as well, for comparison."""
@@ -147,7 +149,9 @@
 
 def _execute(command: RunScenario) -> dict[str, Any]:
     """Runs a scenario, saves and shows it; returns its report."""
-    saved = anyio.run(_run_until_signal, command)
+    saved = anyio.run(
+        _run_until_signal, command, backend_options={"use_uvloop": True}
+    )
     if saved is None:
         raise SystemExit(EXIT_INTERRUPTED)
     if command.save is not None:
--- a/src/ibisknot/standin_engine.py
+++ b/src/ibisknot/standin_engine.py
@@ -254,6 +254,9 @@
         else:
             self.batcher.add(sequence)
         writer = _Writer(wanted, sequence, chat=chat)
+        if wanted.stream and self.instant:
+            events = b"".join([event async for event in writer.events()])
+            return responses.Response(events, media_type="text/event-stream")
         if wanted.stream:
             return _EventResponse(sequence, writer.events())
         return await self._whole(request, sequence, writer)
