Look a key up instead of scanning all keys for each request

Cause: the profile of an entry led to the guard of withdrawn keys, which built a tuple of all keys twice for each request and scanned it.

Change: the guard looks the digest up in the index.

Conclusion: the cost of a request no longer grows with the number of keys.

--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -225,7 +225,8 @@
     """Returns the guard that ends a request whose key is withdrawn."""
 
     async def run() -> errors.IbisknotError:
-        while exchange.key_digest in ("", *source.keys):
+        # The digest is set only once the request is authenticated.
+        while not exchange.key_digest or exchange.key_digest in source.keys:
             await source.changed.wait()
         await anyio.sleep(source.current.policy.key_grace_s)
         return errors.KeyWithdrawnError(
