Learn capacity from windows of samples

Change: the earliest first token of 16 samples decides, and the limit rises fast until it was too high once. Expiry no longer scans the queue each time.

--- a/src/ibisknot/_capacity.py
+++ b/src/ibisknot/_capacity.py
@@ -9,9 +9,14 @@
 """The time between tokens that 95 in 100 online requests must keep."""
 QUEUED_GAPS = 4.0
 """First token later than this many token times: the engine queues."""
-BACK_OFF = 0.85
-BACK_OFF_PAUSE_S = 0.5
-"""Time that a lower limit needs to show in the returned measurements."""
+WINDOW = 16
+"""Samples of which the earliest first token counts.
+
+Delays on the way only ever add to a first token, and differ from sample to
+sample; an engine's queue delays every one.
+"""
+BACK_OFF = 0.9
+FAST_STEP = 0.25
 NEAR_LIMIT = 0.8
 DECAY = 0.98
 DEFAULT_STEP_S = 0.01
@@ -24,13 +29,18 @@
 
     Attributes:
         limit: Sequences that the engine can run at once.
-        changed_s: Monotonic time of the last back-off.
+        saturated: Whether the limit was ever too high; before that it rises
+            fast.
+        gaps: Decayed mean time between tokens near the limit.
+        starts: First tokens near the limit, in token times.
         weight: Decayed number of samples.
         sums: Decayed sums of n, gap, n*n and n*gap.
     """
 
     limit: float = INITIAL_LIMIT
-    changed_s: float = -1e9
+    saturated: bool = False
+    gaps: float = 0.0
+    starts: list[float] = dataclasses.field(default_factory=list)
     weight: float = 0.0
     sums: tuple[float, float, float, float] = (0.0, 0.0, 0.0, 0.0)
 
@@ -56,7 +66,6 @@
 
 def learn(
     capacity: Capacity,
-    now: float,
     *,
     running: float,
     token_gap_s: float,
@@ -67,7 +76,6 @@
 
     Args:
         capacity: Updated in place.
-        now: Monotonic time in seconds.
         running: Mean number of sequences that ran beside it.
         token_gap_s: Mean time between its tokens.
         first_token_s: Time from dispatch to its first token.
@@ -86,10 +94,21 @@
     if running < NEAR_LIMIT * capacity.limit:
         return
     start_s = first_token_s - words * PREFILL_WORD_S
-    queued = start_s > QUEUED_GAPS * token_gap_s
-    if token_gap_s <= TOKEN_GAP_LIMIT_S and not queued:
-        capacity.limit += 1.0 / capacity.limit
-        capacity.limit = min(HIGHEST_LIMIT, capacity.limit)
-    elif now - capacity.changed_s >= BACK_OFF_PAUSE_S:
+    capacity.starts.append(start_s / token_gap_s)
+    capacity.gaps = capacity.gaps or token_gap_s
+    capacity.gaps += (token_gap_s - capacity.gaps) / WINDOW
+    _adjust(capacity)
+
+
+def _adjust(capacity: Capacity) -> None:
+    """Raises the limit step by step, and lowers it when it is too high."""
+    if len(capacity.starts) < WINDOW:
+        step = 1.0 / capacity.limit if capacity.saturated else FAST_STEP
+        if capacity.gaps <= TOKEN_GAP_LIMIT_S:
+            capacity.limit = min(HIGHEST_LIMIT, capacity.limit + step)
+        return
+    queued = min(capacity.starts) > QUEUED_GAPS
+    capacity.starts.clear()
+    if queued or capacity.gaps > TOKEN_GAP_LIMIT_S:
+        capacity.saturated = True
         capacity.limit = max(LOWEST_LIMIT, capacity.limit * BACK_OFF)
-        capacity.changed_s = now
--- a/src/ibisknot/_fair.py
+++ b/src/ibisknot/_fair.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import math
 
 HALF_LIFE_S = 5.0
 """Service is forgotten at this rate, so that a past burst is no debt."""
@@ -56,12 +57,14 @@
         self.queues: dict[str, list[Waiting]] = {}
         self.service: dict[str, Service] = {}
         self.size = 0
+        self.next_expiry_s = math.inf
 
     def push(self, waiting: Waiting) -> None:
         """Adds a request in the order of arrival."""
         queue = self.queues.setdefault(waiting.organisation, [])
         bisect.insort(queue, waiting, key=lambda w: w.arrived_s)
         self.size += 1
+        self.next_expiry_s = min(self.next_expiry_s, waiting.expires_s)
 
     def remove(self, number: str) -> bool:
         """Removes a request by its id; returns whether it was there."""
@@ -106,6 +109,8 @@
 
     def expire(self, now: float) -> list[Waiting]:
         """Removes and returns the requests whose deadline has passed."""
+        if now < self.next_expiry_s:
+            return []
         gone = [
             waiting
             for queue in self.queues.values()
@@ -114,6 +119,9 @@
         ]
         for waiting in gone:
             self.remove(waiting.id)
+        self.next_expiry_s = min(
+            (w.expires_s for w in self.all()), default=math.inf
+        )
         return gone
 
     def all(self) -> list[Waiting]:
--- a/src/ibisknot/_group.py
+++ b/src/ibisknot/_group.py
@@ -96,6 +96,10 @@
         """Returns the number of tickets that are not revoked."""
         return sum(not t.revoked for t in self.held.values())
 
+    def gap_s(self) -> float:
+        """Returns the expected time between tokens as it is loaded now."""
+        return _capacity.gap_s(self.capacity, len(self.held))
+
     def has_alone(self) -> bool:
         """Returns whether a request that must run alone is in flight."""
         return any(t.alone for t in self.held.values())
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -165,7 +165,6 @@
         breaker.succeeded(endpoint.circuit)
         _capacity.learn(
             endpoint.capacity,
-            now,
             running=(held.beside + len(endpoint.held)) / 2 + 1,
             token_gap_s=measured.token_gap_s,
             first_token_s=measured.first_token_s,
--- a/src/ibisknot/admitter.py
+++ b/src/ibisknot/admitter.py
@@ -23,6 +23,7 @@
 TICK_PERIOD_S = 0.05
 RECONCILE_PERIOD_S = 2.0
 LOAD_PERIOD_S = 0.5
+LOG_PERIOD_S = 0.5
 SYNC_TIMEOUT_S = 0.3
 """A VM that is paused must not hold up a new admitter for longer."""
 REVOKE_TIMEOUT_S = 1.0
@@ -93,6 +94,7 @@
         server.on("ticket_return", ttypes.TicketReturn, self.give_back)
         clock = self.daemon.clock
         clock.subscribe("admission", TICK_PERIOD_S, self.tick)
+        clock.subscribe("admission_log", LOG_PERIOD_S, self.log_state)
         clock.subscribe("load", LOAD_PERIOD_S, self.read_loads)
         clock.subscribe("reconcile", RECONCILE_PERIOD_S, self.reconcile)
 
@@ -200,6 +202,24 @@
             )
         self._do(entry, actions)
 
+    async def log_state(self, _now: float) -> None:
+        """Timer callback: logs the groups for a trace."""
+        for entry in self.running.values():
+            for name, endpoint in entry.state.endpoints.items():
+                logs.event(
+                    "admission_state",
+                    level="debug",
+                    group=entry.name,
+                    endpoint=name,
+                    limit=round(endpoint.capacity.limit, 1),
+                    online=endpoint.online(),
+                    batch=len(endpoint.batch()),
+                    held=len(endpoint.held),
+                    gap_s=round(endpoint.gap_s(), 6),
+                    online_waits=entry.state.online.size,
+                    batch_waits=entry.state.batch.size,
+                )
+
     async def reconcile(self, _now: float) -> None:
         """Timer callback: compares the tickets with what holders say."""
         for entry in list(self.running.values()):
--- a/src/ibisknot/exchange.py
+++ b/src/ibisknot/exchange.py
@@ -66,7 +66,7 @@
         tokens: Tokens that a model request generates at most.
         deadline_s: Monotonic time after which the caller does not wait.
         fingerprint: Hash that a resent request has in common.
-        suspect: Whether it was in flight on an endpoint that crashed.
+        admitted_s: Seconds that it waited for tickets.
         closing: Run when the answer has been sent or given up.
     """
 
@@ -85,7 +85,7 @@
     tokens: int = 0
     deadline_s: float = math.inf
     fingerprint: str = ""
-    suspect: bool = False
+    admitted_s: float = 0.0
     closing: contextlib.AsyncExitStack = dataclasses.field(
         default_factory=contextlib.AsyncExitStack
     )
--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -16,6 +16,7 @@
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import exchange as exchange_module
+from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import notices as notices_module
 from ibisknot import relay
@@ -156,8 +157,10 @@
             suspect=verdict == crashes.SUSPECT,
             avoid=frozenset(self.avoid),
         )
+        asked_s = anyio.current_time()
         with traces.span("admit", request=exchange.id):
             self.ticket = await self.owner.client.acquire(ask)
+        exchange.admitted_s += anyio.current_time() - asked_s
         self.attempt = await self._send(self.ticket, resume_from)
         return self.attempt
 
@@ -276,6 +279,15 @@
         if attempt is not None:
             measured = _attempt.measured(attempt, outcome)
         await self.owner.client.release(ticket, measured)
+        logs.event(
+            "ticket_released",
+            level="debug",
+            request=self.exchange.id,
+            endpoint=ticket.endpoint,
+            outcome=outcome,
+            first_token_s=round(measured.first_token_s, 6),
+            token_gap_s=round(measured.token_gap_s, 6),
+        )
         if outcome == admission.OK:
             self.owner.notices.completed(self.exchange.fingerprint)
 
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -292,6 +292,7 @@
             status=status,
             code=code,
             ran=exchange.ran,
+            admitted_s=round(exchange.admitted_s, 6),
             first_byte_s=round(elapsed_s, 6),
         )
 
