--- a/src/ibisknot/admitter.py
+++ b/src/ibisknot/admitter.py
@@ -8,10 +8,10 @@
 import anyio
 
 from ibisknot import admission
+from ibisknot import admission_groups
 from ibisknot import distribution
 from ibisknot import engine
 from ibisknot import errors
-from ibisknot import groups
 from ibisknot import logs
 from ibisknot import peer
 from ibisknot import program
@@ -246,7 +246,7 @@
         return self.daemon.clock.now()
 
     def _names(self, group: str) -> list[str]:
-        return groups.members(
+        return admission_groups.members(
             self.source.current, group, size=self.loaded.admission_group_size
         )
 
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -6,6 +6,8 @@
 
 import anyio
 import cappa
+import httpx
+import msgspec
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -13,28 +15,38 @@
 import ibisknot
 from ibisknot import admitter as admitter_module
 from ibisknot import batches
+from ibisknot import claims_owner
+from ibisknot import claims_runner
+from ibisknot import deduplicate
 from ibisknot import dispatch
 from ibisknot import distribution
+from ibisknot import effects
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import exchange
 from ibisknot import files
+from ibisknot import follow
+from ibisknot import limits
 from ibisknot import logs
+from ibisknot import membership
+from ibisknot import membership_runner
 from ibisknot import model_dispatch
 from ibisknot import notices as notices_module
 from ibisknot import online
 from ibisknot import operators
 from ibisknot import program
+from ibisknot import rates_runner
+from ibisknot import recent
 from ibisknot import replicas
 from ibisknot import service_dispatch
 from ibisknot import settings
+from ibisknot import survey
 from ibisknot import tickets
-from ibisknot import vmlist
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
-STATUS_TIMEOUT_S = 1.0
-NAIVE = "naive"
+HAND_BACK_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -55,54 +67,133 @@
     source: distribution.Distribution
     engines: engine.Engines
     admitter: admitter_module.Admitter
-    client: tickets.Client
+    tickets: tickets.Client
     notices: notices_module.Notices
+    shares: rates_runner.Runner
+    claims: claims_runner.Client
 
 
 def online_parts(
     daemon: program.Daemon,
     source: distribution.Distribution,
+    engines: engine.Engines,
     loaded: settings.Entry,
 ) -> Parts:
-    """Creates the parts of the online path."""
-    engines = engine.Engines(overrides=loaded.address_overrides)
+    """Starts the parts of the online path."""
+    view = start_membership(daemon)
     admitter = admitter_module.Admitter(
-        daemon, source, engines, daemon.vms.live, loaded
+        daemon, source, engines, view.live, loaded
     )
     admitter.register(daemon.server)
-    client = tickets.Client(daemon, source, daemon.vms.live, local=admitter)
-    notices = notices_module.Notices(daemon, daemon.vms.live)
-    return Parts(daemon, source, engines, admitter, client, notices)
+    return Parts(
+        daemon=daemon,
+        source=source,
+        engines=engines,
+        admitter=admitter,
+        tickets=tickets.Client(daemon, source, view.live, local=admitter),
+        notices=notices_module.Notices(daemon, view.live),
+        shares=start_rates(daemon, source, view),
+        claims=start_claims(daemon, view),
+    )
 
 
 def online_pipeline(parts: Parts, *, policy: str) -> exchange.Next:
     """Puts the online path together."""
+    naive = policy == settings.NAIVE
+    return (naive_pipeline if naive else fleet_pipeline)(parts)
+
+
+def naive_pipeline(parts: Parts) -> exchange.Next:
+    """Returns the baseline: static rates, a random endpoint."""
     source, vms = parts.source, parts.daemon.vms
-    common = [
+    return exchange.pipeline(
         online.trace,
         online.account,
         online.identify(source),
         online.authenticate(source),
         online.limit_rate_static(source, lambda: len(vms.live())),
-    ]
-    if policy == NAIVE:
-        return exchange.pipeline(
-            *common,
-            online.check_whole,
-            dispatch.naive_filter(source, parts.engines),
-        )
+        online.check_whole,
+        deduplicate.claim_once(parts.claims, parts.daemon.group),
+        dispatch.naive_filter(source, parts.engines),
+    )
+
+
+def fleet_pipeline(parts: Parts) -> exchange.Next:
+    """Returns the path whose decisions are made with the whole fleet."""
+    source = parts.source
     models = model_dispatch.ModelDispatch(
-        source, parts.engines, parts.client, parts.notices
+        source, parts.engines, parts.tickets, parts.notices
     )
     services = service_dispatch.ServiceDispatch(source, parts.engines)
     return exchange.pipeline(
-        *common,
-        online.refuse_crash_requests(parts.notices),
+        online.trace,
+        online.account,
+        online.identify(source),
+        online.authenticate(source),
+        limits.limit_rate(parts.shares),
         online.check_whole,
+        deduplicate.claim_once(parts.claims, parts.daemon.group),
+        online.refuse_crash_requests(parts.notices),
         dispatch.fleet_filter(models.run, services.run),
     )
 
 
+def start_membership(daemon: program.Daemon) -> membership.View:
+    """Starts the probes; returns this VM's view of the fleet."""
+    runner = membership_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        listed=lambda: list(daemon.vms.vms.values()),
+        peers=daemon.peers,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+    )
+    runner.start(daemon.server)
+    return runner.view
+
+
+def start_rates(
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    view: membership.View,
+) -> rates_runner.Runner:
+    """Starts this VM's part in the rates over the fleet."""
+    runner = rates_runner.Runner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        peers=daemon.peers,
+        vms=daemon.vms,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+        clock=daemon.clock,
+        allowance=lambda name: limits.allowance(source, name),
+    )
+    runner.start(daemon.server)
+    return runner
+
+
+def start_claims(
+    daemon: program.Daemon, view: membership.View
+) -> claims_runner.Client:
+    """Starts this VM's part in the idempotency claims."""
+    client = claims_runner.Client(
+        vm=daemon.loaded.vm.name,
+        peers=daemon.peers,
+        live=view.live,
+        port=daemon.loaded.peer_port,
+    )
+    client.owner = claims_owner.Owner(
+        vm=daemon.loaded.vm.name,
+        group=daemon.group,
+        store=daemon.store,
+        clock=daemon.clock,
+        preferred=client.preferred,
+        vm_gone=lambda name: name not in daemon.vms.vms,
+    )
+    client.owner.start(daemon.server)
+    return client
+
+
 def online_routes(
     step: exchange.Next,
     source: distribution.Distribution,
@@ -151,15 +242,34 @@
     ]
 
 
+async def operator_load(
+    engines: engine.Engines, url: str
+) -> effects.Load | None:
+    """Returns an engine's load report, None when it does not answer."""
+    try:
+        with anyio.fail_after(LOAD_TIMEOUT_S):
+            async with engines.open(
+                "GET", url + "/engine/load", headers={}, body=b""
+            ) as response:
+                data = await response.aread()
+        return msgspec.json.decode(data, type=effects.Load)
+    except (
+        errors.IbisknotError,
+        httpx.HTTPError,
+        msgspec.MsgspecError,
+        TimeoutError,
+    ):
+        return None
+
+
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
-        source = distribution.Distribution(daemon.store)
-        parts = online_parts(daemon, source, loaded)
-        daemon.group.start_soon(source.run)
-        daemon.clock.subscribe(
-            "configuration", distribution.READ_PERIOD_S, source.refresh
+        source = distribution.Distribution(
+            me=loaded.vm.name, listed=lambda: list(daemon.vms.vms)
         )
+        engines = engine.Engines(overrides=loaded.address_overrides)
+        follower = follow.start_entry(daemon, source)
         copies = replicas.Replicas(
             daemon.peers, daemon.vms, port=loaded.store_port
         )
@@ -167,32 +277,34 @@
         async def in_force(_ask: ttypes.VersionAsk) -> Any:
             return ttypes.VersionInForce(version=source.current.version)
 
-        async def ask_version(vm: vmlist.ListedVm) -> int | None:
-            try:
-                answer = await daemon.peers.call(
-                    f"{vm.address}:{loaded.peer_port}",
-                    "version_in_force",
-                    ttypes.VersionAsk(),
-                    ttypes.VersionInForce,
-                    timeout_s=STATUS_TIMEOUT_S,
-                )
-            except errors.IbisknotError:
-                return None
-            return answer.version
+        async def engine_load(url: str) -> effects.Load | None:
+            return await operator_load(engines, url)
 
+        recent.keep(daemon.server)
+        asked = survey.Survey(
+            daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
+        )
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
+        parts = online_parts(daemon, source, engines, loaded)
         step = online_pipeline(parts, policy=loaded.policy)
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
-            source, daemon.store, daemon.peers, daemon.vms, loaded.limits
+            source,
+            daemon.store,
+            daemon.peers,
+            daemon.vms,
+            loaded.limits,
+            copies,
         )
         operator_handlers = operators.Operators(
-            source, daemon.store, daemon.vms, loaded, ask_version
+            follower, daemon.store, loaded, asked, engine_load
         )
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
             await parts.admitter.drain()
+            with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
+                await parts.shares.hand_back()
 
         logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
         await daemon.serve(
@@ -207,7 +319,7 @@
             drain=drain,
             graceful_s=loaded.drain_timeout_s,
         )
-        await parts.engines.aclose()
+        await engines.aclose()
 
 
 def main() -> None:
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -8,6 +8,7 @@
 from starlette import requests
 from starlette import responses
 
+from ibisknot import buckets
 from ibisknot import configuration
 from ibisknot import crashes
 from ibisknot import distribution
@@ -17,7 +18,6 @@
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import notices as notices_module
-from ibisknot import rates
 from ibisknot import relay
 from ibisknot import settings
 from ibisknot import traces
@@ -26,8 +26,6 @@
 DEFAULT_TOKENS = 16
 """Charged for a request that states no limit."""
 DEADLINE_HEADER = "x-request-timeout-s"
-STALE_AFTER_S = 3.0
-"""Age of the last confirmation after which keyed requests are refused."""
 
 
 class ModelRequest(msgspec.Struct):
@@ -126,9 +124,7 @@
         StaleConfigurationError: This VM cannot know whether keys are current.
         AuthenticationError: The key is missing, unknown or withdrawn.
     """
-    if anyio.current_time() - source.confirmed_s > STALE_AFTER_S:
-        message = "this VM cannot confirm that its keys are current"
-        raise errors.StaleConfigurationError(message, retry_after_s=1.0)
+    source.check_current(anyio.current_time())
     key = keys.from_header(request.headers.get("authorization"))
     if key is None:
         raise errors.AuthenticationError("a key is needed")
@@ -159,7 +155,7 @@
     source: distribution.Distribution, vm_count: Callable[[], int]
 ) -> exchange_module.Filter:
     """Returns the baseline's rate filter: an equal static split by VM."""
-    buckets: dict[str, rates.Bucket] = {}
+    by_name: dict[str, buckets.Bucket] = {}
 
     async def run(
         exchange: exchange_module.Exchange, following: exchange_module.Next
@@ -171,13 +167,13 @@
         count = max(1, vm_count())
         rate = organisation.rate_per_s / count
         burst = max(1.0, organisation.burst / count)
-        bucket = buckets.setdefault(
-            exchange.organisation, rates.Bucket(burst, now)
+        bucket = by_name.setdefault(
+            exchange.organisation, buckets.Bucket(burst, now)
         )
-        if not rates.take(bucket, now, rate=rate, burst=burst):
+        if not buckets.take(bucket, now, rate=rate, burst=burst):
             raise errors.RateLimitError(
                 f"organisation {exchange.organisation} is over its rate",
-                retry_after_s=rates.wait_s(bucket, rate=rate),
+                retry_after_s=buckets.wait_s(bucket, rate=rate),
             )
         return await following(exchange)
 
--- a/src/ibisknot/service_dispatch.py
+++ b/src/ibisknot/service_dispatch.py
@@ -54,7 +54,7 @@
             except errors.EndpointError as error:
                 last = error
                 dispatch.log_failure(exchange, name, error)
-                if not dispatch.may_retry(exchange, error):
+                if not dispatch.may_retry(exchange):
                     raise
                 if not breaker.take(self.budget):
                     raise
--- a/src/ibisknot/tickets.py
+++ b/src/ibisknot/tickets.py
@@ -10,10 +10,10 @@
 import xxhash
 
 from ibisknot import admission
+from ibisknot import admission_groups
 from ibisknot import admitter as admitter_module
 from ibisknot import distribution
 from ibisknot import errors
-from ibisknot import groups
 from ibisknot import logs
 from ibisknot import program
 from ibisknot import routing
@@ -186,7 +186,9 @@
         self, ask: Ask, blocks: tuple[int, ...]
     ) -> tuple[str, vmlist.ListedVm] | None:
         """Returns the group to ask and the VM that admits for it."""
-        found = groups.of_model(self.source.current, ask.model, size=self.size)
+        found = admission_groups.of_model(
+            self.source.current, ask.model, size=self.size
+        )
         if not found:
             return None
         group = self._choose_group(sorted(found), ask, blocks)
@@ -218,7 +220,7 @@
     def _admitter(self, group: str) -> vmlist.ListedVm | None:
         now = self.daemon.clock.now()
         excluded = [name for name, until in self.down.items() if until > now]
-        return groups.admitter(group, self.live(), excluded=excluded)
+        return admission_groups.admitter(group, self.live(), excluded=excluded)
 
     async def _send(
         self, vm: vmlist.ListedVm, request: ttypes.TicketAsk
