Add the crash-request, rolling-restart and vm-loss scenarios

Cause: the crash register, the drain and the takeover were not tried together. Change: three scenarios; an engine's end is told by an HTTP probe, which also works through the fault proxy.

--- a/src/ibisknot/_scenario_parts.py
+++ b/src/ibisknot/_scenario_parts.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import anyio
+import httpx
 import msgspec
 
 from ibisknot import fleet as fleet_module
@@ -11,7 +12,8 @@
 from ibisknot import scenario
 
 HIGH_RATE_PER_S = 10_000.0
-JOB_TIMEOUT_S = 30.0
+HEALTH_PERIOD_S = 0.2
+HEALTH_TIMEOUT_S = 0.5
 UPLOAD_TIMEOUT_S = 30.0
 
 
@@ -140,3 +142,49 @@
             f"{job.base}/v1/batches/{job.id}/cancel",
             headers=headers(fleet, job.organisation),
         )
+
+
+class Balanced(generator.Caller):
+    """A caller behind the platform's balancer.
+
+    The balancer sends requests only to VMs whose health check succeeds, as
+    far as it knows: it looks once in `HEALTH_PERIOD_S`.
+
+    Attributes:
+        healthy: Names of the VMs that were ready at the last check.
+    """
+
+    def __init__(self, fleet: fleet_module.Fleet, *, seed: int) -> None:
+        super().__init__(fleet, seed=seed)
+        self.healthy = sorted(fleet.vms)
+
+    def next_url(self) -> str:
+        """Returns a ready VM's base URL."""
+        names = self.healthy or sorted(self.fleet.vms)
+        return self.fleet.vms[names[next(self.turn) % len(names)]].url()
+
+    async def watch(self) -> None:
+        """Checks the VMs' health until cancelled."""
+        while True:
+            async with anyio.create_task_group() as group:
+                for name in self.fleet.vms:
+                    group.start_soon(self._check, name)
+            await anyio.sleep(HEALTH_PERIOD_S)
+
+    async def _check(self, name: str) -> None:
+        url = f"{self.fleet.vms[name].direct_url()}/readyz"
+        try:
+            response = await self.client.get(url, timeout=HEALTH_TIMEOUT_S)
+            ready = response.status_code == 200
+        except httpx.HTTPError:
+            ready = False
+        others = [n for n in self.healthy if n != name]
+        self.healthy = sorted([*others, name] if ready else others)
+
+
+async def served(fleet: fleet_module.Fleet, endpoint: str) -> int:
+    """Returns the number of requests that an engine has run."""
+    url = f"{fleet.endpoints[endpoint].url}/admin/served"
+    response = await fleet.client.get(url)
+    response.raise_for_status()
+    return len(response.json())
--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 import contextlib
 
-import anyio
 import httpx
 import msgspec
 
@@ -35,24 +34,26 @@
             ),
             trust_env=False,
         )
+        # A probe on a kept connection could meet one that the engine has
+        # closed because it was idle.
+        self.probes = httpx.AsyncClient(
+            timeout=PROBE_TIMEOUT_S,
+            limits=httpx.Limits(max_keepalive_connections=0),
+            trust_env=False,
+        )
 
-    async def listens(self, url: str) -> bool:
-        """Returns whether an endpoint still accepts connections.
+    async def answers(self, url: str) -> bool:
+        """Returns whether an engine still answers.
 
-        A refused connection shows that the process has ended. A timeout does
-        not: the endpoint may be cut off or paused.
+        A connection that is refused or closed shows that the engine has
+        ended. A timeout does not: it may be paused or slow.
         """
-        dialled = self._dial(url)
         try:
-            with anyio.fail_after(PROBE_TIMEOUT_S):
-                stream = await anyio.connect_tcp(
-                    dialled.host, dialled.port or 80
-                )
-        except TimeoutError:
+            await self.probes.get(self._dial(f"{url}/v1/models"))
+        except httpx.TimeoutException:
             return True
-        except OSError:
+        except httpx.HTTPError:
             return False
-        await stream.aclose()
         return True
 
     async def load(self, url: str) -> Load | None:
@@ -67,6 +68,7 @@
 
     async def aclose(self) -> None:
         """Closes the connections."""
+        await self.probes.aclose()
         await self.client.aclose()
 
     def _dial(self, url: str) -> httpx.URL:
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -15,17 +15,29 @@
 import ibisknot
 from ibisknot import fleet as fleet_module
 from ibisknot import scenario
+from ibisknot import scenario_crash_request
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_online_burst
+from ibisknot import scenario_rolling_restart
 from ibisknot import scenario_smoke
+from ibisknot import scenario_vm_loss
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
     "fleet-cost": scenario_fleet_cost.run,
     "online-burst": scenario_online_burst.run,
+    "crash-request": scenario_crash_request.run,
+    "rolling-restart": scenario_rolling_restart.run,
+    "vm-loss": scenario_vm_loss.run,
+}
+WITH_BASELINE = {
+    "online-burst",
+    "noisy-organisation",
+    "crash-request",
+    "rolling-restart",
+    "vm-loss",
 }
-WITH_BASELINE = {"online-burst", "noisy-organisation"}
 """Scenarios whose naive version runs as well, for comparison."""
 EXIT_VIOLATION = 1
 EXIT_USAGE = 2
--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -265,7 +265,7 @@
         endpoint = self.owner.source.current.endpoints.get(ticket.endpoint)
         if endpoint is None:
             return False
-        return not await self.owner.engines.listens(endpoint.url)
+        return not await self.owner.engines.answers(endpoint.url)
 
     async def end(self, outcome: str) -> None:
         """Ends the try in progress and gives its ticket back."""
