--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -45,6 +45,7 @@
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
+READY_POLL_S = 0.02
 HAND_BACK_TIMEOUT_S = 2.0
 LOAD_TIMEOUT_S = 1.0
 
@@ -262,6 +263,23 @@
         return None
 
 
+async def become_ready(
+    daemon: program.Daemon, source: distribution.Distribution
+) -> None:
+    """Reports ready once the configuration is known.
+
+    A VM that took requests earlier would refuse them as if the models and
+    keys did not exist.
+    """
+    while not source.is_current(daemon.clock.now()):
+        await anyio.sleep(READY_POLL_S)
+    if daemon.stop.is_set():
+        return
+    daemon.ready = True
+    loaded = daemon.loaded
+    logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
+
+
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
@@ -306,7 +324,8 @@
             with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
                 await parts.shares.hand_back()
 
-        logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
+        daemon.ready = False
+        daemon.group.start_soon(become_ready, daemon, source)
         await daemon.serve(
             [
                 *online_routes(step, source, loaded.limits),
