--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -264,7 +264,9 @@
 
 
 async def become_ready(
-    daemon: program.Daemon, source: distribution.Distribution
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    loaded: settings.Entry,
 ) -> None:
     """Reports ready once the configuration is known.
 
@@ -276,7 +278,6 @@
     if daemon.stop.is_set():
         return
     daemon.ready = True
-    loaded = daemon.loaded
     logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
 
 
@@ -325,7 +326,7 @@
                 await parts.shares.hand_back()
 
         daemon.ready = False
-        daemon.group.start_soon(become_ready, daemon, source)
+        daemon.group.start_soon(become_ready, daemon, source, loaded)
         await daemon.serve(
             [
                 *online_routes(step, source, loaded.limits),
