--- a/src/ibisknot/admitter.py
+++ b/src/ibisknot/admitter.py
@@ -234,13 +234,23 @@
                     group.start_soon(self._read_load, entry, name)
 
     async def _read_load(self, entry: Running, name: str) -> None:
-        endpoint = self.source.current.endpoints.get(name)
-        load = None
-        if endpoint is not None:
-            load = await self.engines.load(endpoint.url)
+        configured = self.source.current.endpoints.get(name)
+        endpoint = entry.state.endpoints.get(name)
+        if configured is None or endpoint is None:
+            return
+        url = configured.url
+        load = await self.engines.load(url)
         if load is not None:
             report = routing.Report(load.running, load.waiting)
             admission.report_load(entry.state, name, report)
+        known = endpoint.known
+        for event in await self.engines.cache_events(url, known.event):
+            routing.cache_event(
+                known,
+                event.number,
+                added=routing.signed(event.stored),
+                evicted=routing.signed(event.evicted),
+            )
 
     def _now(self) -> float:
         return self.daemon.clock.now()
--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -21,6 +21,20 @@
     waiting: int = 0
 
 
+class CacheEvent(msgspec.Struct):
+    """Prompt blocks that an engine stored or evicted."""
+
+    number: int
+    stored: list[int] = []
+    evicted: list[int] = []
+
+
+class CacheEvents(msgspec.Struct):
+    """An engine's cache events; they come late and some never."""
+
+    events: list[CacheEvent] = []
+
+
 class Engines:
     """Connections to endpoints."""
 
@@ -66,6 +80,19 @@
         except (httpx.HTTPError, msgspec.MsgspecError):
             return None
 
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Returns an engine's cache events after a number, if any."""
+        try:
+            response = await self.client.get(
+                self._dial(f"{url}/engine/cache/events"),
+                params={"after": after},
+                timeout=PROBE_TIMEOUT_S,
+            )
+            found = msgspec.json.decode(response.content, type=CacheEvents)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return []
+        return found.events
+
     async def aclose(self) -> None:
         """Closes the connections."""
         await self.probes.aclose()
--- a/src/ibisknot/routing.py
+++ b/src/ibisknot/routing.py
@@ -35,8 +35,17 @@
     for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
         block = " ".join(words[start : start + BLOCK_WORDS])
         chain = xxhash.xxh3_64_intdigest(f"{chain}/{block}".encode())
-        found.append(chain - (1 << 63))
-    return tuple(found)
+        found.append(chain)
+    return tuple(signed(found))
+
+
+def signed(hashes: Iterable[int]) -> list[int]:
+    """Returns unsigned 64-bit hashes as the peer protocol's signed ones.
+
+    >>> signed([0, 2**64 - 1]) == [-(2**63), 2**63 - 1]
+    True
+    """
+    return [number - (1 << 63) for number in hashes]
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_model_dispatch.py
+++ b/tests/test_model_dispatch.py
@@ -16,6 +16,7 @@
 from ibisknot import errors
 from ibisknot import fleet as fleet_module
 from ibisknot import generator
+from ibisknot import keys
 from ibisknot import model_dispatch
 from ibisknot import standin_engine
 from ibisknot import tickets
@@ -46,7 +47,12 @@
 
 @contextlib.contextmanager
 def chat(
-    fleet: fleet_module.Fleet, content: str, *, vm: str = "vm-1", tokens: int
+    fleet: fleet_module.Fleet,
+    content: str,
+    *,
+    vm: str = "vm-1",
+    tokens: int,
+    key: str = "",
 ) -> Iterator[httpx.Response]:
     body = {
         "model": fleet_module.MODEL,
@@ -54,7 +60,7 @@
         "max_tokens": tokens,
         "stream": True,
     }
-    key = fleet.organisations["organisation-1"]
+    key = key or fleet.organisations["organisation-1"]
     with httpx.stream(
         "POST",
         f"{fleet.vms[vm].url()}/v1/chat/completions",
@@ -134,6 +140,32 @@
     assert sum(pair.crashes.values()) == 2
 
 
+def confirm(fleet: fleet_module.Fleet, keys_intent: Any) -> None:
+    intent = {"organisations": {"organisation-1": {"keys": keys_intent}}}
+    base = f"{fleet.vms['vm-1'].direct_url()}/operator/plans"
+    headers = fleet.operator_headers()
+    plan = httpx.post(base, json=intent, headers=headers, trust_env=False)
+    plan.raise_for_status()
+    url = f"{base}/{plan.json()['id']}/confirm"
+    httpx.post(url, headers=headers, trust_env=False).raise_for_status()
+
+
+def test_stream_of_a_withdrawn_key_ends_with_a_typed_error(
+    pair: fleet_module.Fleet,
+) -> None:
+    """Guards against streams that outlive their key."""
+    key = keys.create()
+    confirm(pair, {"second": {"digest": keys.digest(key)}})
+    with chat(pair, "withdrawn", tokens=1_000_000, key=key) as response:
+        assert response.status_code == 200
+        lines = response.iter_lines()
+        assert next(text_of(lines)) is not None
+        confirm(pair, {"second": None})
+        last = [line for line in lines if line.startswith("data: ")][-1]
+    error = msgspec.json.decode(last[6:])["error"]
+    assert (error["code"], error["ran"]) == ("key_withdrawn", "ran")
+
+
 async def _chunks(*parts: bytes) -> AsyncIterator[bytes]:
     for part in parts:
         yield part
