--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -18,12 +18,15 @@
 from ibisknot import scenario
 from ibisknot import scenario_batch_deadline
 from ibisknot import scenario_config_storm
+from ibisknot import scenario_crash_request
 from ibisknot import scenario_fleet_cost
 from ibisknot import scenario_kv_outage
 from ibisknot import scenario_noisy_organisation
 from ibisknot import scenario_online_burst
+from ibisknot import scenario_rolling_restart
 from ibisknot import scenario_smoke
 from ibisknot import scenario_throughput
+from ibisknot import scenario_vm_loss
 from ibisknot import scenario_vm_loss_batch
 from ibisknot import topology as topology_module
 
@@ -35,10 +38,20 @@
     "fleet-cost": scenario_fleet_cost.run,
     "online-burst": scenario_online_burst.run,
     "batch-deadline": scenario_batch_deadline.run,
+    "vm-loss": scenario_vm_loss.run,
     "vm-loss-batch": scenario_vm_loss_batch.run,
     "throughput": scenario_throughput.run,
+    "crash-request": scenario_crash_request.run,
+    "rolling-restart": scenario_rolling_restart.run,
+}
+WITH_BASELINE = {
+    "online-burst",
+    "noisy-organisation",
+    "crash-request",
+    "rolling-restart",
+    "vm-loss",
+    "batch-deadline",
 }
-WITH_BASELINE = {"online-burst", "noisy-organisation", "batch-deadline"}
 """Scenarios whose naive version runs as well, for comparison."""
 EXIT_VIOLATION = 1
 EXIT_USAGE = 2
