--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -1,13 +1,12 @@
 """`ibisknot-entry`: the callers' and operators' entry on every VM."""
 
 import dataclasses
+import functools
 from typing import Annotated
 from typing import Any
 
 import anyio
 import cappa
-import httpx
-import msgspec
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -20,12 +19,13 @@
 from ibisknot import deduplicate
 from ibisknot import dispatch
 from ibisknot import distribution
-from ibisknot import effects
 from ibisknot import engine
+from ibisknot import engine_control
 from ibisknot import errors
 from ibisknot import exchange
 from ibisknot import files
 from ibisknot import follow
+from ibisknot import job_status
 from ibisknot import limits
 from ibisknot import logs
 from ibisknot import membership
@@ -45,8 +45,8 @@
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
+READY_POLL_S = 0.02
 HAND_BACK_TIMEOUT_S = 2.0
-LOAD_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass
@@ -64,6 +64,7 @@
     """The parts that an entry's online path uses."""
 
     daemon: program.Daemon
+    view: membership.View
     source: distribution.Distribution
     engines: engine.Engines
     admitter: admitter_module.Admitter
@@ -87,6 +88,7 @@
     admitter.register(daemon.server)
     return Parts(
         daemon=daemon,
+        view=view,
         source=source,
         engines=engines,
         admitter=admitter,
@@ -241,24 +243,22 @@
     ]
 
 
-async def operator_load(
-    engines: engine.Engines, url: str
-) -> effects.Load | None:
-    """Returns an engine's load report, None when it does not answer."""
-    try:
-        with anyio.fail_after(LOAD_TIMEOUT_S):
-            async with engines.open(
-                "GET", url + "/engine/load", headers={}, body=b""
-            ) as response:
-                data = await response.aread()
-        return msgspec.json.decode(data, type=effects.Load)
-    except (
-        errors.IbisknotError,
-        httpx.HTTPError,
-        msgspec.MsgspecError,
-        TimeoutError,
-    ):
-        return None
+async def become_ready(
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    loaded: settings.Entry,
+) -> None:
+    """Reports ready once the configuration is known.
+
+    A VM that took requests earlier would refuse them as if the models and
+    keys did not exist.
+    """
+    while not source.is_current(daemon.clock.now()):
+        await anyio.sleep(READY_POLL_S)
+    if daemon.stop.is_set():
+        return
+    daemon.ready = True
+    logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
 
 
 async def run(loaded: settings.Entry) -> None:
@@ -276,9 +276,6 @@
         async def in_force(_ask: ttypes.VersionAsk) -> Any:
             return ttypes.VersionInForce(version=source.current.version)
 
-        async def engine_load(url: str) -> effects.Load | None:
-            return await operator_load(engines, url)
-
         recent.keep(daemon.server)
         asked = survey.Survey(
             daemon.peers, daemon.vms, loaded.peer_port, loaded.batch_port
@@ -286,6 +283,10 @@
         daemon.server.on("version_in_force", ttypes.VersionAsk, in_force)
         parts = online_parts(daemon, source, engines, loaded)
         step = online_pipeline(parts, policy=loaded.policy)
+        follower.live = parts.view.live
+        ordering = engine_control.start_orders(
+            daemon, loaded, source, engines, parts.view.live
+        )
         file_handlers = files.Files(source, daemon.store, copies, loaded.limits)
         batch_handlers = batches.Batches(
             source,
@@ -296,7 +297,14 @@
             copies,
         )
         operator_handlers = operators.Operators(
-            follower, daemon.store, loaded, asked, engine_load
+            follower,
+            daemon.store,
+            loaded,
+            asked,
+            functools.partial(engine_control.load, engines),
+        )
+        statuses = job_status.JobStatuses(
+            batch_handlers, operator_handlers.operator
         )
 
         async def drain() -> None:
@@ -304,8 +312,10 @@
             await parts.admitter.drain()
             with anyio.move_on_after(HAND_BACK_TIMEOUT_S):
                 await parts.shares.hand_back()
+                await ordering.give_back()
 
-        logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
+        daemon.ready = False
+        daemon.group.start_soon(become_ready, daemon, source, loaded)
         await daemon.serve(
             [
                 *online_routes(step, source, loaded.limits),
@@ -313,10 +323,12 @@
                 *file_handlers.routes(),
                 *batch_handlers.routes(),
                 *operator_handlers.routes(),
+                *statuses.routes(),
             ],
             tls_files=loaded.tls,
             drain=drain,
             graceful_s=loaded.drain_timeout_s,
+            limits=loaded.limits,
         )
         await engines.aclose()
 
