--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -259,7 +259,7 @@
             return admission.UNREACHABLE
         text = error.message.encode()
         self._failed(run, work, 0, text, alone=place.alone)
-        if await self.engines.listens(place.url):
+        if await self.engines.answers(place.url):
             return admission.FAILED
         return admission.CRASHED
 
