Answer a repeated collect with the same report

Cause: when the answer to a collect was lost, the holder's second report left out units that it had returned in between; the owner put them in its pool and added them again when the return arrived. The model check found 1,250,000 of 1,000,000 units among the VMs. Ruled out: capping what is taken back at what is lent, which fails when the return arrives before the report. Change: a holder keeps its report for the owner's epoch and repeats it. Figures: the exhaustive check passes, it failed before; with the rule removed it fails again, as it does with each of the three other rules removed.

--- a/src/ibisknot/checker_rates.py
+++ b/src/ibisknot/checker_rates.py
@@ -40,12 +40,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vm:
-    """A VM's share, and its ledger while it believes to be the owner."""
+    """A VM's share, its last report, and its ledger while it is the owner."""
 
     epoch: int = 0
     units: int = 0
     level: int = 0
     pool: Pool | None = None
+    reported_epoch: int = 0
+    reported_units: int = 0
+    reported_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,11 +80,13 @@
         accepts: Whether a message of an epoch is taken.
         checks_return: Whether a return of another epoch is dropped.
         waits: Whether units join the pool only after all have answered.
+        repeats: Whether an owner that asks again gets the same answer.
     """
 
     accepts: Accepts = rates.accepts
     checks_return: bool = True
     waits: bool = True
+    repeats: bool = True
 
 
 def start() -> World:
@@ -91,7 +96,13 @@
 
 def _open(vm: Vm) -> rates.Holdings:
     share = rates.Share(vm.units, vm.level)
-    return rates.Holdings(vm.epoch, {ORGANISATION: share})
+    reported = rates.Parcel(vm.reported_units, vm.reported_tokens)
+    return rates.Holdings(
+        vm.epoch,
+        {ORGANISATION: share},
+        vm.reported_epoch,
+        {ORGANISATION: reported},
+    )
 
 
 def _ledger(pool: Pool, me: int) -> rates.Ledger:
@@ -124,7 +135,16 @@
             moved=ledger.moved.get(ORGANISATION, 0),
             settled=ORGANISATION in ledger.settled,
         )
-    return Vm(holdings.epoch, share.units, share.level, pool)
+    reported = holdings.reported[ORGANISATION]
+    return Vm(
+        holdings.epoch,
+        share.units,
+        share.level,
+        pool,
+        holdings.reported_epoch,
+        reported.units,
+        reported.tokens,
+    )
 
 
 def _with(world: World, me: int, vm: Vm, *sent: Message) -> World:
@@ -177,10 +197,12 @@
     return _with(world, me, _close(holdings, ledger, me), collect)
 
 
-def _collect(world: World, message: Message) -> World:
+def _collect(world: World, message: Message, rules: Rules) -> World:
     me = message.to
     vm = world.vms[me]
     holdings = _open(vm)
+    if not rules.repeats:
+        holdings.reported_epoch = 0
     owned = vm.pool is not None
     held = rates.report(holdings, message.epoch, owned=owned)
     if held is None:
@@ -229,7 +251,7 @@
     if message.kind == BEGIN:
         return _begin(world, message, rules)
     if message.kind == COLLECT:
-        return _collect(world, message)
+        return _collect(world, message, rules)
     if message.kind == GRANT:
         return _grant(world, message, rules)
     return _at_owner(world, message, rules)
--- a/src/ibisknot/rates.py
+++ b/src/ibisknot/rates.py
@@ -85,10 +85,14 @@
     Attributes:
         epoch: Highest epoch of the shard known; older messages are dropped.
         shares: Shares by organisation.
+        reported_epoch: Epoch of the owner that was answered last.
+        reported: What it was answered, to be repeated if it asks again.
     """
 
     epoch: int = 0
     shares: dict[str, Share] = dataclasses.field(default_factory=dict)
+    reported_epoch: int = 0
+    reported: dict[str, Parcel] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -261,6 +265,10 @@
     A former owner gives up its pool: the units by stating that it holds none
     of them, the tokens by moving them.
 
+    An owner that asks again, because an answer was lost, gets the same answer.
+    A newer one would leave out units whose return is still under way, and the
+    owner would count those twice.
+
     Args:
         holdings: What the VM holds.
         epoch: The new owner's epoch.
@@ -272,6 +280,8 @@
     """
     if not accepts(holdings, epoch):
         return None
+    if holdings.reported_epoch == epoch:
+        return holdings.reported
     held = {}
     for name, share in holdings.shares.items():
         if owned:
@@ -280,6 +290,8 @@
             share.level = 0
         else:
             held[name] = Parcel(share.units, 0)
+    holdings.reported_epoch = epoch
+    holdings.reported = held
     return held
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -120,8 +120,14 @@
         {"accepts": lambda holdings, epoch: True},
         {"checks_return": False},
         {"waits": False},
+        {"repeats": False},
+    ],
+    ids=[
+        "epoch of a message",
+        "epoch of a return",
+        "all have answered",
+        "same answer again",
     ],
-    ids=["epoch of a message", "epoch of a return", "all have answered"],
 )
 def test_mutated_shares_are_caught(mutation: dict[str, Any]) -> None:
     """Guards against a check that no longer sees a broken rule."""
