Plan and adopt by changed entries at 6,800 organisations

Cause: a plan flattened the whole configuration twice, and each VM indexed all keys and hashed all names at each change, while it answered nobody.

Change: differences are taken by changed entry, the key index is updated by the changes, and the chunk of a name is cached.

--- a/src/ibisknot/distribution.py
+++ b/src/ibisknot/distribution.py
@@ -88,8 +88,12 @@
         version = state.head.version
         if version <= self.state.head.version:
             return False
+        complete = len(changes) == version - self.state.head.version
         self.state = state
-        self.keys = configuration.key_index(state.configuration)
+        if complete:
+            self.keys = _next_keys(self.keys, changes)
+        else:
+            self.keys = configuration.key_index(state.configuration)
         first = version - len(changes) + 1
         for number, data in enumerate(changes, start=first):
             self.recent[number] = data
@@ -206,3 +210,25 @@
         number = freshness.vm_hash(delta.vm)
         freshness.merge_heard(self.heard, delta.heard, asked_s)
         self.heard[number] = max(asked_s, self.heard.get(number, asked_s))
+
+
+def _next_keys(
+    keys: dict[str, configuration.KeyOwner], changes: list[bytes]
+) -> dict[str, configuration.KeyOwner]:
+    """Returns the owners of the valid keys after changes of versions.
+
+    An index made anew would take 16 ms at 6,800 organisations with three keys
+    each, during which the process answers nobody.
+    """
+    found = dict(keys)
+    for data in changes:
+        decoded = msgspec.json.decode(data, type=list[groups.EntryChange])
+        owned = [c for c in decoded if c.kind == groups.ORGANISATIONS]
+        for change in owned:
+            for key in (change.before or {}).get("keys", {}).values():
+                found.pop(key["digest"], None)
+        for change in owned:
+            for key_id, key in (change.after or {}).get("keys", {}).items():
+                owner = configuration.KeyOwner(change.name, key_id)
+                found[key["digest"]] = owner
+    return found
--- a/src/ibisknot/groups.py
+++ b/src/ibisknot/groups.py
@@ -4,6 +4,7 @@
 near the key-value service's limit and a change rewrites one chunk only.
 """
 
+import functools
 from typing import Any
 
 import msgspec
@@ -60,6 +61,7 @@
     configuration: configuration.Configuration
 
 
+@functools.lru_cache(maxsize=32_768)
 def group_of(kind: str, name: str) -> str:
     """Returns the group that an entry belongs to.
 
--- a/src/ibisknot/plan.py
+++ b/src/ibisknot/plan.py
@@ -8,6 +8,7 @@
 from ibisknot import configuration
 from ibisknot import effects
 from ibisknot import errors
+from ibisknot import groups
 from ibisknot import intent as intent_module
 
 
@@ -46,7 +47,7 @@
 def _flatten(value: Any, path: str, into: dict[str, Any]) -> None:
     if isinstance(value, dict) and value:
         for name, child in value.items():
-            _flatten(child, f"{path}/{name}" if path else name, into)
+            _flatten(child, f"{path}/{name}", into)
     else:
         into[path] = value
 
@@ -57,12 +58,18 @@
     """Returns the changed fields in path order, without the version."""
     old: dict[str, Any] = {}
     new: dict[str, Any] = {}
-    _flatten(msgspec.to_builtins(before), "", old)
-    _flatten(msgspec.to_builtins(after), "", new)
+    for change in groups.differences(before, after):
+        path = f"{change.kind}/{change.name}"
+        if change.kind == groups.POLICY:
+            path = groups.POLICY
+        if change.before is not None:
+            _flatten(change.before, path, old)
+        if change.after is not None:
+            _flatten(change.after, path, new)
     return [
         Difference(path, old.get(path), new.get(path))
         for path in sorted(old.keys() | new.keys())
-        if old.get(path) != new.get(path) and path != "version"
+        if old.get(path) != new.get(path)
     ]
 
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -97,6 +97,29 @@
     assert not source.key_valid("digest-x")
 
 
+def test_key_index_by_changes_equals_the_whole_one() -> None:
+    """Guards against keys that stay valid after a change by delta."""
+    choice = random.Random(3)
+    source = node("a", ["a"])
+    for version in range(1, 60):
+        before = source.current
+        organisations = dict(before.organisations)
+        name = f"o{choice.randint(1, 4)}"
+        keys = {
+            f"k{k}": configuration.Key(f"d-{name}-{choice.randint(1, 5)}-{k}")
+            for k in range(choice.randint(0, 3))
+        }
+        organisations[name] = configuration.Organisation(1.0, 1.0, keys)
+        if choice.random() < 0.2:
+            del organisations[name]
+        after = configuration.Configuration(version, organisations)
+        changes = groups.differences(before, after)
+        head = groups.Head(version, "op", groups.digests(after))
+        data = [msgspec.json.encode(changes)]
+        assert source.adopt(groups.State(head, after), data)
+        assert source.keys == configuration.key_index(after)
+
+
 def test_cut_off_vm_refuses_and_majority_goes_on() -> None:
     """Guards against a cut-off VM that serves with withdrawn keys."""
     names = ["a", "b", "c"]
