--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -25,6 +25,7 @@
 from ibisknot import exchange
 from ibisknot import files
 from ibisknot import follow
+from ibisknot import job_status
 from ibisknot import limits
 from ibisknot import logs
 from ibisknot import membership
@@ -113,7 +114,6 @@
         online.authenticate(source),
         online.limit_rate_static(source, lambda: len(vms.live())),
         online.check_whole,
-        deduplicate.claim_once(parts.claims, parts.daemon.group),
         dispatch.naive_filter(source, parts.engines),
     )
 
@@ -284,6 +284,9 @@
             asked,
             functools.partial(engine_control.load, engines),
         )
+        statuses = job_status.JobStatuses(
+            batch_handlers, operator_handlers.operator
+        )
 
         async def drain() -> None:
             await anyio.sleep(loaded.drain_notice_s)
@@ -300,10 +303,12 @@
                 *file_handlers.routes(),
                 *batch_handlers.routes(),
                 *operator_handlers.routes(),
+                *statuses.routes(),
             ],
             tls_files=loaded.tls,
             drain=drain,
             graceful_s=loaded.drain_timeout_s,
+            limits=loaded.limits,
         )
         await engines.aclose()
 
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -258,6 +258,7 @@
                     )
                     raise errors.KeyValueError(message)
                 async for line in response.aiter_lines():
+                    metrics.count_bytes("key_value", received=len(line))
                     if line.strip():
                         yield _changes(prefix, line)
         except httpx.HTTPError as error:
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from typing import Any
+from urllib import parse
 
 import anyio
 import msgspec
@@ -23,6 +24,8 @@
 from ibisknot import traces
 from ibisknot import web
 
+PATH_CHARACTERS = "/:@!$&'()*+,;=~"
+"""Characters of a path that need no escape."""
 DEFAULT_TOKENS = 16
 """Charged for a request that states no limit."""
 DEADLINE_HEADER = "x-request-timeout-s"
@@ -58,9 +61,8 @@
 async def trace(
     exchange: exchange_module.Exchange, following: exchange_module.Next
 ) -> exchange_module.Reply:
-    """Opens the request's span below the caller's trace context."""
-    parent = exchange.request.headers.get("traceparent")
-    with traces.span("request", parent=parent, request=exchange.id):
+    """Opens the request's span; its parent is the span of the HTTP call."""
+    with traces.span("request", request=exchange.id):
         return await following(exchange)
 
 
@@ -89,7 +91,7 @@
     return exchange_module.Target(
         kind=configuration.SERVICE,
         name=route.service,
-        path="/" + params.get("path", ""),
+        path=parse.quote("/" + params.get("path", ""), safe=PATH_CHARACTERS),
         open=route.open,
         idempotent=route.idempotent,
     )
@@ -223,8 +225,8 @@
     """Returns the guard that ends a request whose key is withdrawn."""
 
     async def run() -> errors.IbisknotError:
-        digest = exchange.key_digest
-        while not digest or source.key_valid(digest):
+        # The digest is set only once the request is authenticated.
+        while not exchange.key_digest or source.key_valid(exchange.key_digest):
             await source.changed.wait()
         await anyio.sleep(source.current.policy.key_grace_s)
         return errors.KeyWithdrawnError(
--- a/src/ibisknot/result_log.py
+++ b/src/ibisknot/result_log.py
@@ -7,9 +7,11 @@
 import array
 from collections.abc import Callable
 import dataclasses
+import io
 import os
 import pathlib
 import struct
+from typing import IO
 
 import xxhash
 
@@ -21,37 +23,29 @@
 # Bodies are JSON text, and no UTF-8 text holds this mark, so a caller cannot
 # place a false record into a body.
 MARK = b"\xf1ibr"
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+WINDOW_BYTES = 1024 * 1024
 _HEADER = struct.Struct("!4sIQ")
 _RESULT = struct.Struct("!Q?")
 
 
-@dataclasses.dataclass(slots=True)
-class Record:
-    """A whole record and where its frame begins."""
-
-    offset: int
-    body: bytes
-
-
 @dataclasses.dataclass(slots=True)
 class Scan:
     """What was found in a file of frames.
 
     Attributes:
-        records: The whole records.
         length: Position after the last whole record.
         damaged: Bytes before `length` that belong to no whole record.
         torn: Bytes after `length`.
     """
 
-    records: list[Record]
-    length: int
-    damaged: int
-    torn: int
+    length: int = 0
+    damaged: int = 0
+    torn: int = 0
 
 
 def _checksum(body: bytes) -> int:
-    return xxhash.xxh3_64_intdigest(body, seed=len(body))
+    return xxhash.xxh3_64_intdigest(body)
 
 
 def frame(body: bytes) -> bytes:
@@ -59,41 +53,88 @@
     return _HEADER.pack(MARK, len(body), _checksum(body)) + body
 
 
-def _record_at(data: bytes, position: int) -> bytes | None:
-    if position + _HEADER.size > len(data):
-        return None
-    mark, size, checksum = _HEADER.unpack_from(data, position)
-    start = position + _HEADER.size
-    if mark != MARK or start + size > len(data):
-        return None
-    body = data[start : start + size]
+def _wanted(window: bytes, position: int) -> int:
+    """Returns the bytes of the frame at a position, or 0 if there is none.
+
+    If too few bytes are there to tell, it is the size of a header.
+    """
+    mark = window[position : position + len(MARK)]
+    if mark != MARK[: len(mark)]:
+        return 0
+    if len(window) - position < _HEADER.size:
+        return _HEADER.size
+    size = _HEADER.unpack_from(window, position)[1]
+    return _HEADER.size + size if size <= MAXIMUM_BODY_BYTES else 0
+
+
+def _body(window: bytes, position: int, size: int) -> bytes | None:
+    """Returns the body of a whole frame, or None when it is damaged."""
+    checksum = _HEADER.unpack_from(window, position)[2]
+    body = window[position + _HEADER.size : position + size]
     return body if _checksum(body) == checksum else None
 
 
-def scan(data: bytes) -> Scan:
-    """Finds all whole records, also those behind damage.
+def scan(file: IO[bytes], take: Callable[[int, bytes], None]) -> Scan:
+    """Finds all whole records of a file, also those behind damage.
 
+    Only a window of the file is in memory.
+
+    Args:
+        file: The file, read from where it stands.
+        take: Called with the position and the body of each record.
+
+    >>> found = []
     >>> data = frame(b"a") + frame(b"b") + frame(b"c")
-    >>> [r.body for r in scan(data[:20] + b"?" + data[21:]).records]
+    >>> data = data[:20] + b"?" + data[21:] + b"torn"
+    >>> scan(io.BytesIO(data), lambda _, body: found.append(body)).torn
+    4
+    >>> found
     [b'a', b'c']
     """
-    found = Scan(records=[], length=0, damaged=0, torn=0)
+    found = Scan()
+    window = file.read(WINDOW_BYTES)
+    base = 0
     position = 0
-    while position < len(data):
-        body = _record_at(data, position)
-        if body is None:
-            position = data.find(MARK, position + 1)
-            if position < 0:
+    while True:
+        size = _wanted(window, position)
+        if position + max(size, 1) > len(window):
+            more = file.read(max(WINDOW_BYTES, size))
+            if more:
+                window = window[position:] + more
+                base += position
+                position = 0
+                continue
+            if position >= len(window):
                 break
+            size = 0
+        body = _body(window, position, size) if size else None
+        if body is None:
+            position = _next_mark(window, position + 1)
             continue
-        found.records.append(Record(position, body))
-        found.damaged += position - found.length
-        position += _HEADER.size + len(body)
-        found.length = position
-    found.torn = len(data) - found.length
+        offset = base + position
+        take(offset, body)
+        found.damaged += offset - found.length
+        position += size
+        found.length = base + position
+    found.torn = base + len(window) - found.length
     return found
 
 
+def _next_mark(window: bytes, position: int) -> int:
+    """Returns where the next mark may begin."""
+    found = window.find(MARK, position)
+    if found >= 0:
+        return found
+    # A mark may begin in the last bytes of the window.
+    return max(position, len(window) - len(MARK) + 1)
+
+
+def _write_all(file: io.FileIO, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest) :]
+
+
 class Log:
     """The results of one group, by item; bodies stay on the disk.
 
@@ -118,14 +159,18 @@
         """Returns whether an item has a result."""
         return index < len(self.places) and self.places[index] != 0
 
+    def grow(self, size: int) -> None:
+        """Makes room for items up to a number."""
+        missing = size - len(self.places)
+        if missing > 0:
+            self.places.extend([0] * missing)
+            self.failed.extend(bytes((size + 7) // 8 - len(self.failed)))
+
     def note(self, index: int, failed: bool, offset: int) -> None:
         """Takes a result into the index; the first one stays."""
-        if self.has(index):
+        self.grow(index + 1)
+        if self.places[index]:
             return
-        missing = index + 1 - len(self.places)
-        if missing > 0:
-            self.places.extend([0] * missing)
-            self.failed.extend(bytes((index >> 3) + 1 - len(self.failed)))
         self.places[index] = offset + 1
         if failed:
             self.failed[index >> 3] |= 1 << (index & 7)
@@ -150,19 +195,19 @@
             OSError: The disk failed; `undo` takes the half-done append back.
         """
         path = folder / LOG_NAME
-        fresh = not path.exists()
-        offsets = []
+        fresh = self.size == 0
+        parts: list[bytes] = []
+        offsets: list[int] = []
         position = self.size
-        with path.open("ab") as file:
-            for result in results:
-                head = _RESULT.pack(result.index, result.failed)
-                data = frame(head + result.body)
-                file.write(data)
-                offsets.append(position)
-                position += len(data)
+        for result in results:
+            body = _RESULT.pack(result.index, result.failed) + result.body
+            offsets.append(position)
+            parts.append(_HEADER.pack(MARK, len(body), _checksum(body)))
+            parts.append(body)
+            position += _HEADER.size + len(body)
+        with path.open("ab", buffering=0) as file:
+            _write_all(file, b"".join(parts))
             fault("results-written")
-            file.flush()
-            fault("results-flushed")
             os.fsync(file.fileno())
         if fresh:
             descriptor = os.open(folder, os.O_RDONLY)
@@ -172,6 +217,7 @@
                 os.close(descriptor)
         fault("results-synced")
         self.size = position
+        self.grow(1 + max(result.index for result in results))
         for result, offset in zip(results, offsets, strict=True):
             self.note(result.index, result.failed, offset)
 
@@ -217,7 +263,13 @@
     path = folder / LOG_NAME
     if not path.exists():
         return log
-    found = scan(path.read_bytes())
+
+    def take(offset: int, body: bytes) -> None:
+        index, failed = _RESULT.unpack_from(body)
+        log.note(index, failed, offset)
+
+    with path.open("rb") as file:
+        found = scan(file, take)
     if found.torn:
         os.truncate(path, found.length)
         logs.event("results_tail_cut", group=folder.name, size=found.torn)
@@ -230,7 +282,4 @@
             size=found.damaged,
         )
     log.size = found.length
-    for record in found.records:
-        index, failed = _RESULT.unpack_from(record.body)
-        log.note(index, failed, record.offset)
     return log
--- a/src/ibisknot/runner.py
+++ b/src/ibisknot/runner.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from ibisknot import admission
 from ibisknot import engine
 from ibisknot import errors
 from ibisknot import items
@@ -27,6 +28,8 @@
 
 POLL_S = 0.05
 RATE_PERIOD_S = 1.0
+PROGRESS_PERIODS = 10
+"""Progress is logged each time the rate was measured so often."""
 RETRY_PAUSE_S = 0.2
 UNREACHABLE_PAUSE_S = 0.5
 DEFAULT_TOKENS = 16
@@ -66,16 +69,15 @@
         self.alone = 0
         self.schedule = scheduling.State()
         self.completed = 0
+        self.measured = 0
         self.freed = anyio.Event()
 
-    async def seen(
-        self, shard: int, job: jobs.JobRecord, revision: int
-    ) -> None:
-        """Takes a job's record, new or changed."""
+    async def seen(self, shard: int, job: jobs.Record, revision: int) -> None:
+        """Takes a job's or file's record, new or changed."""
         epoch = self.shards.epoch(shard)
         if epoch is None:
             return
-        if job.state in jobs.FINAL:
+        if isinstance(job, jobs.FileRecord) or job.state in jobs.FINAL:
             self.ended.note(job, shard, revision)
             return
         known = self.running.get(job.id)
@@ -170,15 +172,17 @@
     async def _try(self, run: runs.Run, work: items.Work) -> None:
         """Tries an item once, and records its result or puts it back."""
         ask = _ask(run, work)
-        async with self.acquire(ask) as place:
-            if not run.active or not self.shards.may_dispatch():
-                self._retry(run, work, 0.0)
-                return
-            if not place.endpoint:
-                text = b"no active endpoint serves this model"
-                self._failed(run, work, 503, text, alone=False)
-                return
-            await self._run(run, work, place, ask.request_id)
+        try:
+            async with self.acquire(ask) as place:
+                if not run.active or not self.shards.may_dispatch():
+                    self._retry(run, work, RETRY_PAUSE_S)
+                elif not place.endpoint:
+                    text = b"no active endpoint serves this model"
+                    self._failed(run, work, 503, text, alone=False)
+                else:
+                    await self._run(run, work, place, ask.request_id)
+        except errors.OverloadedError:
+            self._retry(run, work, RETRY_PAUSE_S)
 
     async def _run(
         self,
@@ -187,6 +191,7 @@
         place: places.Place,
         request_id: str,
     ) -> None:
+        meter = items.Meter(time.monotonic())
         outcome: items.Outcome | None = None
         failure: errors.EndpointError | None = None
         async with anyio.create_task_group() as group:
@@ -198,32 +203,46 @@
             group.start_soon(give_way)
             try:
                 outcome = await items.attempt(
-                    self.engines, work, place.url, request_id
+                    self.engines, work, place.url, request_id, meter
                 )
             except errors.EndpointError as error:
                 failure = error
             group.cancel_scope.cancel()
-        if outcome is not None and outcome.status == 200:
-            line = items.result_line(work, 200, outcome.body)
-            runs.record(run, work, line, failed=False)
-            self.completed += 1
-        elif outcome is not None:
-            self._failed(
-                run, work, outcome.status, outcome.body, alone=place.alone
-            )
+        result = admission.CANCELLED
+        if outcome is not None:
+            result = admission.OK
+            self._answered(run, work, outcome, place)
         elif failure is not None:
-            self._broke(run, work, failure, place)
+            result = await self._broke(run, work, failure, place)
         else:
             metrics.BATCH_ITEMS.inc({"outcome": "gave_way"})
             self._retry(run, work, 0.0)
+        place.measured = meter.measured(result)
 
-    def _broke(
+    def _answered(
         self,
         run: runs.Run,
         work: items.Work,
-        error: errors.EndpointError,
+        outcome: items.Outcome,
         place: places.Place,
     ) -> None:
+        if outcome.status != 200:
+            self._failed(
+                run, work, outcome.status, outcome.body, alone=place.alone
+            )
+            return
+        line = items.result_line(work, 200, outcome.body)
+        runs.record(run, work, line, failed=False)
+        self.completed += 1
+
+    async def _broke(
+        self,
+        run: runs.Run,
+        work: items.Work,
+        error: errors.EndpointError,
+        place: places.Place,
+    ) -> str:
+        """Takes in a failed try; returns its outcome for admission."""
         logs.event(
             "item_broke_off",
             level="warning",
@@ -234,11 +253,15 @@
             ran=error.ran,
             cause=error.message,
         )
+        work.avoid = frozenset([place.endpoint])
         if error.ran == errors.NOT_RUN:
             self._retry(run, work, UNREACHABLE_PAUSE_S)
-            return
+            return admission.UNREACHABLE
         text = error.message.encode()
         self._failed(run, work, 0, text, alone=place.alone)
+        if await self.engines.listens(place.url):
+            return admission.FAILED
+        return admission.CRASHED
 
     def _failed(
         self,
@@ -270,12 +293,25 @@
         late = scheduling.at_risk(everyone, self.schedule, time.time())
         metrics.BATCH_REMAINING.set({}, sum(c.remaining for c in everyone))
         metrics.BATCH_AT_RISK.set({}, len(late))
+        self.measured += 1
         for candidate in everyone:
             run = self.running[candidate.job]
+            if self.measured % PROGRESS_PERIODS == 0:
+                self._log_progress(run)
             if (candidate.job in late) != run.at_risk:
                 run.at_risk = candidate.job in late
                 self._warn(run, candidate)
 
+    def _log_progress(self, run: runs.Run) -> None:
+        logs.event(
+            "job_progress",
+            job=run.job.id,
+            total=run.job.total(),
+            completed=run.ended - run.failed,
+            failed=run.failed,
+            flying=len(run.flying),
+        )
+
     def _warn(self, run: runs.Run, candidate: scheduling.Candidate) -> None:
         logs.event(
             "job_deadline_at_risk" if run.at_risk else "job_deadline_safe",
@@ -302,7 +338,7 @@
         return ttypes.JobProgress(
             job=ask.job,
             total=run.job.total(),
-            completed=len(run.done) - run.failed,
+            completed=run.ended - run.failed,
             failed=run.failed,
             finish_at=None if finish_s is None else int(finish_s),
             at_risk=run.at_risk,
@@ -339,6 +375,7 @@
         tokens=max(1, limit - len(work.parts)),
         deadline_s=max(0.0, run.job.deadline_at - time.time()),
         alone=work.suspect,
+        avoid=work.avoid,
     )
 
 
--- a/src/ibisknot/segments.py
+++ b/src/ibisknot/segments.py
@@ -157,11 +157,13 @@
         if not path.exists():
             message = f"segment {number} of {group} is missing"
             raise errors.SegmentMissingError(message)
-        scan = result_log.scan(path.read_bytes())
+        items: list[bytes] = []
+        with path.open("rb") as file:
+            scan = result_log.scan(file, lambda _, body: items.append(body))
         if scan.damaged or scan.torn:
             message = f"segment {number} of {group} is damaged"
             raise errors.SegmentMissingError(message)
-        return [record.body for record in scan.records]
+        return items
 
     def count(self, group: str) -> int:
         """Returns the number of a group's segments."""
@@ -275,8 +277,10 @@
             outcome = _refusal(group, known, epoch, results)
             outcomes.append(outcome)
             if outcome is None:
+                known.grow(1 + max((r.index for r in results), default=0))
+                places = known.places
                 for result in results:
-                    if not known.has(result.index):
+                    if not places[result.index]:
                         fresh.setdefault(result.index, result)
         if fresh:
             try:
@@ -344,7 +348,8 @@
     if epoch != known.epoch:
         message = f"group {group} is held by epoch {known.epoch}"
         return errors.FencedError(message)
-    if any(not 0 <= r.index < MAXIMUM_INDEX for r in results):
+    indexes = [result.index for result in results]
+    if indexes and not (min(indexes) >= 0 and max(indexes) < MAXIMUM_INDEX):
         return errors.SegmentError("an item index is out of range")
     return None
 
