--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -45,6 +45,7 @@
 from ibisknot import web
 from ibisknot.gen.config import ttypes
 
+READY_POLL_S = 0.02
 HAND_BACK_TIMEOUT_S = 2.0
 
 
@@ -242,6 +243,24 @@
     ]
 
 
+async def become_ready(
+    daemon: program.Daemon,
+    source: distribution.Distribution,
+    loaded: settings.Entry,
+) -> None:
+    """Reports ready once the configuration is known.
+
+    A VM that took requests earlier would refuse them as if the models and
+    keys did not exist.
+    """
+    while not source.is_current(daemon.clock.now()):
+        await anyio.sleep(READY_POLL_S)
+    if daemon.stop.is_set():
+        return
+    daemon.ready = True
+    logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
+
+
 async def run(loaded: settings.Entry) -> None:
     """Runs the program until it is told to stop."""
     async with program.daemon(loaded, name="ibisknot-entry") as daemon:
@@ -295,7 +314,8 @@
                 await parts.shares.hand_back()
                 await ordering.give_back()
 
-        logs.event("entry_ready", vm=loaded.vm.name, policy=loaded.policy)
+        daemon.ready = False
+        daemon.group.start_soon(become_ready, daemon, source, loaded)
         await daemon.serve(
             [
                 *online_routes(step, source, loaded.limits),
