Call endpoints with h11 over kept connections

Cause: the profile of an entry showed httpx and its transport as the largest cost of a request, 1.53 s of 3.25 s, most of it in cancel scopes.

Change: requests to endpoints are encoded by h11 and written at once; the answers stay httpx responses, so their readers are the same.

--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -2,11 +2,13 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+from urllib import parse
 
 import anyio
 import httpx
 import msgspec
 
+from ibisknot import _endpoint_http
 from ibisknot import errors
 
 CONNECT_TIMEOUT_S = 1.0
@@ -35,6 +37,9 @@
             ),
             trust_env=False,
         )
+        self.transport = _endpoint_http.Transport(
+            connect_timeout_s=CONNECT_TIMEOUT_S, read_timeout_s=READ_TIMEOUT_S
+        )
 
     async def listens(self, url: str) -> bool:
         """Returns whether an endpoint still accepts connections.
@@ -68,6 +73,7 @@
     async def aclose(self) -> None:
         """Closes the connections."""
         await self.client.aclose()
+        await self.transport.aclose()
 
     def _dial(self, url: str) -> httpx.URL:
         """Returns the URL to dial, with its address overridden if set."""
@@ -93,11 +99,17 @@
             EndpointError: The endpoint could not be reached (`not_run`) or
                 broke off (`unknown`).
         """
+        netloc = parse.urlsplit(url).netloc
+        address = self.overrides.get(netloc, netloc)
         try:
-            async with self.client.stream(
-                method, self._dial(url), headers=headers, content=body
-            ) as response:
+            response = await self.transport.send(
+                method, url, address, headers=headers, body=body
+            )
+            try:
                 yield response
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await response.aclose()
         except (
             httpx.ConnectError,
             httpx.ConnectTimeout,
