--- a/src/ibisknot/configuration.py
+++ b/src/ibisknot/configuration.py
@@ -34,9 +34,15 @@
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True):
-    """A model that the fleet serves, with its wanted version."""
+    """A model that the fleet serves, with its wanted version.
+
+    Attributes:
+        version: The version to load.
+        adapters: Its adapters, each served as `MODEL:ADAPTER`.
+    """
 
     version: str = "1"
+    adapters: list[Name] = []
 
 
 class Endpoint(msgspec.Struct, forbid_unknown_fields=True):
@@ -49,6 +55,7 @@
         data_centre: Where it runs.
         checks_fencing: Whether it refuses orders with an old number.
         state: `active`, or `leaving` when it gets no new work.
+        role: What an engine does: `mixed`, `prefill` or `decode`.
     """
 
     kind: Annotated[str, msgspec.Meta(pattern="^(engine|service)$")]
@@ -57,6 +64,9 @@
     data_centre: str
     checks_fencing: bool = True
     state: Annotated[str, msgspec.Meta(pattern="^(active|leaving)$")] = ACTIVE
+    role: Annotated[str, msgspec.Meta(pattern="^(mixed|prefill|decode)$")] = (
+        "mixed"
+    )
 
 
 class Route(msgspec.Struct, forbid_unknown_fields=True):
@@ -97,8 +107,20 @@
     policy: Policy = msgspec.field(default_factory=Policy)
 
     def engines(self, model: str) -> list[str]:
-        """Returns the names of the active engines that serve a model."""
-        return self._serving(ENGINE, model)
+        """Returns the names of the active engines that serve a model.
+
+        Args:
+            model: A model, or an adapter as `MODEL:ADAPTER`.
+        """
+        return self._serving(ENGINE, model.partition(":")[0])
+
+    def has_model(self, name: str) -> bool:
+        """Returns whether a model, or `MODEL:ADAPTER`, is stated."""
+        base, _, adapter = name.partition(":")
+        stated = self.models.get(base)
+        if stated is None:
+            return False
+        return not adapter or adapter in stated.adapters
 
     def services(self, service: str) -> list[str]:
         """Returns the names of the active endpoints of a plain service."""
--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -24,6 +24,20 @@
     waiting: int = 0
 
 
+class CacheEvent(msgspec.Struct):
+    """Prompt blocks that an engine stored or evicted."""
+
+    number: int
+    stored: list[int] = []
+    evicted: list[int] = []
+
+
+class CacheEvents(msgspec.Struct):
+    """An engine's cache events; they come late and some never."""
+
+    events: list[CacheEvent] = []
+
+
 class Engines:
     """Connections to endpoints."""
 
@@ -40,24 +54,26 @@
         self.transport = _endpoint_http.Transport(
             connect_timeout_s=CONNECT_TIMEOUT_S, read_timeout_s=READ_TIMEOUT_S
         )
+        # A probe on a kept connection could meet one that the engine has
+        # closed because it was idle.
+        self.probes = httpx.AsyncClient(
+            timeout=PROBE_TIMEOUT_S,
+            limits=httpx.Limits(max_keepalive_connections=0),
+            trust_env=False,
+        )
 
-    async def listens(self, url: str) -> bool:
-        """Returns whether an endpoint still accepts connections.
+    async def answers(self, url: str) -> bool:
+        """Returns whether an engine still answers.
 
-        A refused connection shows that the process has ended. A timeout does
-        not: the endpoint may be cut off or paused.
+        A connection that is refused or closed shows that the engine has
+        ended. A timeout does not: it may be paused or slow.
         """
-        dialled = self._dial(url)
         try:
-            with anyio.fail_after(PROBE_TIMEOUT_S):
-                stream = await anyio.connect_tcp(
-                    dialled.host, dialled.port or 80
-                )
-        except TimeoutError:
+            await self.probes.get(self._dial(f"{url}/v1/models"))
+        except httpx.TimeoutException:
             return True
-        except OSError:
+        except httpx.HTTPError:
             return False
-        await stream.aclose()
         return True
 
     async def load(self, url: str) -> Load | None:
@@ -70,8 +86,22 @@
         except (httpx.HTTPError, msgspec.MsgspecError):
             return None
 
+    async def cache_events(self, url: str, after: int) -> list[CacheEvent]:
+        """Returns an engine's cache events after a number, if any."""
+        try:
+            response = await self.client.get(
+                self._dial(f"{url}/engine/cache/events"),
+                params={"after": after},
+                timeout=PROBE_TIMEOUT_S,
+            )
+            found = msgspec.json.decode(response.content, type=CacheEvents)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return []
+        return found.events
+
     async def aclose(self) -> None:
         """Closes the connections."""
+        await self.probes.aclose()
         await self.client.aclose()
         await self.transport.aclose()
 
--- a/src/ibisknot/intent.py
+++ b/src/ibisknot/intent.py
@@ -113,6 +113,10 @@
 
 def _check(wanted: configuration.Configuration) -> None:
     """Checks references between groups."""
+    for name in wanted.models:
+        if ":" in name:
+            message = f"model {name} has a colon, which adapters' names use"
+            raise errors.BadRequestError(message)
     for name, endpoint in wanted.endpoints.items():
         if endpoint.kind != configuration.ENGINE:
             continue
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -226,7 +226,7 @@
 
     async def run() -> errors.IbisknotError:
         # The digest is set only once the request is authenticated.
-        while not exchange.key_digest or exchange.key_digest in source.keys:
+        while not exchange.key_digest or source.key_valid(exchange.key_digest):
             await source.changed.wait()
         await anyio.sleep(source.current.policy.key_grace_s)
         return errors.KeyWithdrawnError(
@@ -291,6 +291,7 @@
             status=status,
             code=code,
             ran=exchange.ran,
+            admitted_s=round(exchange.admitted_s, 6),
             first_byte_s=round(elapsed_s, 6),
         )
 
--- a/src/ibisknot/web.py
+++ b/src/ibisknot/web.py
@@ -6,6 +6,7 @@
 import math
 import signal
 import socket
+import ssl
 from typing import Any
 from typing import TypeVar
 
@@ -149,7 +150,17 @@
 
 
 class ServerConfig(hypercorn_config.Config):
-    """Server configuration that bounds how long written bytes may wait."""
+    """Server configuration that bounds how long written bytes may wait.
+
+    Attributes:
+        tls_context: The context for HTTPS, which its owner may reload.
+    """
+
+    tls_context: ssl.SSLContext | None = None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the context for HTTPS."""
+        return self.tls_context or super().create_ssl_context()
 
     unread_timeout_s = SEND_TIMEOUT_S
 
@@ -250,6 +261,7 @@
     port: int,
     stop: anyio.Event,
     tls: settings.Tls | None = None,
+    tls_context: ssl.SSLContext | None = None,
     graceful_s: float = 60.0,
     idle_timeout_s: float = IDLE_TIMEOUT_S,
     send_timeout_s: float = SEND_TIMEOUT_S,
@@ -262,6 +274,7 @@
         port: The port to listen on.
         stop: Set to stop listening.
         tls: Certificate files, for HTTPS.
+        tls_context: The context that uses them, for HTTPS.
         graceful_s: Seconds that open requests may take after `stop`.
         idle_timeout_s: Seconds that a connection may stay without a whole
             request head.
@@ -279,6 +292,7 @@
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.private_key
+        config.tls_context = tls_context
     config.unread_timeout_s = send_timeout_s
     edge = Edge(app, send_timeout_s=send_timeout_s)
 
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,129 @@
+"""The model check: production rules hold, and each mutation is caught."""
+
+import functools
+from typing import Any
+
+import pytest
+
+from ibisknot import checker
+from ibisknot import checker_commit
+from ibisknot import checker_evidence
+from ibisknot import checker_orders
+from ibisknot import checker_rates
+from ibisknot import commit
+from ibisknot import distribution
+
+
+def explore_commit(**mutation: Any) -> checker.Outcome:
+    steps = functools.partial(checker_commit.steps, **mutation)
+    return checker.explore(checker_commit.start(), steps, checker_commit.check)
+
+
+def explore_orders(**mutation: Any) -> checker.Outcome:
+    rules = checker_orders.Rules(**mutation)
+    steps = functools.partial(checker_orders.steps, rules=rules)
+    return checker.explore(checker_orders.start(), steps, checker_orders.check)
+
+
+def test_versions_hold_in_every_interleaving() -> None:
+    """Guards against a write that is lost, repeated or wrongly refused."""
+    assert explore_commit().states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        {"record_first": True},
+        {"guarded": False},
+        {"guesses": True},
+        {"decide": lambda **read: commit.DONE},
+        {"decide": lambda **read: commit.WRITE},
+    ],
+    ids=["read order", "guard", "guess", "always done", "never done"],
+)
+def test_mutated_versions_are_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_commit(**mutation)
+
+
+@pytest.mark.parametrize("rules", [{}, {"checks_fencing": False, "last_s": 7}])
+def test_orders_hold_in_every_interleaving(rules: dict[str, Any]) -> None:
+    """Guards against an older holder's order after a newer one's."""
+    assert explore_orders(**rules).states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        {"rises": False},
+        {"counts_from_answer": True},
+        {
+            "checks_fencing": False,
+            "last_s": 7,
+            "may_order": lambda now, **known: True,
+        },
+        {"checks_fencing": False, "last_s": 7, "checks_lease": False},
+    ],
+    ids=["number rises", "lease from the ask", "wait", "lease check"],
+)
+def test_mutated_orders_are_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_orders(**mutation)
+
+
+def trusting(
+    own: distribution.Distribution, delta: Any, asked_s: float
+) -> None:
+    """Mutation: evidence of a newer version is taken as well."""
+    if delta.service_age_ms >= 0:
+        own.confirm(asked_s - delta.service_age_ms / 1000)
+
+
+def explore_evidence(**mutation: Any) -> checker.Outcome:
+    steps = functools.partial(checker_evidence.steps, **mutation)
+    start = checker_evidence.start()
+    return checker.explore(start, steps, checker_evidence.check)
+
+
+def test_evidence_holds_in_every_interleaving() -> None:
+    """Guards against a VM that serves by keys that it cannot vouch for."""
+    assert explore_evidence().states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [{"take": trusting}, {"from_receipt": True}],
+    ids=["own version", "age from the question"],
+)
+def test_mutated_evidence_is_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_evidence(**mutation)
+
+
+def explore_shares(**mutation: Any) -> checker.Outcome:
+    rules = checker_rates.Rules(**mutation)
+    steps = functools.partial(checker_rates.steps, rules=rules)
+    return checker.explore(checker_rates.start(), steps, checker_rates.check)
+
+
+def test_shares_hold_in_every_interleaving() -> None:
+    """Guards against more units among the VMs than the organisation has."""
+    assert explore_shares().states > 1000
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        {"accepts": lambda holdings, epoch: True},
+        {"checks_return": False},
+        {"waits": False},
+    ],
+    ids=["epoch of a message", "epoch of a return", "all have answered"],
+)
+def test_mutated_shares_are_caught(mutation: dict[str, Any]) -> None:
+    """Guards against a check that no longer sees a broken rule."""
+    with pytest.raises(checker.ViolationError):
+        explore_shares(**mutation)
