Do not take a request that meets a dead engine for a crash request

Cause: on a machine with load 30, make test failed once: an innocent request was answered with crash_request. It was sent while both engines were starting again after a crash; the fault proxy accepts and closes such connections, which looked like two more crashes. Change: an engine that crashed is asked for an answer before the next request is sent there, and the try counts as not sent otherwise.

--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -182,6 +182,7 @@
         body = dispatch.redact(exchange.body, exchange.key)
         if resume_from:
             body = resumed(body, resume_from)
+        await self._check_up(ticket.endpoint, endpoint.url)
         stack = contextlib.AsyncExitStack()
         started_s = anyio.current_time()
         sending = self.owner.engines.open(
@@ -210,6 +211,20 @@
             started_s=started_s,
         )
 
+    async def _check_up(self, name: str, url: str) -> None:
+        """Checks that an endpoint that crashed answers again.
+
+        Raises:
+            EndpointError: It does not; the request was not sent.
+        """
+        down = self.owner.notices.down
+        if name not in down:
+            return
+        if not await self.owner.engines.answers(url):
+            message = f"endpoint {name} has not started again"
+            raise errors.EndpointError(message, ran=errors.NOT_RUN)
+        down.discard(name)
+
     async def resume(self) -> None:
         """Continues a stream that was cut on another engine.
 
--- a/src/ibisknot/notices.py
+++ b/src/ibisknot/notices.py
@@ -20,6 +20,9 @@
 
     Attributes:
         register: What is known on this VM.
+        down: Endpoints that crashed and have not answered since. They are
+            asked before a request is sent there, because a request that meets
+            a dead endpoint has not crashed it.
     """
 
     def __init__(
@@ -30,6 +33,7 @@
         self.daemon = daemon
         self.live = live
         self.register = crashes.Register()
+        self.down: set[str] = set()
         daemon.server.on("crash_notice", ttypes.CrashNotice, self.take)
 
     async def take(self, notice: ttypes.CrashNotice) -> None:
@@ -44,6 +48,7 @@
             strong=notice.strong,
         )
         now = self.daemon.clock.now()
+        self.down.add(notice.endpoint)
         crashes.note(self.register, now, notice.fingerprint, crash)
 
     def verdict(self, mark: str) -> str:
--- a/tests/test_model_dispatch.py
+++ b/tests/test_model_dispatch.py
@@ -140,6 +140,32 @@
     assert sum(pair.crashes.values()) == 2
 
 
+def test_request_that_meets_dead_engines_is_no_crash_request(
+    pair: fleet_module.Fleet,
+) -> None:
+    """Guards against refusing a request because engines were down before it.
+
+    The fault proxy accepts the connection and closes it, so that a dead
+    engine looks like one that the request has crashed. Here both engines have
+    just crashed, and the request may find them down at every try.
+    """
+    with chat(pair, "innocent", tokens=4) as answer:
+        body = answer.read()
+    assert b"crash_request" not in body
+    end_s = time.monotonic() + WAIT_S
+    while not all(_is_up(pair, name) for name in ("engine-1", "engine-2")):
+        assert time.monotonic() < end_s, "the engines did not start again"
+        time.sleep(0.1)
+
+
+def _is_up(fleet: fleet_module.Fleet, name: str) -> bool:
+    try:
+        load(fleet, name)
+    except httpx.HTTPError:
+        return False
+    return True
+
+
 def confirm(fleet: fleet_module.Fleet, keys_intent: Any) -> None:
     intent = {"organisations": {"organisation-1": {"keys": keys_intent}}}
     base = f"{fleet.vms['vm-1'].direct_url()}/operator/plans"
