--- a/src/ibisknot/engine.py
+++ b/src/ibisknot/engine.py
@@ -2,13 +2,10 @@
 
 from collections.abc import AsyncIterator
 import contextlib
-from urllib import parse
 
-import anyio
 import httpx
 import msgspec
 
-from ibisknot import _endpoint_http
 from ibisknot import errors
 
 CONNECT_TIMEOUT_S = 1.0
@@ -51,9 +48,6 @@
             ),
             trust_env=False,
         )
-        self.transport = _endpoint_http.Transport(
-            connect_timeout_s=CONNECT_TIMEOUT_S, read_timeout_s=READ_TIMEOUT_S
-        )
         # A probe on a kept connection could meet one that the engine has
         # closed because it was idle.
         self.probes = httpx.AsyncClient(
@@ -103,7 +97,6 @@
         """Closes the connections."""
         await self.probes.aclose()
         await self.client.aclose()
-        await self.transport.aclose()
 
     def _dial(self, url: str) -> httpx.URL:
         """Returns the URL to dial, with its address overridden if set."""
@@ -129,17 +122,11 @@
             EndpointError: The endpoint could not be reached (`not_run`) or
                 broke off (`unknown`).
         """
-        netloc = parse.urlsplit(url).netloc
-        address = self.overrides.get(netloc, netloc)
         try:
-            response = await self.transport.send(
-                method, url, address, headers=headers, body=body
-            )
-            try:
+            async with self.client.stream(
+                method, self._dial(url), headers=headers, content=body
+            ) as response:
                 yield response
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await response.aclose()
         except (
             httpx.ConnectError,
             httpx.ConnectTimeout,
