Check the key before the request is read, and join the parts of vm-loss

Change: authenticate comes before identify route; models are looked up with their adapters; vm-loss runs its batch part as well.

--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -111,8 +111,8 @@
     return exchange.pipeline(
         online.trace,
         online.account,
-        online.identify(source),
         online.authenticate(source),
+        online.identify(source),
         online.limit_rate_static(source, lambda: len(vms.live())),
         online.check_whole,
         dispatch.naive_filter(source, parts.engines),
@@ -129,8 +129,8 @@
     return exchange.pipeline(
         online.trace,
         online.account,
-        online.identify(source),
         online.authenticate(source),
+        online.identify(source),
         limits.limit_rate(parts.shares),
         online.check_whole,
         deduplicate.claim_once(parts.claims, parts.daemon.group),
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/load.py
@@ -27,7 +27,6 @@
 from ibisknot import scenario_smoke
 from ibisknot import scenario_throughput
 from ibisknot import scenario_vm_loss
-from ibisknot import scenario_vm_loss_batch
 from ibisknot import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
@@ -39,7 +38,6 @@
     "online-burst": scenario_online_burst.run,
     "batch-deadline": scenario_batch_deadline.run,
     "vm-loss": scenario_vm_loss.run,
-    "vm-loss-batch": scenario_vm_loss_batch.run,
     "throughput": scenario_throughput.run,
     "crash-request": scenario_crash_request.run,
     "rolling-restart": scenario_rolling_restart.run,
--- a/src/ibisknot/online.py
+++ b/src/ibisknot/online.py
@@ -101,7 +101,7 @@
     source: distribution.Distribution, exchange: exchange_module.Exchange
 ) -> exchange_module.Target:
     wanted = web.decode_body(exchange.body, ModelRequest)
-    if wanted.model not in source.current.models:
+    if not source.current.has_model(wanted.model):
         message = f"the model {wanted.model!r} does not exist"
         raise errors.ModelNotFoundError(message)
     exchange.stream = wanted.stream
@@ -136,15 +136,27 @@
     return owner
 
 
+def _is_open(
+    source: distribution.Distribution, request: requests.Request
+) -> bool:
+    """Returns whether a request's route needs no key."""
+    route = source.current.routes.get(request.path_params.get("service", ""))
+    return route is not None and route.open
+
+
 def authenticate(source: distribution.Distribution) -> exchange_module.Filter:
-    """Returns the filter that checks the caller's key."""
+    """Returns the filter that checks the caller's key.
+
+    It comes before the body is decoded and the target is looked up, so that a
+    caller without a key learns nothing of the configuration.
+    """
 
     async def run(
         exchange: exchange_module.Exchange, following: exchange_module.Next
     ) -> exchange_module.Reply:
         header = exchange.request.headers.get("authorization")
         exchange.key = keys.from_header(header) or ""
-        if not exchange.goal().open:
+        if not _is_open(source, exchange.request):
             owner = key_owner(source, exchange.request)
             exchange.organisation = owner.organisation
             exchange.key_digest = keys.digest(exchange.key)
--- a/src/ibisknot/scenario_vm_loss.py
+++ b/src/ibisknot/scenario_vm_loss.py
@@ -7,6 +7,8 @@
 from ibisknot import fleet as fleet_module
 from ibisknot import generator
 from ibisknot import scenario
+from ibisknot import scenario_vm_loss_batch
+from ibisknot import settings
 
 ONLINE_PER_S = 25.0
 ONLINE_TOKENS = 32
@@ -62,6 +64,23 @@
 
 
 async def run(options: scenario.Run) -> scenario.Result:
+    """Loses VMs under online load, then VMs and disks under batch jobs.
+
+    The baseline runs the online part alone: its batch path differs only in
+    the order of jobs and the choice of engines.
+    """
+    result = await _online(options)
+    if options.policy == settings.NAIVE:
+        return result
+    batch = await scenario_vm_loss_batch.run(options)
+    result.violations.extend(batch.violations)
+    result.lost += batch.lost
+    result.duplicated += batch.duplicated
+    result.fields.update(batch.fields)
+    return result
+
+
+async def _online(options: scenario.Run) -> scenario.Result:
     """Loses VMs under online load; every request must still be answered."""
     result = scenario.Result()
     started = fleet_module.Options(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -132,6 +132,17 @@
     assert response.json()["error"]["code"] == "invalid_key"
 
 
+@pytest.mark.parametrize("path", ["/chat/completions", "/nothing"])
+def test_without_a_key_nothing_is_learnt_of_models(
+    fleet: dict[str, Any], path: str
+) -> None:
+    """Guards against telling models and routes to callers without a key."""
+    base = fleet["base_urls"][1]
+    url = base + path if path != "/nothing" else f"{base[:-3]}/services/none"
+    response = httpx.post(url, json={"model": "none"})
+    assert response.status_code == 401
+
+
 def test_endpoint_never_sees_the_key(fleet: dict[str, Any]) -> None:
     """Guards against a key leaking through header, query or body."""
     key = fleet["organisations"][0]["key"]
