Gather online requests on few endpoints and leave the others to batch

Cause: online requests were spread over all endpoints and met a full batch on each, so each first token waited for the steps of a full engine. Ruled out: fewer batch sequences on all endpoints, which costs batch the more the more endpoints there are. Change: online goes first to as few endpoints as hold it at half of their limit; batch is kept low there and runs in full elsewhere.

--- a/src/ibisknot/_group.py
+++ b/src/ibisknot/_group.py
@@ -67,6 +67,7 @@
         online_level: Decayed peak of the online tickets.
         level_s: Time of `online_level`.
         reserved: Whether it empties for a request that must run alone.
+        gathers: Whether online requests are sent here first.
     """
 
     name: str
@@ -81,6 +82,7 @@
     online_level: float = 0.0
     level_s: float = 0.0
     reserved: bool = False
+    gathers: bool = False
 
     def online(self) -> int:
         """Returns the number of online tickets."""
--- a/src/ibisknot/_pump.py
+++ b/src/ibisknot/_pump.py
@@ -10,6 +10,16 @@
 
 HEADROOM = 1.0
 """Slots that batch leaves free, so that an online request starts at once."""
+ONLINE_SHARE = 0.5
+"""Part of an endpoint's limit up to which online requests gather there.
+
+Online requests that are spread over all endpoints meet a full batch on each
+of them; gathered on a few, they leave the other endpoints to batch.
+"""
+ONLINE_IDLE = 0.5
+"""Online requests in flight, decayed, below which batch may use everything."""
+BESIDE_SHARE = 0.4
+"""Part of the limit that online and batch together use where online gathers."""
 
 
 Choose = Callable[[list[_group.Endpoint], _fair.Waiting], _group.Endpoint]
@@ -71,6 +81,7 @@
                 _group.Refuse(waiting.id, "no endpoint was free in time")
             )
     _reserve(group)
+    _gather(group, now)
     while _grant_online(group, now, online_choice, actions):
         pass
     if group.policy.revokes:
@@ -114,6 +125,36 @@
         chosen.reserved = True
 
 
+def _gather(group: _group.Group, now: float) -> None:
+    """Marks the endpoints that online requests are sent to first."""
+    ready = [
+        e
+        for _, e in sorted(group.endpoints.items())
+        if not e.reserved
+        and not e.has_alone()
+        and breaker.allows(e.circuit, now)
+    ]
+    for endpoint in group.endpoints.values():
+        endpoint.gathers = False
+    if len(ready) < 2 or not group.policy.revokes:
+        return
+    level = sum(_group.level(e, now) for e in ready) + len(group.online.all())
+    for endpoint in ready[:-1]:
+        if level < ONLINE_IDLE:
+            return
+        endpoint.gathers = True
+        level -= endpoint.capacity.limit * ONLINE_SHARE
+
+
+def _gathering(endpoints: list[_group.Endpoint]) -> list[_group.Endpoint]:
+    """Returns the endpoints that take online requests first."""
+    return [
+        e
+        for e in endpoints
+        if e.gathers and e.online() < e.capacity.limit * ONLINE_SHARE
+    ]
+
+
 def _alone_choice(endpoints: list[_group.Endpoint]) -> list[_group.Endpoint]:
     """Returns where a suspect may run; only an empty endpoint will do."""
     return [e for e in endpoints if not e.held]
@@ -145,6 +186,7 @@
             continue
         shared = _shared(usable)
         free = [e for e in shared if _room(e)]
+        free = _gathering(free) or free
         if not free and group.policy.revokes:
             free = _make_room(shared, actions)
         if free:
@@ -201,6 +243,9 @@
     endpoint: _group.Endpoint, now: float, policy: _group.Policy
 ) -> int:
     online = _group.level(endpoint, now)
+    if endpoint.gathers:
+        beside = endpoint.capacity.limit * BESIDE_SHARE - online
+        return max(0, math.floor(beside * policy.batch_weight))
     idle = endpoint.capacity.limit - policy.displaced * online - HEADROOM
     return max(0, math.floor(idle * policy.batch_weight))
 
@@ -212,7 +257,7 @@
     actions: list[_group.Action],
 ) -> None:
     """Revokes the batch tickets that online requests would suffer from."""
-    if not endpoint.online():
+    if not endpoint.online() and not endpoint.gathers:
         return
     allowed = _allowed_batch(endpoint, now, policy)
     for _ in range(len(endpoint.batch()) - allowed):
