--- /dev/null
+++ b/idl/fleet.thrift
@@ -0,0 +1,119 @@
+namespace py ibisknot.gen.fleet
+
+/** An entry of the platform's list of endpoints, as it was read. */
+struct ListedEntry {
+  1: required string name,
+  2: required binary value,
+  3: required i64 revision,
+}
+
+/** A process of the fleet. */
+struct Member {
+  1: required string name,
+  /** `gateway` or `worker`. */
+  2: required string kind,
+  3: required string data_centre,
+  /** Peer address `host:port`. */
+  4: required string address,
+  /** Unix milliseconds of the process's start. */
+  5: required i64 born_ms,
+}
+
+/** What a process knows, as far as the receiver needs it. */
+struct ViewNews {
+  1: required string sender,
+  2: required i64 configuration_revision,
+  /** The configuration as stated; absent when only the revision is told. */
+  3: optional binary configuration,
+  4: required i64 endpoints_revision,
+  /** Seconds since the store was read. */
+  5: required double endpoints_age_s,
+  6: optional list<ListedEntry> endpoints,
+  7: required i64 members_revision,
+  8: optional list<Member> members,
+}
+
+/** The receiver's revisions after it took the news. */
+struct ViewAck {
+  1: required i64 configuration_revision,
+  2: required i64 endpoints_revision,
+}
+
+struct ViewAsk { 1: required string sender }
+
+/** Asks the scheduler for a place at an endpoint. */
+struct PlaceAsk {
+  /** Unique over the fleet; a repeated ask is the same request. */
+  1: required string id,
+  2: required string group,
+  /** `online` or `batch`. */
+  3: required string kind,
+  4: required string organisation,
+  /** Tokens of the prompt and of the longest answer. */
+  5: required i64 tokens,
+  6: required i64 prompt_tokens,
+  /** Hashes of the prompt's leading parts. */
+  7: required list<i64> blocks,
+  /** Peer address of the process that asks. */
+  8: required string holder,
+  /** Seconds that the request may wait for a place. */
+  9: required double wait_s,
+  10: required double waited_s,
+  11: required bool suspect,
+  /** Endpoints that have already failed this request. */
+  12: required list<string> avoid,
+  /** Requests a second; 0 means that no rate is to be checked. */
+  13: required double rate_per_s,
+  14: required double burst,
+  15: required i32 priority,
+  16: required string data_centre,
+}
+
+enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
+
+struct PlaceAnswer {
+  1: required string id,
+  2: required PlaceState state,
+  3: required string endpoint,
+  4: required double retry_after_s,
+  5: required bool alone,
+}
+
+/** A place that is taken, told to every scheduler. */
+struct Place {
+  1: required string id,
+  2: required string group,
+  3: required string endpoint,
+  4: required string kind,
+  5: required string organisation,
+  6: required i64 tokens,
+  7: required bool suspect,
+}
+
+struct PlaceTaken { 1: required string holder, 2: required Place place }
+
+struct PlaceReturned {
+  1: required string group,
+  2: required string id,
+  3: required string endpoint,
+  /** `ok`, `cancelled`, `unreachable`, `failed` or `crashed`. */
+  4: required string outcome,
+}
+
+/** All places that a process holds. */
+struct PlacesHeld { 1: required string holder, 2: required list<Place> places }
+
+struct PlaceRevoked { 1: required string id }
+
+/** A request that was in flight at an endpoint's crash, or ran to its end. */
+struct CrashSeen {
+  1: required string fingerprint,
+  2: required string endpoint,
+  3: required string request,
+  4: required bool alone,
+  5: required bool strong,
+  6: required bool cleared,
+}
+
+/** A batch job changed; its worker should look at once. */
+struct JobChanged { 1: required string job }
--- a/src/ibisknot/_group.py
+++ b/src/ibisknot/_group.py
@@ -27,11 +27,15 @@
         displaced: Batch sequences that give way to one online request, so
             that it does not share its steps with a full batch.
         revokes: Whether batch tickets are revoked.
+        gathers: Whether online requests are gathered on few endpoints.
+        headroom: Slots of an endpoint that batch leaves free.
     """
 
     batch_weight: float = 1.0
     displaced: float = 4.0
     revokes: bool = True
+    gathers: bool = True
+    headroom: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ibisknot/_pump.py
+++ b/src/ibisknot/_pump.py
@@ -8,8 +8,6 @@
 from ibisknot import breaker
 from ibisknot import routing
 
-HEADROOM = 1.0
-"""Slots that batch leaves free, so that an online request starts at once."""
 ONLINE_SHARE = 0.5
 """Part of an endpoint's limit up to which online requests gather there.
 
@@ -64,7 +62,7 @@
     batch = len(endpoint.batch())
     if policy.revokes:
         idle = endpoint.capacity.limit - policy.displaced * (online + 1)
-        batch = min(batch, max(0, int(idle - HEADROOM)))
+        batch = min(batch, max(0, int(idle - policy.headroom)))
     return online + batch
 
 
@@ -136,7 +134,7 @@
     ]
     for endpoint in group.endpoints.values():
         endpoint.gathers = False
-    if len(ready) < 2 or not group.policy.revokes:
+    if len(ready) < 2 or not (group.policy.revokes and group.policy.gathers):
         return
     level = sum(_group.level(e, now) for e in ready) + len(group.online.all())
     for endpoint in ready[:-1]:
@@ -246,7 +244,7 @@
     if endpoint.gathers:
         beside = endpoint.capacity.limit * BESIDE_SHARE - online
         return max(0, math.floor(beside * policy.batch_weight))
-    idle = endpoint.capacity.limit - policy.displaced * online - HEADROOM
+    idle = endpoint.capacity.limit - policy.displaced * online - policy.headroom
     return max(0, math.floor(idle * policy.batch_weight))
 
 
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from ibisknot import _capacity
 from ibisknot import _fair
@@ -32,6 +33,7 @@
 Waiting = _fair.Waiting
 Capacity = _capacity.Capacity
 all_held = _group.all_held
+find = _group.find
 
 ENDED_KEEP_S = 10.0
 """Ids of returned tickets are kept so long for messages that come late."""
@@ -40,9 +42,21 @@
 
 
 def set_endpoints(
-    group: _group.Group, now: float, names: Iterable[str]
+    group: _group.Group,
+    now: float,
+    names: Iterable[str],
+    *,
+    slots: Mapping[str, int] | None = None,
 ) -> list[_group.Action]:
-    """Puts the list of active endpoints in force."""
+    """Puts the list of active endpoints in force.
+
+    Args:
+        group: Updated in place.
+        now: Monotonic time in seconds.
+        names: The active endpoints.
+        slots: What each endpoint runs at once, where it is stated and need
+            not be learnt.
+    """
     wanted = set(names)
     for name in list(group.endpoints):
         if name not in wanted:
@@ -53,6 +67,9 @@
             group.endpoints[name] = known or _group.Endpoint(name, level_s=now)
     for name in [n for n, e in group.leaving.items() if not e.held]:
         del group.leaving[name]
+    for name, count in (slots or {}).items():
+        if name in group.endpoints:
+            group.endpoints[name].capacity.limit = float(count)
     return _pump.pump(group, now)
 
 
@@ -113,6 +130,24 @@
     return _pump.pump(group, now)
 
 
+def adopt(
+    group: _group.Group, now: float, ticket: _group.Held
+) -> list[_group.Action]:
+    """Adopts a ticket that another VM granted or its holder took itself."""
+    known = _group.find(group, ticket.id)
+    endpoint = _group.endpoint_of(group, ticket.endpoint)
+    if ticket.id in group.ended or known is not None or endpoint is None:
+        return []
+    _group.put(endpoint, now, ticket)
+    return _pump.pump(group, now)
+
+
+def is_waiting(group: _group.Group, number: str) -> bool:
+    """Returns whether a request is in the queue."""
+    both = (*group.online.all(), *group.batch.all())
+    return any(waiting.id == number for waiting in both)
+
+
 def take_back(
     group: _group.Group, now: float, holder: str
 ) -> list[_group.Action]:
--- /dev/null
+++ b/src/ibisknot/batch_item.py
@@ -0,0 +1,249 @@
+"""Runs one item of a batch job at endpoints until it is done or given up."""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+
+from ibisknot import admission
+from ibisknot import batch_records
+from ibisknot import errors
+from ibisknot import events
+from ibisknot import forward
+from ibisknot import http11
+from ibisknot import http_client
+from ibisknot import logs
+from ibisknot import placement
+from ibisknot import requests
+from ibisknot import serving
+
+PLACE_WAIT_S = 10.0
+SILENCE_S = 2.0
+"""Silence of an endpoint after which an item goes on elsewhere."""
+FAILED_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+HOPELESS_STATUS = 422
+HIGHEST_OUTPUT_BYTES = 8 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """One item and how far it has come.
+
+    Attributes:
+        number: Its number in the job.
+        give_up_s: Monotonic time after which it may be given up.
+        data: The data of the events so far, in order.
+        last_event: Id of the last of these events.
+        failures: Answers that say that it failed.
+        tries: All sends.
+    """
+
+    job: str
+    number: int
+    item: batch_records.Item
+    route: serving.Route
+    organisation: serving.Organisation
+    give_up_s: float
+    data: list[str] = dataclasses.field(default_factory=list)
+    last_event: int | None = None
+    failures: int = 0
+    tries: int = 0
+    failed: set[str] = dataclasses.field(default_factory=set)
+
+
+ItemHeaders = Callable[[str, str], http11.Headers]
+
+
+class Runner:
+    """Runs items through one worker's places.
+
+    Attributes:
+        item_headers: The headers that a request of an item has by itself,
+            from its id and the route's host.
+    """
+
+    def __init__(
+        self,
+        places: placement.Client,
+        client: http_client.Client,
+        dialect: forward.Dialect,
+        item_headers: ItemHeaders,
+        clock: Callable[[], float],
+    ) -> None:
+        self.places = places
+        self.client = client
+        self.dialect = dialect
+        self.item_headers = item_headers
+        self.clock = clock
+
+    async def run(self, work: Work) -> batch_records.Result:
+        """Returns what the item came to."""
+        while True:
+            if self.clock() >= work.give_up_s:
+                return self._given_up(work, "its time is over")
+            try:
+                place = await self._place(work)
+            except errors.IbisknotError as error:
+                await anyio.sleep(error.retry_after_s or FAILED_PAUSE_S)
+                continue
+            result = await self._attempt(work, place)
+            if result is not None:
+                return result
+            if work.failures >= work.route.max_attempts:
+                return self._given_up(work, f"it failed {work.failures} times")
+
+    async def _place(self, work: Work) -> placement.Place:
+        item = work.item
+        terms = self.dialect.terms(_raw(item.headers))
+        return await self.places.acquire(
+            placement.Ask(
+                service=self._service(work),
+                kind=admission.BATCH,
+                request=item.id,
+                organisation=work.organisation,
+                wait_s=PLACE_WAIT_S,
+                tokens=item.tokens,
+                prompt_tokens=terms.prompt_tokens,
+                blocks=terms.blocks,
+                avoid=frozenset(work.failed),
+                is_counted=False,
+            )
+        )
+
+    def _service(self, work: Work) -> str:
+        service = work.route.choose_service(self.places.choice)
+        if service is None:
+            raise errors.OverloadedError(f"{work.route.name} has no service")
+        return service
+
+    async def _attempt(
+        self, work: Work, place: placement.Place
+    ) -> batch_records.Result | None:
+        """Sends an item once; returns its result if it has one now."""
+        outcome = admission.CANCELLED
+        result = None
+        try:
+            with anyio.CancelScope() as scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(_cancel_on_revoke, place, scope)
+                    result = await self._send(work, place)
+                    outcome = admission.OK
+                    group.cancel_scope.cancel()
+        except* errors.EndpointError as raised:
+            error = raised.exceptions[0]
+            assert isinstance(error, errors.EndpointError)
+            outcome = forward.outcome_of(error)
+            self._note_failure(work, place, error)
+        finally:
+            self.places.release(place, outcome)
+        if result is None and outcome != admission.CANCELLED:
+            pause_s = min(LONGEST_PAUSE_S, FAILED_PAUSE_S * work.tries)
+            await anyio.sleep(pause_s)
+        return result
+
+    async def _send(
+        self, work: Work, place: placement.Place
+    ) -> batch_records.Result | None:
+        work.tries += 1
+        async with self.client.open(self._call(work, place)) as answer:
+            name = place.endpoint.name
+            if self.dialect.says_not_run(answer.status, answer.headers):
+                message = f"{name} gave {answer.status}"
+                raise errors.EndpointRefusedError(message)
+            if answer.status == HOPELESS_STATUS:
+                return self._given_up(work, f"{name} says it cannot be done")
+            if answer.status != 200:
+                work.failures += 1
+                message = f"{name} gave {answer.status}"
+                raise errors.EndpointError(message, ran=errors.RAN)
+            await self._collect(work, answer)
+        output = "\n".join(work.data)
+        return batch_records.Result(work.item.id, batch_records.DONE, output)
+
+    def _call(self, work: Work, place: placement.Place) -> http_client.Call:
+        item = work.item
+        own = self.item_headers(item.id, work.route.host)
+        names = {name.lower() for name, _ in own}
+        given = [h for h in _raw(item.headers) if h[0].lower() not in names]
+        sent = requests.Onward(
+            endpoint=place.endpoint.name,
+            organisation=work.organisation.name,
+            deadline_s=None,
+            last_event=work.last_event,
+        )
+        return http_client.Call(
+            address=place.endpoint.address,
+            method=b"POST",
+            target=item.path.encode("latin-1"),
+            headers=self.dialect.onward([*own, *given], sent),
+            body=item.body,
+            is_answer=lambda h: self.dialect.is_answer_to(item.id, h),
+            silence_s=SILENCE_S,
+        )
+
+    async def _collect(self, work: Work, answer: http_client.Answer) -> None:
+        """Adds the events of an answer to what is there.
+
+        Raises:
+            TruncatedStreamError: The answer is not whole.
+        """
+        splitter = events.Splitter()
+        async for chunk in answer.chunks():
+            for event in _split(splitter, chunk):
+                if event.id is None:
+                    continue
+                expected = 1 + (work.last_event or 0)
+                if event.id < expected:
+                    continue
+                if event.id > expected:
+                    message = f"event {expected} is missing"
+                    raise errors.TruncatedStreamError(message)
+                work.data.append(event.data)
+                work.last_event = event.id
+        if splitter.rest:
+            raise errors.TruncatedStreamError("the stream ends in an event")
+
+    def _note_failure(
+        self, work: Work, place: placement.Place, error: errors.EndpointError
+    ) -> None:
+        work.failed = {place.endpoint.name}
+        logs.event(
+            "item_attempt_failed",
+            job=work.job,
+            request=work.item.id,
+            endpoint=place.endpoint.name,
+            ran=error.ran,
+            tries=work.tries,
+            failures=work.failures,
+            last_event=work.last_event,
+            cause=error.message,
+        )
+
+    def _given_up(self, work: Work, cause: str) -> batch_records.Result:
+        logs.event(
+            "item_given_up",
+            job=work.job,
+            request=work.item.id,
+            tries=work.tries,
+            cause=cause,
+        )
+        return batch_records.Result(work.item.id, batch_records.FAILED, "")
+
+
+def _split(splitter: events.Splitter, chunk: bytes) -> list[events.Event]:
+    try:
+        return events.feed(splitter, chunk)
+    except ValueError as error:
+        raise errors.TruncatedStreamError(str(error)) from None
+
+
+async def _cancel_on_revoke(
+    place: placement.Place, scope: anyio.CancelScope
+) -> None:
+    await place.revoked.wait()
+    scope.cancel()
+
+
+def _raw(headers: list[tuple[str, str]]) -> http11.Headers:
+    return [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
--- /dev/null
+++ b/src/ibisknot/batch_records.py
@@ -0,0 +1,223 @@
+"""Batch jobs as they are kept in the key-value service.
+
+A job's items never change after it is accepted. Its progress is one small
+record, and every group of results is appended in a transaction that has the
+progress record as its guard. Two workers that run the same job therefore
+cannot list an item twice or give a position two results.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+
+import msgspec
+
+from ibisknot import errors
+
+META = "ibisknot/batch/meta/"
+SPEC = "ibisknot/batch/spec/"
+OPEN = "ibisknot/batch/open/"
+ENDED = "ibisknot/batch/ended/"
+RESULT = "ibisknot/batch/result/"
+BUDGET = "ibisknot/batch/budget/"
+
+DONE = "done"
+FAILED = "errored"
+
+
+class Item(msgspec.Struct, array_like=True):
+    """One request of a job.
+
+    Attributes:
+        headers: Names and values as the caller gave them.
+        tokens: Tokens of the prompt and of the longest answer.
+    """
+
+    id: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    tokens: int
+
+
+class Meta(msgspec.Struct, array_like=True, frozen=True):
+    """What is said of a job without reading its items.
+
+    Attributes:
+        submitted_ms: Unix milliseconds at which it was accepted.
+        parts: Number of values that hold its items.
+    """
+
+    id: str
+    organisation: str
+    route: str
+    host: str
+    total: int
+    submitted_ms: int
+    parts: int
+
+
+class Progress(msgspec.Struct, array_like=True):
+    """How far a job has come.
+
+    Attributes:
+        owner: Name of the worker that runs it.
+        listed: Numbers of the items with a result, by position.
+        waiting_tokens: Tokens of the items without a result.
+        closed: Whether its caller has ended it.
+    """
+
+    meta: Meta
+    owner: str
+    listed: list[int]
+    waiting_tokens: int
+    closed: bool = False
+
+    def is_complete(self) -> bool:
+        """Returns whether nothing is left to do."""
+        return self.closed or len(self.listed) >= self.meta.total
+
+
+class Result(msgspec.Struct, array_like=True):
+    """What an item came to; `output` is empty unless it is done."""
+
+    id: str
+    state: str
+    output: str
+
+
+class Budget(msgspec.Struct, array_like=True):
+    """Upper bounds of the tokens that an organisation's jobs have waiting."""
+
+    jobs: dict[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Submission:
+    """A job as a caller hands it in."""
+
+    id: str
+    items: list[Item]
+
+    def tokens(self) -> int:
+        """Returns the tokens of all items."""
+        return sum(item.tokens for item in self.items)
+
+
+def encode(record: msgspec.Struct | Sequence[msgspec.Struct]) -> bytes:
+    """Encodes a record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decodes a progress record.
+
+    Raises:
+        KeyValueError: The value is none.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=Progress)
+    except msgspec.MsgspecError as error:
+        message = f"a progress record cannot be read: {error}"
+        raise errors.KeyValueError(message) from None
+
+
+def decode_meta(value: bytes) -> Meta:
+    """Decodes what is said of a job."""
+    return msgspec.msgpack.decode(value, type=Meta)
+
+
+def decode_results(value: bytes) -> list[Result]:
+    """Decodes a group of results."""
+    return msgspec.msgpack.decode(value, type=list[Result])
+
+
+def decode_budget(value: bytes) -> Budget:
+    """Decodes an organisation's budget."""
+    return msgspec.msgpack.decode(value, type=Budget)
+
+
+def split_items(items: list[Item], part_bytes: int) -> list[bytes]:
+    """Encodes a job's items in values of bounded size.
+
+    >>> item = Item("a", "/", [], b"x" * 10, 1)
+    >>> [len(decode_items([part])) for part in split_items([item] * 3, 50)]
+    [2, 1]
+    """
+    parts = []
+    group: list[Item] = []
+    size = 0
+    for item in items:
+        added = len(msgspec.msgpack.encode(item))
+        if group and size + added > part_bytes:
+            parts.append(msgspec.msgpack.encode(group))
+            group = []
+            size = 0
+        group.append(item)
+        size += added
+    parts.append(msgspec.msgpack.encode(group))
+    return parts
+
+
+def decode_items(parts: list[bytes]) -> list[Item]:
+    """Decodes a job's items."""
+    return [
+        item
+        for part in parts
+        for item in msgspec.msgpack.decode(part, type=list[Item])
+    ]
+
+
+def spec_key(job: str, part: int) -> str:
+    """Returns the key of a part of a job's items."""
+    return f"{SPEC}{job}/{part:03d}"
+
+
+def result_prefix(job: str) -> str:
+    """Returns the prefix of a job's results.
+
+    >>> result_key("j", 12)
+    'ibisknot/batch/result/j/000012'
+    """
+    return f"{RESULT}{job}/"
+
+
+def result_key(job: str, position: int) -> str:
+    """Returns the key of a group of results that begins at a position."""
+    return f"{result_prefix(job)}{position:06d}"
+
+
+def budget_key(route: str, organisation: str) -> str:
+    """Returns the key of an organisation's budget on a route."""
+    return f"{BUDGET}{route}/{organisation}"
+
+
+def append(
+    progress: Progress, done: list[tuple[int, Result, int]]
+) -> tuple[Progress, list[Result]]:
+    """Returns the progress after results were appended, and these results.
+
+    Results of items that are already listed are left out.
+
+    Args:
+        progress: The progress before; it is not changed.
+        done: Number, result and tokens of each item.
+    """
+    listed = list(progress.listed)
+    known = set(listed)
+    tokens = progress.waiting_tokens
+    results = []
+    for number, result, cost in done:
+        if number in known:
+            continue
+        known.add(number)
+        listed.append(number)
+        results.append(result)
+        tokens -= cost
+    after = Progress(
+        meta=progress.meta,
+        owner=progress.owner,
+        listed=listed,
+        waiting_tokens=max(0, tokens),
+        closed=progress.closed,
+    )
+    return after, results
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -212,6 +212,13 @@
     status = 502
 
 
+class EndpointRefusedError(EndpointError):
+    """The endpoint states that it did not run the request."""
+
+    code = "endpoint_refused"
+    ran = NOT_RUN
+
+
 class TruncatedStreamError(EndpointError):
     """The endpoint's stream ended before the answer was whole."""
 
@@ -234,6 +241,18 @@
     ran = UNKNOWN
 
 
+class HistoryGoneError(KeyValueError):
+    """The key-value service no longer has the history asked for."""
+
+    code = "history_gone"
+
+
+class LeaseEndedError(KeyValueError):
+    """A write names a lease that has ended."""
+
+    code = "lease_ended"
+
+
 class PeerError(IbisknotError):
     """A peer is not reachable or did not answer in time."""
 
--- /dev/null
+++ b/src/ibisknot/fleetview.py
@@ -0,0 +1,178 @@
+"""What a process believes of the fleet, and which news it adopts.
+
+Every belief carries the store's revision at which it was read, so that news
+from any source can be compared: the higher revision wins, and a belief never
+goes back.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from ibisknot import deployment
+from ibisknot import endpoint_list
+from ibisknot import pairs
+from ibisknot import serving
+
+OUTAGE_S = 2.0
+"""Entries are read again after a longer time: the store was away."""
+RETURN_S = 2.2
+"""Entries that lapsed during an outage are back within this time."""
+POLL_PERIOD_S = 0.4
+POLL_STEP_S = 0.15
+"""Each next process in line waits so much longer before it reads itself."""
+HIGHEST_STEP = 8
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Member:
+    """A process of the fleet.
+
+    Attributes:
+        address: Its peer address.
+        born_ms: Unix milliseconds of its start.
+    """
+
+    name: str
+    kind: str
+    data_centre: str
+    address: str
+    born_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """What a process believes.
+
+    Attributes:
+        configuration: The newest one known, or None before the first.
+        stated: The configuration as the operator wrote it.
+        configuration_revision: The store's revision of that write.
+        entries: The endpoints' entries as read, by key.
+        endpoints: The endpoints that those entries name.
+        endpoints_revision: The store's revision when they were read.
+        endpoints_read_s: Monotonic time up to which they were current.
+        members: The fleet's processes by name.
+        members_revision: The store's revision when they were read.
+        members_read_s: Monotonic time of the last listing.
+        returned_s: Monotonic time at which the store was back after an
+            outage.
+    """
+
+    configuration: serving.Configuration | None = None
+    stated: bytes = b""
+    configuration_revision: int = 0
+    entries: dict[str, pairs.Pair] = dataclasses.field(default_factory=dict)
+    endpoints: dict[str, endpoint_list.Endpoint] = dataclasses.field(
+        default_factory=dict
+    )
+    endpoints_revision: int = 0
+    endpoints_read_s: float = -1e9
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    members_revision: int = 0
+    members_read_s: float = -1e9
+    returned_s: float = -1e9
+
+
+def adopt_configuration(
+    view: View, revision: int, stated: bytes, decoded: serving.Configuration
+) -> bool:
+    """Takes a stated configuration if it is newer; returns whether it was."""
+    known = view.configuration
+    if revision <= view.configuration_revision:
+        return False
+    if known is not None and decoded.version < known.version:
+        return False
+    view.configuration = decoded
+    view.stated = stated
+    view.configuration_revision = revision
+    return True
+
+
+def adopt_endpoints(
+    view: View,
+    now: float,
+    *,
+    revision: int,
+    age_s: float,
+    entries: Iterable[pairs.Pair],
+    decode: Callable[[pairs.Pair], endpoint_list.Endpoint | None],
+) -> bool:
+    """Takes a listing of the endpoints' entries if it is newer.
+
+    Entries that are missing just after an outage of the store stay for a
+    while, because their engines write them again when they reach the store.
+
+    Returns:
+        Whether the listing was newer than what was known.
+    """
+    if revision < view.endpoints_revision:
+        return False
+    read_s = now - age_s
+    if read_s - view.endpoints_read_s > OUTAGE_S and view.endpoints:
+        view.returned_s = now
+    newer = revision > view.endpoints_revision
+    view.endpoints_revision = revision
+    view.endpoints_read_s = max(view.endpoints_read_s, read_s)
+    found = {pair.key: pair for pair in entries}
+    if now - view.returned_s < RETURN_S:
+        kept = {k: p for k, p in view.entries.items() if k not in found}
+        found |= kept
+    if not newer and found.keys() == view.entries.keys():
+        return False
+    view.entries = found
+    decoded = (decode(pair) for pair in found.values())
+    view.endpoints = {e.name: e for e in decoded if e is not None}
+    return True
+
+
+def adopt_members(
+    view: View, now: float, *, revision: int, members: Iterable[Member]
+) -> bool:
+    """Takes a listing of the fleet's processes if it is newer."""
+    if revision < view.members_revision:
+        return False
+    view.members_read_s = now
+    if revision == view.members_revision:
+        return False
+    found = {member.name: member for member in members}
+    if now - view.returned_s < RETURN_S:
+        found = view.members | found
+    view.members_revision = revision
+    changed = found != view.members
+    view.members = found
+    return changed
+
+
+def active(view: View, service: str) -> list[endpoint_list.Endpoint]:
+    """Returns the endpoints of a service that get new work, by name."""
+    found = [
+        e
+        for e in view.endpoints.values()
+        if e.service == service and not e.leaving
+    ]
+    return sorted(found, key=lambda endpoint: endpoint.name)
+
+
+def in_line(members: Iterable[Member]) -> list[Member]:
+    """Returns the members in the order in which they lead the fleet.
+
+    Workers come first: they have the larger processors. The order is the same
+    everywhere that the same members are known, and nothing unsafe follows
+    where it differs.
+    """
+    return sorted(members, key=lambda m: (m.kind != deployment.WORKER, m.name))
+
+
+def poll_due_s(view: View, me: str) -> float:
+    """Returns the monotonic time at which a process reads the entries.
+
+    The first in line reads them and tells the others, who read them only
+    when they have heard nothing.
+    """
+    names = [member.name for member in in_line(view.members.values())]
+    rank = names.index(me) if me in names else HIGHEST_STEP
+    delay_s = POLL_PERIOD_S
+    if rank:
+        delay_s += POLL_STEP_S * (1 + min(rank, HIGHEST_STEP))
+    return view.endpoints_read_s + delay_s
--- /dev/null
+++ b/src/ibisknot/gateway_program.py
@@ -0,0 +1,84 @@
+"""`ibisknot-gateway`: serves callers on the platform's entry VMs."""
+
+import anyio
+
+from ibisknot import batch_calls
+from ibisknot import batch_intake
+from ibisknot import forward
+from ibisknot import gateway
+from ibisknot import http_server
+from ibisknot import logs
+from ibisknot import node
+
+NOTICE_S = 3.2
+"""The balancer asks once a second, and leaves a VM out after two misses."""
+EXIT_MARGIN_S = 0.7
+POLL_S = 0.05
+
+
+async def run(
+    platform: node.Platform,
+    dialect: forward.Dialect,
+    batch_dialect: batch_calls.Dialect,
+) -> None:
+    """Runs the program until it is told to stop."""
+    async with node.node(platform, program="ibisknot-gateway") as made:
+        view = made.runner.view
+        forwarder = forward.Forwarder(
+            made.places, made.client, dialect, made.clock
+        )
+        intake = batch_intake.Intake(
+            made.process,
+            made.store,
+            view,
+            made.peers,
+            made.clock.now,
+            made.group,
+        )
+        calls = batch_calls.Calls(intake, batch_dialect, made.clock)
+        handler = gateway.Gateway(
+            view, forwarder, dialect, made.clock, batch=calls.handle
+        )
+        server = http_server.Server(handler.handle, clock=made.clock.now)
+
+        def apply_limits() -> None:
+            assert view.configuration is not None
+            server.limits = view.configuration.limits
+
+        made.runner.configured.append(apply_limits)
+        made.group.start_soon(_serve_readiness, made)
+        assert made.process.listen is not None
+        made.group.start_soon(server.serve, made.process.listen)
+        await made.stop.wait()
+        await _drain(made, server)
+
+
+async def _serve_readiness(made: node.Node) -> None:
+    """Answers the balancer's question whether to send callers here."""
+    was_ready: list[bool] = [False]
+
+    async def handle(exchange: http_server.Exchange) -> None:
+        configured = made.runner.view.configuration is not None
+        ready = configured and not made.stop.is_set()
+        if ready != was_ready[0]:
+            was_ready[0] = ready
+            logs.event("ready" if ready else "not_ready", configured=configured)
+        await exchange.respond(200 if ready else 503, [])
+
+    if made.process.ready_listen is not None:
+        await http_server.Server(handle).serve(made.process.ready_listen)
+
+
+async def _drain(made: node.Node, server: http_server.Server) -> None:
+    """Takes what still arrives, and leaves when all of it is answered."""
+    started_s = made.clock.now()
+    end_s = started_s + made.process.bounds.grace_s - EXIT_MARGIN_S
+    await anyio.sleep(NOTICE_S)
+    server.closing = True
+    while server.active and made.clock.now() < end_s:
+        await anyio.sleep(POLL_S)
+    logs.event(
+        "drained",
+        left=server.active,
+        took_s=round(made.clock.now() - started_s, 3),
+    )
--- /dev/null
+++ b/src/ibisknot/gen/fleet/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -2,7 +2,6 @@
 
 import base64
 from collections.abc import AsyncIterator
-import dataclasses
 import math
 from typing import Any
 
@@ -11,45 +10,13 @@
 
 from ibisknot import errors
 from ibisknot import metrics
+from ibisknot import pairs
 from ibisknot import settings
 
-
-@dataclasses.dataclass(slots=True)
-class Pair:
-    """A stored key with its value and the revision of its last change."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
-@dataclasses.dataclass(slots=True)
-class Guard:
-    """A condition of a transaction.
-
-    The key's last change must have this revision; 0 means it is absent.
-    """
-
-    key: str
-    revision: int
-
-
-@dataclasses.dataclass(slots=True)
-class Put:
-    """A write within a transaction."""
-
-    key: str
-    value: bytes
-    lease: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Change:
-    """One watched event; `value` is None when the key was deleted."""
-
-    key: str
-    value: bytes | None
-    revision: int
+Pair = pairs.Pair
+Guard = pairs.Guard
+Put = pairs.Put
+Change = pairs.Change
 
 
 def _encode(text: str | bytes) -> str:
--- a/src/ibisknot/logs.py
+++ b/src/ibisknot/logs.py
@@ -1,9 +1,12 @@
 """Structured log lines through absl.logging."""
 
+import collections
 from collections.abc import Callable
 import datetime
 import logging as standard_logging
+import os
 import sys
+import time
 from typing import Any
 
 from absl import flags
@@ -41,6 +44,83 @@
         handler.python_handler.stream = sys.stderr
 
 
+BUFFER_LINES = 2000
+"""Lines that wait to be written; newer ones are dropped and counted."""
+LINES_PER_S = 400
+"""Lines of a process over a second; more are dropped and counted."""
+
+
+class _BoundedHandler(standard_logging.Handler):
+    """Writes to standard output and never waits for its reader."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.descriptor = sys.stdout.fileno()
+        self.waiting: collections.deque[bytes] = collections.deque()
+        self.second = 0
+        self.lines = 0
+        self.dropped = 0
+        os.set_blocking(self.descriptor, False)
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Writes one line, or drops it when there are too many."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.lines = 0
+        self.lines += 1
+        urgent = record.levelno >= standard_logging.WARNING
+        if self.lines > LINES_PER_S and not urgent:
+            self.dropped += 1
+            return
+        if len(self.waiting) >= BUFFER_LINES:
+            self.dropped += 1
+            return
+        if self.dropped:
+            line = f'{{"event":"log_lines_dropped","count":{self.dropped}}}\n'
+            self.waiting.append(line.encode())
+            self.dropped = 0
+        self.waiting.append(record.getMessage().encode() + b"\n")
+        self.write()
+
+    def write(self) -> None:
+        """Writes what the reader takes without waiting."""
+        while self.waiting:
+            line = self.waiting[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.waiting.clear()
+                return
+            if written < len(line):
+                self.waiting[0] = line[written:]
+                return
+            self.waiting.popleft()
+
+
+_BOUNDED: list[_BoundedHandler] = []
+
+
+def start_bounded() -> None:
+    """Writes the log to standard output, bounded and without blocking."""
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = _BoundedHandler()
+    _BOUNDED.append(handler)
+    root = logging.get_absl_logger()
+    root.handlers = [handler]
+    root.propagate = False
+
+
+def flush() -> None:
+    """Writes what still waits, as far as the reader takes it."""
+    for handler in _BOUNDED:
+        handler.write()
+
+
 LISTENERS: list[Callable[[dict[str, Any]], None]] = []
 """Called with each event's fields, such as the ring of recent events."""
 
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -1,8 +1,6 @@
 """Prometheus metrics of a process."""
 
 import aioprometheus
-from starlette import requests
-from starlette import responses
 
 REQUESTS = aioprometheus.Counter(
     "ibisknot_requests_total", "Requests by organisation, route and outcome."
@@ -36,6 +34,25 @@
     "ibisknot_control_bytes_total",
     "Bytes to and from peers and the platform, by direction and channel.",
 )
+STORE_CALLS = aioprometheus.Counter(
+    "ibisknot_store_calls_total", "Calls to the key-value service."
+)
+ENDPOINT_CALLS = aioprometheus.Counter(
+    "ibisknot_endpoint_calls_total", "Requests sent to endpoints by outcome."
+)
+PLACES_WAITED_S = aioprometheus.Histogram(
+    "ibisknot_place_wait_seconds",
+    "Seconds that a request waited for a place at an endpoint.",
+    buckets=[0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0],
+)
+LOG_LINES_DROPPED = aioprometheus.Counter(
+    "ibisknot_log_lines_dropped_total", "Log lines over the bound."
+)
+
+
+def count_store_call(name: str) -> None:
+    """Counts a call to the key-value service by its name."""
+    STORE_CALLS.inc({"call": name})
 
 
 def count_bytes(channel: str, *, sent: int = 0, received: int = 0) -> None:
@@ -48,8 +65,6 @@
         )
 
 
-async def handle(request: requests.Request) -> responses.Response:
-    """Answers `/metrics`."""
-    accept = [request.headers.get("accept", "text/plain")]
-    body, headers = aioprometheus.render(aioprometheus.REGISTRY, accept)
-    return responses.Response(body, headers=headers)
+def render(accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
+    """Returns all metrics as text, and the headers that describe it."""
+    return aioprometheus.render(aioprometheus.REGISTRY, [accept])
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -198,13 +198,24 @@
 
 
 class _Connection:
-    """One multiplexed connection to a peer."""
+    """One multiplexed connection to a peer.
+
+    Attributes:
+        received: Number of messages that were received.
+    """
 
     def __init__(self, stream: abc.ByteStream) -> None:
         self.stream = stream
         self.lock = anyio.Lock()
         self.waiting: dict[int, tuple[anyio.Event, list[ttypes.Envelope]]] = {}
         self.closed = False
+        self.received = 0
+
+    async def drop(self) -> None:
+        """Closes the connection at once."""
+        self.closed = True
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
 
     async def read(self) -> None:
         rest = bytearray()
@@ -212,6 +223,7 @@
             while True:
                 frame = await _receive_frame(self.stream, rest)
                 envelope = _open(frame)
+                self.received += 1
                 waiter = self.waiting.pop(envelope.id, None)
                 if waiter is not None:
                     waiter[1].append(envelope)
@@ -304,7 +316,12 @@
             PeerError: The peer is not reachable or did not answer in time.
             IbisknotError: The error that the peer answered with.
         """
-        connection = await self._connect(address)
+        try:
+            with anyio.fail_after(timeout_s):
+                connection = await self._connect(address)
+        except TimeoutError:
+            message = f"peer {address} not reachable in {timeout_s} s"
+            raise errors.PeerError(message, ran=errors.NOT_RUN) from None
         envelope = ttypes.Envelope(
             id=next(self.ids),
             kind=ttypes.Kind.REQUEST,
@@ -314,6 +331,7 @@
         )
         event = anyio.Event()
         answers: list[ttypes.Envelope] = []
+        received = connection.received
         connection.waiting[envelope.id] = (event, answers)
         try:
             with anyio.fail_after(timeout_s):
@@ -324,6 +342,9 @@
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ) as error:
+            if connection.received == received:
+                # The connection may have gone silent for good.
+                await connection.drop()
             message = f"no answer from {address} to {method}: {error!r}"
             raise errors.PeerError(message) from None
         finally:
--- /dev/null
+++ b/src/ibisknot/placement.py
@@ -0,0 +1,427 @@
+"""Acquires and returns places at endpoints.
+
+The scheduler is asked first. A request never waits for a scheduler that is
+cut off or frozen: after a short time the next one in line is asked, and then
+the process chooses by its own counts.
+"""
+
+import dataclasses
+import itertools
+import random
+import time
+
+import anyio
+from anyio import abc
+
+from ibisknot import admission
+from ibisknot import breaker
+from ibisknot import deployment
+from ibisknot import endpoint_list
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import metrics
+from ibisknot import peer
+from ibisknot import rates
+from ibisknot import serving
+from ibisknot import timer
+from ibisknot.gen.fleet import ttypes
+
+SCHEDULERS = 3
+"""Workers at the front of the line that know all places."""
+ASK_TIMEOUT_S = 0.1
+ASK_AGAIN_S = 0.15
+"""A request that waits asks again after this time."""
+DOWN_S = 1.0
+NOTICE_TIMEOUT_S = 0.4
+HELD_PERIOD_S = 1.0
+NO_ENDPOINT_RETRY_S = 0.5
+
+State = ttypes.PlaceState
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ask:
+    """What a place is wanted for.
+
+    Attributes:
+        kind: `online` or `batch`.
+        tokens: Tokens of the prompt and of the longest answer.
+        blocks: Hashes of the prompt's leading parts.
+        wait_s: Seconds that the request may wait.
+        organisation: Whose rate counts, or None.
+        avoid: Endpoints that have already failed the request.
+    """
+
+    service: str
+    kind: str
+    request: str
+    organisation: serving.Organisation | None
+    wait_s: float
+    tokens: int = 0
+    prompt_tokens: int = 0
+    blocks: tuple[int, ...] = ()
+    suspect: bool = False
+    avoid: frozenset[str] = frozenset()
+    is_counted: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Place:
+    """Leave to run one request at one endpoint.
+
+    Attributes:
+        revoked: Set when an online request needs the place.
+        granted_by: Name of the scheduler, empty when chosen here.
+    """
+
+    id: str
+    ask: Ask
+    endpoint: endpoint_list.Endpoint
+    alone: bool = False
+    granted_by: str = ""
+    revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    answer: ttypes.PlaceAnswer | None = None
+
+
+class Client:
+    """Asks for places, and tells the schedulers which are held.
+
+    Attributes:
+        held: The places in use by id.
+        down: Schedulers that did not answer, with the monotonic time until
+            which they are left out.
+    """
+
+    def __init__(
+        self,
+        process: deployment.Process,
+        view: fleetview.View,
+        peers: peer.Client,
+        clock: timer.Timer,
+        group: abc.TaskGroup,
+    ) -> None:
+        self.process = process
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.group = group
+        self.held: dict[str, Place] = {}
+        self.waiters: dict[str, _Waiter] = {}
+        self.down: dict[str, float] = {}
+        self.shares: dict[str, rates.Share] = {}
+        self.circuits: dict[str, breaker.Breaker] = {}
+        self.choice = random.Random()
+        self.prefix = f"{process.name}/{time.time_ns():x}"
+        self.numbers = itertools.count(1)
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the peer methods and the periodic report."""
+        server.on("place_answer", ttypes.PlaceAnswer, self.on_answer)
+        server.on("place_revoked", ttypes.PlaceRevoked, self.on_revoked)
+        self.clock.subscribe("places_held", HELD_PERIOD_S, self._report)
+
+    def schedulers(self) -> list[fleetview.Member]:
+        """Returns the workers that give out places, the leader first."""
+        line = fleetview.in_line(self.view.members.values())
+        workers = [m for m in line if m.kind == deployment.WORKER]
+        return workers[:SCHEDULERS]
+
+    # Acquiring ------------------------------------------------------------
+
+    async def acquire(self, ask: Ask) -> Place:
+        """Waits for a place.
+
+        Raises:
+            OverloadedError: No place will be free in time.
+            RateLimitError: The organisation is over its rate.
+        """
+        number = f"{self.prefix}/{next(self.numbers)}"
+        started_s = self.clock.now()
+        waiter = _Waiter()
+        self.waiters[number] = waiter
+        place: Place | None = None
+        try:
+            place = await self._acquire(ask, number, waiter, started_s)
+            return place
+        finally:
+            del self.waiters[number]
+            waited_s = self.clock.now() - started_s
+            metrics.PLACES_WAITED_S.observe({"kind": ask.kind}, waited_s)
+            if place is None:
+                self._tell_returned(number, ask, "", admission.CANCELLED)
+
+    async def _acquire(
+        self, ask: Ask, number: str, waiter: _Waiter, started_s: float
+    ) -> Place:
+        while True:
+            waited_s = self.clock.now() - started_s
+            if waited_s >= ask.wait_s:
+                message = f"no endpoint of {ask.service} was free in time"
+                raise errors.OverloadedError(message, retry_after_s=1.0)
+            scheduler = self._scheduler()
+            if scheduler is None:
+                return self._choose(ask, number)
+            answer = await self._ask(scheduler, ask, number, waited_s)
+            if answer is not None and answer.state == State.QUEUED:
+                left_s = max(0.0, ask.wait_s - waited_s)
+                with anyio.move_on_after(min(ASK_AGAIN_S, left_s)):
+                    await waiter.answered.wait()
+                answer = waiter.answer
+            if answer is None:
+                continue
+            if answer.state == State.GRANTED:
+                place = self._granted(ask, number, answer, scheduler.name)
+                if place is not None:
+                    return place
+                waiter.answer = None
+                waiter.answered = anyio.Event()
+                await anyio.sleep(0.02)
+            else:
+                raise _refusal(ask, answer)
+
+    def _scheduler(self) -> fleetview.Member | None:
+        now = self.clock.now()
+        for member in self.schedulers():
+            if self.down.get(member.name, -1e9) <= now:
+                return member
+        return None
+
+    async def _ask(
+        self,
+        scheduler: fleetview.Member,
+        ask: Ask,
+        number: str,
+        waited_s: float,
+    ) -> ttypes.PlaceAnswer | None:
+        """Asks one scheduler; returns nothing when it does not answer."""
+        organisation = ask.organisation
+        allowance = None
+        if organisation is not None and ask.is_counted:
+            allowance = organisation.allowance()
+        message = ttypes.PlaceAsk(
+            id=number,
+            group=ask.service,
+            kind=ask.kind,
+            organisation=organisation.name if organisation else "",
+            tokens=ask.tokens,
+            prompt_tokens=ask.prompt_tokens,
+            blocks=list(ask.blocks),
+            holder=self.process.peer_address,
+            wait_s=ask.wait_s - waited_s,
+            waited_s=waited_s,
+            suspect=ask.suspect,
+            avoid=sorted(ask.avoid),
+            rate_per_s=allowance.rate if allowance else 0.0,
+            burst=allowance.burst if allowance else 0.0,
+            priority=0,
+            data_centre=self.process.data_centre,
+        )
+        try:
+            return await self.peers.call(
+                scheduler.address,
+                "place_ask",
+                message,
+                ttypes.PlaceAnswer,
+                timeout_s=ASK_TIMEOUT_S,
+            )
+        except errors.IbisknotError as error:
+            self.down[scheduler.name] = self.clock.now() + DOWN_S
+            logs.event(
+                "scheduler_silent",
+                level="warning",
+                request=ask.request,
+                scheduler=scheduler.name,
+                cause=error.message,
+            )
+            return None
+
+    def _granted(
+        self,
+        ask: Ask,
+        number: str,
+        answer: ttypes.PlaceAnswer,
+        scheduler: str,
+    ) -> Place | None:
+        endpoint = self.view.endpoints.get(answer.endpoint)
+        if endpoint is None or endpoint.leaving:
+            # The scheduler's view is older than this process's.
+            self._tell_returned(
+                number, ask, answer.endpoint, admission.CANCELLED
+            )
+            return None
+        place = Place(number, ask, endpoint, answer.alone, scheduler)
+        self._keep(place)
+        return place
+
+    def _keep(self, place: Place) -> None:
+        self.held[place.id] = place
+        message = ttypes.PlaceTaken(
+            holder=self.process.peer_address, place=_to_wire(place)
+        )
+        for member in self.schedulers():
+            if member.name != place.granted_by:
+                self._notify(member, "place_taken", message)
+
+    def _choose(self, ask: Ask, number: str) -> Place:
+        """Chooses an endpoint by this process's own counts.
+
+        Raises:
+            OverloadedError: The service has no endpoint that may be up.
+            RateLimitError: This process's part of the rate is used up.
+        """
+        now = self.clock.now()
+        self._spend(ask, now)
+        found = [
+            e
+            for e in fleetview.active(self.view, ask.service)
+            if breaker.allows(self._circuit(e.name), now)
+        ]
+        found = [e for e in found if e.name not in ask.avoid] or found
+        if not found:
+            message = f"no endpoint of {ask.service} is known to be up"
+            raise errors.OverloadedError(
+                message, retry_after_s=NO_ENDPOINT_RETRY_S
+            )
+        counts = dict.fromkeys((e.name for e in found), 0)
+        for place in self.held.values():
+            if place.endpoint.name in counts:
+                counts[place.endpoint.name] += 1
+        endpoint = min(
+            found, key=lambda e: (counts[e.name], self.choice.random())
+        )
+        place = Place(number, ask, endpoint)
+        logs.event(
+            "place_chosen_alone",
+            request=ask.request,
+            endpoint=endpoint.name,
+            own=counts[endpoint.name],
+            view_age_s=round(now - self.view.endpoints_read_s, 3),
+        )
+        self._keep(place)
+        return place
+
+    def _spend(self, ask: Ask, now: float) -> None:
+        """Takes a token of this process's part of the rate."""
+        organisation = ask.organisation
+        if organisation is None or not ask.is_counted:
+            return
+        allowance = organisation.allowance()
+        if allowance is None:
+            return
+        gateways = sum(
+            m.kind == deployment.GATEWAY for m in self.view.members.values()
+        )
+        units = rates.ORGANISATION_UNITS // max(1, gateways)
+        share = self.shares.get(organisation.name)
+        if share is None:
+            share = rates.Share(updated_s=now)
+            self.shares[organisation.name] = share
+        fresh = share.units == 0
+        share.units = units
+        if fresh:
+            share.level = rates.cap(units, allowance)
+        if not rates.spend(share, now, allowance):
+            raise errors.RateLimitError(
+                f"{organisation.name} is over its rate",
+                retry_after_s=rates.next_token_s(share, allowance),
+            )
+
+    # Returning ------------------------------------------------------------
+
+    def release(self, place: Place, outcome: str) -> None:
+        """Gives a place back; never waits for a scheduler."""
+        if self.held.pop(place.id, None) is None:
+            return
+        name = place.endpoint.name
+        circuit = self._circuit(name)
+        if outcome == admission.OK:
+            breaker.succeeded(circuit)
+        elif outcome in (admission.UNREACHABLE, admission.CRASHED):
+            breaker.failed(circuit, self.clock.now(), certain=True)
+        elif outcome == admission.FAILED:
+            breaker.failed(circuit, self.clock.now())
+        metrics.ENDPOINT_CALLS.inc({"outcome": outcome})
+        self._tell_returned(place.id, place.ask, name, outcome)
+
+    def _circuit(self, name: str) -> breaker.Breaker:
+        return self.circuits.setdefault(name, breaker.Breaker())
+
+    def _tell_returned(
+        self, number: str, ask: Ask, endpoint: str, outcome: str
+    ) -> None:
+        message = ttypes.PlaceReturned(
+            group=ask.service, id=number, endpoint=endpoint, outcome=outcome
+        )
+        for member in self.schedulers():
+            self._notify(member, "place_returned", message)
+
+    def _notify(
+        self, member: fleetview.Member, method: str, message: object
+    ) -> None:
+        if self.down.get(member.name, -1e9) <= self.clock.now():
+            self.group.start_soon(self._call, member, method, message)
+
+    async def _call(
+        self, member: fleetview.Member, method: str, message: object
+    ) -> None:
+        try:
+            await self.peers.call(
+                member.address, method, message, timeout_s=NOTICE_TIMEOUT_S
+            )
+        except errors.IbisknotError:
+            # The periodic report repeats what was lost.
+            self.down[member.name] = self.clock.now() + DOWN_S
+
+    async def _report(self, _now: float) -> None:
+        """Timer callback: tells the schedulers all places held here."""
+        message = ttypes.PlacesHeld(
+            holder=self.process.peer_address,
+            places=[_to_wire(place) for place in self.held.values()],
+        )
+        for member in self.schedulers():
+            self._notify(member, "places_held", message)
+
+    async def on_answer(self, answer: ttypes.PlaceAnswer) -> None:
+        """Peer method: a request that waited has its answer."""
+        waiter = self.waiters.get(answer.id)
+        if waiter is not None:
+            waiter.answer = answer
+            waiter.answered.set()
+
+    async def on_revoked(self, message: ttypes.PlaceRevoked) -> None:
+        """Peer method: an online request needs a place."""
+        place = self.held.get(message.id)
+        if place is not None:
+            place.revoked.set()
+
+
+def _refusal(ask: Ask, answer: ttypes.PlaceAnswer) -> errors.IbisknotError:
+    retry_s = answer.retry_after_s
+    if answer.state == State.OVER_RATE:
+        name = ask.organisation.name if ask.organisation else ""
+        message = f"{name} is over its rate"
+        return errors.RateLimitError(message, retry_after_s=retry_s)
+    if answer.state == State.UNSERVED:
+        message = f"no endpoint serves {ask.service}"
+        return errors.OverloadedError(message, retry_after_s=retry_s)
+    message = f"no endpoint of {ask.service} will be free in time"
+    return errors.OverloadedError(message, retry_after_s=retry_s)
+
+
+def _to_wire(place: Place) -> ttypes.Place:
+    ask = place.ask
+    return ttypes.Place(
+        id=place.id,
+        group=ask.service,
+        endpoint=place.endpoint.name,
+        kind=ask.kind,
+        organisation=ask.organisation.name if ask.organisation else "",
+        tokens=ask.tokens,
+        suspect=ask.suspect,
+    )
--- /dev/null
+++ b/src/ibisknot/platform/configuration.py
@@ -0,0 +1,129 @@
+"""Decodes what the operator states into the serving configuration."""
+
+from typing import Any
+
+import msgspec
+
+from ibisknot import errors
+from ibisknot import http_server
+from ibisknot import keys
+from ibisknot import serving
+
+_KINDS = {
+    "safe": serving.SAFE,
+    "unsafe": serving.UNSAFE,
+    "streaming": serving.STREAM,
+    "batch": serving.BATCH,
+}
+
+
+class _Split(msgspec.Struct):
+    Service: str
+    Weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    Name: str
+    Host: str
+    Prefix: str
+    Kind: str
+    Service: str | None = None
+    TrafficSplit: list[_Split] = []
+    TimeoutMs: float = 30_000
+    TargetLatencyMs: float = 1000
+    Priority: int = 0
+    MaxAttempts: int = 1
+    Anonymous: bool = False
+    Resumable: bool = False
+    GapAimMs: float = 0
+    CompletionTargetMs: float = 0
+    MaxWaitS: float = 0
+    # Here the tokens that a tenant's items may have waiting.
+    MaxCount: int = 0
+
+
+class _Service(msgspec.Struct):
+    Name: str
+
+
+class _Tenant(msgspec.Struct):
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+    RatePerS: float = 0
+    Burst: float = 0
+
+
+class _Limits(msgspec.Struct):
+    MaxHeaderBytes: int = 16 * 1024
+    MaxBodyBytes: int = 4 * 1024 * 1024
+    HeaderTimeoutMs: float = 3000
+    IdleTimeoutMs: float = 15_000
+
+
+class _Config(msgspec.Struct):
+    Version: int
+    Routes: list[Any] = []
+    Services: list[_Service] = []
+    Limits: _Limits = msgspec.field(default_factory=_Limits)
+    Tenants: list[_Tenant] | None = None
+
+
+def decode(value: bytes) -> serving.Configuration:
+    """Decodes the operator's value.
+
+    Raises:
+        BadRequestError: It is no configuration.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = [msgspec.convert(raw, _Route) for raw in config.Routes]
+    except msgspec.MsgspecError as error:
+        message = f"the stated configuration is invalid: {error}"
+        raise errors.BadRequestError(message) from None
+    return serving.Configuration(
+        version=config.Version,
+        routes=[_route(r) for r in routes if r.Kind in _KINDS],
+        services=frozenset(s.Name for s in config.Services),
+        organisations={
+            t.Name: serving.Organisation(
+                t.Name, t.RatePerS, t.Burst, t.Priority
+            )
+            for t in config.Tenants or []
+        },
+        keys={
+            keys.digest(key): t.Name
+            for t in config.Tenants or []
+            for key in t.ApiKeys
+        },
+        has_keys=config.Tenants is not None,
+        limits=http_server.Limits(
+            header_bytes=config.Limits.MaxHeaderBytes,
+            body_bytes=config.Limits.MaxBodyBytes,
+            header_timeout_s=config.Limits.HeaderTimeoutMs / 1000,
+            idle_timeout_s=config.Limits.IdleTimeoutMs / 1000,
+        ),
+    )
+
+
+def _route(raw: _Route) -> serving.Route:
+    targets = [serving.Target(s.Service, s.Weight) for s in raw.TrafficSplit]
+    if not targets and raw.Service is not None:
+        targets = [serving.Target(raw.Service, 1.0)]
+    return serving.Route(
+        name=raw.Name,
+        host=raw.Host.lower(),
+        prefix=raw.Prefix,
+        kind=_KINDS[raw.Kind],
+        targets=tuple(targets),
+        timeout_s=raw.TimeoutMs / 1000,
+        objective_s=raw.TargetLatencyMs / 1000,
+        priority=raw.Priority,
+        max_attempts=max(1, raw.MaxAttempts),
+        open=raw.Anonymous,
+        resumable=raw.Resumable,
+        gap_s=raw.GapAimMs / 1000,
+        completion_s=raw.CompletionTargetMs / 1000,
+        keep_s=raw.MaxWaitS,
+        max_tokens=raw.MaxCount,
+    )
--- /dev/null
+++ b/src/ibisknot/platform/entries.py
@@ -0,0 +1,43 @@
+"""Decodes the engines' entries in the store."""
+
+import msgspec
+
+from ibisknot import endpoint_list
+from ibisknot import pairs
+
+PREFIX = "servers/"
+_STATES = {"ready": False, "draining": True}
+
+
+class _Entry(msgspec.Struct):
+    Service: str
+    Address: str
+    Zone: str
+    State: str
+    Slots: int
+    Version: str = ""
+    # How much longer the engine works slowly after its start.
+    ColdRemainingMs: float = 0
+    # Unix milliseconds of the engine's start.
+    born: int = 0
+
+
+def decode(pair: pairs.Pair) -> endpoint_list.Endpoint | None:
+    """Decodes one entry; None when it names no endpoint to use."""
+    try:
+        entry = msgspec.json.decode(pair.value, type=_Entry)
+    except msgspec.MsgspecError:
+        return None
+    leaving = _STATES.get(entry.State)
+    host, _, port = entry.Address.rpartition(":")
+    if leaving is None or entry.Slots < 1 or not host or not port.isdigit():
+        return None
+    return endpoint_list.Endpoint(
+        name=pair.key.removeprefix(PREFIX),
+        service=entry.Service,
+        address=entry.Address,
+        data_centre=entry.Zone,
+        slots=entry.Slots,
+        leaving=leaving,
+        born_ms=entry.born,
+    )
--- /dev/null
+++ b/src/ibisknot/platform/jobs.py
@@ -0,0 +1,95 @@
+"""The platform's calls and bodies of batch jobs."""
+
+import base64
+import binascii
+from urllib import parse
+
+import msgspec
+
+from ibisknot import batch_calls
+from ibisknot import batch_records
+from ibisknot import errors
+from ibisknot import http11
+from ibisknot.platform import headers
+
+MAXIMUM_ITEMS = 200
+_JOBS = "/lots/"
+_BODIES = "/items/"
+
+
+class _Item(msgspec.Struct):
+    Id: str
+    Path: str
+    Headers: dict[str, str]
+    Body: str
+    Tokens: int
+
+
+class _Submission(msgspec.Struct):
+    Items: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    Id: str
+    State: str
+    Output: str
+
+
+class _Page(msgspec.Struct):
+    Total: int
+    Next: int
+    Results: list[_Result]
+
+
+def call_of(message: http11.Message) -> batch_calls.Call | None:
+    """Decodes a call on a job that exists; None when it is no such call."""
+    target = message.target.decode("latin-1")
+    path, _, query = target.partition("?")
+    fields = dict(parse.parse_qsl(query))
+    if message.method == b"GET" and path.startswith(_JOBS):
+        after = fields.get("After", "0")
+        return batch_calls.Read(
+            job=path.removeprefix(_JOBS),
+            after=int(after) if after.isdigit() else 0,
+            wait_s=headers.wait_s(message.headers),
+        )
+    if message.method == b"GET" and path.startswith(_BODIES):
+        return batch_calls.Body(
+            job=path.removeprefix(_BODIES), item=fields.get("Id", "")
+        )
+    if message.method == b"DELETE" and path.startswith(_JOBS):
+        return batch_calls.End(job=path.removeprefix(_JOBS))
+    return None
+
+
+def submission(job: str, body: bytes) -> batch_records.Submission:
+    """Decodes a job that a caller hands in.
+
+    Raises:
+        BadRequestError: It is malformed.
+    """
+    try:
+        raw = msgspec.json.decode(body, type=_Submission)
+        items = [_item(item) for item in raw.Items]
+    except (msgspec.MsgspecError, binascii.Error) as error:
+        raise errors.BadRequestError(f"malformed job: {error}") from None
+    if not job or not 0 < len(items) <= MAXIMUM_ITEMS:
+        message = f"a job has an id and 1 to {MAXIMUM_ITEMS} items"
+        raise errors.BadRequestError(message)
+    return batch_records.Submission(job, items)
+
+
+def _item(raw: _Item) -> batch_records.Item:
+    return batch_records.Item(
+        id=raw.Id,
+        path=raw.Path,
+        headers=list(raw.Headers.items()),
+        body=base64.b64decode(raw.Body, validate=True),
+        tokens=raw.Tokens,
+    )
+
+
+def page(total: int, after: int, results: list[batch_records.Result]) -> bytes:
+    """Encodes results from a position on."""
+    found = [_Result(r.id, r.state, r.output) for r in results]
+    return msgspec.json.encode(_Page(total, after + len(found), found))
--- /dev/null
+++ b/src/ibisknot/platform/programs.py
@@ -0,0 +1,75 @@
+"""Starts the product's programs on the users' platform."""
+
+from collections.abc import Callable
+import sys
+
+import anyio
+
+from ibisknot import batch_calls
+from ibisknot import errors
+from ibisknot import forward
+from ibisknot import gateway_program
+from ibisknot import http_client
+from ibisknot import node
+from ibisknot import view_runner
+from ibisknot import worker_program
+from ibisknot.platform import configuration
+from ibisknot.platform import entries
+from ibisknot.platform import headers
+from ibisknot.platform import jobs
+from ibisknot.platform import settings
+from ibisknot.platform import store
+
+DIALECT = forward.Dialect(
+    terms=headers.terms,
+    onward=headers.onward,
+    is_answer_to=headers.is_answer_to,
+    says_not_run=headers.says_not_run,
+    refusal=headers.refusal,
+)
+BATCH = batch_calls.Dialect(
+    call_of=jobs.call_of, submission=jobs.submission, page=jobs.page
+)
+LAYOUT = view_runner.Layout(
+    operator_prefix="op/",
+    configuration_key="op/config",
+    endpoints_prefix=entries.PREFIX,
+    members_prefix="ibisknot/members/",
+    decode_configuration=configuration.decode,
+    decode_endpoint=entries.decode,
+)
+
+
+def _store(address: str, client: http_client.Client) -> view_runner.KeyValue:
+    return store.Store(address, client)
+
+
+def _platform() -> node.Platform:
+    return node.Platform(
+        settings_path=settings.path_from_environment(),
+        load=settings.load,
+        store=_store,
+        layout=LAYOUT,
+    )
+
+
+def gateway() -> None:
+    """Entry point of `ibisknot-gateway`."""
+    _run(lambda: anyio.run(gateway_program.run, _platform(), DIALECT, BATCH))
+
+
+def worker() -> None:
+    """Entry point of `ibisknot-worker`."""
+    _run(
+        lambda: anyio.run(
+            worker_program.run, _platform(), DIALECT, headers.item_headers
+        )
+    )
+
+
+def _run(program: Callable[[], None]) -> None:
+    try:
+        program()
+    except errors.SettingsError as error:
+        print(error.message, file=sys.stderr)
+        raise SystemExit(2) from None
--- /dev/null
+++ b/src/ibisknot/platform/store.py
@@ -0,0 +1,285 @@
+"""The platform's metadata store as the product's key-value service."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+from typing import Any
+from typing import TypeVar
+from urllib import parse
+
+import anyio
+import msgspec
+
+from ibisknot import errors
+from ibisknot import http_client
+from ibisknot import metrics
+from ibisknot import pairs
+
+READ_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 2.0
+WATCH_MARGIN_S = 1.0
+T = TypeVar("T")
+_JSON = [(b"Content-Type", b"application/json")]
+
+
+class _Item(msgspec.Struct):
+    Key: str
+    Revision: int = 0
+    Value: str = ""
+    Tombstone: bool = False
+
+
+class _Page(msgspec.Struct):
+    Items: list[_Item] = []
+    HasMore: bool = False
+    StoreRevision: int = 0
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    StoreRevision: int = 0
+
+
+class _One(_Item):
+    StoreRevision: int = 0
+
+
+class _Done(msgspec.Struct):
+    Revision: int
+
+
+class _Lease(msgspec.Struct):
+    Lease: int = 0
+    TtlMs: float = 0
+
+
+class Store:
+    """One process's connection to the store.
+
+    Attributes:
+        calls: Number of calls that were made.
+    """
+
+    def __init__(self, address: str, client: http_client.Client) -> None:
+        self.address = address
+        self.client = client
+        self.calls = 0
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        *,
+        timeout_s: float,
+        writes: bool = False,
+    ) -> tuple[int, bytes]:
+        content = b"" if body is None else msgspec.json.encode(body)
+        host = (b"Host", self.address.encode())
+        call = http_client.Call(
+            address=self.address,
+            method=method.encode(),
+            target=target.encode(),
+            headers=[host, *(_JSON if content else [])],
+            body=content,
+        )
+        self.calls += 1
+        name = target.partition("?")[0].split("/")[1]
+        metrics.count_store_call(name)
+        try:
+            with anyio.fail_after(timeout_s):
+                status, answer = await self.client.fetch(call)
+        except errors.EndpointError as error:
+            raise _unanswered(call, error.message, writes=writes) from None
+        except TimeoutError:
+            cause = f"none within {timeout_s} s"
+            raise _unanswered(call, cause, writes=writes) from None
+        if status in (429, 503):
+            message = f"the store answered {status} to {name}"
+            raise errors.KeyValueError(message)
+        return status, answer
+
+    async def get(self, key: str) -> pairs.Pair | None:
+        """Returns the pair stored under a key, or None.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        target = "/kv-key?" + parse.urlencode({"Key": key})
+        status, body = await self._call("GET", target, timeout_s=READ_TIMEOUT_S)
+        if status == 404:
+            return None
+        item = _decode(status, body, _One)
+        return _pair(item)
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> pairs.Listing:
+        """Returns the pairs whose key has a prefix, in key order.
+
+        Args:
+            prefix: What the keys begin with.
+            after: Only keys behind this one are returned.
+            stale: Whether an answer may be seconds old, which costs less.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        found: list[pairs.Pair] = []
+        revision = 0
+        while True:
+            query = {"Prefix": prefix}
+            if after:
+                query["After"] = after
+            if stale:
+                query["AllowStale"] = "1"
+            status, body = await self._call(
+                "GET",
+                "/kv-range?" + parse.urlencode(query, safe="/"),
+                timeout_s=READ_TIMEOUT_S,
+            )
+            page = _decode(status, body, _Page)
+            # The pages are no snapshot, so the first revision holds for all.
+            revision = revision or page.StoreRevision
+            found.extend(_pair(item) for item in page.Items)
+            if not page.HasMore or not page.Items:
+                return pairs.Listing(found, revision)
+            after = page.Items[-1].Key
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> pairs.Changes:
+        """Waits for changes below a prefix after a revision.
+
+        Raises:
+            HistoryGoneError: The store no longer has that history.
+            KeyValueError: The store did not answer.
+        """
+        query = {
+            "Prefix": prefix,
+            "After": str(after),
+            "WaitMs": str(min(30_000, int(wait_s * 1000))),
+        }
+        status, body = await self._call(
+            "GET",
+            "/kv-watch?" + parse.urlencode(query, safe="/"),
+            timeout_s=wait_s + WATCH_MARGIN_S,
+        )
+        if status == 410:
+            raise errors.HistoryGoneError(f"no history of {prefix} is kept")
+        events = _decode(status, body, _Events)
+        found = [
+            pairs.Change(e.Key, None if e.Tombstone else _value(e), e.Revision)
+            for e in events.events
+        ]
+        return pairs.Changes(found, max(after, events.StoreRevision))
+
+    async def transact(
+        self,
+        guards: Sequence[pairs.Guard],
+        puts: Sequence[pairs.Put],
+        *,
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Writes all or nothing, if every guard holds.
+
+        Returns:
+            The revision of the change, or 0 when a guard did not hold.
+
+        Raises:
+            KeyValueError: The store did not take the call.
+            KeyValueUnknownError: The call may have taken effect, or may
+                still do so as long as its guards hold.
+            LeaseEndedError: A put names a lease that has ended.
+        """
+        body = {
+            "ExpectedRev": [
+                {"Key": g.key, "Revision": g.revision} for g in guards
+            ],
+            "Puts": [
+                {
+                    "Key": p.key,
+                    "Value": base64.b64encode(p.value).decode(),
+                    "Lease": p.lease,
+                }
+                for p in puts
+            ],
+            "Remove": list(deletes),
+        }
+        status, answer = await self._call(
+            "POST", "/kv-txn", body, timeout_s=WRITE_TIMEOUT_S, writes=True
+        )
+        if status == 412:
+            return 0
+        if status == 404:
+            raise errors.LeaseEndedError("the lease of a write has ended")
+        return _decode(status, answer, _Done).Revision
+
+    async def grant(self, ttl_s: float) -> int:
+        """Creates a lease and returns its id.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        status, body = await self._call(
+            "POST",
+            "/kv-lease",
+            {"TtlMs": int(ttl_s * 1000)},
+            timeout_s=WRITE_TIMEOUT_S,
+        )
+        return _decode(status, body, _Lease).Lease
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renews a lease; False means that it has already ended.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        status, body = await self._call(
+            "POST", f"/kv-keep/{lease}", timeout_s=READ_TIMEOUT_S
+        )
+        if status == 404:
+            return False
+        _decode(status, body, _Lease)
+        return True
+
+    async def revoke(self, lease: int) -> None:
+        """Ends a lease and deletes the keys bound to it.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        await self._call(
+            "DELETE", f"/kv-lease-end/{lease}", timeout_s=READ_TIMEOUT_S
+        )
+
+
+def _unanswered(
+    call: http_client.Call, cause: str, *, writes: bool
+) -> errors.KeyValueError:
+    if writes and call.progress.sent:
+        return errors.KeyValueUnknownError(f"no answer to a write: {cause}")
+    return errors.KeyValueError(f"the store is not reachable: {cause}")
+
+
+def _decode(status: int, body: bytes, kind: type[T]) -> T:
+    """Decodes the answer to a call that should have succeeded."""
+    if status != 200:
+        raise errors.KeyValueError(f"the store answered {status}")
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        message = f"the store's answer cannot be read: {error}"
+        raise errors.KeyValueError(message) from None
+
+
+def _value(item: _Item) -> bytes:
+    try:
+        return base64.b64decode(item.Value, validate=True)
+    except binascii.Error:
+        # Whoever decodes the value treats it as unreadable.
+        return b""
+
+
+def _pair(item: _Item) -> pairs.Pair:
+    return pairs.Pair(item.Key, _value(item), item.Revision)
--- a/src/ibisknot/program.py
+++ b/src/ibisknot/program.py
@@ -107,10 +107,15 @@
             status = 200 if self.ready else 503
             return web.json_response({"ready": self.ready}, status=status)
 
+        async def measured(request: requests.Request) -> responses.Response:
+            accept = request.headers.get("accept", "text/plain")
+            body, headers = metrics.render(accept)
+            return responses.Response(body, headers=headers)
+
         return [
             routing.Route("/healthz", healthz),
             routing.Route("/readyz", readyz),
-            routing.Route("/metrics", metrics.handle),
+            routing.Route("/metrics", measured),
         ]
 
 
--- /dev/null
+++ b/src/ibisknot/scheduler.py
@@ -0,0 +1,388 @@
+"""Gives out the places of a service's endpoints, on the worker that leads.
+
+Every worker near the front of the line is told of all places that are taken
+and returned, so that the next one can lead at once.
+"""
+
+import dataclasses
+import random
+
+from anyio import abc
+
+from ibisknot import admission
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import overload
+from ibisknot import peer
+from ibisknot import rates
+from ibisknot import timer
+from ibisknot.gen.fleet import ttypes
+
+TICK_PERIOD_S = 0.05
+PUSH_TIMEOUT_S = 0.3
+SILENT_S = 3.5
+"""A holder that reports nothing for this time has lost its places."""
+START_LEVEL = 0.5
+"""Part of an organisation's burst that a scheduler starts with."""
+UNSERVED_RETRY_S = 1.0
+
+POLICY = admission.Policy(
+    batch_weight=1.0, displaced=1.0, gathers=False, headroom=0.0
+)
+"""Endpoints with a stated number of slots slow down little when full."""
+
+State = ttypes.PlaceState
+
+
+@dataclasses.dataclass(slots=True)
+class Pool:
+    """The endpoints of one service, with who holds and awaits places.
+
+    Attributes:
+        waiters: Peer address of the holder, by the id of its request.
+        taken_s: Monotonic time at which each online place was taken.
+    """
+
+    name: str
+    state: admission.Group = dataclasses.field(default_factory=admission.Group)
+    holding: overload.Holding = dataclasses.field(
+        default_factory=overload.Holding
+    )
+    waiters: dict[str, str] = dataclasses.field(default_factory=dict)
+    taken_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class Scheduler:
+    """Decides on places with the product's admission.
+
+    Attributes:
+        pools: The services that were asked for.
+        shares: What is left of each organisation's rate.
+        heard_s: Monotonic time of each holder's last report.
+    """
+
+    def __init__(
+        self,
+        view: fleetview.View,
+        peers: peer.Client,
+        clock: timer.Timer,
+        group: abc.TaskGroup,
+        *,
+        choice: random.Random | None = None,
+    ) -> None:
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.group = group
+        self.choice = choice or random.Random()
+        self.pools: dict[str, Pool] = {}
+        self.shares: dict[str, rates.Share] = {}
+        self.heard_s: dict[str, float] = {}
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the peer methods and the periodic work."""
+        server.on("place_ask", ttypes.PlaceAsk, self.on_ask)
+        server.on("place_taken", ttypes.PlaceTaken, self.on_taken)
+        server.on("place_returned", ttypes.PlaceReturned, self.on_returned)
+        server.on("places_held", ttypes.PlacesHeld, self.on_held)
+        self.clock.subscribe("scheduler", TICK_PERIOD_S, self.tick)
+
+    def pool(self, name: str) -> Pool:
+        """Returns a service's pool with its present endpoints."""
+        pool = self.pools.get(name)
+        if pool is None:
+            pool = Pool(name)
+            pool.state.policy = POLICY
+            self.pools[name] = pool
+        return pool
+
+    def refresh(self) -> None:
+        """Puts the view's endpoints in force."""
+        for pool in self.pools.values():
+            self._refresh(pool)
+
+    def _refresh(self, pool: Pool) -> None:
+        found = fleetview.active(self.view, pool.name)
+        names = {endpoint.name for endpoint in found}
+        if names == pool.state.endpoints.keys():
+            return
+        slots = {endpoint.name: endpoint.slots for endpoint in found}
+        now = self.clock.now()
+        self._do(
+            pool, admission.set_endpoints(pool.state, now, names, slots=slots)
+        )
+
+    # Asks -----------------------------------------------------------------
+
+    async def on_ask(self, ask: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
+        """Peer method: grants, queues or refuses a request for a place."""
+        pool = self.pool(ask.group)
+        self._refresh(pool)
+        answer = self._decide(pool, ask)
+        if answer.state != State.GRANTED:
+            self._log(pool, ask, answer)
+        return answer
+
+    def _decide(self, pool: Pool, ask: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
+        now = self.clock.now()
+        if admission.is_waiting(pool.state, ask.id):
+            return _answer(ask, State.QUEUED)
+        if not pool.state.endpoints:
+            return _answer(ask, State.UNSERVED, retry_s=UNSERVED_RETRY_S)
+        known = ask.id in pool.taken_s
+        if not known and not self._within_rate(ask, now):
+            share = self.shares[ask.organisation]
+            allowance = rates.Allowance(ask.rate_per_s, ask.burst)
+            retry_s = rates.next_token_s(share, allowance)
+            return _answer(ask, State.OVER_RATE, retry_s=retry_s)
+        if not known and self._is_hopeless(pool, ask):
+            self._refund(ask)
+            return _answer(
+                ask, State.OVERLOADED, retry_s=self._retry_after_s(pool)
+            )
+        return self._admit(pool, ask, now)
+
+    def _admit(
+        self, pool: Pool, ask: ttypes.PlaceAsk, now: float
+    ) -> ttypes.PlaceAnswer:
+        pool.waiters[ask.id] = ask.holder
+        waiting = admission.Waiting(
+            id=ask.id,
+            kind=ask.kind,
+            organisation=ask.organisation,
+            arrived_s=now - ask.waited_s,
+            expires_s=now + ask.wait_s,
+            tokens=ask.tokens,
+            words=ask.prompt_tokens,
+            blocks=tuple(ask.blocks),
+            holder=ask.holder,
+            suspect=ask.suspect,
+            avoid=frozenset(ask.avoid),
+        )
+        granted: list[admission.Held] = []
+        self._do(pool, admission.ask(pool.state, now, waiting), ask.id, granted)
+        if granted:
+            ticket = granted[0]
+            return _answer(
+                ask, State.GRANTED, ticket.endpoint, alone=ticket.alone
+            )
+        if ask.id in pool.waiters:
+            return _answer(ask, State.QUEUED)
+        return _answer(ask, State.OVERLOADED, retry_s=self._retry_after_s(pool))
+
+    def _within_rate(self, ask: ttypes.PlaceAsk, now: float) -> bool:
+        if ask.rate_per_s <= 0.0:
+            return True
+        allowance = rates.Allowance(ask.rate_per_s, ask.burst)
+        share = self.shares.get(ask.organisation)
+        if share is None:
+            units = rates.ORGANISATION_UNITS
+            share = rates.Share(units=units, updated_s=now)
+            share.level = int(rates.cap(units, allowance) * START_LEVEL)
+            self.shares[ask.organisation] = share
+        return rates.spend(share, now, allowance)
+
+    def _refund(self, ask: ttypes.PlaceAsk) -> None:
+        if ask.rate_per_s > 0.0:
+            self.shares[ask.organisation].level += rates.TOKEN
+
+    def _is_hopeless(self, pool: Pool, ask: ttypes.PlaceAsk) -> bool:
+        if ask.kind != admission.ONLINE or _has_place(pool.state):
+            return False
+        return overload.is_hopeless(
+            pool.holding,
+            ahead=pool.state.online.size,
+            slots=_slots(pool.state),
+            objective_left_s=ask.wait_s,
+        )
+
+    def _retry_after_s(self, pool: Pool) -> float:
+        return overload.retry_after_s(
+            pool.holding,
+            ahead=pool.state.online.size,
+            slots=_slots(pool.state),
+            choice=self.choice,
+        )
+
+    def _log(
+        self, pool: Pool, ask: ttypes.PlaceAsk, answer: ttypes.PlaceAnswer
+    ) -> None:
+        logs.event(
+            "place_" + State._VALUES_TO_NAMES[answer.state].lower(),
+            request=ask.id,
+            kind=ask.kind,
+            organisation=ask.organisation,
+            ahead=pool.state.online.size,
+            slots=_slots(pool.state),
+            hold_s=round(pool.holding.mean_s, 3),
+            retry_after_s=answer.retry_after_s,
+            view_age_s=round(self.clock.now() - self.view.endpoints_read_s, 3),
+        )
+
+    # Places ---------------------------------------------------------------
+
+    async def on_taken(self, message: ttypes.PlaceTaken) -> None:
+        """Peer method: a place was granted elsewhere, or taken unasked."""
+        pool = self.pool(message.place.group)
+        self._refresh(pool)
+        self._adopt(pool, message.holder, message.place)
+
+    def _adopt(self, pool: Pool, holder: str, place: ttypes.Place) -> None:
+        now = self.clock.now()
+        pool.taken_s.setdefault(place.id, now)
+        ticket = _held(place, holder, now)
+        self._do(pool, admission.adopt(pool.state, now, ticket))
+
+    async def on_returned(self, message: ttypes.PlaceReturned) -> None:
+        """Peer method: a place is free again, or its caller has gone."""
+        pool = self.pool(message.group)
+        now = self.clock.now()
+        pool.waiters.pop(message.id, None)
+        taken_s = pool.taken_s.pop(message.id, None)
+        ticket = admission.find(pool.state, message.id)
+        if (
+            taken_s is not None
+            and ticket is not None
+            and ticket.kind == admission.ONLINE
+            and message.outcome == admission.OK
+        ):
+            overload.learn(pool.holding, now - taken_s)
+        measured = admission.Measured(outcome=message.outcome)
+        self._do(
+            pool, admission.give_back(pool.state, now, message.id, measured)
+        )
+
+    async def on_held(self, message: ttypes.PlacesHeld) -> None:
+        """Peer method: compares the places with what a holder says."""
+        now = self.clock.now()
+        self.heard_s[message.holder] = now
+        by_pool: dict[str, list[admission.Held]] = {
+            name: [] for name in self.pools
+        }
+        for place in message.places:
+            self._refresh(self.pool(place.group))
+            found = by_pool.setdefault(place.group, [])
+            found.append(_held(place, message.holder, now))
+        for name, tickets in by_pool.items():
+            pool = self.pools[name]
+            actions = admission.reconcile(
+                pool.state, now, message.holder, tickets
+            )
+            self._do(pool, actions)
+
+    async def tick(self, now: float) -> None:
+        """Timer callback: applies deadlines and forgets silent holders."""
+        for holder, heard_s in list(self.heard_s.items()):
+            if now - heard_s < SILENT_S:
+                continue
+            del self.heard_s[holder]
+            logs.event("holder_lost", holder=holder, silent_s=now - heard_s)
+            for pool in self.pools.values():
+                actions = admission.take_back(pool.state, now, holder)
+                self._do(pool, actions)
+        for pool in self.pools.values():
+            self._do(pool, admission.tick(pool.state, now))
+
+    def _do(
+        self,
+        pool: Pool,
+        actions: list[admission.Action],
+        asked: str = "",
+        granted: list[admission.Held] | None = None,
+    ) -> None:
+        """Carries actions out; those on the asked request are returned."""
+        for action in actions:
+            if isinstance(action, admission.Grant):
+                ticket = action.ticket
+                pool.waiters.pop(ticket.id, None)
+                pool.taken_s[ticket.id] = self.clock.now()
+                if ticket.id == asked and granted is not None:
+                    granted.append(ticket)
+                else:
+                    self._push_grant(ticket)
+            elif isinstance(action, admission.Refuse):
+                holder = pool.waiters.pop(action.id, "")
+                if action.id != asked and holder:
+                    self._push_refusal(pool, action.id, holder)
+            else:
+                self._send(
+                    action.holder,
+                    "place_revoked",
+                    ttypes.PlaceRevoked(id=action.id),
+                )
+
+    def _push_grant(self, ticket: admission.Held) -> None:
+        answer = ttypes.PlaceAnswer(
+            id=ticket.id,
+            state=State.GRANTED,
+            endpoint=ticket.endpoint,
+            retry_after_s=0.0,
+            alone=ticket.alone,
+        )
+        self._send(ticket.holder, "place_answer", answer)
+
+    def _push_refusal(self, pool: Pool, number: str, holder: str) -> None:
+        answer = ttypes.PlaceAnswer(
+            id=number,
+            state=State.OVERLOADED,
+            endpoint="",
+            retry_after_s=self._retry_after_s(pool),
+            alone=False,
+        )
+        self._send(holder, "place_answer", answer)
+
+    def _send(self, address: str, method: str, message: object) -> None:
+        self.group.start_soon(self._call, address, method, message)
+
+    async def _call(self, address: str, method: str, message: object) -> None:
+        try:
+            await self.peers.call(
+                address, method, message, timeout_s=PUSH_TIMEOUT_S
+            )
+        except errors.IbisknotError as error:
+            logs.event(
+                "push_failed", peer=address, method=method, cause=error.message
+            )
+
+
+def _slots(state: admission.Group) -> int:
+    return sum(int(e.capacity.limit) for e in state.endpoints.values())
+
+
+def _has_place(state: admission.Group) -> bool:
+    """Returns whether online work finds a free place or one to revoke."""
+    return any(
+        e.staying() < int(e.capacity.limit) or e.batch()
+        for e in state.endpoints.values()
+    )
+
+
+def _held(place: ttypes.Place, holder: str, now: float) -> admission.Held:
+    return admission.Held(
+        id=place.id,
+        kind=place.kind,
+        organisation=place.organisation,
+        holder=holder,
+        endpoint=place.endpoint,
+        granted_s=now,
+        tokens=place.tokens,
+        suspect=place.suspect,
+    )
+
+
+def _answer(
+    ask: ttypes.PlaceAsk,
+    state: int,
+    endpoint: str = "",
+    *,
+    retry_s: float = 0.0,
+    alone: bool = False,
+) -> ttypes.PlaceAnswer:
+    return ttypes.PlaceAnswer(
+        id=ask.id,
+        state=state,
+        endpoint=endpoint,
+        retry_after_s=retry_s,
+        alone=alone,
+    )
--- a/src/ibisknot/traces.py
+++ b/src/ibisknot/traces.py
@@ -7,27 +7,42 @@
 from typing import Any
 from typing import TextIO
 
-from opentelemetry import context
-from opentelemetry import propagate
-from opentelemetry import trace
-from opentelemetry.sdk import resources
-from opentelemetry.sdk import trace as sdk_trace
-from opentelemetry.sdk.trace import export
-
 from ibisknot import settings
 
 EXPORT_PERIOD_S = 1.0
-_TRACER = trace.get_tracer("ibisknot")
+_LOADED: list[Any] = []
+"""The OpenTelemetry modules once they are needed; they take 12 MB."""
+
+
+class _Modules:
+    """The OpenTelemetry modules that this module uses."""
+
+    def __init__(self) -> None:
+        load = importlib.import_module
+        self.context = load("opentelemetry.context")
+        self.propagate = load("opentelemetry.propagate")
+        self.trace = load("opentelemetry.trace")
+        self.sdk = load("opentelemetry.sdk.trace")
+        self.tracer = self.trace.get_tracer("ibisknot")
+
+
+def _modules() -> _Modules:
+    if not _LOADED:
+        _LOADED.append(_Modules())
+    return _LOADED[0]
 
 
 def start(target: settings.Trace, *, program: str, vm: str) -> None:
     """Installs the exporter that the settings name, if any."""
     if target.otlp_url is None and target.file is None:
         return
+    loaded = _modules()
+    resources = importlib.import_module("opentelemetry.sdk.resources")
+    export = importlib.import_module("opentelemetry.sdk.trace.export")
     resource = resources.Resource.create(
         {"service.name": program, "host.name": vm}
     )
-    provider = sdk_trace.TracerProvider(resource=resource)
+    provider = loaded.sdk.TracerProvider(resource=resource)
     if target.otlp_url is not None:
         # The exporter takes 4 MB of memory, so it is loaded only when used.
         name = "opentelemetry.exporter.otlp.proto.http.trace_exporter"
@@ -43,29 +58,40 @@
         provider.add_span_processor(
             export.BatchSpanProcessor(console, schedule_delay_millis=period_ms)
         )
-    trace.set_tracer_provider(provider)
+    loaded.trace.set_tracer_provider(provider)
 
 
 @contextlib.contextmanager
 def span(
     name: str, *, parent: str | None = None, **attributes: Any
-) -> Iterator[trace.Span]:
-    """Opens a span, below `parent` (a traceparent value) when given."""
+) -> Iterator[Any]:
+    """Opens a span, below `parent` (a traceparent value) when given.
+
+    Yields None while nothing is traced.
+    """
+    if parent is None and not _LOADED:
+        yield None
+        return
+    loaded = _modules()
     token = None
     if parent is not None:
-        token = context.attach(propagate.extract({"traceparent": parent}))
+        extracted = loaded.propagate.extract({"traceparent": parent})
+        token = loaded.context.attach(extracted)
     try:
-        with _TRACER.start_as_current_span(name, attributes=attributes) as it:
+        with loaded.tracer.start_as_current_span(
+            name, attributes=attributes
+        ) as it:
             yield it
     finally:
         if token is not None:
-            context.detach(token)
+            loaded.context.detach(token)
 
 
 def headers() -> dict[str, str]:
     """Returns the headers that pass the current trace context on."""
     carrier: dict[str, str] = {}
-    propagate.inject(carrier)
+    if _LOADED:
+        _modules().propagate.inject(carrier)
     return carrier
 
 
@@ -90,4 +116,8 @@
 
 def enabled() -> bool:
     """Returns whether spans are exported."""
-    return isinstance(trace.get_tracer_provider(), sdk_trace.TracerProvider)
+    if not _LOADED:
+        return False
+    loaded = _modules()
+    provider = loaded.trace.get_tracer_provider()
+    return isinstance(provider, loaded.sdk.TracerProvider)
--- /dev/null
+++ b/src/ibisknot/view_runner.py
@@ -0,0 +1,477 @@
+"""Keeps a process's view of the fleet current, through store and peers."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import time
+from typing import Any
+from typing import Protocol
+
+import anyio
+from anyio import abc
+
+from ibisknot import deployment
+from ibisknot import endpoint_list
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import pairs
+from ibisknot import peer
+from ibisknot import serving
+from ibisknot import timer
+from ibisknot.gen.fleet import ttypes
+
+POLL_TICK_S = 0.1
+FAILED_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 1.0
+WATCH_S = 5.0
+MEMBERS_PERIOD_S = 1.0
+GOSSIP_PERIOD_S = 0.5
+GOSSIP_PEERS = 2
+PUSH_TIMEOUT_S = 0.4
+LEASE_S = 4.0
+RENEW_PERIOD_S = 1.3
+
+
+class KeyValue(Protocol):
+    """What the product needs of a key-value service."""
+
+    async def get(self, key: str) -> pairs.Pair | None:
+        """Returns the pair stored under a key, or None."""
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> pairs.Listing:
+        """Returns the pairs whose key has a prefix, in key order."""
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> pairs.Changes:
+        """Waits for changes below a prefix after a revision."""
+
+    async def transact(
+        self,
+        guards: list[pairs.Guard],
+        puts: list[pairs.Put],
+        *,
+        deletes: list[str] = ...,
+    ) -> int:
+        """Writes all or nothing; returns the revision, or 0."""
+
+    async def grant(self, ttl_s: float) -> int:
+        """Creates a lease and returns its id."""
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renews a lease; False means that it has already ended."""
+
+    async def revoke(self, lease: int) -> None:
+        """Ends a lease and deletes the keys bound to it."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Layout:
+    """Where the store keeps what the platform writes, and how to read it.
+
+    Attributes:
+        operator_prefix: Prefix of all that the operator writes.
+        configuration_key: Key of the newest configuration.
+        endpoints_prefix: Prefix of the endpoints' entries.
+        members_prefix: Prefix of the fleet's own entries.
+    """
+
+    operator_prefix: str
+    configuration_key: str
+    endpoints_prefix: str
+    members_prefix: str
+    decode_configuration: Callable[[bytes], serving.Configuration]
+    decode_endpoint: Callable[[pairs.Pair], endpoint_list.Endpoint | None]
+
+
+class Runner:
+    """Keeps the view.
+
+    Attributes:
+        view: What is believed.
+        changed: Called after the endpoints or members changed.
+        configured: Called after a new configuration was adopted.
+        operator_changed: Called with other keys that the operator wrote.
+        lease: The lease of this process's entry, 0 without one.
+    """
+
+    def __init__(
+        self,
+        process: deployment.Process,
+        store: KeyValue,
+        layout: Layout,
+        peers: peer.Client,
+        clock: timer.Timer,
+        group: abc.TaskGroup,
+    ) -> None:
+        self.process = process
+        self.store = store
+        self.layout = layout
+        self.peers = peers
+        self.clock = clock
+        self.group = group
+        self.view = fleetview.View()
+        self.me = fleetview.Member(
+            name=process.name,
+            kind=process.kind,
+            data_centre=process.data_centre,
+            address=process.peer_address,
+            born_ms=int(time.time() * 1000),
+        )
+        self.changed: list[Callable[[], None]] = []
+        self.configured: list[Callable[[], None]] = []
+        self.operator_changed: list[Callable[[pairs.Change], None]] = []
+        self.lease = 0
+        self.choice = random.Random()
+        self.poll_after_s = 0.0
+        self.failures = 0
+        self.leaving = False
+        self.reachable: bool | None = None
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the handlers and starts the periodic work."""
+        server.on("view_news", ttypes.ViewNews, self.on_news)
+        server.on("view_ask", ttypes.ViewAsk, self.on_ask)
+        self.clock.subscribe("entries", POLL_TICK_S, self._poll)
+        self.clock.subscribe("members", MEMBERS_PERIOD_S, self._poll_members)
+        self.clock.subscribe("gossip", GOSSIP_PERIOD_S, self._gossip)
+        self.clock.subscribe("member_lease", RENEW_PERIOD_S, self._renew)
+        self.group.start_soon(self._follow_operator)
+        self.group.start_soon(self._renew, 0.0)
+        self.group.start_soon(self._poll_members, 0.0)
+        self.group.start_soon(self._gossip, 0.0)
+
+    def others(self) -> list[fleetview.Member]:
+        """Returns the other processes of the fleet."""
+        return [m for m in self.view.members.values() if m.name != self.me.name]
+
+    def _answered(self, answered: bool, cause: str = "") -> None:
+        """Logs the loss and the return of the store."""
+        if answered == self.reachable:
+            return
+        self.reachable = answered
+        logs.event(
+            "store_regained" if answered else "store_lost",
+            level="info" if answered else "warning",
+            cause=cause,
+        )
+
+    # Endpoints ------------------------------------------------------------
+
+    async def _poll(self, now: float) -> None:
+        """Timer callback: reads the entries when nobody told them."""
+        due_s = fleetview.poll_due_s(self.view, self.me.name)
+        if now < max(due_s, self.poll_after_s):
+            return
+        started_s = self.clock.now()
+        try:
+            listing = await self.store.list_prefix(self.layout.endpoints_prefix)
+        except errors.KeyValueError as error:
+            self._answered(False, error.message)
+            self.failures += 1
+            pause_s = min(LONGEST_PAUSE_S, FAILED_PAUSE_S * self.failures)
+            self.poll_after_s = self.clock.now() + pause_s
+            return
+        self.failures = 0
+        self._answered(True)
+        age_s = self.clock.now() - started_s
+        self._take_entries(listing.revision, age_s, listing.pairs)
+        await self._tell_all()
+
+    def _take_entries(
+        self, revision: int, age_s: float, entries: list[pairs.Pair]
+    ) -> None:
+        before = self.view.endpoints
+        taken = fleetview.adopt_endpoints(
+            self.view,
+            self.clock.now(),
+            revision=revision,
+            age_s=age_s,
+            entries=entries,
+            decode=self.layout.decode_endpoint,
+        )
+        if taken and self.view.endpoints != before:
+            _log_endpoints(before, self.view.endpoints, revision, age_s)
+            self._notify(self.changed)
+
+    def _notify(self, callbacks: list[Callable[[], None]]) -> None:
+        for callback in callbacks:
+            callback()
+
+    # Members --------------------------------------------------------------
+
+    async def _poll_members(self, _now: float) -> None:
+        """Timer callback: reads which processes are in the fleet."""
+        try:
+            listing = await self.store.list_prefix(
+                self.layout.members_prefix, stale=self.view.members_revision > 0
+            )
+        except errors.KeyValueError:
+            return
+        found = [m for m in map(_member, listing.pairs) if m is not None]
+        self._take_members(listing.revision, found)
+
+    def _take_members(
+        self, revision: int, found: list[fleetview.Member]
+    ) -> None:
+        before = self.view.members
+        if not fleetview.adopt_members(
+            self.view, self.clock.now(), revision=revision, members=found
+        ):
+            return
+        came = sorted(self.view.members.keys() - before.keys())
+        left = sorted(before.keys() - self.view.members.keys())
+        if came or left:
+            logs.event(
+                "members_changed", came=came, left=left, revision=revision
+            )
+        self._notify(self.changed)
+
+    async def _renew(self, _now: float) -> None:
+        """Timer callback: keeps this process's entry alive."""
+        if self.leaving:
+            return
+        try:
+            if self.lease and await self.store.keep_alive(self.lease):
+                return
+            self.lease = await self.store.grant(
+                max(LEASE_S, self.process.lease_minimum_s)
+            )
+            key = self.layout.members_prefix + self.me.name
+            value = peer.encode(_to_wire(self.me))
+            put = pairs.Put(key, value, self.lease)
+            await self.store.transact([], [put])
+            logs.event("member_registered", lease=self.lease)
+        except errors.KeyValueError as error:
+            logs.event(
+                "member_not_registered", level="warning", cause=error.message
+            )
+
+    async def leave(self) -> None:
+        """Removes this process's entry."""
+        self.leaving = True
+        if self.lease:
+            try:
+                await self.store.revoke(self.lease)
+            except errors.KeyValueError as error:
+                logs.event("lease_not_ended", cause=error.message)
+
+    # Configuration --------------------------------------------------------
+
+    async def _follow_operator(self) -> None:
+        """Follows what the operator writes, until cancelled."""
+        after = 0
+        while True:
+            try:
+                if not after:
+                    after = await self._read_operator()
+                    self._answered(True)
+                news = await self.store.changes(
+                    self.layout.operator_prefix, after, WATCH_S
+                )
+                after = news.revision
+                for change in news.changes:
+                    self._take_change(change)
+            except errors.HistoryGoneError:
+                after = 0
+            except errors.KeyValueError as error:
+                self._answered(False, error.message)
+                await anyio.sleep(self.choice.uniform(0.2, FAILED_PAUSE_S))
+
+    async def _read_operator(self) -> int:
+        listing = await self.store.list_prefix(self.layout.operator_prefix)
+        for pair in listing.pairs:
+            self._take_change(pairs.Change(pair.key, pair.value, pair.revision))
+        return listing.revision
+
+    def _take_change(self, change: pairs.Change) -> None:
+        if change.key != self.layout.configuration_key:
+            for callback in self.operator_changed:
+                callback(change)
+        elif change.value is not None:
+            self.take_stated(change.revision, change.value, source="store")
+
+    def take_stated(self, revision: int, stated: bytes, *, source: str) -> None:
+        """Adopts a stated configuration if it is newer, and passes it on."""
+        if revision <= self.view.configuration_revision:
+            return
+        try:
+            decoded = self.layout.decode_configuration(stated)
+        except errors.BadRequestError as error:
+            logs.event(
+                "configuration_unreadable",
+                level="error",
+                revision=revision,
+                source=source,
+                cause=error.message,
+            )
+            return
+        if fleetview.adopt_configuration(self.view, revision, stated, decoded):
+            logs.event(
+                "configuration_adopted",
+                version=decoded.version,
+                revision=revision,
+                source=source,
+            )
+            self._notify(self.configured)
+            self.group.start_soon(self._tell_all)
+
+    # Peers ----------------------------------------------------------------
+
+    def _news(self, *, whole: bool) -> ttypes.ViewNews:
+        view = self.view
+        now = self.clock.now()
+        news = ttypes.ViewNews(
+            sender=self.me.name,
+            configuration_revision=view.configuration_revision,
+            endpoints_revision=view.endpoints_revision,
+            endpoints_age_s=min(1e6, now - view.endpoints_read_s),
+            endpoints=[
+                ttypes.ListedEntry(p.key, p.value, p.revision)
+                for p in view.entries.values()
+            ],
+            members_revision=view.members_revision,
+        )
+        if whole:
+            news.configuration = view.stated
+            news.members = [_to_wire(m) for m in view.members.values()]
+        return news
+
+    async def on_news(self, news: ttypes.ViewNews) -> ttypes.ViewAck:
+        """Peer method: takes a peer's beliefs where they are newer."""
+        self._take_news(news)
+        view = self.view
+        return ttypes.ViewAck(
+            configuration_revision=view.configuration_revision,
+            endpoints_revision=view.endpoints_revision,
+        )
+
+    async def on_ask(self, _ask: ttypes.ViewAsk) -> ttypes.ViewNews:
+        """Peer method: tells all that this process believes."""
+        return self._news(whole=True)
+
+    def _take_news(self, news: ttypes.ViewNews) -> None:
+        if news.configuration:
+            self.take_stated(
+                news.configuration_revision,
+                news.configuration,
+                source=news.sender,
+            )
+        if news.endpoints is not None and news.endpoints_revision:
+            entries = [
+                pairs.Pair(e.name, e.value, e.revision) for e in news.endpoints
+            ]
+            self._take_entries(
+                news.endpoints_revision, news.endpoints_age_s, entries
+            )
+        if news.members:
+            found = [_from_wire(m) for m in news.members]
+            self._take_members(news.members_revision, found)
+
+    async def _tell_all(self) -> None:
+        async with anyio.create_task_group() as group:
+            for member in self.others():
+                group.start_soon(self._tell, member.address)
+
+    async def _tell(self, address: str, *, whole: bool = False) -> None:
+        """Tells one peer what this process believes, and heals both ways."""
+        try:
+            ack = await self.peers.call(
+                address,
+                "view_news",
+                self._news(whole=whole),
+                ttypes.ViewAck,
+                timeout_s=PUSH_TIMEOUT_S,
+            )
+            revision = self.view.configuration_revision
+            if ack.configuration_revision > revision:
+                await self._pull(address)
+            elif ack.configuration_revision < revision and not whole:
+                await self._tell(address, whole=True)
+        except errors.IbisknotError:
+            # The peer's own reading or another peer tells it.
+            pass
+
+    async def _pull(self, address: str) -> None:
+        news = await self.peers.call(
+            address,
+            "view_ask",
+            ttypes.ViewAsk(sender=self.me.name),
+            ttypes.ViewNews,
+            timeout_s=PUSH_TIMEOUT_S,
+        )
+        self._take_news(news)
+
+    async def _gossip(self, _now: float) -> None:
+        """Timer callback: compares beliefs with a few peers.
+
+        A process that knows no peer asks the seeds of its settings.
+        """
+        addresses = [m.address for m in self.others()]
+        if not addresses:
+            mine = self.process.peer_address
+            addresses = [a for a in self.process.seeds if a != mine]
+        count = min(GOSSIP_PEERS, len(addresses))
+        async with anyio.create_task_group() as group:
+            for address in self.choice.sample(addresses, count):
+                if self.view.configuration is None or not self.view.members:
+                    group.start_soon(self._try_pull, address)
+                else:
+                    group.start_soon(self._tell, address)
+
+    async def _try_pull(self, address: str) -> None:
+        try:
+            await self._pull(address)
+        except errors.IbisknotError as error:
+            logs.event("seed_silent", peer=address, cause=error.message)
+
+
+def _log_endpoints(
+    before: dict[str, endpoint_list.Endpoint],
+    after: dict[str, endpoint_list.Endpoint],
+    revision: int,
+    age_s: float,
+) -> None:
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        if old == new:
+            continue
+        state = "gone"
+        if new is not None:
+            state = "leaving" if new.leaving else "active"
+        logs.event(
+            "endpoint_" + state,
+            endpoint=name,
+            revision=revision,
+            age_s=round(age_s, 3),
+        )
+
+
+def _to_wire(member: fleetview.Member) -> ttypes.Member:
+    return ttypes.Member(
+        name=member.name,
+        kind=member.kind,
+        data_centre=member.data_centre,
+        address=member.address,
+        born_ms=member.born_ms,
+    )
+
+
+def _from_wire(member: Any) -> fleetview.Member:
+    return fleetview.Member(
+        name=member.name,
+        kind=member.kind,
+        data_centre=member.data_centre,
+        address=member.address,
+        born_ms=member.born_ms,
+    )
+
+
+def _member(pair: pairs.Pair) -> fleetview.Member | None:
+    try:
+        return _from_wire(peer.decode(pair.value, ttypes.Member))
+    except errors.PeerError:
+        return None
