Read results by a listing first, and wake peers and schedulers less

Queued batch items asked again every 0.15 s, and each gossip message carried all entries.

Change: each read begins with a listing; batch items ask again after 1.5 s; peers are told a digest of the entries.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -31,12 +31,16 @@
   6: optional list<ListedEntry> endpoints,
   7: required i64 members_revision,
   8: optional list<Member> members,
+  /** Hash of what the entries say, so that they need not be repeated. */
+  9: required i64 endpoints_digest,
 }
 
 /** The receiver's revisions after it took the news. */
 struct ViewAck {
   1: required i64 configuration_revision,
   2: required i64 endpoints_revision,
+  /** Whether the receiver lacks the entries that the digest stands for. */
+  3: required bool wants_entries,
 }
 
 struct ViewAsk { 1: required string sender }
--- a/src/ibisknot/batch_intake.py
+++ b/src/ibisknot/batch_intake.py
@@ -43,8 +43,7 @@
 
     Attributes:
         results: Results by position, without gaps.
-        revision: The store's revision up to which `results` is complete; 0
-            when nothing was read.
+        revision: The store's revision up to which `results` is complete.
         last_key: Key of the last group that was read.
     """
 
@@ -332,27 +331,27 @@
         """
         known = await self._job(job, organisation)
         end_s = self.clock() + wait_s
-        while len(known.results) <= after and not known.is_complete():
-            left_s = max(0.0, end_s - self.clock())
-            before = len(known.results)
-            await self._update(known, left_s)
-            if len(known.results) == before and self.clock() >= end_s:
-                break
+        if _lacks(known, after):
+            # Another gateway may have shown results that a watch would tell
+            # later, so each call begins with a reading of its own.
+            await self._list_new(known)
+        while _lacks(known, after) and self.clock() < end_s:
+            await self._await_new(known, end_s - self.clock())
         return known.meta.total, _page(known.results[after:])
 
-    async def _update(self, known: Known, wait_s: float) -> None:
-        """Reads what is new; waits for it if there was nothing."""
+    async def _list_new(self, known: Known) -> None:
+        prefix = batch_records.result_prefix(known.meta.id)
+        listing = await self.store.list_prefix(prefix, after=known.last_key)
+        known.revision = listing.revision
+        for pair in listing.pairs:
+            _add_group(known, pair.key, pair.value)
+
+    async def _await_new(self, known: Known, wait_s: float) -> None:
         prefix = batch_records.result_prefix(known.meta.id)
-        if known.revision == 0:
-            listing = await self.store.list_prefix(prefix, after=known.last_key)
-            known.revision = listing.revision
-            for pair in listing.pairs:
-                _add_group(known, pair.key, pair.value)
-            return
         try:
             news = await self.store.changes(prefix, known.revision, wait_s)
         except errors.HistoryGoneError:
-            known.revision = 0
+            await self._list_new(known)
             return
         known.revision = max(known.revision, news.revision)
         for change in news.changes:
@@ -458,9 +457,11 @@
     if position == len(known.results):
         known.results.extend(batch_records.decode_results(value))
         known.last_key = key
-    elif position > len(known.results):
-        # A group in between was missed; the next reading lists them all.
-        known.revision = 0
+
+
+def _lacks(known: Known, after: int) -> bool:
+    """Returns whether a result at a position may come that is not known."""
+    return len(known.results) <= after and not known.is_complete()
 
 
 def _page(
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -26,7 +26,7 @@
 from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
-POLL_PERIOD_S = 1.0
+POLL_PERIOD_S = 1.5
 TAKEOVER_S = 1.5
 """An owner that is not in the fleet for this time has lost its jobs."""
 GATHER_S = 0.15
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+import xxhash
+
 from ibisknot import deployment
 from ibisknot import endpoint_list
 from ibisknot import pairs
@@ -108,12 +110,8 @@
     """
     if revision < view.endpoints_revision:
         return False
-    read_s = now - age_s
-    if read_s - view.endpoints_read_s > OUTAGE_S and view.endpoints:
-        view.returned_s = now
     newer = revision > view.endpoints_revision
-    view.endpoints_revision = revision
-    view.endpoints_read_s = max(view.endpoints_read_s, read_s)
+    _note_read(view, now, revision, age_s)
     found = {pair.key: pair for pair in entries}
     if now - view.returned_s < RETURN_S:
         kept = {k: p for k, p in view.entries.items() if k not in found}
@@ -126,6 +124,36 @@
     return True
 
 
+def confirm_endpoints(
+    view: View, now: float, *, revision: int, age_s: float, digest: int
+) -> bool:
+    """Takes news that the entries still say the same.
+
+    Returns:
+        Whether they do; otherwise the entries themselves are needed.
+    """
+    if revision < view.endpoints_revision:
+        return True
+    if digest != endpoints_digest(view):
+        return False
+    _note_read(view, now, revision, age_s)
+    return True
+
+
+def _note_read(view: View, now: float, revision: int, age_s: float) -> None:
+    read_s = now - age_s
+    if read_s - view.endpoints_read_s > OUTAGE_S and view.endpoints:
+        view.returned_s = now
+    view.endpoints_revision = revision
+    view.endpoints_read_s = max(view.endpoints_read_s, read_s)
+
+
+def endpoints_digest(view: View) -> int:
+    """Returns a hash of what the entries say."""
+    text = repr(sorted(view.endpoints.items()))
+    return xxhash.xxh3_64_intdigest(text.encode()) - (1 << 63)
+
+
 def adopt_members(
     view: View, now: float, *, revision: int, members: Iterable[Member]
 ) -> bool:
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -281,6 +281,7 @@
      - endpoints
      - members_revision
      - members
+     - endpoints_digest: Hash of what the entries say, so that they need not be repeated.
 
     """
 
@@ -293,10 +294,11 @@
         'endpoints',
         'members_revision',
         'members',
+        'endpoints_digest',
     )
 
 
-    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None,):
+    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None,):
         self.sender = sender
         self.configuration_revision = configuration_revision
         self.configuration = configuration
@@ -305,6 +307,7 @@
         self.endpoints = endpoints
         self.members_revision = members_revision
         self.members = members
+        self.endpoints_digest = endpoints_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -367,6 +370,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.endpoints_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -415,6 +423,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints_digest is not None:
+            oprot.writeFieldBegin('endpoints_digest', TType.I64, 9)
+            oprot.writeI64(self.endpoints_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -429,6 +441,8 @@
             raise TProtocolException(message='Required field endpoints_age_s is unset!')
         if self.members_revision is None:
             raise TProtocolException(message='Required field members_revision is unset!')
+        if self.endpoints_digest is None:
+            raise TProtocolException(message='Required field endpoints_digest is unset!')
         return
 
     def __repr__(self):
@@ -457,18 +471,21 @@
     Attributes:
      - configuration_revision
      - endpoints_revision
+     - wants_entries: Whether the receiver lacks the entries that the digest stands for.
 
     """
 
     __slots__ = (
         'configuration_revision',
         'endpoints_revision',
+        'wants_entries',
     )
 
 
-    def __init__(self, configuration_revision=None, endpoints_revision=None,):
+    def __init__(self, configuration_revision=None, endpoints_revision=None, wants_entries=None,):
         self.configuration_revision = configuration_revision
         self.endpoints_revision = endpoints_revision
+        self.wants_entries = wants_entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -489,6 +506,11 @@
                     self.endpoints_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.wants_entries = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +529,10 @@
             oprot.writeFieldBegin('endpoints_revision', TType.I64, 2)
             oprot.writeI64(self.endpoints_revision)
             oprot.writeFieldEnd()
+        if self.wants_entries is not None:
+            oprot.writeFieldBegin('wants_entries', TType.BOOL, 3)
+            oprot.writeBool(self.wants_entries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -515,6 +541,8 @@
             raise TProtocolException(message='Required field configuration_revision is unset!')
         if self.endpoints_revision is None:
             raise TProtocolException(message='Required field endpoints_revision is unset!')
+        if self.wants_entries is None:
+            raise TProtocolException(message='Required field wants_entries is unset!')
         return
 
     def __repr__(self):
@@ -1787,12 +1815,14 @@
     (6, TType.LIST, 'endpoints', (TType.STRUCT, [ListedEntry, None], False), None, ),  # 6
     (7, TType.I64, 'members_revision', None, None, ),  # 7
     (8, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 8
+    (9, TType.I64, 'endpoints_digest', None, None, ),  # 9
 )
 all_structs.append(ViewAck)
 ViewAck.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'configuration_revision', None, None, ),  # 1
     (2, TType.I64, 'endpoints_revision', None, None, ),  # 2
+    (3, TType.BOOL, 'wants_entries', None, None, ),  # 3
 )
 all_structs.append(ViewAsk)
 ViewAsk.thrift_spec = (
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -94,12 +94,17 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                with anyio.fail_after(self.call.silence_s):
-                    data = await self.stream.receive(http11.READ_BYTES)
-            except anyio.EndOfStream:
-                data = b""
-            self.parser.receive_data(data)
+            self.parser.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        silence_s = self.call.silence_s
+        try:
+            if silence_s is None:
+                return await self.stream.receive(http11.READ_BYTES)
+            with anyio.fail_after(silence_s):
+                return await self.stream.receive(http11.READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
 
     async def read_head(self) -> None:
         """Reads up to the head of this call's answer."""
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -30,8 +30,8 @@
 SCHEDULERS = 3
 """Workers at the front of the line that know all places."""
 ASK_TIMEOUT_S = 0.1
-ASK_AGAIN_S = 0.15
-"""A request that waits asks again after this time."""
+ASK_AGAIN_S = {admission.ONLINE: 0.15, admission.BATCH: 1.5}
+"""A request that waits asks again after this time, by its kind."""
 DOWN_S = 1.0
 NOTICE_TIMEOUT_S = 0.4
 HELD_PERIOD_S = 1.0
@@ -170,7 +170,7 @@
             answer = await self._ask(scheduler, ask, number, waited_s)
             if answer is not None and answer.state == State.QUEUED:
                 left_s = max(0.0, ask.wait_s - waited_s)
-                with anyio.move_on_after(min(ASK_AGAIN_S, left_s)):
+                with anyio.move_on_after(min(ASK_AGAIN_S[ask.kind], left_s)):
                     await waiter.answered.wait()
                 answer = waiter.answer
             if answer is None:
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -119,8 +119,9 @@
         """Peer method: grants, queues or refuses a request for a place."""
         pool = self.pool(ask.group)
         self._refresh(pool)
+        repeated = admission.is_waiting(pool.state, ask.id)
         answer = self._decide(pool, ask)
-        if answer.state != State.GRANTED:
+        if answer.state != State.GRANTED and not repeated:
             self._log(pool, ask, answer)
         return answer
 
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -24,7 +24,7 @@
 POLL_TICK_S = 0.1
 FAILED_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 1.0
-WATCH_S = 5.0
+WATCH_S = 12.0
 MEMBERS_PERIOD_S = 1.0
 GOSSIP_PERIOD_S = 0.5
 GOSSIP_PEERS = 2
@@ -329,31 +329,34 @@
             configuration_revision=view.configuration_revision,
             endpoints_revision=view.endpoints_revision,
             endpoints_age_s=min(1e6, now - view.endpoints_read_s),
-            endpoints=[
-                ttypes.ListedEntry(p.key, p.value, p.revision)
-                for p in view.entries.values()
-            ],
             members_revision=view.members_revision,
+            endpoints_digest=fleetview.endpoints_digest(view),
         )
         if whole:
+            news.endpoints = [
+                ttypes.ListedEntry(p.key, p.value, p.revision)
+                for p in view.entries.values()
+            ]
             news.configuration = view.stated
             news.members = [_to_wire(m) for m in view.members.values()]
         return news
 
     async def on_news(self, news: ttypes.ViewNews) -> ttypes.ViewAck:
         """Peer method: takes a peer's beliefs where they are newer."""
-        self._take_news(news)
+        wants_entries = not self._take_news(news)
         view = self.view
         return ttypes.ViewAck(
             configuration_revision=view.configuration_revision,
             endpoints_revision=view.endpoints_revision,
+            wants_entries=wants_entries,
         )
 
     async def on_ask(self, _ask: ttypes.ViewAsk) -> ttypes.ViewNews:
         """Peer method: tells all that this process believes."""
         return self._news(whole=True)
 
-    def _take_news(self, news: ttypes.ViewNews) -> None:
+    def _take_news(self, news: ttypes.ViewNews) -> bool:
+        """Adopts what is newer; False when the entries are missing."""
         if news.configuration:
             self.take_stated(
                 news.configuration_revision,
@@ -370,6 +373,15 @@
         if news.members:
             found = [_from_wire(m) for m in news.members]
             self._take_members(news.members_revision, found)
+        if news.endpoints is not None or not news.endpoints_revision:
+            return True
+        return fleetview.confirm_endpoints(
+            self.view,
+            self.clock.now(),
+            revision=news.endpoints_revision,
+            age_s=news.endpoints_age_s,
+            digest=news.endpoints_digest,
+        )
 
     async def _tell_all(self) -> None:
         async with anyio.create_task_group() as group:
@@ -389,7 +401,9 @@
             revision = self.view.configuration_revision
             if ack.configuration_revision > revision:
                 await self._pull(address)
-            elif ack.configuration_revision < revision and not whole:
+            elif not whole and (
+                ack.wants_entries or ack.configuration_revision < revision
+            ):
                 await self._tell(address, whole=True)
         except errors.IbisknotError:
             # The peer's own reading or another peer tells it.
