Hand a worker's jobs over at a stop and at the operator's order to empty it

Cause: a worker that was stopped dropped the items in progress, and an order to empty a VM was not answered.

Change: a stopping or retiring worker gives its jobs to another one by a guarded write that names the items it keeps, finishes those, and reports the order as done.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -9,6 +9,7 @@
 from ibisknot import batch_records
 from ibisknot import errors
 from ibisknot import events
+from ibisknot import fleetview
 from ibisknot import forward
 from ibisknot import http11
 from ibisknot import http_client
@@ -21,6 +22,7 @@
 SILENCE_S = 2.0
 """Silence of an endpoint after which an item goes on elsewhere."""
 FAILED_PAUSE_S = 0.1
+ROUTE_PAUSE_S = 0.3
 LONGEST_PAUSE_S = 1.0
 HOPELESS_STATUS = 422
 HIGHEST_OUTPUT_BYTES = 8 * 1024 * 1024
@@ -32,24 +34,31 @@
 
     Attributes:
         number: Its number in the job.
-        give_up_s: Monotonic time after which it may be given up.
+        submitted_s: Monotonic time at which the job was accepted.
         data: The data of the events so far, in order.
         last_event: Id of the last of these events.
         failures: Answers that say that it failed.
         tries: All sends.
+        is_sent: Whether an endpoint works on it now.
+        scope: Cancels it.
     """
 
     job: str
     number: int
     item: batch_records.Item
-    route: serving.Route
+    route_name: str
+    host: str
     organisation: serving.Organisation
-    give_up_s: float
+    submitted_s: float
     data: list[str] = dataclasses.field(default_factory=list)
     last_event: int | None = None
     failures: int = 0
     tries: int = 0
     failed: set[str] = dataclasses.field(default_factory=set)
+    is_sent: bool = False
+    scope: anyio.CancelScope = dataclasses.field(
+        default_factory=anyio.CancelScope
+    )
 
 
 ItemHeaders = Callable[[str, str], http11.Headers]
@@ -70,35 +79,61 @@
         dialect: forward.Dialect,
         item_headers: ItemHeaders,
         clock: Callable[[], float],
+        view: fleetview.View,
     ) -> None:
+        self.view = view
         self.places = places
         self.client = client
         self.dialect = dialect
         self.item_headers = item_headers
         self.clock = clock
 
-    async def run(self, work: Work) -> batch_records.Result:
-        """Returns what the item came to."""
+    async def run(self, work: Work) -> batch_records.Result | None:
+        """Returns what the item came to; None when the work was cancelled."""
+        with work.scope:
+            return await self._run(work)
+        return None
+
+    async def _run(self, work: Work) -> batch_records.Result:
         while True:
-            if self.clock() >= work.give_up_s:
-                return self._given_up(work, "its time is over")
+            route = self._route(work)
+            if route is None:
+                await anyio.sleep(ROUTE_PAUSE_S)
+                continue
+            if work.failures >= route.max_attempts:
+                return self._given_up(work, f"it failed {work.failures} times")
+            age_s = self.clock() - work.submitted_s
+            if route.keep_s and age_s >= route.keep_s:
+                return self._given_up(work, f"it is {age_s:.0f} s old")
             try:
-                place = await self._place(work)
+                place = await self._place(work, route)
             except errors.IbisknotError as error:
                 await anyio.sleep(error.retry_after_s or FAILED_PAUSE_S)
                 continue
-            result = await self._attempt(work, place)
+            work.is_sent = True
+            try:
+                result = await self._attempt(work, place)
+            finally:
+                work.is_sent = False
             if result is not None:
                 return result
-            if work.failures >= work.route.max_attempts:
-                return self._given_up(work, f"it failed {work.failures} times")
 
-    async def _place(self, work: Work) -> placement.Place:
+    def _route(self, work: Work) -> serving.Route | None:
+        """Returns the job's route as it is stated now."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return None
+        return configuration.route_named(work.route_name)
+
+    async def _place(self, work: Work, route: serving.Route) -> placement.Place:
         item = work.item
         terms = self.dialect.terms(_raw(item.headers))
+        service = route.choose_service(self.places.choice)
+        if service is None:
+            raise errors.OverloadedError(f"{route.name} has no service")
         return await self.places.acquire(
             placement.Ask(
-                service=self._service(work),
+                service=service,
                 kind=admission.BATCH,
                 request=item.id,
                 organisation=work.organisation,
@@ -111,12 +146,6 @@
             )
         )
 
-    def _service(self, work: Work) -> str:
-        service = work.route.choose_service(self.places.choice)
-        if service is None:
-            raise errors.OverloadedError(f"{work.route.name} has no service")
-        return service
-
     async def _attempt(
         self, work: Work, place: placement.Place
     ) -> batch_records.Result | None:
@@ -163,7 +192,7 @@
 
     def _call(self, work: Work, place: placement.Place) -> http_client.Call:
         item = work.item
-        own = self.item_headers(item.id, work.route.host)
+        own = self.item_headers(item.id, work.host)
         names = {name.lower() for name, _ in own}
         given = [h for h in _raw(item.headers) if h[0].lower() not in names]
         sent = requests.Onward(
--- a/src/ibisknot/batch_records.py
+++ b/src/ibisknot/batch_records.py
@@ -64,6 +64,8 @@
         listed: Numbers of the items with a result, by position.
         waiting_tokens: Tokens of the items without a result.
         closed: Whether its caller has ended it.
+        kept: Numbers of the items that a former owner still runs.
+        kept_by: Name of that worker.
     """
 
     meta: Meta
@@ -71,6 +73,8 @@
     listed: list[int]
     waiting_tokens: int
     closed: bool = False
+    kept: list[int] = []
+    kept_by: str = ""
 
     def is_complete(self) -> bool:
         """Returns whether nothing is left to do."""
@@ -191,6 +195,25 @@
     return f"{BUDGET}{route}/{organisation}"
 
 
+def hand_over(progress: Progress, *, owner: str, kept: list[int]) -> Progress:
+    """Returns the progress with a new owner.
+
+    Args:
+        progress: The progress before; it is not changed.
+        owner: The worker that runs the job from now on.
+        kept: Numbers of the items that the owner before still runs.
+    """
+    return Progress(
+        meta=progress.meta,
+        owner=owner,
+        listed=list(progress.listed),
+        waiting_tokens=progress.waiting_tokens,
+        closed=progress.closed,
+        kept=sorted(kept),
+        kept_by=progress.owner if kept else "",
+    )
+
+
 def append(
     progress: Progress, done: list[tuple[int, Result, int]]
 ) -> tuple[Progress, list[Result]]:
@@ -219,5 +242,7 @@
         listed=listed,
         waiting_tokens=max(0, tokens),
         closed=progress.closed,
+        kept=[number for number in progress.kept if number not in known],
+        kept_by=progress.kept_by,
     )
     return after, results
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -47,6 +47,8 @@
         done: Results that are not written yet.
         changed: Set when a result was added or the job was ended.
         scope: Cancels its items.
+        works: The items in progress, by number.
+        items_group: Runs the items, once they are read.
     """
 
     progress: batch_records.Progress
@@ -59,6 +61,8 @@
     scope: anyio.CancelScope = dataclasses.field(
         default_factory=anyio.CancelScope
     )
+    works: dict[int, batch_item.Work] = dataclasses.field(default_factory=dict)
+    items_group: abc.TaskGroup | None = None
 
 
 class Worker:
@@ -75,6 +79,7 @@
         process: deployment.Process,
         store: view_runner.KeyValue,
         view: fleetview.View,
+        peers: peer.Client,
         items: batch_item.Runner,
         clock: timer.Timer,
         group: abc.TaskGroup,
@@ -84,6 +89,7 @@
         self.process = process
         self.store = store
         self.view = view
+        self.peers = peers
         self.items = items
         self.clock = clock
         self.group = group
@@ -149,11 +155,13 @@
             if pair.revision > running.revision:
                 running.progress = progress
                 running.revision = pair.revision
-            if progress.owner != self.process.name:
-                self._stop(job, f"{progress.owner} runs it")
-            elif progress.closed:
+            if progress.closed:
                 self._stop(job, "its caller has ended it")
                 await self._finish_closed(pair, progress)
+            elif not self._runs_here(progress):
+                self._stop(job, f"{progress.owner} runs it")
+            else:
+                self._start_items(running)
             return
         if progress.closed:
             if progress.owner == self.process.name or self._may_take(progress):
@@ -241,17 +249,35 @@
         )
         with running.scope:
             await self._load(running)
-            route = await self._route(running)
-            listed = set(running.progress.listed)
             async with anyio.create_task_group() as group:
-                group.start_soon(self._write_results, running)
-                for number, item in enumerate(running.items):
-                    if number not in listed:
-                        work = self._work(running, route, number, item)
-                        group.start_soon(self._run_item, running, work)
+                running.items_group = group
+                self._start_items(running)
+                await self._write_results(running)
+                group.cancel_scope.cancel()
         if self.running.get(job) is running:
             del self.running[job]
 
+    def _runs_here(self, progress: batch_records.Progress) -> bool:
+        name = self.process.name
+        return name in (progress.owner, progress.kept_by)
+
+    def _start_items(self, running: Running) -> None:
+        """Starts the items that are neither listed nor in progress."""
+        progress = running.progress
+        if running.items_group is None or self.leaving:
+            return
+        if progress.owner != self.process.name:
+            return
+        done = {number for number, _, _ in running.done}
+        skipped = {*progress.listed, *done, *running.works}
+        if progress.kept_by in self._workers():
+            skipped.update(progress.kept)
+        for number, item in enumerate(running.items):
+            if number not in skipped:
+                work = self._work(running, number, item)
+                running.works[number] = work
+                running.items_group.start_soon(self._run_item, running, work)
+
     async def _load(self, running: Running) -> None:
         while not running.items:
             try:
@@ -263,49 +289,128 @@
                 logs.event("job_not_read", job=job, cause=error.message)
                 await anyio.sleep(RETRY_S)
 
-    async def _route(self, running: Running) -> serving.Route:
-        """Waits until the job's route is known."""
-        while True:
-            configuration = self.view.configuration
-            if configuration is not None:
-                name = running.progress.meta.route
-                route = configuration.route_named(name)
-                if route is not None:
-                    return route
-            await anyio.sleep(RETRY_S)
-
     def _work(
         self,
         running: Running,
-        route: serving.Route,
         number: int,
         item: batch_records.Item,
     ) -> batch_item.Work:
         meta = running.progress.meta
         age_s = self.unix_s() - meta.submitted_ms / 1000
-        keep_s = route.keep_s or float("inf")
-        organisation = serving.Organisation(meta.organisation)
         return batch_item.Work(
             job=meta.id,
             number=number,
             item=item,
-            route=route,
-            organisation=organisation,
-            give_up_s=self.clock.now() + keep_s - age_s,
+            route_name=meta.route,
+            host=meta.host,
+            organisation=serving.Organisation(meta.organisation),
+            submitted_s=self.clock.now() - age_s,
         )
 
     async def _run_item(self, running: Running, work: batch_item.Work) -> None:
         async with self.limit:
             result = await self.items.run(work)
-        metrics.BATCH_ITEMS.inc({"outcome": result.state})
-        running.done.append((work.number, result, work.item.tokens))
+        running.works.pop(work.number, None)
+        if result is not None:
+            metrics.BATCH_ITEMS.inc({"outcome": result.state})
+            running.done.append((work.number, result, work.item.tokens))
         running.changed.set()
 
+    # Leaving --------------------------------------------------------------
+
+    async def leave(self, end_s: float) -> None:
+        """Hands the jobs over, and finishes the items in progress.
+
+        Args:
+            end_s: Monotonic time at which this must be over.
+        """
+        self.leaving = True
+        for running in list(self.running.values()):
+            for work in list(running.works.values()):
+                if not work.is_sent:
+                    work.scope.cancel()
+        async with anyio.create_task_group() as group:
+            for running in list(self.running.values()):
+                group.start_soon(self._hand_over, running, end_s)
+        while self._is_busy() and self.clock.now() < end_s:
+            await anyio.sleep(GATHER_S)
+        logs.event(
+            "jobs_left",
+            jobs=len(self.running),
+            items=sum(len(r.works) for r in self.running.values()),
+        )
+
+    def _is_busy(self) -> bool:
+        return any(r.works or r.done for r in self.running.values())
+
+    async def _hand_over(self, running: Running, end_s: float) -> None:
+        """Gives a job to another worker, but for the items in progress."""
+        others = [w for w in self._workers() if w != self.process.name]
+        if not others:
+            return
+        while self.clock.now() < end_s:
+            progress = running.progress
+            if progress.is_complete() or progress.owner != self.process.name:
+                return
+            after = batch_records.hand_over(
+                progress,
+                owner=batch_intake.choose_owner(progress.meta.id, others),
+                kept=[*running.works, *(n for n, _, _ in running.done)],
+            )
+            try:
+                if await self._put_progress(running, after):
+                    await self._notify(after)
+                    return
+                await self._reload(running)
+            except errors.KeyValueError as error:
+                logs.event(
+                    "job_not_handed_over",
+                    job=progress.meta.id,
+                    cause=error.message,
+                )
+                await anyio.sleep(RETRY_S)
+                await self._reload(running)
+
+    async def _put_progress(
+        self, running: Running, after: batch_records.Progress
+    ) -> bool:
+        key = batch_records.OPEN + after.meta.id
+        guard = pairs.Guard(key, running.revision)
+        put = pairs.Put(key, batch_records.encode(after))
+        revision = await self.store.transact([guard], [put])
+        if revision:
+            running.progress = after
+            running.revision = revision
+            running.changed.set()
+            logs.event(
+                "job_handed_over",
+                job=after.meta.id,
+                owner=after.owner,
+                kept=len(after.kept),
+                revision=revision,
+            )
+        return bool(revision)
+
+    async def _notify(self, progress: batch_records.Progress) -> None:
+        member = self.view.members.get(progress.owner)
+        if member is None:
+            return
+        try:
+            await self.peers.call(
+                member.address,
+                "job_changed",
+                ttypes.JobChanged(job=progress.meta.id),
+                timeout_s=batch_intake.NOTICE_TIMEOUT_S,
+            )
+        except errors.IbisknotError as error:
+            job = progress.meta.id
+            logs.event("owner_silent", job=job, cause=error.message)
+
     # Writing --------------------------------------------------------------
 
     async def _write_results(self, running: Running) -> None:
-        """Appends results until all items are listed."""
-        while not running.progress.is_complete():
+        """Appends results until all items are listed or run elsewhere."""
+        while self._has_work(running):
             await running.changed.wait()
             await anyio.sleep(GATHER_S)
             running.changed = anyio.Event()
@@ -322,6 +427,12 @@
                     await anyio.sleep(RETRY_S)
                     await self._reload(running)
 
+    def _has_work(self, running: Running) -> bool:
+        if running.progress.is_complete():
+            return False
+        is_owner = running.progress.owner == self.process.name
+        return is_owner or bool(running.works or running.done)
+
     async def _append(self, running: Running) -> None:
         """Writes the results that wait, once."""
         taken = list(running.done)
@@ -374,5 +485,5 @@
             return
         running.progress = batch_records.decode_progress(pair.value)
         running.revision = pair.revision
-        if running.progress.owner != self.process.name:
+        if not self._runs_here(running.progress):
             self._stop(job, f"{running.progress.owner} runs it")
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -11,12 +11,14 @@
 from ibisknot import gateway_program
 from ibisknot import http_client
 from ibisknot import node
+from ibisknot import retire
 from ibisknot import view_runner
 from ibisknot import worker_program
 from ibisknot.platform import configuration
 from ibisknot.platform import entries
 from ibisknot.platform import headers
 from ibisknot.platform import jobs
+from ibisknot.platform import retirement
 from ibisknot.platform import settings
 from ibisknot.platform import store
 
@@ -30,6 +32,7 @@
 BATCH = batch_calls.Dialect(
     call_of=jobs.call_of, submission=jobs.submission, page=jobs.page
 )
+RETIRE = retire.Dialect(order_of=retirement.order_of, status=retirement.status)
 LAYOUT = view_runner.Layout(
     operator_prefix="op/",
     configuration_key="op/config",
@@ -62,7 +65,11 @@
     """Entry point of `ibisknot-worker`."""
     _run(
         lambda: anyio.run(
-            worker_program.run, _platform(), DIALECT, headers.item_headers
+            worker_program.run,
+            _platform(),
+            DIALECT,
+            headers.item_headers,
+            RETIRE,
         )
     )
 
--- /dev/null
+++ b/src/ibisknot/retire.py
@@ -0,0 +1,93 @@
+"""Empties a worker that the operator wants to take away.
+
+A worker's disk holds nothing that must last, so it is empty as soon as its
+jobs are with other workers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+from anyio import abc
+
+from ibisknot import batch_worker
+from ibisknot import deployment
+from ibisknot import errors
+from ibisknot import logs
+from ibisknot import pairs
+from ibisknot import view_runner
+
+RETRY_S = 0.3
+LONGEST_SHARE = 0.7
+"""Part of the time allowed that items in progress may take."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """The operator's wish that a VM be emptied within a time."""
+
+    vm: str
+    within_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dialect:
+    """How orders and their status are written, as the adapter defines it."""
+
+    order_of: Callable[[pairs.Change], Order | None]
+    status: Callable[[str, bool], pairs.Put]
+
+
+class Retirement:
+    """Carries out an order that concerns this VM.
+
+    Attributes:
+        started: Whether an order is being carried out.
+    """
+
+    def __init__(
+        self,
+        process: deployment.Process,
+        store: view_runner.KeyValue,
+        worker: batch_worker.Worker,
+        clock: Callable[[], float],
+        group: abc.TaskGroup,
+        dialect: Dialect,
+    ) -> None:
+        self.process = process
+        self.store = store
+        self.worker = worker
+        self.clock = clock
+        self.group = group
+        self.dialect = dialect
+        self.started = False
+
+    def on_change(self, change: pairs.Change) -> None:
+        """Looks whether the operator orders this VM to be emptied."""
+        order = self.dialect.order_of(change)
+        if order is None or order.vm != self.process.name or self.started:
+            return
+        self.started = True
+        logs.event(
+            "retire_ordered", within_s=order.within_s, revision=change.revision
+        )
+        self.group.start_soon(self._run, order)
+
+    async def _run(self, order: Order) -> None:
+        end_s = self.clock() + order.within_s * LONGEST_SHARE
+        self.worker.leaving = True
+        await self._report(is_done=False)
+        await self.worker.leave(end_s)
+        await self._report(is_done=True)
+
+    async def _report(self, *, is_done: bool) -> None:
+        put = self.dialect.status(self.process.name, is_done)
+        while True:
+            try:
+                await self.store.transact([], [put])
+            except errors.KeyValueError as error:
+                logs.event("retire_not_reported", cause=error.message)
+                await anyio.sleep(RETRY_S)
+                continue
+            logs.event("retire_reported", done=is_done)
+            return
