Drop half an event before a stream goes on at another endpoint

An engine crashed in the middle of an event; the half event stayed in the splitter and was joined with the first bytes of the engine that went on.

Ruled out: late answers on a kept connection; the request id of the second answer was right and its bytes were whole.

Change: each attempt begins with an empty splitter. Places taken, revoked and returned are logged.

--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -157,6 +157,8 @@
         """
         call = self._call(job, place)
         job.tries += 1
+        # Half an event of a failed endpoint must not meet another's bytes.
+        job.splitter = events.Splitter()
         if self._has_attempts(job, ahead=1):
             call.silence_s = STALL_S
         try:
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -137,9 +137,10 @@
             local_host=host, local_port=int(port), backlog=1024
         )
         async with listener:
-            await listener.serve(self._accept)
+            await listener.serve(self.serve_connection)
 
-    async def _accept(self, stream: abc.SocketStream) -> None:
+    async def serve_connection(self, stream: abc.SocketStream) -> None:
+        """Answers the requests of one connection."""
         self.connections += 1
         try:
             http11.prepare(stream)
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -67,7 +67,6 @@
 async def node(platform: Platform, *, program: str) -> AsyncIterator[Node]:
     """Starts a process's common parts and stops them at the end."""
     process = platform.load(platform.settings_path)
-    logs.start_bounded()
     logs.event(
         "started",
         program=program,
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -155,6 +155,8 @@
             metrics.PLACES_WAITED_S.observe({"kind": ask.kind}, waited_s)
             if place is None:
                 self._tell_returned(number, ask, "", admission.CANCELLED)
+            else:
+                _log_granted(place, waited_s)
 
     async def _acquire(
         self, ask: Ask, number: str, waiter: _Waiter, started_s: float
@@ -347,6 +349,13 @@
         elif outcome == admission.FAILED:
             breaker.failed(circuit, self.clock.now())
         metrics.ENDPOINT_CALLS.inc({"outcome": outcome})
+        logs.event(
+            "place_returned",
+            request=place.ask.request,
+            place=place.id,
+            endpoint=name,
+            outcome=outcome,
+        )
         self._tell_returned(place.id, place.ask, name, outcome)
 
     def _circuit(self, name: str) -> breaker.Breaker:
@@ -398,9 +407,27 @@
         """Peer method: an online request needs a place."""
         place = self.held.get(message.id)
         if place is not None:
+            logs.event(
+                "place_revoked",
+                request=place.ask.request,
+                place=place.id,
+                endpoint=place.endpoint.name,
+            )
             place.revoked.set()
 
 
+def _log_granted(place: Place, waited_s: float) -> None:
+    logs.event(
+        "place_taken",
+        request=place.ask.request,
+        place=place.id,
+        kind=place.ask.kind,
+        endpoint=place.endpoint.name,
+        granted_by=place.granted_by,
+        waited_s=round(waited_s, 3),
+    )
+
+
 def _refusal(ask: Ask, answer: ttypes.PlaceAnswer) -> errors.IbisknotError:
     retry_s = answer.retry_after_s
     if answer.state == State.OVER_RATE:
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -10,6 +10,7 @@
 from ibisknot import forward
 from ibisknot import gateway_program
 from ibisknot import http_client
+from ibisknot import logs
 from ibisknot import node
 from ibisknot import retire
 from ibisknot import view_runner
@@ -75,6 +76,7 @@
 
 
 def _run(program: Callable[[], None]) -> None:
+    logs.start_bounded()
     try:
         program()
     except errors.SettingsError as error:
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,184 @@
+"""Endpoints that answer with scripted bytes, and what a test sends to them."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+import anyio
+from anyio import abc
+
+from ibisknot import endpoint_list
+from ibisknot import errors
+from ibisknot import forward
+from ibisknot import http_client
+from ibisknot import http_server
+from ibisknot import placement
+from ibisknot import requests
+from ibisknot import serving
+from ibisknot import timer
+from ibisknot.platform import programs
+
+Script = Callable[[abc.SocketStream, bytes], Awaitable[None]]
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r1\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+STREAM_END = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int, data: str) -> bytes:
+    """Returns one whole event."""
+    return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+@dataclasses.dataclass
+class Scripted:
+    """An endpoint that runs one script for each request, in order.
+
+    Attributes:
+        received: Heads of the requests that came.
+    """
+
+    name: str
+    scripts: list[Script]
+    address: str = ""
+    received: list[bytes] = dataclasses.field(default_factory=list)
+
+    async def serve(self, stream: abc.SocketStream) -> None:
+        """Answers the requests of one connection."""
+        async with stream:
+            while True:
+                try:
+                    head = await stream.receive()
+                    while b"\r\n\r\n" not in head:
+                        head += await stream.receive()
+                except (
+                    anyio.EndOfStream,
+                    anyio.BrokenResourceError,
+                    anyio.ClosedResourceError,
+                ):
+                    return
+                self.received.append(head)
+                script = self.scripts.pop(0)
+                await script(stream, head)
+
+    def endpoint(self) -> endpoint_list.Endpoint:
+        """Returns it as a listed endpoint."""
+        return endpoint_list.Endpoint(
+            name=self.name,
+            service="s",
+            address=self.address,
+            data_centre="d",
+            slots=8,
+            leaving=False,
+        )
+
+
+@contextlib.asynccontextmanager
+async def started(*endpoints: Scripted) -> AsyncIterator[None]:
+    """Serves endpoints on loopback."""
+    async with anyio.create_task_group() as group:
+        for endpoint in endpoints:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            endpoint.address = f"127.0.0.1:{port}"
+            group.start_soon(listener.serve, endpoint.serve)
+        yield
+        group.cancel_scope.cancel()
+
+
+class Places:
+    """Gives out places at endpoints in a fixed order."""
+
+    def __init__(self, endpoints: list[Scripted]) -> None:
+        self.left = list(endpoints)
+        self.outcomes: list[str] = []
+
+    async def acquire(self, ask: placement.Ask) -> placement.Place:
+        """Returns a place at the next endpoint."""
+        if not self.left:
+            raise errors.OverloadedError("none left", retry_after_s=1.0)
+        return placement.Place("p", ask, self.left.pop(0).endpoint())
+
+    def release(self, place: placement.Place, outcome: str) -> None:
+        """Notes the outcome."""
+        self.outcomes.append(outcome)
+
+
+def route(**changed: object) -> serving.Route:
+    """Returns a route of resumable streams."""
+    made = serving.Route(
+        name="r",
+        host="h",
+        prefix="/a/",
+        kind=serving.STREAM,
+        targets=(serving.Target("s", 1.0),),
+        timeout_s=5.0,
+        objective_s=1.0,
+        max_attempts=2,
+        resumable=True,
+    )
+    return dataclasses.replace(made, **changed)  # type: ignore[arg-type]
+
+
+async def serve_forwarder(
+    places: Places, found: serving.Route, group: abc.TaskGroup
+) -> str:
+    """Serves callers with a forwarder; returns the address."""
+    clock = timer.Timer()
+    forwarder = forward.Forwarder(
+        places,  # type: ignore[arg-type]
+        http_client.Client(),
+        programs.DIALECT,
+        clock,
+    )
+
+    async def handle(exchange: http_server.Exchange) -> None:
+        message = exchange.message
+        terms: requests.Terms = programs.DIALECT.terms(message.headers)
+        job = forward.Job(
+            exchange=exchange,
+            terms=terms,
+            route=found,
+            organisation=None,
+            service="s",
+            deadline_s=clock.now() + 4.0,
+            caller_deadline_s=None,
+        )
+        try:
+            await forwarder.run(job)
+        except errors.IbisknotError as error:
+            if exchange.started:
+                exchange.abort()
+                return
+            await exchange.respond(error.status, [], error.code.encode())
+
+    server = http_server.Server(handle)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    group.start_soon(listener.serve, server.serve_connection)
+    return f"127.0.0.1:{port}"
+
+
+async def call(address: str, body: bytes = b"x") -> tuple[int, bytes]:
+    """Sends one request and returns status and body.
+
+    Raises:
+        EndpointError: The answer is not whole.
+    """
+    made = http_client.Call(
+        address=address,
+        method=b"POST",
+        target=b"/a/1",
+        headers=[(b"Host", b"h"), (b"X-Ibisknot-Request-Id", b"r1")],
+        body=body,
+    )
+    return await http_client.Client().fetch(made)
