Run batch work that can still be on time first

One slot of each engine stayed empty, because the decayed online level never reaches zero.

Ruled out: too few places given out; 24 of 24 were held in the waves.

Change: items state when they are due and how long they need. Those that can be on time go first, late ones give way; online requests go in order of arrival.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -71,6 +71,10 @@
   14: required double burst,
   15: required i32 priority,
   16: required string data_centre,
+  /** Seconds until the result is due. */
+  17: required double due_s,
+  /** Seconds that the request will hold its place. */
+  18: required double needs_s,
 }
 
 enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
@@ -92,6 +96,10 @@
   5: required string organisation,
   6: required i64 tokens,
   7: required bool suspect,
+  /** Seconds until the result is due. */
+  8: required double due_s,
+  /** Seconds that the request will hold its place from now on. */
+  9: required double needs_s,
 }
 
 struct PlaceTaken { 1: required string holder, 2: required Place place }
--- a/src/ibisknot/_fair.py
+++ b/src/ibisknot/_fair.py
@@ -22,6 +22,8 @@
         expires_s: Monotonic time after which nobody waits for the answer.
         suspect: Whether it was in flight on an endpoint that crashed.
         avoid: Endpoints that already failed it.
+        due_s: Monotonic time at which its result is due.
+        needs_s: Seconds for which it will hold its place.
     """
 
     id: str
@@ -35,6 +37,8 @@
     holder: str = ""
     suspect: bool = False
     avoid: frozenset[str] = frozenset()
+    due_s: float = math.inf
+    needs_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +99,11 @@
         )
         return self.queues[worst][0]
 
+    def oldest(self) -> Waiting | None:
+        """Returns the request that came first."""
+        heads = [queue[0] for queue in self.queues.values()]
+        return min(heads, key=lambda w: (w.arrived_s, w.id), default=None)
+
     def given(self, organisation: str, now: float) -> float:
         """Returns the decayed service given to an organisation."""
         service = self.service.get(organisation)
--- a/src/ibisknot/_group.py
+++ b/src/ibisknot/_group.py
@@ -1,6 +1,7 @@
 """State of one admission group and the actions of its decisions."""
 
 import dataclasses
+import math
 
 from ibisknot import _capacity
 from ibisknot import _fair
@@ -29,6 +30,8 @@
         revokes: Whether batch tickets are revoked.
         gathers: Whether online requests are gathered on few endpoints.
         headroom: Slots of an endpoint that batch leaves free.
+        by_arrival: Whether online requests are served in order of arrival,
+            and not those of the worst-served organisation first.
     """
 
     batch_weight: float = 1.0
@@ -36,6 +39,7 @@
     revokes: bool = True
     gathers: bool = True
     headroom: float = 1.0
+    by_arrival: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +50,8 @@
         beside: Sequences on the endpoint when it was granted.
         revoked: Whether its holder was told to cancel.
         alone: Whether nothing else may run beside it.
+        due_s: Monotonic time at which its result is due.
+        ends_s: Monotonic time at which it is expected to end.
     """
 
     id: str
@@ -60,6 +66,8 @@
     suspect: bool = False
     revoked: bool = False
     alone: bool = False
+    due_s: float = math.inf
+    ends_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ibisknot/_pump.py
+++ b/src/ibisknot/_pump.py
@@ -7,6 +7,7 @@
 from ibisknot import _group
 from ibisknot import breaker
 from ibisknot import routing
+from ibisknot import urgency
 
 ONLINE_SHARE = 0.5
 """Part of an endpoint's limit up to which online requests gather there.
@@ -20,6 +21,9 @@
 """Part of the limit that online and batch together use where online gathers."""
 
 
+ROUNDING = 0.2
+"""A decayed level never reaches zero, and must not cost a slot for long."""
+
 Choose = Callable[[list[_group.Endpoint], _fair.Waiting], _group.Endpoint]
 
 
@@ -87,6 +91,8 @@
             _yield_batch(endpoint, now, group.policy, actions)
     while _grant_batch(group, now, batch_choice, actions):
         pass
+    if group.policy.revokes:
+        _yield_late(group, now, actions)
     return actions
 
 
@@ -173,7 +179,7 @@
     actions: list[_group.Action],
 ) -> bool:
     """Grants one waiting online request if one can be granted."""
-    for waiting in _in_order(group.online, now):
+    for waiting in _online_order(group, now):
         usable = _usable(group, now, waiting)
         if waiting.suspect and len(group.endpoints) > 1:
             free = _alone_choice(usable)
@@ -186,13 +192,30 @@
         free = [e for e in shared if _room(e)]
         free = _gathering(free) or free
         if not free and group.policy.revokes:
-            free = _make_room(shared, actions)
+            free = _make_room(shared, now, actions)
         if free:
             _grant(group, now, waiting, choose(free, waiting), actions)
             return True
     return False
 
 
+def _online_order(group: _group.Group, now: float) -> list[_fair.Waiting]:
+    if not group.policy.by_arrival:
+        return _in_order(group.online, now)
+    oldest = group.online.oldest()
+    if oldest is None or not oldest.suspect:
+        return [] if oldest is None else [oldest]
+    return _in_order(group.online, now)
+
+
+def _batch_order(group: _group.Group, now: float) -> list[_fair.Waiting]:
+    """Returns the next batch request, those that can be on time first."""
+    order = _in_order(group.batch, now)
+    if not order or order[0].suspect or order[0].due_s == math.inf:
+        return order
+    return [urgency.first(group.batch.all(), now)]
+
+
 def _in_order(queue: _fair.Fair, now: float) -> list[_fair.Waiting]:
     """Returns the next request, and those that a suspect must not hold up."""
     first = queue.first(now)
@@ -208,21 +231,26 @@
 
 
 def _make_room(
-    endpoints: list[_group.Endpoint], actions: list[_group.Action]
+    endpoints: list[_group.Endpoint],
+    now: float,
+    actions: list[_group.Action],
 ) -> list[_group.Endpoint]:
-    """Revokes one batch ticket where most of them run."""
+    """Revokes one batch ticket: a late one, or where most of them run."""
     with_batch = [e for e in endpoints if e.batch()]
     if not with_batch:
         return []
-    chosen = max(with_batch, key=lambda e: (len(e.batch()), e.name))
-    _revoke(_youngest(chosen), actions)
+    chosen = max(
+        with_batch,
+        key=lambda e: (
+            urgency.least_urgent(e.batch(), now).is_late,
+            len(e.batch()),
+            e.name,
+        ),
+    )
+    _revoke(urgency.least_urgent(chosen.batch(), now).held, actions)
     return [chosen] if _room(chosen) else []
 
 
-def _youngest(endpoint: _group.Endpoint) -> _group.Held:
-    return max(endpoint.batch(), key=lambda t: (t.granted_s, t.id))
-
-
 def _revoke(held: _group.Held, actions: list[_group.Action]) -> None:
     held.revoked = True
     actions.append(_group.Revoke(held.id, held.holder))
@@ -245,7 +273,7 @@
         beside = endpoint.capacity.limit * BESIDE_SHARE - online
         return max(0, math.floor(beside * policy.batch_weight))
     idle = endpoint.capacity.limit - policy.displaced * online - policy.headroom
-    return max(0, math.floor(idle * policy.batch_weight))
+    return max(0, math.floor(idle * policy.batch_weight + ROUNDING))
 
 
 def _yield_batch(
@@ -259,7 +287,24 @@
         return
     allowed = _allowed_batch(endpoint, now, policy)
     for _ in range(len(endpoint.batch()) - allowed):
-        _revoke(_youngest(endpoint), actions)
+        _revoke(urgency.least_urgent(endpoint.batch(), now).held, actions)
+
+
+def _yield_late(
+    group: _group.Group, now: float, actions: list[_group.Action]
+) -> None:
+    """Revokes a late batch ticket for a request that can be on time."""
+    waiting = [w for w in group.batch.all() if w.due_s < math.inf]
+    count = sum(urgency.can_be_on_time(w, now) for w in waiting)
+    late = [
+        held
+        for endpoint in _shared(_usable(group, now))
+        for held in endpoint.batch()
+        if urgency.is_late(held, now)
+    ]
+    leaving = sum(t.revoked for t in _group.all_held(group))
+    for held in late[: max(0, count - leaving)]:
+        _revoke(held, actions)
 
 
 def _grant_batch(
@@ -271,7 +316,7 @@
     """Grants one waiting batch request unless online requests wait."""
     if any(not w.suspect for w in group.online.all()):
         return False
-    for waiting in _in_order(group.batch, now):
+    for waiting in _batch_order(group, now):
         usable = _usable(group, now, waiting)
         if waiting.suspect and len(group.endpoints) > 1:
             free = _alone_choice(usable)
@@ -313,6 +358,8 @@
         words=waiting.words,
         beside=len(endpoint.held),
         suspect=waiting.suspect,
+        due_s=waiting.due_s,
+        ends_s=now + waiting.needs_s,
         alone=waiting.suspect and not endpoint.held,
     )
     if waiting.suspect:
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 import anyio
 
@@ -24,6 +25,10 @@
 FAILED_PAUSE_S = 0.1
 ROUTE_PAUSE_S = 0.3
 LONGEST_PAUSE_S = 1.0
+INITIAL_EVENT_S = 0.022
+INITIAL_EVENT_TOKENS = 6.0
+PACE_WEIGHT = 0.1
+LEARN_EVENTS = 20
 HOPELESS_STATUS = 422
 HIGHEST_OUTPUT_BYTES = 8 * 1024 * 1024
 
@@ -61,6 +66,36 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """How fast endpoints make the events of batch items.
+
+    Attributes:
+        event_s: Decayed mean time between events.
+        event_tokens: Decayed mean of the expected tokens by event.
+    """
+
+    event_s: float = INITIAL_EVENT_S
+    event_tokens: float = INITIAL_EVENT_TOKENS
+
+    def needs_s(self, expected_tokens: int, made_events: int) -> float:
+        """Returns the time that an item needs to its end.
+
+        >>> Pace(0.02, 6.0).needs_s(1200, 100)
+        2.0
+        """
+        events = expected_tokens / self.event_tokens - made_events
+        return max(1.0, events) * self.event_s
+
+    def learn(self, expected_tokens: int, made: int, run_s: float) -> None:
+        """Learns from an item that one endpoint ran to its end."""
+        if made < LEARN_EVENTS or expected_tokens <= 0:
+            return
+        self.event_s += PACE_WEIGHT * (run_s / made - self.event_s)
+        tokens = expected_tokens / made
+        self.event_tokens += PACE_WEIGHT * (tokens - self.event_tokens)
+
+
 ItemHeaders = Callable[[str, str], http11.Headers]
 
 
@@ -70,6 +105,7 @@
     Attributes:
         item_headers: The headers that a request of an item has by itself,
             from its id and the route's host.
+        pace: How long items take.
     """
 
     def __init__(
@@ -82,6 +118,7 @@
         view: fleetview.View,
     ) -> None:
         self.view = view
+        self.pace = Pace()
         self.places = places
         self.client = client
         self.dialect = dialect
@@ -128,6 +165,7 @@
     async def _place(self, work: Work, route: serving.Route) -> placement.Place:
         item = work.item
         terms = self.dialect.terms(_raw(item.headers))
+        expected = terms.expected_tokens or terms.output_tokens
         service = route.choose_service(self.places.choice)
         if service is None:
             raise errors.OverloadedError(f"{route.name} has no service")
@@ -143,6 +181,8 @@
                 blocks=terms.blocks,
                 avoid=frozenset(work.failed),
                 is_counted=False,
+                due_s=work.submitted_s + (route.completion_s or math.inf),
+                needs_s=self.pace.needs_s(expected, len(work.data)),
             )
         )
 
@@ -186,7 +226,12 @@
                 work.failures += 1
                 message = f"{name} gave {answer.status}"
                 raise errors.EndpointError(message, ran=errors.RAN)
+            started_s = self.clock()
+            is_first = not work.data
             await self._collect(work, answer)
+            if is_first:
+                run_s = self.clock() - started_s
+                self._learn(work, run_s)
         output = "\n".join(work.data)
         return batch_records.Result(work.item.id, batch_records.DONE, output)
 
@@ -233,6 +278,11 @@
         if splitter.rest:
             raise errors.TruncatedStreamError("the stream ends in an event")
 
+    def _learn(self, work: Work, run_s: float) -> None:
+        terms = self.dialect.terms(_raw(work.item.headers))
+        expected = terms.expected_tokens or terms.output_tokens
+        self.pace.learn(expected, len(work.data), run_s)
+
     def _note_failure(
         self, work: Work, place: placement.Place, error: errors.EndpointError
     ) -> None:
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -655,6 +655,8 @@
      - burst
      - priority
      - data_centre
+     - due_s: Seconds until the result is due.
+     - needs_s: Seconds that the request will hold its place.
 
     """
 
@@ -675,10 +677,12 @@
         'burst',
         'priority',
         'data_centre',
+        'due_s',
+        'needs_s',
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, priority=None, data_centre=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, priority=None, data_centre=None, due_s=None, needs_s=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -695,6 +699,8 @@
         self.burst = burst
         self.priority = priority
         self.data_centre = data_centre
+        self.due_s = due_s
+        self.needs_s = needs_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -795,6 +801,16 @@
                     self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.DOUBLE:
+                    self.due_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.DOUBLE:
+                    self.needs_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -875,6 +891,14 @@
             oprot.writeFieldBegin('data_centre', TType.STRING, 16)
             oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
             oprot.writeFieldEnd()
+        if self.due_s is not None:
+            oprot.writeFieldBegin('due_s', TType.DOUBLE, 17)
+            oprot.writeDouble(self.due_s)
+            oprot.writeFieldEnd()
+        if self.needs_s is not None:
+            oprot.writeFieldBegin('needs_s', TType.DOUBLE, 18)
+            oprot.writeDouble(self.needs_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -911,6 +935,10 @@
             raise TProtocolException(message='Required field priority is unset!')
         if self.data_centre is None:
             raise TProtocolException(message='Required field data_centre is unset!')
+        if self.due_s is None:
+            raise TProtocolException(message='Required field due_s is unset!')
+        if self.needs_s is None:
+            raise TProtocolException(message='Required field needs_s is unset!')
         return
 
     def __repr__(self):
@@ -1070,6 +1098,8 @@
      - organisation
      - tokens
      - suspect
+     - due_s: Seconds until the result is due.
+     - needs_s: Seconds that the request will hold its place from now on.
 
     """
 
@@ -1081,10 +1111,12 @@
         'organisation',
         'tokens',
         'suspect',
+        'due_s',
+        'needs_s',
     )
 
 
-    def __init__(self, id=None, group=None, endpoint=None, kind=None, organisation=None, tokens=None, suspect=None,):
+    def __init__(self, id=None, group=None, endpoint=None, kind=None, organisation=None, tokens=None, suspect=None, due_s=None, needs_s=None,):
         self.id = id
         self.group = group
         self.endpoint = endpoint
@@ -1092,6 +1124,8 @@
         self.organisation = organisation
         self.tokens = tokens
         self.suspect = suspect
+        self.due_s = due_s
+        self.needs_s = needs_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1137,6 +1171,16 @@
                     self.suspect = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.due_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.needs_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1175,6 +1219,14 @@
             oprot.writeFieldBegin('suspect', TType.BOOL, 7)
             oprot.writeBool(self.suspect)
             oprot.writeFieldEnd()
+        if self.due_s is not None:
+            oprot.writeFieldBegin('due_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.due_s)
+            oprot.writeFieldEnd()
+        if self.needs_s is not None:
+            oprot.writeFieldBegin('needs_s', TType.DOUBLE, 9)
+            oprot.writeDouble(self.needs_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1193,6 +1245,10 @@
             raise TProtocolException(message='Required field tokens is unset!')
         if self.suspect is None:
             raise TProtocolException(message='Required field suspect is unset!')
+        if self.due_s is None:
+            raise TProtocolException(message='Required field due_s is unset!')
+        if self.needs_s is None:
+            raise TProtocolException(message='Required field needs_s is unset!')
         return
 
     def __repr__(self):
@@ -1848,6 +1904,8 @@
     (14, TType.DOUBLE, 'burst', None, None, ),  # 14
     (15, TType.I32, 'priority', None, None, ),  # 15
     (16, TType.STRING, 'data_centre', 'UTF8', None, ),  # 16
+    (17, TType.DOUBLE, 'due_s', None, None, ),  # 17
+    (18, TType.DOUBLE, 'needs_s', None, None, ),  # 18
 )
 all_structs.append(PlaceAnswer)
 PlaceAnswer.thrift_spec = (
@@ -1868,6 +1926,8 @@
     (5, TType.STRING, 'organisation', 'UTF8', None, ),  # 5
     (6, TType.I64, 'tokens', None, None, ),  # 6
     (7, TType.BOOL, 'suspect', None, None, ),  # 7
+    (8, TType.DOUBLE, 'due_s', None, None, ),  # 8
+    (9, TType.DOUBLE, 'needs_s', None, None, ),  # 9
 )
 all_structs.append(PlaceTaken)
 PlaceTaken.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+import math
 import random
 import time
 
@@ -51,6 +52,8 @@
         wait_s: Seconds that the request may wait.
         organisation: Whose rate counts, or None.
         avoid: Endpoints that have already failed the request.
+        due_s: Monotonic time at which the result is due.
+        needs_s: Seconds for which the request will hold its place.
     """
 
     service: str
@@ -64,6 +67,8 @@
     suspect: bool = False
     avoid: frozenset[str] = frozenset()
     is_counted: bool = True
+    due_s: float = math.inf
+    needs_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -73,6 +78,7 @@
     Attributes:
         revoked: Set when an online request needs the place.
         granted_by: Name of the scheduler, empty when chosen here.
+        taken_s: Monotonic time at which it was taken.
     """
 
     id: str
@@ -81,6 +87,7 @@
     alone: bool = False
     granted_by: str = ""
     revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    taken_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -223,6 +230,8 @@
             burst=allowance.burst if allowance else 0.0,
             priority=0,
             data_centre=self.process.data_centre,
+            due_s=ask.due_s - self.clock.now(),
+            needs_s=ask.needs_s,
         )
         try:
             return await self.peers.call(
@@ -263,8 +272,9 @@
 
     def _keep(self, place: Place) -> None:
         self.held[place.id] = place
+        place.taken_s = self.clock.now()
         message = ttypes.PlaceTaken(
-            holder=self.process.peer_address, place=_to_wire(place)
+            holder=self.process.peer_address, place=self._to_wire(place)
         )
         for member in self.schedulers():
             if member.name != place.granted_by:
@@ -391,11 +401,26 @@
         """Timer callback: tells the schedulers all places held here."""
         message = ttypes.PlacesHeld(
             holder=self.process.peer_address,
-            places=[_to_wire(place) for place in self.held.values()],
+            places=[self._to_wire(place) for place in self.held.values()],
         )
         for member in self.schedulers():
             self._notify(member, "places_held", message)
 
+    def _to_wire(self, place: Place) -> ttypes.Place:
+        ask = place.ask
+        now = self.clock.now()
+        return ttypes.Place(
+            id=place.id,
+            group=ask.service,
+            endpoint=place.endpoint.name,
+            kind=ask.kind,
+            organisation=ask.organisation.name if ask.organisation else "",
+            tokens=ask.tokens,
+            suspect=ask.suspect,
+            due_s=ask.due_s - now,
+            needs_s=max(0.0, place.taken_s + ask.needs_s - now),
+        )
+
     async def on_answer(self, answer: ttypes.PlaceAnswer) -> None:
         """Peer method: a request that waited has its answer."""
         waiter = self.waiters.get(answer.id)
@@ -439,16 +464,3 @@
         return errors.OverloadedError(message, retry_after_s=retry_s)
     message = f"no endpoint of {ask.service} will be free in time"
     return errors.OverloadedError(message, retry_after_s=retry_s)
-
-
-def _to_wire(place: Place) -> ttypes.Place:
-    ask = place.ask
-    return ttypes.Place(
-        id=place.id,
-        group=ask.service,
-        endpoint=place.endpoint.name,
-        kind=ask.kind,
-        organisation=ask.organisation.name if ask.organisation else "",
-        tokens=ask.tokens,
-        suspect=ask.suspect,
-    )
--- a/src/ibisknot/platform/headers.py
+++ b/src/ibisknot/platform/headers.py
@@ -11,6 +11,7 @@
 DEADLINE_MS = b"X-Ibisknot-Deadline-Ms"
 PROMPT_PARTS = b"X-Ibisknot-Prompt-Prefix"
 TOKENS = b"X-Ibisknot-Token-Usage"
+LENGTH_HINT = b"X-Ibisknot-Length-Hint"
 TENANT = b"X-Ibisknot-Tenant"
 ENDPOINT = b"X-Ibisknot-Expect-Instance"
 NOT_RUN = b"X-Ibisknot-Not-Run"
@@ -35,6 +36,7 @@
         key=_key(_get(headers, AUTHORIZATION)),
         prompt_tokens=prompt,
         output_tokens=output,
+        expected_tokens=_number(_get(headers, LENGTH_HINT)),
         blocks=_blocks(_get(headers, PROMPT_PARTS)),
         last_event=_number(_get(headers, LAST_EVENT)),
     )
--- a/src/ibisknot/requests.py
+++ b/src/ibisknot/requests.py
@@ -13,6 +13,7 @@
         key: The caller's key, or None.
         prompt_tokens: Tokens of the prompt.
         output_tokens: Tokens that are made at most.
+        expected_tokens: The caller's estimate of the tokens made, or None.
         blocks: Hashes of the prompt's leading parts, in order.
         last_event: The last event that the caller has, or None.
     """
@@ -22,6 +23,7 @@
     key: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_tokens: int | None = None
     blocks: tuple[int, ...] = ()
     last_event: int | None = None
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -28,7 +28,11 @@
 UNSERVED_RETRY_S = 1.0
 
 POLICY = admission.Policy(
-    batch_weight=1.0, displaced=1.0, gathers=False, headroom=0.0
+    batch_weight=1.0,
+    displaced=1.0,
+    gathers=False,
+    headroom=0.0,
+    by_arrival=True,
 )
 """Endpoints with a stated number of slots slow down little when full."""
 
@@ -160,6 +164,8 @@
             holder=ask.holder,
             suspect=ask.suspect,
             avoid=frozenset(ask.avoid),
+            due_s=now + ask.due_s,
+            needs_s=ask.needs_s,
         )
         granted: list[admission.Held] = []
         self._do(pool, admission.ask(pool.state, now, waiting), ask.id, granted)
@@ -369,6 +375,8 @@
         granted_s=now,
         tokens=place.tokens,
         suspect=place.suspect,
+        due_s=now + place.due_s,
+        ends_s=now + place.needs_s,
     )
 
 
--- /dev/null
+++ b/src/ibisknot/urgency.py
@@ -0,0 +1,56 @@
+"""Orders batch work by whether its result can still be on time.
+
+The load that this answers is more batch work than fits beside the online
+requests. In order of arrival everything is late by the same time; when work
+that can no longer be on time steps back, the rest is on time.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from ibisknot import _fair
+from ibisknot import _group
+
+MARGIN = 1.4
+"""Work is revoked now and then, and takes longer than its own time."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """A ticket to revoke, and whether its result will be late."""
+
+    held: _group.Held
+    is_late: bool
+
+
+def can_be_on_time(waiting: _fair.Waiting, now: float) -> bool:
+    """Returns whether a request can still be on time if it starts now.
+
+    >>> waiting = _fair.Waiting("a", "batch", "o", 0.0, 9.0, due_s=10.0)
+    >>> waiting.needs_s = 5.0
+    >>> can_be_on_time(waiting, 1.0), can_be_on_time(waiting, 5.0)
+    (True, False)
+    """
+    return now + waiting.needs_s * MARGIN <= waiting.due_s
+
+
+def is_late(held: _group.Held, now: float) -> bool:
+    """Returns whether a ticket's result will be late."""
+    return max(now, held.ends_s) > held.due_s
+
+
+def first(queue: Iterable[_fair.Waiting], now: float) -> _fair.Waiting:
+    """Returns the request to run next: on time if possible, earliest due."""
+    return min(
+        queue,
+        key=lambda w: (not can_be_on_time(w, now), w.due_s, w.arrived_s, w.id),
+    )
+
+
+def least_urgent(tickets: Iterable[_group.Held], now: float) -> Choice:
+    """Returns the ticket that is revoked with the least harm."""
+    held = max(
+        tickets,
+        key=lambda t: (is_late(t, now), t.due_s, t.granted_s, t.id),
+    )
+    return Choice(held, is_late(held, now))
