Test the whole path on the platform's protocol with real processes

A gateway that was cut off from the workers asked three silent schedulers again each second, 0.1 s each; two of twelve requests in such a wave were late. An organisation's rate was given out by the scheduler and by cut gateways as well.

Ruled out: shorter asks, which would give up on a scheduler that is only slow.

Change: a silent scheduler is left out until it answers a report; a gateway that is not heard has its own part of each rate taken off the scheduler's. Items kept by a stopped worker are started elsewhere only when it has been gone for some time: the new test found three of eight run twice. Stand-ins for the platform's store and engines.

--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -173,16 +173,20 @@
 
     def _may_take(self, progress: batch_records.Progress) -> bool:
         """Returns whether a job's owner is lost and this worker is next."""
-        owner = progress.owner
-        if self.leaving or owner in self._workers():
-            return False
-        now = self.clock.now()
-        since_s = self.missing_s.setdefault(owner, now)
-        if owner and now - since_s < TAKEOVER_S:
+        if self.leaving or not self._is_lost(progress.owner):
             return False
         chosen = batch_intake.choose_owner(progress.meta.id, self._workers())
         return chosen == self.process.name
 
+    def _is_lost(self, worker: str) -> bool:
+        """Returns whether a worker has been out of the fleet for some time."""
+        if not worker:
+            return True
+        if worker in self._workers():
+            return False
+        now = self.clock.now()
+        return now - self.missing_s.setdefault(worker, now) >= TAKEOVER_S
+
     def _workers(self) -> list[str]:
         return [
             m.name
@@ -270,7 +274,7 @@
             return
         done = {number for number, _, _ in running.done}
         skipped = {*progress.listed, *done, *running.works}
-        if progress.kept_by in self._workers():
+        if not self._is_lost(progress.kept_by):
             skipped.update(progress.kept)
         for number, item in enumerate(running.items):
             if number not in skipped:
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -33,9 +33,8 @@
 ASK_TIMEOUT_S = 0.1
 ASK_AGAIN_S = {admission.ONLINE: 0.15, admission.BATCH: 1.5}
 """A request that waits asks again after this time, by its kind."""
-DOWN_S = 1.0
 NOTICE_TIMEOUT_S = 0.4
-HELD_PERIOD_S = 1.0
+HELD_PERIOD_S = 0.8
 NO_ENDPOINT_RETRY_S = 0.5
 
 State = ttypes.PlaceState
@@ -101,8 +100,8 @@
 
     Attributes:
         held: The places in use by id.
-        down: Schedulers that did not answer, with the monotonic time until
-            which they are left out.
+        down: Names of the schedulers that did not answer. A report that one
+            of them takes brings it back, so that no request waits for it.
     """
 
     def __init__(
@@ -120,7 +119,7 @@
         self.group = group
         self.held: dict[str, Place] = {}
         self.waiters: dict[str, _Waiter] = {}
-        self.down: dict[str, float] = {}
+        self.down: set[str] = set()
         self.shares: dict[str, rates.Share] = {}
         self.circuits: dict[str, breaker.Breaker] = {}
         self.choice = random.Random()
@@ -195,9 +194,8 @@
                 raise _refusal(ask, answer)
 
     def _scheduler(self) -> fleetview.Member | None:
-        now = self.clock.now()
         for member in self.schedulers():
-            if self.down.get(member.name, -1e9) <= now:
+            if member.name not in self.down:
                 return member
         return None
 
@@ -242,7 +240,7 @@
                 timeout_s=ASK_TIMEOUT_S,
             )
         except errors.IbisknotError as error:
-            self.down[scheduler.name] = self.clock.now() + DOWN_S
+            self.down.add(scheduler.name)
             logs.event(
                 "scheduler_silent",
                 level="warning",
@@ -383,7 +381,7 @@
     def _notify(
         self, member: fleetview.Member, method: str, message: object
     ) -> None:
-        if self.down.get(member.name, -1e9) <= self.clock.now():
+        if member.name not in self.down:
             self.group.start_soon(self._call, member, method, message)
 
     async def _call(
@@ -393,9 +391,20 @@
             await self.peers.call(
                 member.address, method, message, timeout_s=NOTICE_TIMEOUT_S
             )
-        except errors.IbisknotError:
+        except errors.IbisknotError as error:
             # The periodic report repeats what was lost.
-            self.down[member.name] = self.clock.now() + DOWN_S
+            if member.name not in self.down:
+                self.down.add(member.name)
+                logs.event(
+                    "scheduler_lost",
+                    level="warning",
+                    scheduler=member.name,
+                    cause=error.message,
+                )
+            return
+        if member.name in self.down:
+            self.down.discard(member.name)
+            logs.event("scheduler_regained", scheduler=member.name)
 
     async def _report(self, _now: float) -> None:
         """Timer callback: tells the schedulers all places held here."""
@@ -403,8 +412,10 @@
             holder=self.process.peer_address,
             places=[self._to_wire(place) for place in self.held.values()],
         )
-        for member in self.schedulers():
-            self._notify(member, "places_held", message)
+        known = self.schedulers()
+        self.down &= {member.name for member in known}
+        for member in known:
+            self.group.start_soon(self._call, member, "places_held", message)
 
     def _to_wire(self, place: Place) -> ttypes.Place:
         ask = place.ask
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -10,6 +10,7 @@
 from anyio import abc
 
 from ibisknot import admission
+from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import logs
@@ -21,6 +22,8 @@
 
 TICK_PERIOD_S = 0.05
 PUSH_TIMEOUT_S = 0.3
+HEARD_S = 2.0
+"""A gateway that reports nothing for this time admits by its own part."""
 SILENT_S = 3.5
 """A holder that reports nothing for this time has lost its places."""
 START_LEVEL = 0.5
@@ -183,13 +186,35 @@
             return True
         allowance = rates.Allowance(ask.rate_per_s, ask.burst)
         share = self.shares.get(ask.organisation)
-        if share is None:
-            units = rates.ORGANISATION_UNITS
+        units = self._units(now)
+        if share is not None:
+            rates.refill(share, now, allowance)
+            share.units = units
+        else:
             share = rates.Share(units=units, updated_s=now)
             share.level = int(rates.cap(units, allowance) * START_LEVEL)
             self.shares[ask.organisation] = share
         return rates.spend(share, now, allowance)
 
+    def _units(self, now: float) -> int:
+        """Returns the share units that are given out here.
+
+        A gateway that is not heard uses the units of its own part, so that
+        both together stay within the organisation's rate.
+        """
+        gateways = {
+            m.address
+            for m in self.view.members.values()
+            if m.kind == deployment.GATEWAY
+        }
+        heard = sum(
+            now - self.heard_s.get(address, -1e9) <= HEARD_S
+            for address in gateways
+        )
+        if not heard:
+            return rates.ORGANISATION_UNITS
+        return rates.ORGANISATION_UNITS * heard // len(gateways)
+
     def _refund(self, ask: ttypes.PlaceAsk) -> None:
         if ask.rate_per_s > 0.0:
             self.shares[ask.organisation].level += rates.TOKEN
--- a/src/ibisknot/standin_keyvalue.py
+++ b/src/ibisknot/standin_keyvalue.py
@@ -64,6 +64,9 @@
             effect.
         writes_per_s: Writes over this rate are refused.
         reads_per_s: Reads over this rate are refused.
+        refuse: IP numbers of callers that are turned away.
+        silent: Whether calls are never answered.
+        late: Fraction of writes that are done `late_s` later, unanswered.
     """
 
     delay_s: float = 0.0
@@ -71,6 +74,10 @@
     lose_answers: float = 0.0
     writes_per_s: float = 500.0
     reads_per_s: float = 2000.0
+    refuse: list[str] = []
+    silent: bool = False
+    late: float = 0.0
+    late_s: float = 1.0
 
 
 class Window(msgspec.Struct):
@@ -196,7 +203,11 @@
 
 
 class Service:
-    """The HTTP interface."""
+    """The HTTP interface.
+
+    Attributes:
+        later: Writes that are done after a delay, with what they need.
+    """
 
     def __init__(self, *, seed: int = 0) -> None:
         self.data = Database()
@@ -206,6 +217,7 @@
         self.reads = Window()
         self.writes = Window()
         self.watching = 0
+        self.later: list[tuple[float, Any, requests.Request, bytes]] = []
 
     def routes(self) -> list[routing.BaseRoute]:
         """Returns the routes."""
@@ -234,10 +246,10 @@
         reads = name == "range"
 
         async def handle(request: requests.Request) -> responses.Response:
-            self._count(name)
+            self.count_call(name)
             body = msgspec.json.decode(await request.body())
             try:
-                await self._before(reads=reads)
+                await self.before(reads=reads)
                 answer = call(body)
             except RefusedError as error:
                 return web.json_response(
@@ -249,10 +261,16 @@
 
         return handle
 
-    def _count(self, name: str) -> None:
+    def count_call(self, name: str) -> None:
+        """Counts a call by its name."""
         self.calls[name] = self.calls.get(name, 0) + 1
 
-    async def _before(self, *, reads: bool) -> None:
+    async def before(self, *, reads: bool) -> None:
+        """Applies the faults that come before a call.
+
+        Raises:
+            RefusedError: The call is refused.
+        """
         if self.faults.delay_s > 0:
             await anyio.sleep(self.faults.delay_s)
         if self.faults.down:
@@ -379,7 +397,7 @@
 
     async def watch(self, request: requests.Request) -> responses.Response:
         """Streams changes of a range."""
-        self._count("watch")
+        self.count_call("watch")
         body = msgspec.json.decode(await request.body())["create_request"]
         if self.faults.down:
             return web.json_response({"error": "down"}, status=503)
--- /dev/null
+++ b/src/ibisknot/standin_platform.py
@@ -0,0 +1,44 @@
+"""`ibisknot-standin-platform`: the users' platform's store, with faults.
+
+It serves the calls of the key-value stand-in's data that the platform's page
+describes, and what an operator or an engine writes there.
+"""
+
+import dataclasses
+from typing import Annotated
+
+import anyio
+import cappa
+
+import ibisknot
+from ibisknot import standin
+from ibisknot import standin_keyvalue
+from ibisknot import standin_platform_store
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Stands in for the users' platform's store."""
+
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 8688
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+
+
+def main() -> None:
+    """Entry point of the program."""
+    arguments = cappa.parse(Arguments, version=ibisknot.__version__)
+    service = standin_keyvalue.Service(seed=arguments.seed)
+    store = standin_platform_store.PlatformStore(service)
+
+    async def background() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(service.expire)
+            group.start_soon(store.run_late)
+
+    standin.run(
+        [*service.routes(), *store.routes()],
+        address=arguments.address,
+        port=arguments.port,
+        background=background,
+    )
--- /dev/null
+++ b/src/ibisknot/standin_platform_engine.py
@@ -0,0 +1,182 @@
+"""`ibisknot-standin-platform-engine`: a model engine of the users' platform.
+
+It registers itself in the store, runs as many requests at once as it has
+slots, answers each with a stream of numbered events, and resumes streams.
+"""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import time
+from typing import Annotated
+
+import anyio
+import cappa
+import httpx
+import msgspec
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+import ibisknot
+from ibisknot import standin
+from ibisknot import web
+
+HEARTBEAT_S = 0.5
+ID = "X-Ibisknot-Request-Id"
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong now.
+
+    Attributes:
+        cut_after: Streams are cut after this many events; -1 for never.
+        half_event: Whether a cut comes in the middle of an event.
+        status: Status of all answers in place of 200.
+        silent: Whether heartbeats stop.
+    """
+
+    cut_after: int = -1
+    half_event: bool = False
+    status: int = 200
+    silent: bool = False
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Stands in for a model engine of the users' platform."""
+
+    store: Annotated[str, cappa.Arg(long=True)]
+    name: Annotated[str, cappa.Arg(long=True)]
+    service: Annotated[str, cappa.Arg(long=True)] = "llm"
+    zone: Annotated[str, cappa.Arg(long=True)] = "d1"
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 8080
+    slots: Annotated[int, cappa.Arg(long=True)] = 4
+    event_s: Annotated[float, cappa.Arg(long=True)] = 0.01
+
+
+class Engine:
+    """The engine's state.
+
+    Attributes:
+        runs: Ids of the requests that it began to run, in order.
+    """
+
+    def __init__(self, arguments: Arguments) -> None:
+        self.arguments = arguments
+        self.faults = Faults()
+        self.slots = anyio.Semaphore(arguments.slots)
+        self.runs: list[dict[str, str]] = []
+        self.state = "ready"
+        self.number = 0
+        self.born_ms = int(time.time() * 1000)
+
+    def routes(self) -> list[routing.BaseRoute]:
+        """Returns the routes."""
+        return [
+            routing.Route("/admin/faults", self.set_faults, methods=["POST"]),
+            routing.Route("/admin/drain", self.drain, methods=["POST"]),
+            routing.Route("/admin/runs", self.list_runs),
+            routing.Route("/{path:path}", self.serve, methods=["POST"]),
+        ]
+
+    async def serve(self, request: requests.Request) -> responses.Response:
+        """Runs a request."""
+        number = request.headers.get(ID, "")
+        headers = {ID: number, "X-Ibisknot-Response-Stamp": f"s-{number}"}
+        expected = request.headers.get("X-Ibisknot-Expect-Instance")
+        if expected not in (None, self.arguments.name):
+            return responses.Response(status_code=421, headers=headers)
+        body = await request.body()
+        self.runs.append(
+            {
+                "id": number,
+                "tenant": request.headers.get("X-Ibisknot-Tenant", ""),
+                "authorization": request.headers.get("Authorization", ""),
+                "target": str(request.url.path),
+                "body": body.decode("latin-1"),
+            }
+        )
+        if self.faults.status != 200:
+            return responses.Response(
+                status_code=self.faults.status, headers=headers
+            )
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        count = int(request.headers.get("X-Ibisknot-Token-Usage", "0,5")[2:])
+        return responses.StreamingResponse(
+            self.events(number, first, count),
+            headers=headers,
+            media_type="text/event-stream",
+        )
+
+    async def events(
+        self, number: str, first: int, last: int
+    ) -> AsyncIterator[bytes]:
+        """Makes the events of a stream."""
+        async with self.slots:
+            for made, event in enumerate(range(first, last + 1)):
+                if made == self.faults.cut_after:
+                    if self.faults.half_event:
+                        yield f"id: {event}\nda".encode()
+                    raise ConnectionAbortedError("cut by a fault")
+                await anyio.sleep(self.arguments.event_s)
+                yield f"id: {event}\ndata: {number}.{event}\n\n".encode()
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Sets the faults."""
+        self.faults = web.decode_body(await request.body(), Faults)
+        return web.json_response(self.faults)
+
+    async def drain(self, _request: requests.Request) -> responses.Response:
+        """Reports that the engine leaves."""
+        self.state = "draining"
+        await self.report()
+        return web.json_response({})
+
+    async def list_runs(self, _request: requests.Request) -> responses.Response:
+        """Returns what was run."""
+        return web.json_response(self.runs)
+
+    async def report(self) -> None:
+        """Writes the engine's entry."""
+        self.number += 1
+        own = self.arguments
+        entry = {
+            "Service": own.service,
+            "Address": f"{own.address}:{own.port}",
+            "Zone": own.zone,
+            "Version": "v1",
+            "Slots": own.slots,
+            "State": self.state,
+            "ColdRemainingMs": 0,
+            "Seq": self.number,
+            "born": self.born_ms,
+        }
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.post(
+                f"{own.store}/admin/operator",
+                json={f"servers/{own.name}": entry},
+            )
+
+    async def beat(self) -> None:
+        """Writes the entry again and again."""
+        while True:
+            try:
+                if not self.faults.silent:
+                    await self.report()
+            except httpx.HTTPError:
+                # The store is away; the next heartbeat tries again.
+                pass
+            await anyio.sleep(HEARTBEAT_S)
+
+
+def main() -> None:
+    """Entry point of the program."""
+    arguments = cappa.parse(Arguments, version=ibisknot.__version__)
+    engine = Engine(arguments)
+    standin.run(
+        engine.routes(),
+        address=arguments.address,
+        port=arguments.port,
+        background=engine.beat,
+    )
--- /dev/null
+++ b/tests/fake_fleet.py
@@ -0,0 +1,125 @@
+"""A view and peers that tests fill in, in place of a running fleet."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from ibisknot import deployment
+from ibisknot import endpoint_list
+from ibisknot import errors
+from ibisknot import fleetview
+
+
+def endpoint(name: str, *, slots: int = 2) -> endpoint_list.Endpoint:
+    """Returns an active endpoint of service `s`."""
+    return endpoint_list.Endpoint(
+        name=name,
+        service="s",
+        address=f"{name}:1",
+        data_centre="d",
+        slots=slots,
+        leaving=False,
+    )
+
+
+def member(name: str, kind: str) -> fleetview.Member:
+    """Returns a process of the fleet."""
+    return fleetview.Member(name, kind, "d", f"{name}:1", 1)
+
+
+def view(
+    *, endpoints: int = 1, gateways: int = 2, workers: int = 2
+) -> fleetview.View:
+    """Returns a view of a fleet."""
+    made = fleetview.View()
+    made.endpoints = {f"e{n}": endpoint(f"e{n}") for n in range(endpoints)}
+    names = [(f"g{n}", deployment.GATEWAY) for n in range(gateways)]
+    names += [(f"w{n}", deployment.WORKER) for n in range(workers)]
+    made.members = {name: member(name, kind) for name, kind in names}
+    return made
+
+
+def process(name: str = "g0") -> deployment.Process:
+    """Returns the settings of a process."""
+    return deployment.Process(
+        name=name,
+        kind=deployment.GATEWAY,
+        ip=name,
+        data_centre="d",
+        peer_port=1,
+        listen=None,
+        ready_listen=None,
+        metrics_port=0,
+        seeds=(),
+        store="store:1",
+        value_bytes=1024 * 1024,
+        lease_minimum_s=1.0,
+        memory_bytes=0,
+        descriptors=0,
+        bounds=deployment.Bounds(),
+    )
+
+
+@dataclasses.dataclass
+class Clock:
+    """A clock that a test moves; periodic work is called by the test."""
+
+    time_s: float = 100.0
+    callbacks: dict[str, Callable[[float], Any]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def now(self) -> float:
+        """Returns the time."""
+        return self.time_s
+
+    def subscribe(
+        self, name: str, _period_s: float, callback: Callable[[float], Any]
+    ) -> None:
+        """Keeps a callback."""
+        self.callbacks[name] = callback
+
+
+class Peers:
+    """Answers calls by method, and notes them.
+
+    Attributes:
+        answers: What a method returns, as a function of address and message.
+        silent: Addresses that do not answer.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str, Any]] = []
+        self.answers: dict[str, Callable[[str, Any], Any]] = {}
+        self.silent: set[str] = set()
+
+    async def call(
+        self, address: str, method: str, message: Any, *_: Any, **__: Any
+    ) -> Any:
+        """Notes and answers a call."""
+        self.calls.append((address, method, message))
+        if address in self.silent:
+            raise errors.PeerError(f"{address} is silent")
+        answer = self.answers.get(method)
+        return None if answer is None else answer(address, message)
+
+    def count(self, method: str) -> int:
+        """Returns the number of calls of a method."""
+        return sum(called == method for _, called, _ in self.calls)
+
+
+class Group:
+    """Collects tasks that a test runs when it wants."""
+
+    def __init__(self) -> None:
+        self.tasks: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
+
+    def start_soon(self, function: Callable[..., Any], *args: Any) -> None:
+        """Keeps a task."""
+        self.tasks.append((function, args))
+
+    async def run(self) -> None:
+        """Runs the tasks that are kept."""
+        while self.tasks:
+            function, args = self.tasks.pop(0)
+            await function(*args)
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,391 @@
+"""A small fleet on the platform's protocol, of real processes on loopback."""
+
+import base64
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import httpx
+
+BIN = pathlib.Path(sys.executable).parent
+KEY = "k-one"
+OTHER_KEY = "k-two"
+HOST = "chat.example"
+BATCH_HOST = "batch.example"
+PEER_PORT = 7400
+CALLER_PORT = 8400
+READY_PORT = 8401
+STORE_PORT = 8688
+WAIT_S = 20.0
+
+SETTINGS = """\
+Node = "{name}"
+Role = "role"
+MachineClass = "{kind}"
+Ip = "{ip}"
+Zone = "{zone}"
+Region = "r"
+PortRange = [{peer_port}, {peer_port}]
+Seeds = ["{seed}:1"]
+[Listen]
+{listen}
+[Limits]
+MemoryMb = 300
+MaxFds = 4100
+[Bounds]
+DrainMs = 2000
+GraceS = 8
+FinishS = 18
+StatusS = 120
+CancelMs = 3000
+SettleMs = 1000
+[Platform]
+Address = "{store}"
+ValueBytes = 1048576
+TtlMinMs = 1000
+"""
+
+
+def configuration(version: int = 1, **changed: Any) -> dict[str, Any]:
+    """Returns what an operator states."""
+    stated: dict[str, Any] = {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": "chat",
+                "Host": HOST,
+                "Prefix": "/chat/",
+                "Kind": "streaming",
+                "Service": "llm",
+                "TimeoutMs": 5000,
+                "TargetLatencyMs": 1000,
+                "Priority": 0,
+                "MaxAttempts": 2,
+                "Anonymous": False,
+                "Resumable": True,
+                "GapAimMs": 500,
+            },
+            {
+                "Name": "batch",
+                "Host": BATCH_HOST,
+                "Prefix": "/batch/",
+                "Kind": "batch",
+                "Service": "llm",
+                "TimeoutMs": 15000,
+                "TargetLatencyMs": 1000,
+                "Priority": 2,
+                "MaxAttempts": 3,
+                "CompletionTargetMs": 18000,
+                "MaxWaitS": 60,
+                "MaxCount": 10000,
+            },
+        ],
+        "Services": [{"Name": "llm", "HealthPath": "/health"}],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [
+            {"Name": "one", "ApiKeys": [KEY], "RatePerS": 100, "Burst": 100},
+            {"Name": "two", "ApiKeys": [OTHER_KEY]},
+        ],
+    }
+    return stated | changed
+
+
+@dataclasses.dataclass
+class Program:
+    """One process and how it was started."""
+
+    command: list[str]
+    environment: dict[str, str]
+    log: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts it."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                self.command, env=self.environment, stdout=log, stderr=log
+            )
+
+    def send(self, number: int) -> None:
+        """Sends it a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def stop(self, number: int = signal.SIGKILL) -> int:
+        """Ends it and returns its exit code."""
+        assert self.process is not None
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+        return self.process.wait(timeout=30)
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Returns its log lines of one kind."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            if line.startswith("{"):
+                entry = json.loads(line)
+                if entry["event"] == name:
+                    found.append(entry)
+        return found
+
+
+class Fleet:
+    """Store, engines, gateways and workers."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.subnet = f"127.{random.randint(50, 250)}.{random.randint(1, 250)}"
+        self.store = f"http://{self.subnet}.1:{STORE_PORT}"
+        self.programs: dict[str, Program] = {}
+        self.client = httpx.Client(trust_env=False, timeout=10.0)
+
+    def add(self, name: str, command: list[str], **environment: str) -> Program:
+        """Starts a program."""
+        made = Program(
+            [str(BIN / command[0]), *command[1:]],
+            dict(os.environ) | environment,
+            self.folder / f"{name}.log",
+        )
+        made.start()
+        self.programs[name] = made
+        return made
+
+    def ip(self, number: int) -> str:
+        """Returns an address of this fleet's own."""
+        return f"{self.subnet}.{number}"
+
+    def start(self, *, engines: int, gateways: int, workers: int) -> None:
+        """Starts everything and waits until it serves."""
+        address, _, port = self.store.removeprefix("http://").partition(":")
+        self.add(
+            "store",
+            ["ibisknot-standin-platform", "--address", address, "--port", port],
+        )
+        wait_for(lambda: self.admin("/admin/calls") is not None)
+        self.operate({"op/config": configuration()})
+        for number in range(engines):
+            self.add_engine(number)
+        for number in range(gateways):
+            self.add_node(f"front-{number}", "front", 20 + number)
+        for number in range(workers):
+            self.add_node(f"store-{number}", "store", 40 + number)
+        for number in range(gateways):
+            wait_for(lambda n=number: self.is_ready(n))
+        for number in range(engines):
+            wait_for(lambda n=number: self.is_listed(f"e-{n}"))
+        wait_for(lambda: self.chat().status_code == 200)
+
+    def add_engine(self, number: int) -> Program:
+        """Starts an engine."""
+        return self.add(
+            f"engine-{number}",
+            [
+                "ibisknot-standin-platform-engine",
+                f"--store={self.store}",
+                f"--name=e-{number}",
+                f"--address={self.ip(60 + number)}",
+                "--port=8080",
+            ],
+        )
+
+    def add_node(self, name: str, kind: str, host: int) -> Program:
+        """Starts a gateway or a worker."""
+        ip = self.ip(host)
+        listen = ""
+        if kind == "front":
+            listen = (
+                f'Front = "{ip}:{CALLER_PORT}"\nReady = "{ip}:{READY_PORT}"'
+            )
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                kind=kind,
+                ip=ip,
+                zone="d1",
+                seed=self.ip(20),
+                peer_port=PEER_PORT,
+                listen=listen,
+                store=self.store.removeprefix("http://"),
+            )
+        )
+        program = "ibisknot-gateway" if kind == "front" else "ibisknot-worker"
+        return self.add(name, [program], IBISKNOT_SETTINGS=str(path))
+
+    def admin(self, path: str, body: Any = None) -> httpx.Response | None:
+        """Calls the store stand-in's own interface."""
+        try:
+            if body is None:
+                return self.client.get(self.store + path)
+            return self.client.post(self.store + path, json=body)
+        except httpx.HTTPError:
+            return None
+
+    def operate(self, values: dict[str, Any]) -> None:
+        """Writes as the operator does."""
+        answer = self.admin("/admin/operator", values)
+        assert answer is not None
+        assert answer.status_code == 200
+
+    def faults(self, **faults: Any) -> None:
+        """Sets the store's faults."""
+        answer = self.admin("/admin/faults", faults)
+        assert answer is not None
+        assert answer.status_code == 200
+
+    def engine_faults(self, number: int, **faults: Any) -> None:
+        """Sets an engine's faults."""
+        url = f"http://{self.ip(60 + number)}:8080/admin/faults"
+        assert self.client.post(url, json=faults).status_code == 200
+
+    def runs(self, number: int) -> list[dict[str, str]]:
+        """Returns what an engine has run."""
+        url = f"http://{self.ip(60 + number)}:8080/admin/runs"
+        found: list[dict[str, str]] = self.client.get(url).json()
+        return found
+
+    def is_listed(self, engine: str) -> bool:
+        """Returns whether an engine has registered itself."""
+        answer = self.admin(f"/kv-key?Key=servers/{engine}")
+        return answer is not None and answer.status_code == 200
+
+    def is_ready(self, gateway: int) -> bool:
+        """Returns whether a gateway says that it is ready."""
+        url = f"http://{self.ip(20 + gateway)}:{READY_PORT}/ready"
+        try:
+            return self.client.get(url).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def chat(
+        self,
+        gateway: int = 0,
+        *,
+        key: str = KEY,
+        number: str = "",
+        events: int = 5,
+        path: str = "/chat/a%2Fb?x=1",
+        timeout_s: float = 10.0,
+    ) -> httpx.Response:
+        """Sends an online request."""
+        return self.client.post(
+            f"http://{self.ip(20 + gateway)}:{CALLER_PORT}{path}",
+            content=b"prompt",
+            headers={
+                "Host": HOST,
+                "Authorization": f"Token {key}",
+                "X-Ibisknot-Request-Id": number or new_id(),
+                "X-Ibisknot-Deadline-Ms": "5000",
+                "X-Ibisknot-Token-Usage": f"9,{events}",
+            },
+            timeout=timeout_s,
+        )
+
+    def batch(
+        self,
+        method: str,
+        path: str,
+        *,
+        gateway: int = 0,
+        key: str = KEY,
+        body: Any = None,
+        number: str = "",
+        wait_ms: int = 0,
+    ) -> httpx.Response:
+        """Makes a call of batch jobs."""
+        return self.client.request(
+            method,
+            f"http://{self.ip(20 + gateway)}:{CALLER_PORT}{path}",
+            json=body,
+            headers={
+                "Host": BATCH_HOST,
+                "Authorization": f"Token {key}",
+                "X-Ibisknot-Request-Id": number or new_id(),
+                "X-Ibisknot-Wait-Ms": str(wait_ms),
+                "X-Ibisknot-Deadline-Ms": "4000",
+            },
+        )
+
+    def submit(
+        self, job: str, items: int, *, gateway: int = 0, events: int = 5
+    ) -> httpx.Response:
+        """Hands a job in."""
+        body = {
+            "Items": [
+                {
+                    "Id": f"{job}-{n}",
+                    "Path": f"/batch/{n}",
+                    "Headers": {"X-Ibisknot-Token-Usage": f"9,{events}"},
+                    "Body": base64.b64encode(f"body {n}".encode()).decode(),
+                    "Tokens": 10,
+                }
+                for n in range(items)
+            ]
+        }
+        return self.batch(
+            "POST", "/batch/job", gateway=gateway, body=body, number=job
+        )
+
+    def results(self, job: str, *, gateway: int = 0) -> list[Any]:
+        """Reads all results that a job has now."""
+        found: list[Any] = []
+        while True:
+            path = f"/lots/{job}?After={len(found)}"
+            answer = self.batch("GET", path, gateway=gateway)
+            assert answer.status_code == 200, answer.text
+            page = answer.json()
+            if not page["Results"]:
+                return found
+            found.extend(page["Results"])
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for program in self.programs.values():
+            program.stop()
+        self.client.close()
+
+
+def new_id() -> str:
+    """Returns a random id."""
+    return f"{random.getrandbits(64):016x}"
+
+
+def wait_for(condition: Any, timeout_s: float = WAIT_S) -> None:
+    """Waits until a condition holds."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError("the condition did not come to hold in time")
+
+
+@contextlib.contextmanager
+def running(
+    folder: pathlib.Path,
+    *,
+    engines: int = 2,
+    gateways: int = 2,
+    workers: int = 2,
+) -> Iterator[Fleet]:
+    """Runs a fleet."""
+    fleet = Fleet(folder)
+    try:
+        fleet.start(engines=engines, gateways=gateways, workers=workers)
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,109 @@
+"""Places without a scheduler: no request waits for one that is silent."""
+
+from typing import Any
+
+import anyio
+import fake_fleet
+import pytest
+
+from ibisknot import admission
+from ibisknot import errors
+from ibisknot import placement
+from ibisknot import serving
+from ibisknot.gen.fleet import ttypes
+
+
+def _client(
+    **fleet: int,
+) -> tuple[placement.Client, fake_fleet.Peers, fake_fleet.Clock, Any]:
+    peers = fake_fleet.Peers()
+    clock = fake_fleet.Clock()
+    group = fake_fleet.Group()
+    made = placement.Client(
+        fake_fleet.process(),
+        fake_fleet.view(**fleet),
+        peers,  # type: ignore[arg-type]
+        clock,  # type: ignore[arg-type]
+        group,  # type: ignore[arg-type]
+    )
+    return made, peers, clock, group
+
+
+def _ask(**changed: Any) -> placement.Ask:
+    fields: dict[str, Any] = {
+        "service": "s",
+        "kind": admission.ONLINE,
+        "request": "r",
+        "organisation": None,
+        "wait_s": 1.0,
+    }
+    return placement.Ask(**(fields | changed))
+
+
+def test_silent_scheduler_is_left_out_until_it_answers_a_report() -> None:
+    """Guards against each request waiting for a scheduler that is cut off."""
+
+    async def main() -> None:
+        made, peers, clock, group = _client()
+        peers.silent = {"w0:1", "w1:1"}
+        first = await made.acquire(_ask())
+        assert first.granted_by == ""
+        assert peers.count("place_ask") == 2
+        group.tasks.clear()
+        await made.acquire(_ask())
+        assert peers.count("place_ask") == 2
+        peers.silent.clear()
+        await made._report(clock.now())
+        await group.run()
+        peers.answers["place_ask"] = _granted
+        found = await made.acquire(_ask())
+        assert found.granted_by == "w0"
+
+    anyio.run(main)
+
+
+def test_grant_of_an_endpoint_that_leaves_is_given_back() -> None:
+    """Guards against sending work to an endpoint known to leave."""
+
+    async def main() -> None:
+        made, peers, _, group = _client()
+        answers = iter(
+            [_granted("", None, endpoint="gone"), _granted("", None)]
+        )
+        peers.answers["place_ask"] = lambda _a, _m: next(answers)
+        found = await made.acquire(_ask())
+        assert found.endpoint.name == "e0"
+        await group.run()
+        returned = [m for _, name, m in peers.calls if name == "place_returned"]
+        assert returned[0].endpoint == "gone"
+
+    anyio.run(main)
+
+
+def test_part_of_the_rate_holds_while_no_scheduler_answers() -> None:
+    """Guards against a cut gateway that admits a whole organisation's rate."""
+
+    async def main() -> None:
+        made, peers, _, _ = _client(gateways=2)
+        peers.silent = {"w0:1", "w1:1"}
+        organisation = serving.Organisation("o", rate_per_s=8.0, burst=8.0)
+        granted = 0
+        with pytest.raises(errors.RateLimitError):
+            for _ in range(9):
+                await made.acquire(_ask(organisation=organisation))
+                granted += 1
+        assert granted == 4
+
+    anyio.run(main)
+
+
+def _granted(
+    _address: str, _message: Any, endpoint: str = "e0"
+) -> ttypes.PlaceAnswer:
+    return ttypes.PlaceAnswer(
+        id="",
+        state=ttypes.PlaceState.GRANTED,
+        endpoint=endpoint,
+        retry_after_s=0.0,
+        alone=False,
+    )
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,253 @@
+"""The whole path on the platform's protocol, with real processes."""
+
+from collections.abc import Iterator
+import json
+import pathlib
+import signal
+import time
+
+import platform_fleet
+import pytest
+
+
+@pytest.fixture
+def fleet(tmp_path: pathlib.Path) -> Iterator[platform_fleet.Fleet]:
+    """A fleet of two engines, two gateways and two workers."""
+    with platform_fleet.running(tmp_path) as running:
+        yield running
+
+
+def _whole(number: str, events: int = 5) -> str:
+    return "".join(
+        f"id: {n}\ndata: {number}.{n}\n\n" for n in range(1, events + 1)
+    )
+
+
+def test_online_request_reaches_one_engine_unchanged(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a changed target, a leaked key and a second run."""
+    number = platform_fleet.new_id()
+    answer = fleet.chat(number=number)
+    assert answer.status_code == 200
+    assert answer.text == _whole(number)
+    assert answer.headers["X-Ibisknot-Response-Stamp"] == f"s-{number}"
+    runs = [r for n in (0, 1) for r in fleet.runs(n) if r["id"] == number]
+    assert len(runs) == 1
+    assert runs[0]["tenant"] == "one"
+    assert runs[0]["authorization"] == ""
+    assert runs[0]["body"] == "prompt"
+    assert fleet.chat(key="unknown").status_code == 401
+    assert fleet.chat(path="/none/").status_code == 404
+
+
+def test_stream_goes_on_at_another_engine(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a cut stream that the caller has to ask for again."""
+    fleet.engine_faults(0, cut_after=2, half_event=True)
+    for _ in range(6):
+        number = platform_fleet.new_id()
+        answer = fleet.chat(number=number)
+        assert answer.text == _whole(number)
+
+
+def test_configuration_and_keys_hold_at_a_gateway_that_is_turned_away(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a withdrawn key that works where the store refuses."""
+    fleet.faults(refuse=[fleet.ip(21)])
+    stated = platform_fleet.configuration(2)
+    stated["Tenants"][0]["ApiKeys"] = ["k-new"]
+    fleet.operate({"op/config": stated})
+    platform_fleet.wait_for(
+        lambda: fleet.chat(1).status_code == 401, timeout_s=2.0
+    )
+    assert fleet.chat(1, key="k-new").status_code == 200
+
+
+def test_requests_are_served_while_the_store_is_down(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a store outage that stops online requests."""
+    fleet.faults(down=True)
+    end_s = time.monotonic() + 6.0
+    while time.monotonic() < end_s:
+        assert fleet.chat().status_code == 200
+        time.sleep(0.2)
+    answer = fleet.submit("j-down", 2)
+    assert answer.status_code == 503
+    assert float(answer.headers["Retry-After"]) > 0.0
+    fleet.faults()
+    platform_fleet.wait_for(
+        lambda: fleet.submit("j-down", 2).status_code == 202
+    )
+
+
+def test_leaving_engine_gets_no_new_work(fleet: platform_fleet.Fleet) -> None:
+    """Guards against requests that reach an engine after it has reported."""
+    url = f"http://{fleet.ip(60)}:8080/admin/drain"
+    assert fleet.client.post(url).status_code == 200
+    time.sleep(1.5)
+    before = len(fleet.runs(0))
+    for _ in range(10):
+        assert fleet.chat().status_code == 200
+    assert len(fleet.runs(0)) == before
+
+
+def test_job_is_accepted_once_and_read_anywhere(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a resent job that runs twice, and lost results."""
+    assert fleet.submit("j-1", 6).status_code == 202
+    assert fleet.submit("j-1", 6, gateway=1).status_code == 202
+    platform_fleet.wait_for(lambda: len(fleet.results("j-1")) == 6)
+    results = fleet.results("j-1")
+    assert results == fleet.results("j-1", gateway=1)
+    assert {r["State"] for r in results} == {"done"}
+    for result in results:
+        number = result["Id"]
+        output = [f"{number}.{n}" for n in range(1, 6)]
+        assert result["Output"] == "\n".join(output)
+    ids = [r["id"] for n in (0, 1) for r in fleet.runs(n)]
+    assert sum(i.startswith("j-1-") for i in ids) == 6
+    body = fleet.batch("GET", "/items/j-1?Id=j-1-3")
+    assert body.content == b"body 3"
+    stranger = fleet.batch(
+        "GET", "/lots/j-1?After=0", key=platform_fleet.OTHER_KEY
+    )
+    assert stranger.status_code == 404
+
+
+def test_job_goes_on_after_its_worker_is_killed(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against a job that is lost with the worker that runs it."""
+    assert fleet.submit("j-2", 8, events=90).status_code == 202
+    time.sleep(0.6)
+    for name in ("store-0", "store-1"):
+        program = fleet.programs[name]
+        if program.events("job_started"):
+            program.stop()
+    platform_fleet.wait_for(
+        lambda: len(fleet.results("j-2")) == 8, timeout_s=40.0
+    )
+    assert len({r["Id"] for r in fleet.results("j-2")}) == 8
+
+
+def test_stopped_worker_hands_its_jobs_over(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against items that run again because their worker stopped."""
+    assert fleet.submit("j-3", 8, events=90).status_code == 202
+    time.sleep(0.6)
+    owner = next(
+        name
+        for name in ("store-0", "store-1")
+        if fleet.programs[name].events("job_started")
+    )
+    assert fleet.programs[owner].stop(signal.SIGTERM) == 0
+    platform_fleet.wait_for(lambda: len(fleet.results("j-3")) == 8)
+    ids = [r["id"] for n in (0, 1) for r in fleet.runs(n)]
+    assert sorted(i for i in ids if i.startswith("j-3-")) == sorted(
+        f"j-3-{n}" for n in range(8)
+    )
+
+
+def test_ended_job_runs_no_more_items(fleet: platform_fleet.Fleet) -> None:
+    """Guards against items that reach an engine after the job's end."""
+    assert fleet.submit("j-4", 40, events=60).status_code == 202
+    time.sleep(0.5)
+    assert fleet.batch("DELETE", "/lots/j-4").status_code == 200
+    assert fleet.batch("DELETE", "/lots/j-4", gateway=1).status_code == 200
+    time.sleep(1.0)
+    before = sum(len(fleet.runs(n)) for n in (0, 1))
+    time.sleep(1.5)
+    assert sum(len(fleet.runs(n)) for n in (0, 1)) == before
+
+
+def test_job_over_the_bound_is_refused(fleet: platform_fleet.Fleet) -> None:
+    """Guards against more waiting tokens than an organisation may have."""
+    stated = platform_fleet.configuration(2)
+    stated["Routes"][1]["MaxCount"] = 50
+    fleet.operate({"op/config": stated})
+    time.sleep(0.5)
+    assert fleet.submit("j-5", 5, events=90).status_code == 202
+    assert fleet.submit("j-6", 1, events=90).status_code == 429
+    platform_fleet.wait_for(lambda: len(fleet.results("j-5")) == 5)
+    assert fleet.submit("j-6", 1).status_code == 202
+
+
+def test_writes_whose_answers_are_lost_take_effect_once(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against items listed twice, and jobs refused that then run."""
+    fleet.faults(lose_answers=0.4)
+    statuses = {}
+    for number in range(5):
+        job = f"j-lost-{number}"
+        statuses[job] = fleet.submit(job, 3).status_code
+    fleet.faults()
+    for job, status in statuses.items():
+        assert status in (202, 504)
+        if status == 504:
+            assert fleet.submit(job, 3).status_code == 202
+        platform_fleet.wait_for(lambda j=job: len(fleet.results(j)) == 3)
+        assert len({r["Id"] for r in fleet.results(job)}) == 3
+
+
+def test_retired_worker_reports_when_it_is_empty(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against an order to empty a VM that is never answered."""
+    fleet.operate({"op/retire/store-0": {"DurationS": 8}})
+
+    def is_done() -> bool:
+        answer = fleet.client.get(
+            fleet.store + "/kv-key?Key=status/retire/store-0"
+        )
+        if answer.status_code != 200:
+            return False
+        return bool(fleet.programs["store-0"].events("retire_reported"))
+
+    platform_fleet.wait_for(is_done)
+    assert fleet.submit("j-7", 4).status_code == 202
+    platform_fleet.wait_for(lambda: len(fleet.results("j-7")) == 4)
+
+
+def test_stopped_gateway_finishes_its_requests(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against requests that a planned stop cuts off."""
+    program = fleet.programs["front-0"]
+    program.send(signal.SIGTERM)
+    for _ in range(5):
+        assert fleet.chat(0).status_code == 200
+        time.sleep(0.3)
+    assert not fleet.is_ready(0)
+    assert program.stop(signal.SIGTERM) == 0
+    assert program.events("stopped")
+
+
+def test_unreadable_configuration_leaves_the_last_one_in_force(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against bad input that stops the fleet."""
+    fleet.operate(
+        {
+            "op/config": {"Version": "x"},
+            "servers/e-9": {"Service": 5},
+            "servers/e-8": None,
+        }
+    )
+    time.sleep(0.7)
+    assert fleet.chat(0).status_code == 200
+    assert fleet.programs["front-0"].events("configuration_unreadable")
+
+
+def test_log_lines_are_json(fleet: platform_fleet.Fleet) -> None:
+    """Guards against output that a log reader cannot parse."""
+    fleet.chat()
+    for name in ("front-0", "store-0"):
+        for line in fleet.programs[name].log.read_text().splitlines():
+            assert "event" in json.loads(line)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,157 @@
+"""The scheduler of places: exact counts, true refusals, rates, takeover."""
+
+import math
+from typing import Any
+
+import anyio
+import fake_fleet
+
+from ibisknot import fleetview
+from ibisknot import rates
+from ibisknot import scheduler
+from ibisknot.gen.fleet import ttypes
+
+State = ttypes.PlaceState
+
+
+def _scheduler(
+    view: fleetview.View,
+) -> tuple[scheduler.Scheduler, fake_fleet.Peers, fake_fleet.Clock, Any]:
+    peers = fake_fleet.Peers()
+    clock = fake_fleet.Clock()
+    group = fake_fleet.Group()
+    made = scheduler.Scheduler(view, peers, clock, group)  # type: ignore[arg-type]
+    return made, peers, clock, group
+
+
+def _ask(number: int, **changed: Any) -> ttypes.PlaceAsk:
+    fields: dict[str, Any] = {
+        "id": f"r{number}",
+        "group": "s",
+        "kind": "online",
+        "organisation": "o",
+        "tokens": 10,
+        "prompt_tokens": 5,
+        "blocks": [],
+        "holder": "g0:1",
+        "wait_s": 5.0,
+        "waited_s": 0.0,
+        "suspect": False,
+        "avoid": [],
+        "rate_per_s": 0.0,
+        "burst": 0.0,
+        "priority": 0,
+        "data_centre": "d",
+        "due_s": math.inf,
+        "needs_s": 0.0,
+    }
+    return ttypes.PlaceAsk(**(fields | changed))
+
+
+def test_no_more_places_than_slots_and_the_next_is_pushed() -> None:
+    """Guards against requests that wait in an endpoint's own queue."""
+
+    async def main() -> None:
+        made, peers, _, group = _scheduler(fake_fleet.view(endpoints=1))
+        states = [(await made.on_ask(_ask(n))).state for n in range(3)]
+        assert states == [State.GRANTED, State.GRANTED, State.QUEUED]
+        again = await made.on_ask(_ask(2))
+        assert again.state == State.QUEUED
+        await made.on_returned(
+            ttypes.PlaceReturned(
+                group="s", id="r0", endpoint="e0", outcome="ok"
+            )
+        )
+        await group.run()
+        address, method, answer = peers.calls[-1]
+        assert (address, method) == ("g0:1", "place_answer")
+        assert (answer.id, answer.state) == ("r2", State.GRANTED)
+
+    anyio.run(main)
+
+
+def test_request_that_would_be_late_is_refused_at_once() -> None:
+    """Guards against a caller that waits past its objective for a refusal."""
+
+    async def main() -> None:
+        made, _, _, _ = _scheduler(fake_fleet.view(endpoints=1))
+        for number in range(2):
+            await made.on_ask(_ask(number))
+        answer = await made.on_ask(_ask(9, wait_s=0.3))
+        assert answer.state == State.OVERLOADED
+        assert answer.retry_after_s > 0.0
+
+    anyio.run(main)
+
+
+def test_standby_that_was_told_of_places_grants_no_more() -> None:
+    """Guards against a new leader that gives every slot out again."""
+
+    async def main() -> None:
+        made, _, _, _ = _scheduler(fake_fleet.view(endpoints=1))
+        for number in range(2):
+            place = ttypes.Place(
+                id=f"old{number}",
+                group="s",
+                endpoint="e0",
+                kind="online",
+                organisation="o",
+                tokens=1,
+                suspect=False,
+                due_s=math.inf,
+                needs_s=0.0,
+            )
+            await made.on_taken(ttypes.PlaceTaken(holder="g1:1", place=place))
+        answer = await made.on_ask(_ask(1))
+        assert answer.state == State.QUEUED
+
+    anyio.run(main)
+
+
+def test_rate_counts_over_all_gateways() -> None:
+    """Guards against granting each gateway the whole rate."""
+
+    async def main() -> None:
+        view = fake_fleet.view(endpoints=50)
+        made, _, _, _ = _scheduler(view)
+        asks = [
+            _ask(n, rate_per_s=10.0, burst=10.0, holder=f"g{n % 2}:1")
+            for n in range(20)
+        ]
+        states = [(await made.on_ask(ask)).state for ask in asks]
+        granted = states.count(State.GRANTED)
+        assert granted == 10 * scheduler.START_LEVEL
+        assert states.count(State.OVER_RATE) == 20 - granted
+
+    anyio.run(main)
+
+
+def test_part_of_a_gateway_that_is_cut_off_is_not_given_out_twice() -> None:
+    """Guards against a rate that is used here and at a cut gateway too."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(gateways=4))
+        for name in ("g0", "g1", "g2", "g3"):
+            await made.on_held(ttypes.PlacesHeld(holder=f"{name}:1", places=[]))
+        assert made._units(clock.now()) == rates.ORGANISATION_UNITS
+        clock.time_s += scheduler.HEARD_S + 0.1
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=[]))
+        assert made._units(clock.now()) == rates.ORGANISATION_UNITS // 4
+
+    anyio.run(main)
+
+
+def test_places_of_a_lost_holder_come_back() -> None:
+    """Guards against slots that a killed gateway holds for ever."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(endpoints=1))
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=[]))
+        for number in range(2):
+            await made.on_ask(_ask(number))
+        clock.time_s += scheduler.SILENT_S + 0.1
+        await made.tick(clock.now())
+        answer = await made.on_ask(_ask(5, holder="g1:1"))
+        assert answer.state == State.GRANTED
+
+    anyio.run(main)
