Refuse requests late in a stop, and serve callers that come back first

Callers that were refused early in a wave came back in the same wave and were refused again.

Change: a stopping gateway tells callers at once to open other connections, and 3.2 s later refuses what still comes. A test fails without it. A refused caller is told to come back late in the time that it honours, and is then served in the order of its first arrival.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -75,6 +75,10 @@
   17: required double due_s,
   /** Seconds that the request will hold its place. */
   18: required double needs_s,
+  /** Seconds until a waiting request is better refused. */
+  19: required double objective_s,
+  /** What a request and its resends have in common. */
+  20: required i64 fingerprint,
 }
 
 enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
--- a/src/ibisknot/configuration.py
+++ b/src/ibisknot/configuration.py
@@ -20,7 +20,7 @@
 
 
 class Organisation(msgspec.Struct, forbid_unknown_fields=True):
-    """A tenant with its rate over the whole fleet.
+    """An organisation with its rate over the whole fleet.
 
     Attributes:
         rate_per_s: Requests a second over all VMs together.
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
+import xxhash
+
 from ibisknot import admission
 from ibisknot import errors
 from ibisknot import events
@@ -107,10 +110,10 @@
         now = self.clock.now()
         left_s = job.deadline_s - now - LEAST_LEFT_S
         message = job.exchange.message
-        wait_s = left_s
+        objective_s = math.inf
         if job.runs == 0:
             waited_s = now - message.received_s
-            wait_s = min(left_s, max(0.0, job.route.objective_s - waited_s))
+            objective_s = max(0.0, job.route.objective_s - waited_s)
         terms = job.terms
         return await self.places.acquire(
             placement.Ask(
@@ -118,7 +121,9 @@
                 kind=admission.ONLINE,
                 request=terms.id,
                 organisation=job.organisation,
-                wait_s=wait_s,
+                wait_s=left_s,
+                objective_s=objective_s,
+                fingerprint=_fingerprint(job),
                 tokens=terms.prompt_tokens + terms.output_tokens,
                 prompt_tokens=terms.prompt_tokens,
                 blocks=terms.blocks,
@@ -251,6 +256,16 @@
             await job.exchange.send(b"".join(ready))
 
 
+def _fingerprint(job: Job) -> int:
+    """Returns what a request and its resends have in common."""
+    message = job.exchange.message
+    name = job.organisation.name if job.organisation else ""
+    digest = xxhash.xxh3_64(name.encode())
+    digest.update(message.target)
+    digest.update(message.body)
+    return digest.intdigest() - (1 << 63)
+
+
 def outcome_of(error: errors.EndpointError) -> str:
     """Returns what an error says of the endpoint.
 
--- a/src/ibisknot/gateway.py
+++ b/src/ibisknot/gateway.py
@@ -18,7 +18,7 @@
 from ibisknot import timer
 
 NO_CONFIGURATION_RETRY_S = 0.5
-DEFAULT_DEADLINE_S = 30.0
+CLOSING_RETRY_S = 0.05
 
 BatchCall = Callable[
     [http_server.Exchange, requests.Terms, serving.Configuration],
@@ -31,6 +31,8 @@
 
     Attributes:
         batch: Answers calls of batch jobs; returns whether it was one.
+        closing: Whether this process is about to end, so that a request
+            might not be answered whole.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.dialect = dialect
         self.clock = clock
         self.batch = batch
+        self.closing = False
         self.choice = random.Random()
 
     async def handle(self, exchange: http_server.Exchange) -> None:
@@ -74,6 +77,10 @@
     async def _handle(
         self, exchange: http_server.Exchange, terms: requests.Terms
     ) -> None:
+        if self.closing:
+            raise errors.UnavailableError(
+                "this VM stops", retry_after_s=CLOSING_RETRY_S
+            )
         configuration = self.view.configuration
         if configuration is None:
             raise errors.StaleConfigurationError(
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -50,7 +50,7 @@
         assert made.process.listen is not None
         made.group.start_soon(server.serve, made.process.listen)
         await made.stop.wait()
-        await _drain(made, server)
+        await _drain(made, server, handler)
 
 
 async def _serve_readiness(made: node.Node) -> None:
@@ -69,12 +69,16 @@
         await http_server.Server(handle).serve(made.process.ready_listen)
 
 
-async def _drain(made: node.Node, server: http_server.Server) -> None:
+async def _drain(
+    made: node.Node, server: http_server.Server, handler: gateway.Gateway
+) -> None:
     """Takes what still arrives, and leaves when all of it is answered."""
     started_s = made.clock.now()
     end_s = started_s + made.process.bounds.grace_s - EXIT_MARGIN_S
-    await anyio.sleep(NOTICE_S)
+    # From now on each answer tells its caller to open another connection.
     server.closing = True
+    await anyio.sleep(NOTICE_S)
+    handler.closing = True
     while server.active and made.clock.now() < end_s:
         await anyio.sleep(POLL_S)
     logs.event(
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -657,6 +657,8 @@
      - data_centre
      - due_s: Seconds until the result is due.
      - needs_s: Seconds that the request will hold its place.
+     - objective_s: Seconds until a waiting request is better refused.
+     - fingerprint: What a request and its resends have in common.
 
     """
 
@@ -679,10 +681,12 @@
         'data_centre',
         'due_s',
         'needs_s',
+        'objective_s',
+        'fingerprint',
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, priority=None, data_centre=None, due_s=None, needs_s=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, priority=None, data_centre=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -701,6 +705,8 @@
         self.data_centre = data_centre
         self.due_s = due_s
         self.needs_s = needs_s
+        self.objective_s = objective_s
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -811,6 +817,16 @@
                     self.needs_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.DOUBLE:
+                    self.objective_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -899,6 +915,14 @@
             oprot.writeFieldBegin('needs_s', TType.DOUBLE, 18)
             oprot.writeDouble(self.needs_s)
             oprot.writeFieldEnd()
+        if self.objective_s is not None:
+            oprot.writeFieldBegin('objective_s', TType.DOUBLE, 19)
+            oprot.writeDouble(self.objective_s)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 20)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -939,6 +963,10 @@
             raise TProtocolException(message='Required field due_s is unset!')
         if self.needs_s is None:
             raise TProtocolException(message='Required field needs_s is unset!')
+        if self.objective_s is None:
+            raise TProtocolException(message='Required field objective_s is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
         return
 
     def __repr__(self):
@@ -1906,6 +1934,8 @@
     (16, TType.STRING, 'data_centre', 'UTF8', None, ),  # 16
     (17, TType.DOUBLE, 'due_s', None, None, ),  # 17
     (18, TType.DOUBLE, 'needs_s', None, None, ),  # 18
+    (19, TType.DOUBLE, 'objective_s', None, None, ),  # 19
+    (20, TType.I64, 'fingerprint', None, None, ),  # 20
 )
 all_structs.append(PlaceAnswer)
 PlaceAnswer.thrift_spec = (
--- a/src/ibisknot/overload.py
+++ b/src/ibisknot/overload.py
@@ -14,8 +14,14 @@
 INITIAL_HOLD_S = 0.7
 START_S = 0.05
 """Time from a place to the first token, the network included."""
-LONGEST_RETRY_S = 1.6
-SHORTEST_RETRY_S = 0.2
+HONOURED_SHARE = 0.33
+"""Part of the time left up to which callers honour a time to come back."""
+EARLIEST_SHARE = 0.65
+"""Callers of a wave come back in the last part of that time."""
+RETURNED_WAIT_S = 1.5
+"""A caller that has come back once waits for so long, and is not refused."""
+REMEMBERED_S = 6.0
+MAXIMUM_REMEMBERED = 5000
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,6 +31,41 @@
     mean_s: float = INITIAL_HOLD_S
 
 
+@dataclasses.dataclass(slots=True)
+class Refusals:
+    """Which callers were refused, and when they came first.
+
+    Attributes:
+        first_s: Monotonic time of the first attempt, by fingerprint.
+    """
+
+    first_s: dict[int, float] = dataclasses.field(default_factory=dict)
+
+
+def refused(refusals: Refusals, now: float, fingerprint: int) -> None:
+    """Remembers a refusal, so that the caller is known when it returns."""
+    if len(refusals.first_s) >= MAXIMUM_REMEMBERED:
+        oldest = min(refusals.first_s, key=lambda f: refusals.first_s[f])
+        del refusals.first_s[oldest]
+    refusals.first_s.setdefault(fingerprint, now)
+
+
+def returned(refusals: Refusals, now: float, fingerprint: int) -> float | None:
+    """Returns when a returning caller came first; None for a new one.
+
+    >>> refusals = Refusals()
+    >>> refused(refusals, 1.0, 7)
+    >>> returned(refusals, 2.5, 7), returned(refusals, 2.5, 8)
+    (1.0, None)
+    """
+    for known, first_s in list(refusals.first_s.items()):
+        if first_s < now - REMEMBERED_S:
+            del refusals.first_s[known]
+        else:
+            break
+    return refusals.first_s.get(fingerprint)
+
+
 def learn(holding: Holding, held_s: float) -> None:
     """Adds the time for which one request held its place."""
     holding.mean_s += HOLD_WEIGHT * (held_s - holding.mean_s)
@@ -59,13 +100,31 @@
 
 
 def retry_after_s(
-    holding: Holding, *, ahead: int, slots: int, choice: random.Random
+    holding: Holding,
+    *,
+    ahead: int,
+    slots: int,
+    left_s: float,
+    choice: random.Random,
 ) -> float:
     """Returns when a refused caller should come back.
 
-    The time covers the queue that is there now, and is spread so that the
-    callers of one wave do not return together.
+    A wave lasts longer than callers honour, so they come back as late as
+    they do, spread so that they do not return together.
+
+    Args:
+        holding: How long places are held.
+        ahead: Requests that wait for a place.
+        slots: Places that online requests may use.
+        left_s: Time that the caller has left.
+        choice: Spreads the callers.
+
+    >>> 1.0 < retry_after_s(
+    ...     Holding(), ahead=9, slots=8, left_s=5.0, choice=random.Random(1)
+    ... ) < 1.65
+    True
     """
+    longest_s = HONOURED_SHARE * left_s
     wait_s = expected_wait_s(holding, ahead=ahead, slots=slots)
-    earliest_s = min(LONGEST_RETRY_S / 2, max(SHORTEST_RETRY_S, wait_s))
-    return round(choice.uniform(earliest_s, LONGEST_RETRY_S), 2)
+    earliest_s = min(longest_s, max(EARLIEST_SHARE * longest_s, wait_s))
+    return round(choice.uniform(earliest_s, longest_s), 2)
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -48,7 +48,9 @@
         kind: `online` or `batch`.
         tokens: Tokens of the prompt and of the longest answer.
         blocks: Hashes of the prompt's leading parts.
-        wait_s: Seconds that the request may wait.
+        wait_s: Seconds that the request may wait at most.
+        objective_s: Seconds after which it is better refused than kept.
+        fingerprint: What the request and its resends have in common.
         organisation: Whose rate counts, or None.
         avoid: Endpoints that have already failed the request.
         due_s: Monotonic time at which the result is due.
@@ -60,6 +62,8 @@
     request: str
     organisation: serving.Organisation | None
     wait_s: float
+    objective_s: float = math.inf
+    fingerprint: int = 0
     tokens: int = 0
     prompt_tokens: int = 0
     blocks: tuple[int, ...] = ()
@@ -191,6 +195,14 @@
                 waiter.answered = anyio.Event()
                 await anyio.sleep(0.02)
             else:
+                logs.event(
+                    "place_refused",
+                    request=ask.request,
+                    place=number,
+                    scheduler=scheduler.name,
+                    state=State._VALUES_TO_NAMES[answer.state].lower(),
+                    waited_s=round(self.clock.now() - started_s, 3),
+                )
                 raise _refusal(ask, answer)
 
     def _scheduler(self) -> fleetview.Member | None:
@@ -230,6 +242,8 @@
             data_centre=self.process.data_centre,
             due_s=ask.due_s - self.clock.now(),
             needs_s=ask.needs_s,
+            objective_s=ask.objective_s - waited_s,
+            fingerprint=ask.fingerprint,
         )
         try:
             return await self.peers.call(
--- a/src/ibisknot/scenario_fleet_cost.py
+++ b/src/ibisknot/scenario_fleet_cost.py
@@ -125,7 +125,7 @@
     for first in range(0, missing, INTENT_ORGANISATIONS):
         last = min(missing, first + INTENT_ORGANISATIONS)
         entries = {
-            f"tenant-{number}": {
+            f"organisation-{number}": {
                 "rate_per_s": 5,
                 "burst": 5,
                 "keys": {"first": {"digest": keys.digest(f"key-{number}")}},
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -29,6 +29,8 @@
 START_LEVEL = 0.5
 """Part of an organisation's burst that a scheduler starts with."""
 UNSERVED_RETRY_S = 1.0
+EXPIRED_LEFT_S = 3.0
+"""Time that a caller has left, as a rule, whose wait was in vain."""
 
 POLICY = admission.Policy(
     batch_weight=1.0,
@@ -67,6 +69,7 @@
         pools: The services that were asked for.
         shares: What is left of each organisation's rate.
         heard_s: Monotonic time of each holder's last report.
+        refusals: The callers that were told to come back.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.pools: dict[str, Pool] = {}
         self.shares: dict[str, rates.Share] = {}
         self.heard_s: dict[str, float] = {}
+        self.refusals = overload.Refusals()
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and the periodic work."""
@@ -139,28 +143,46 @@
         if not pool.state.endpoints:
             return _answer(ask, State.UNSERVED, retry_s=UNSERVED_RETRY_S)
         known = ask.id in pool.taken_s
+        first_s = overload.returned(self.refusals, now, ask.fingerprint)
         if not known and not self._within_rate(ask, now):
             share = self.shares[ask.organisation]
             allowance = rates.Allowance(ask.rate_per_s, ask.burst)
             retry_s = rates.next_token_s(share, allowance)
             return _answer(ask, State.OVER_RATE, retry_s=retry_s)
-        if not known and self._is_hopeless(pool, ask):
+        if not known and first_s is None and self._is_hopeless(pool, ask):
             self._refund(ask)
-            return _answer(
-                ask, State.OVERLOADED, retry_s=self._retry_after_s(pool)
-            )
-        return self._admit(pool, ask, now)
+            return self._overloaded(pool, ask, now)
+        return self._admit(pool, ask, now, first_s)
 
-    def _admit(
+    def _overloaded(
         self, pool: Pool, ask: ttypes.PlaceAsk, now: float
     ) -> ttypes.PlaceAnswer:
+        overload.refused(self.refusals, now, ask.fingerprint)
+        retry_s = self._retry_after_s(pool, ask.wait_s)
+        return _answer(ask, State.OVERLOADED, retry_s=retry_s)
+
+    def _admit(
+        self,
+        pool: Pool,
+        ask: ttypes.PlaceAsk,
+        now: float,
+        first_s: float | None,
+    ) -> ttypes.PlaceAnswer:
+        """Grants or queues a request.
+
+        Args:
+            pool: The service's endpoints.
+            ask: The request.
+            now: Monotonic time in seconds.
+            first_s: When a caller that was refused came first, or None.
+        """
         pool.waiters[ask.id] = ask.holder
         waiting = admission.Waiting(
             id=ask.id,
             kind=ask.kind,
             organisation=ask.organisation,
-            arrived_s=now - ask.waited_s,
-            expires_s=now + ask.wait_s,
+            arrived_s=now - ask.waited_s if first_s is None else first_s,
+            expires_s=now + self._patience_s(ask, first_s),
             tokens=ask.tokens,
             words=ask.prompt_tokens,
             blocks=tuple(ask.blocks),
@@ -179,7 +201,15 @@
             )
         if ask.id in pool.waiters:
             return _answer(ask, State.QUEUED)
-        return _answer(ask, State.OVERLOADED, retry_s=self._retry_after_s(pool))
+        return self._overloaded(pool, ask, now)
+
+    def _patience_s(self, ask: ttypes.PlaceAsk, first_s: float | None) -> float:
+        """Returns how long a request waits for a place."""
+        if ask.kind != admission.ONLINE:
+            return ask.wait_s
+        if first_s is None:
+            return min(ask.wait_s, ask.objective_s)
+        return min(ask.wait_s, overload.RETURNED_WAIT_S)
 
     def _within_rate(self, ask: ttypes.PlaceAsk, now: float) -> bool:
         if ask.rate_per_s <= 0.0:
@@ -226,14 +256,15 @@
             pool.holding,
             ahead=pool.state.online.size,
             slots=_slots(pool.state),
-            objective_left_s=ask.wait_s,
+            objective_left_s=ask.objective_s,
         )
 
-    def _retry_after_s(self, pool: Pool) -> float:
+    def _retry_after_s(self, pool: Pool, left_s: float) -> float:
         return overload.retry_after_s(
             pool.holding,
             ahead=pool.state.online.size,
             slots=_slots(pool.state),
+            left_s=left_s,
             choice=self.choice,
         )
 
@@ -242,7 +273,7 @@
     ) -> None:
         logs.event(
             "place_" + State._VALUES_TO_NAMES[answer.state].lower(),
-            request=ask.id,
+            place=ask.id,
             kind=ask.kind,
             organisation=ask.organisation,
             ahead=pool.state.online.size,
@@ -359,7 +390,7 @@
             id=number,
             state=State.OVERLOADED,
             endpoint="",
-            retry_after_s=self._retry_after_s(pool),
+            retry_after_s=self._retry_after_s(pool, EXPIRED_LEFT_S),
             alone=False,
         )
         self._send(holder, "place_answer", answer)
--- a/src/ibisknot/serving.py
+++ b/src/ibisknot/serving.py
@@ -76,7 +76,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Organisation:
-    """A tenant with its rate over the whole fleet; 0 means no limit."""
+    """An organisation with its rate over the whole fleet; 0 is no limit."""
 
     name: str
     rate_per_s: float = 0.0
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,6 +1,7 @@
 """The whole path on the platform's protocol, with real processes."""
 
 from collections.abc import Iterator
+from concurrent import futures
 import json
 import pathlib
 import signal
@@ -229,6 +230,23 @@
     assert program.events("stopped")
 
 
+def test_request_late_in_a_stop_is_refused_and_not_cut(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against taking a request that the process cannot finish."""
+    program = fleet.programs["front-0"]
+    program.send(signal.SIGTERM)
+    started_s = time.monotonic()
+    time.sleep(0.3)
+    with futures.ThreadPoolExecutor() as pool:
+        long = pool.submit(fleet.chat, 0, events=430)
+        time.sleep(3.7 - (time.monotonic() - started_s))
+        answer = fleet.chat(0)
+        assert answer.status_code == 503
+        assert float(answer.headers["Retry-After"]) < 1.0
+        assert long.result().text.endswith("430\n\n")
+
+
 def test_unreadable_configuration_leaves_the_last_one_in_force(
     fleet: platform_fleet.Fleet,
 ) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -44,6 +44,8 @@
         "data_centre": "d",
         "due_s": math.inf,
         "needs_s": 0.0,
+        "objective_s": 5.0,
+        "fingerprint": number,
     }
     return ttypes.PlaceAsk(**(fields | changed))
 
@@ -77,7 +79,7 @@
         made, _, _, _ = _scheduler(fake_fleet.view(endpoints=1))
         for number in range(2):
             await made.on_ask(_ask(number))
-        answer = await made.on_ask(_ask(9, wait_s=0.3))
+        answer = await made.on_ask(_ask(9, objective_s=0.3))
         assert answer.state == State.OVERLOADED
         assert answer.retry_after_s > 0.0
 
@@ -155,3 +157,28 @@
         assert answer.state == State.GRANTED
 
     anyio.run(main)
+
+
+def test_caller_that_comes_back_is_served_before_new_ones() -> None:
+    """Guards against refusing a caller again that was told to come back."""
+
+    async def main() -> None:
+        made, _, clock, group = _scheduler(fake_fleet.view(endpoints=1))
+        for number in range(2):
+            await made.on_ask(_ask(number))
+        refused = await made.on_ask(_ask(9, objective_s=0.3))
+        assert refused.state == State.OVERLOADED
+        clock.time_s += 1.0
+        waits = await made.on_ask(_ask(10, objective_s=5.0))
+        assert waits.state == State.QUEUED
+        back = await made.on_ask(_ask(11, objective_s=0.3, fingerprint=9))
+        assert back.state == State.QUEUED
+        await made.on_returned(
+            ttypes.PlaceReturned(
+                group="s", id="r0", endpoint="e0", outcome="ok"
+            )
+        )
+        peers = group.tasks
+        assert [task[1][2].id for task in peers] == ["r11"]
+
+    anyio.run(main)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -8,7 +8,13 @@
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCES = [
     path
-    for folder in ("src/ibisknot", "tests", "examples", "benchmarks")
+    for folder in (
+        "src/ibisknot",
+        "src/ibisknot/platform",
+        "tests",
+        "examples",
+        "benchmarks",
+    )
     for path in sorted((ROOT / folder).glob("*.py"))
 ]
 
@@ -16,6 +22,7 @@
 def _imported_names(path: pathlib.Path) -> list[str]:
     """Returns names of this package that are imported without a module."""
     modules = {p.stem for p in (ROOT / "src/ibisknot").iterdir()}
+    adapter = {p.stem for p in (ROOT / "src/ibisknot/platform").iterdir()}
     found: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
         if not isinstance(node, ast.ImportFrom) or node.module is None:
@@ -23,6 +30,9 @@
         if node.module == "ibisknot":
             names = {alias.name for alias in node.names}
             found.extend(names - modules)
+        elif node.module == "ibisknot.platform":
+            names = {alias.name for alias in node.names}
+            found.extend(names - adapter)
         elif node.module.startswith("ibisknot."):
             inside = node.module.startswith("ibisknot.gen.")
             names = {alias.name for alias in node.names}
