Give the whole burst after a start, end a stop in time, refuse repeated crashes

A request that crashes each engine that runs it was sent on for ever.

Change: a bucket accrues from the process's start; the last call to the store has 0.4 s; after three failures without an answer a request and its resends are refused, by the notices that the product's own interface uses.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -121,15 +121,5 @@
 
 struct PlaceRevoked { 1: required string id }
 
-/** A request that was in flight at an endpoint's crash, or ran to its end. */
-struct CrashSeen {
-  1: required string fingerprint,
-  2: required string endpoint,
-  3: required string request,
-  4: required bool alone,
-  5: required bool strong,
-  6: required bool cleared,
-}
-
 /** A batch job changed; its worker should look at once. */
 struct JobChanged { 1: required string job }
--- a/src/ibisknot/crashes.py
+++ b/src/ibisknot/crashes.py
@@ -8,6 +8,7 @@
 SUSPECT = "suspect"
 REFUSED = "refused"
 CRASHES_TO_REFUSE = 2
+FAILURES_TO_REFUSE = 3
 KEEP_S = 900.0
 MAXIMUM_RECORDS = 20_000
 
@@ -111,6 +112,18 @@
     return CLEAN
 
 
+def is_repeated(register: Register, mark: str) -> bool:
+    """Returns whether a request has failed wherever it was sent, for long.
+
+    It holds for requests whose endpoints do not say whether they crashed, and
+    which cannot be run alone.
+    """
+    record = register.records.get(mark)
+    if record is None:
+        return False
+    return len(record.crashes) >= FAILURES_TO_REFUSE
+
+
 def _forget(register: Register, now: float) -> None:
     records = register.records
     old = [m for m, r in records.items() if r.updated_s < now - KEEP_S]
--- a/src/ibisknot/entry.py
+++ b/src/ibisknot/entry.py
@@ -93,7 +93,7 @@
         engines=engines,
         admitter=admitter,
         tickets=tickets.Client(daemon, source, view.live, local=admitter),
-        notices=notices_module.Notices(daemon, view.live),
+        notices=start_notices(daemon, view),
         shares=start_rates(daemon, source, view),
         claims=start_claims(daemon, view),
     )
@@ -152,6 +152,23 @@
     return runner.view
 
 
+def start_notices(
+    daemon: program.Daemon, view: membership.View
+) -> notices_module.Notices:
+    """Starts this VM's part in the notices of crashes."""
+    loaded = daemon.loaded
+    own = f"{loaded.vm.address}:{loaded.peer_port}"
+
+    def others() -> list[str]:
+        ports = (loaded.entry_port, loaded.batch_port)
+        found = [f"{vm.address}:{port}" for vm in view.live() for port in ports]
+        return [address for address in found if address != own]
+
+    return notices_module.Notices(
+        daemon.server, daemon.peers, daemon.clock, daemon.group, others
+    )
+
+
 def start_rates(
     daemon: program.Daemon,
     source: distribution.Distribution,
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -5,15 +5,15 @@
 import math
 import random
 
-import xxhash
-
 from ibisknot import admission
+from ibisknot import crashes
 from ibisknot import errors
 from ibisknot import events
 from ibisknot import http11
 from ibisknot import http_client
 from ibisknot import http_server
 from ibisknot import logs
+from ibisknot import notices as notices_module
 from ibisknot import placement
 from ibisknot import requests
 from ibisknot import serving
@@ -78,7 +78,9 @@
         client: http_client.Client,
         dialect: Dialect,
         clock: timer.Timer,
+        notices: notices_module.Notices,
     ) -> None:
+        self.notices = notices
         self.places = places
         self.client = client
         self.dialect = dialect
@@ -91,7 +93,12 @@
         Raises:
             IbisknotError: It is not answered; `ran` says what is known.
         """
+        mark = _fingerprint(job)
         while True:
+            if crashes.is_repeated(self.notices.register, mark):
+                raise errors.UnavailableError(
+                    "this request has crashed the endpoints that ran it"
+                )
             place = await self._place(job)
             outcome = admission.CANCELLED
             try:
@@ -99,10 +106,13 @@
             except errors.EndpointError as error:
                 outcome = outcome_of(error)
                 self._note_failure(job, place, error)
+                await self._note_crash(mark, job, place, error)
                 if not self._may_repeat(job, error):
                     raise
             finally:
                 self.places.release(place, outcome)
+            if outcome == admission.OK:
+                self.notices.completed(mark)
             if job.exchange.finished or job.exchange.aborted:
                 return
 
@@ -123,7 +133,7 @@
                 organisation=job.organisation,
                 wait_s=left_s,
                 objective_s=objective_s,
-                fingerprint=_fingerprint(job),
+                fingerprint=int(_fingerprint(job)[:15], 16),
                 tokens=terms.prompt_tokens + terms.output_tokens,
                 prompt_tokens=terms.prompt_tokens,
                 blocks=terms.blocks,
@@ -216,6 +226,24 @@
             cause=error.message,
         )
 
+    async def _note_crash(
+        self,
+        mark: str,
+        job: Job,
+        place: placement.Place,
+        error: errors.EndpointError,
+    ) -> None:
+        """Tells all gateways of a request whose endpoint fell silent on it."""
+        if error.ran == errors.NOT_RUN or job.last_event is not None:
+            return
+        crash = crashes.Crash(
+            endpoint=place.endpoint.name,
+            request=f"{job.terms.id}/{job.tries}",
+            alone=place.alone,
+            strong=not job.exchange.started,
+        )
+        await self.notices.crashed(mark, crash, waits=False)
+
     # Relaying -------------------------------------------------------------
 
     async def _relay(self, job: Job, answer: http_client.Answer) -> None:
@@ -256,14 +284,12 @@
             await job.exchange.send(b"".join(ready))
 
 
-def _fingerprint(job: Job) -> int:
+def _fingerprint(job: Job) -> str:
     """Returns what a request and its resends have in common."""
     message = job.exchange.message
     name = job.organisation.name if job.organisation else ""
-    digest = xxhash.xxh3_64(name.encode())
-    digest.update(message.target)
-    digest.update(message.body)
-    return digest.intdigest() - (1 << 63)
+    content = message.target + b"\n" + message.body
+    return crashes.fingerprint("online", name, content)
 
 
 def outcome_of(error: errors.EndpointError) -> str:
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -4,11 +4,13 @@
 
 from ibisknot import batch_calls
 from ibisknot import batch_intake
+from ibisknot import deployment
 from ibisknot import forward
 from ibisknot import gateway
 from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import node
+from ibisknot import notices
 
 NOTICE_S = 3.2
 """The balancer asks once a second, and leaves a VM out after two misses."""
@@ -24,8 +26,22 @@
     """Runs the program until it is told to stop."""
     async with node.node(platform, program="ibisknot-gateway") as made:
         view = made.runner.view
+
+        def others() -> list[str]:
+            return [
+                member.address
+                for member in made.runner.others()
+                if member.kind == deployment.GATEWAY
+            ]
+
         forwarder = forward.Forwarder(
-            made.places, made.client, dialect, made.clock
+            made.places,
+            made.client,
+            dialect,
+            made.clock,
+            notices.Notices(
+                made.server, made.peers, made.clock, made.group, others
+            ),
         )
         intake = batch_intake.Intake(
             made.process,
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -24,6 +24,8 @@
 SETTINGS_PERIOD_S = 1.0
 IDLE_PERIOD_S = 1.0
 STORE_CONNECT_S = 0.5
+LEAVE_S = 0.4
+"""The process's entry ends by itself when the store does not answer."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,7 +114,8 @@
         group.start_soon(_serve_metrics, process)
         group.start_soon(clock.run)
         yield made
-        await runner.leave()
+        with anyio.move_on_after(LEAVE_S):
+            await runner.leave()
         group.cancel_scope.cancel()
     logs.event("stopped", program=program, vm=process.name)
     logs.flush()
--- a/src/ibisknot/notices.py
+++ b/src/ibisknot/notices.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 
 import anyio
+from anyio import abc
 
 from ibisknot import crashes
 from ibisknot import errors
 from ibisknot import logs
-from ibisknot import program
-from ibisknot import vmlist
+from ibisknot import peer
+from ibisknot import timer
 from ibisknot.gen.admission import ttypes
 
 SPREAD_TIMEOUT_S = 0.3
@@ -27,14 +28,28 @@
 
     def __init__(
         self,
-        daemon: program.Daemon,
-        live: Callable[[], list[vmlist.ListedVm]],
+        server: peer.Server,
+        peers: peer.Client,
+        clock: timer.Timer,
+        group: abc.TaskGroup,
+        others: Callable[[], list[str]],
     ) -> None:
-        self.daemon = daemon
-        self.live = live
+        """Starts to take notices.
+
+        Args:
+            server: Takes the notices of peers.
+            peers: Calls peers.
+            clock: The timer service.
+            group: Runs what is not waited for.
+            others: Returns the addresses of the other processes.
+        """
+        self.peers = peers
+        self.clock = clock
+        self.group = group
+        self.others = others
         self.register = crashes.Register()
         self.down: set[str] = set()
-        daemon.server.on("crash_notice", ttypes.CrashNotice, self.take)
+        server.on("crash_notice", ttypes.CrashNotice, self.take)
 
     async def take(self, notice: ttypes.CrashNotice) -> None:
         """Peer method: takes a notice."""
@@ -47,7 +62,7 @@
             alone=notice.alone,
             strong=notice.strong,
         )
-        now = self.daemon.clock.now()
+        now = self.clock.now()
         self.down.add(notice.endpoint)
         crashes.note(self.register, now, notice.fingerprint, crash)
 
@@ -55,8 +70,19 @@
         """Returns what is known about a fingerprint."""
         return crashes.verdict(self.register, mark)
 
-    async def crashed(self, mark: str, crash: crashes.Crash) -> str:
-        """Notes and spreads a crash; returns the new verdict."""
+    async def crashed(
+        self, mark: str, crash: crashes.Crash, *, waits: bool = True
+    ) -> str:
+        """Notes and spreads a crash.
+
+        Args:
+            mark: The request's fingerprint.
+            crash: What was seen.
+            waits: Whether to return only when the others were told.
+
+        Returns:
+            The new verdict.
+        """
         notice = ttypes.CrashNotice(
             fingerprint=mark,
             endpoint=crash.endpoint,
@@ -76,7 +102,10 @@
             strong=crash.strong,
             verdict=self.verdict(mark),
         )
-        await self._spread(notice)
+        if waits:
+            await self._spread(notice)
+        else:
+            self.group.start_soon(self._spread, notice)
         return self.verdict(mark)
 
     def completed(self, mark: str) -> None:
@@ -91,23 +120,17 @@
             cleared=True,
             strong=False,
         )
-        self.daemon.group.start_soon(self._spread, notice)
+        self.group.start_soon(self._spread, notice)
 
     async def _spread(self, notice: ttypes.CrashNotice) -> None:
-        loaded = self.daemon.loaded
         with anyio.move_on_after(SPREAD_TIMEOUT_S):
             async with anyio.create_task_group() as group:
-                for vm in self.live():
-                    for port in (loaded.entry_port, loaded.batch_port):
-                        address = f"{vm.address}:{port}"
-                        group.start_soon(self._send, address, notice)
+                for address in self.others():
+                    group.start_soon(self._send, address, notice)
 
     async def _send(self, address: str, notice: ttypes.CrashNotice) -> None:
-        own = self.daemon.loaded
-        if address == f"{own.vm.address}:{own.peer_port}":
-            return
         try:
-            await self.daemon.peers.call(address, "crash_notice", notice)
+            await self.peers.call(address, "crash_notice", notice)
         except errors.IbisknotError:
             # A VM that is down needs no notice; a new one starts without
             # suspects and learns of them at the next crash.
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -27,7 +27,10 @@
 SILENT_S = 3.5
 """A holder that reports nothing for this time has lost its places."""
 START_LEVEL = 0.5
-"""Part of an organisation's burst that a scheduler starts with."""
+"""Part of an organisation's burst that a scheduler starts with.
+
+A former leader may just have given the whole burst out.
+"""
 UNSERVED_RETRY_S = 1.0
 EXPIRED_LEFT_S = 3.0
 """Time that a caller has left, as a rule, whose wait was in vain."""
@@ -70,6 +73,7 @@
         shares: What is left of each organisation's rate.
         heard_s: Monotonic time of each holder's last report.
         refusals: The callers that were told to come back.
+        started_s: Monotonic time of this process's start.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         self.shares: dict[str, rates.Share] = {}
         self.heard_s: dict[str, float] = {}
         self.refusals = overload.Refusals()
+        self.started_s = clock.now()
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and the periodic work."""
@@ -221,7 +226,8 @@
             rates.refill(share, now, allowance)
             share.units = units
         else:
-            share = rates.Share(units=units, updated_s=now)
+            # What has accrued since this process's start is added below.
+            share = rates.Share(units=units, updated_s=self.started_s)
             share.level = int(rates.cap(units, allowance) * START_LEVEL)
             self.shares[ask.organisation] = share
         return rates.spend(share, now, allowance)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -14,6 +14,8 @@
 from ibisknot import forward
 from ibisknot import http_client
 from ibisknot import http_server
+from ibisknot import notices
+from ibisknot import peer
 from ibisknot import placement
 from ibisknot import requests
 from ibisknot import serving
@@ -139,6 +141,9 @@
         http_client.Client(),
         programs.DIALECT,
         clock,
+        notices.Notices(
+            peer.Server(), peer.Client(group), clock, group, lambda: []
+        ),
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -118,6 +118,18 @@
     )
 
 
+def test_request_that_fails_wherever_it_runs_is_refused() -> None:
+    """Guards against a resent request that crashes one engine after another."""
+    endpoints = [scripted.Scripted(f"e{n}", [_close]) for n in range(6)]
+
+    async def check(address: str, _places: scripted.Places) -> None:
+        statuses = [(await scripted.call(address))[0] for _ in range(4)]
+        assert statuses == [502, 502, 502, 503]
+        assert sum(len(e.received) for e in endpoints) == 3
+
+    _run(endpoints, scripted.route(resumable=False), check)
+
+
 def test_late_answer_to_an_earlier_request_is_passed_over() -> None:
     """Guards against relaying an answer that belongs to another request."""
     stale = (
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -128,6 +128,19 @@
     anyio.run(main)
 
 
+def test_burst_is_whole_once_the_scheduler_has_run_for_a_while() -> None:
+    """Guards against half a burst for an organisation's first requests."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(endpoints=50))
+        clock.time_s += 30.0
+        asks = [_ask(n, rate_per_s=10.0, burst=10.0) for n in range(20)]
+        states = [(await made.on_ask(ask)).state for ask in asks]
+        assert states.count(State.GRANTED) == 10
+
+    anyio.run(main)
+
+
 def test_part_of_a_gateway_that_is_cut_off_is_not_given_out_twice() -> None:
     """Guards against a rate that is used here and at a cut gateway too."""
 
