Bound the bodies that a gateway holds and the results in one value

Cause: bodies of up to 4 MB were held without a common bound under a memory limit of 300 MB; results that end together could exceed the store's largest value and would then never be written.

Change: bodies together may fill a fifth of the memory, more are refused as not run; results are appended in groups that fit. Tests for both.

--- a/src/ibisknot/batch_records.py
+++ b/src/ibisknot/batch_records.py
@@ -214,6 +214,25 @@
     )
 
 
+def leading(
+    done: list[tuple[int, Result, int]], limit_bytes: int
+) -> list[tuple[int, Result, int]]:
+    """Returns the leading results that fit one value, at least one.
+
+    >>> results = [(n, Result("i", DONE, "x" * 40), 1) for n in range(3)]
+    >>> len(leading(results, 100)), len(leading(results, 10))
+    (2, 1)
+    """
+    size = 0
+    taken: list[tuple[int, Result, int]] = []
+    for entry in done:
+        size += len(entry[1].output)
+        if taken and size > limit_bytes:
+            break
+        taken.append(entry)
+    return taken
+
+
 def append(
     progress: Progress, done: list[tuple[int, Result, int]]
 ) -> tuple[Progress, list[Result]]:
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -439,7 +439,8 @@
 
     async def _append(self, running: Running) -> None:
         """Writes the results that wait, once."""
-        taken = list(running.done)
+        limit_bytes = int(self.process.value_bytes * batch_intake.PART_SHARE)
+        taken = batch_records.leading(running.done, limit_bytes)
         before = running.progress
         after, results = batch_records.append(before, taken)
         if results:
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -16,6 +16,8 @@
 """The balancer asks once a second, and leaves a VM out after two misses."""
 EXIT_MARGIN_S = 0.7
 POLL_S = 0.05
+BODY_SHARE = 5
+"""Bodies that are held may fill this part of the memory."""
 
 
 async def run(
@@ -55,7 +57,11 @@
         handler = gateway.Gateway(
             view, forwarder, dialect, made.clock, batch=calls.handle
         )
-        server = http_server.Server(handler.handle, clock=made.clock.now)
+        server = http_server.Server(
+            handler.handle,
+            buffer_bytes=made.process.memory_bytes // BODY_SHARE,
+            clock=made.clock.now,
+        )
 
         def apply_limits() -> None:
             assert view.configuration is not None
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -113,6 +113,8 @@
         limits: Limits in force; new requests take the current ones.
         closing: Whether answers tell callers to close.
         active: Number of requests that are being answered.
+        buffered: Bytes of the bodies that are held now.
+        buffer_bytes: Bodies beyond this are refused.
         connections: Number of open connections.
     """
 
@@ -121,6 +123,7 @@
         handler: Handler,
         *,
         limits: Limits | None = None,
+        buffer_bytes: int = 64 * 1024 * 1024,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.handler = handler
@@ -128,6 +131,8 @@
         self.clock = clock
         self.closing = False
         self.active = 0
+        self.buffered = 0
+        self.buffer_bytes = buffer_bytes
         self.connections = 0
 
     async def serve(self, address: str) -> None:
@@ -142,15 +147,17 @@
     async def serve_connection(self, stream: abc.SocketStream) -> None:
         """Answers the requests of one connection."""
         self.connections += 1
+        connection = _Connection(self, stream)
         try:
             http11.prepare(stream)
-            await _Connection(self, stream).run()
+            await connection.run()
         except http11.BROKEN:
             pass
         except Exception as error:
             logs.event("connection_failed", level="error", error=repr(error))
         finally:
             self.connections -= 1
+            connection.release()
             await http11.abort(stream)
 
 
@@ -159,6 +166,7 @@
 
     Attributes:
         early: Bytes that arrived while a request was being answered.
+        held: Bytes of the present request's body.
     """
 
     def __init__(self, server: Server, stream: abc.SocketStream) -> None:
@@ -169,6 +177,7 @@
             max_incomplete_event_size=server.limits.header_bytes,
         )
         self.early = bytearray()
+        self.held = 0
 
     async def run(self) -> None:
         while True:
@@ -186,6 +195,7 @@
                 closing=lambda: self.server.closing,
             )
             await self._answer(exchange)
+            self.release()
             if exchange.aborted or not exchange.finished:
                 return
             if self.parser.our_state is not h11.DONE:
@@ -263,6 +273,7 @@
             event = self.parser.next_event()
             if isinstance(event, h11.Data):
                 body += event.data
+                self._hold(len(event.data))
                 if len(body) > limit_bytes:
                     raise errors.BodyTooLargeError("the body is too large")
             elif isinstance(event, h11.EndOfMessage):
@@ -274,6 +285,22 @@
             else:
                 raise errors.BadRequestError("the body is cut off")
 
+    def _hold(self, size: int) -> None:
+        """Counts bytes of a body until its request has been answered.
+
+        Raises:
+            UnavailableError: The process holds too many bodies.
+        """
+        self.held += size
+        self.server.buffered += size
+        if self.server.buffered > self.server.buffer_bytes:
+            raise errors.UnavailableError("too many bodies are held")
+
+    def release(self) -> None:
+        """Ends the count of the bytes that this connection holds."""
+        self.server.buffered -= self.held
+        self.held = 0
+
     async def _continue(self) -> None:
         event = h11.InformationalResponse(status_code=100, headers=[])
         await self.stream.send(self.parser.send(event) or b"")
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,112 @@
+"""The server's bounds, and what it does with callers that leave."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+import pytest
+
+from ibisknot import http_client
+from ibisknot import http_server
+
+Check = Callable[[str, http_server.Server], Awaitable[None]]
+
+
+def _run(server: http_server.Server, check: Check) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            group.start_soon(listener.serve, server.serve_connection)
+            await check(f"127.0.0.1:{port}", server)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def _echo(exchange: http_server.Exchange) -> None:
+    await exchange.respond(200, [], exchange.message.body)
+
+
+async def _send(address: str, data: bytes) -> bytes:
+    """Sends bytes and returns what comes until the connection ends."""
+    host, _, port = address.rpartition(":")
+    received = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(data)
+        with anyio.move_on_after(1.0):
+            while True:
+                try:
+                    received += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    break
+    return received
+
+
+def test_bodies_beyond_the_memory_for_them_are_refused() -> None:
+    """Guards against large bodies that end the process for its memory."""
+    server = http_server.Server(_echo, buffer_bytes=1000)
+
+    async def check(address: str, _server: http_server.Server) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+        answer = await _send(address, head + b"x" * 2000)
+        assert answer.startswith(b"HTTP/1.1 503")
+        for _ in range(3):
+            small = http_client.Call(
+                address, b"POST", b"/", [(b"Host", b"h")], b"y" * 900
+            )
+            status, body = await http_client.Client().fetch(small)
+            assert (status, len(body)) == (200, 900)
+        assert server.buffered == 0
+
+    _run(server, check)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 20000, b"431"),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n"
+            + b"x" * 100_000,
+            b"413",
+        ),
+    ],
+)
+def test_bad_input_gets_a_clear_error(data: bytes, status: bytes) -> None:
+    """Guards against a connection that ends without an answer."""
+    limits = http_server.Limits(body_bytes=50_000)
+    server = http_server.Server(_echo, limits=limits)
+
+    async def check(address: str, _server: http_server.Server) -> None:
+        answer = await _send(address, data)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+
+    _run(server, check)
+
+
+def test_handler_is_cancelled_when_its_caller_leaves() -> None:
+    """Guards against work for callers that have gone."""
+    cancelled: list[bool] = []
+
+    async def wait(_exchange: http_server.Exchange) -> None:
+        try:
+            await anyio.sleep(5.0)
+        except BaseException:
+            cancelled.append(True)
+            raise
+
+    async def check(address: str, server: http_server.Server) -> None:
+        host, _, port = address.rpartition(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await anyio.sleep(0.1)
+        assert server.active == 1
+        await stream.aclose()
+        with anyio.fail_after(0.5):
+            while server.active:
+                await anyio.sleep(0.01)
+        assert cancelled == [True]
+
+    _run(http_server.Server(wait), check)
