Keep queued requests instead of refusing them late

Failed batch items opened the circuit of sound endpoints.

Change: the queue takes only what is expected to begin well inside the objective, and keeps it for up to 1.5 s. An item's failure says nothing of its endpoint.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -24,7 +24,6 @@
 """Silence of an endpoint after which an item goes on elsewhere."""
 FAILED_PAUSE_S = 0.1
 ROUTE_PAUSE_S = 0.3
-LONGEST_PAUSE_S = 1.0
 INITIAL_EVENT_S = 0.022
 INITIAL_EVENT_TOKENS = 6.0
 PACE_WEIGHT = 0.1
@@ -201,12 +200,14 @@
         except* errors.EndpointError as raised:
             error = raised.exceptions[0]
             assert isinstance(error, errors.EndpointError)
-            outcome = forward.outcome_of(error)
+            # An item that can never be done fails at sound endpoints.
+            if not isinstance(error, errors.ItemFailedError):
+                outcome = forward.outcome_of(error)
             self._note_failure(work, place, error)
         finally:
             self.places.release(place, outcome)
-        if result is None and outcome != admission.CANCELLED:
-            pause_s = min(LONGEST_PAUSE_S, FAILED_PAUSE_S * work.tries)
+        if result is None and not place.revoked.is_set():
+            pause_s = FAILED_PAUSE_S * (1 + work.failures)
             await anyio.sleep(pause_s)
         return result
 
@@ -223,8 +224,7 @@
                 return self._given_up(work, f"{name} says it cannot be done")
             if answer.status != 200:
                 work.failures += 1
-                message = f"{name} gave {answer.status}"
-                raise errors.EndpointError(message, ran=errors.RAN)
+                raise errors.ItemFailedError(f"{name} gave {answer.status}")
             started_s = self.clock()
             is_first = not work.data
             await self._collect(work, answer)
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -219,6 +219,13 @@
     ran = NOT_RUN
 
 
+class ItemFailedError(EndpointError):
+    """An endpoint answered that a batch item failed."""
+
+    code = "item_failed"
+    ran = RAN
+
+
 class TruncatedStreamError(EndpointError):
     """The endpoint's stream ended before the answer was whole."""
 
--- a/src/ibisknot/overload.py
+++ b/src/ibisknot/overload.py
@@ -18,8 +18,10 @@
 """Part of the time left up to which callers honour a time to come back."""
 EARLIEST_SHARE = 0.65
 """Callers of a wave come back in the last part of that time."""
-RETURNED_WAIT_S = 1.5
-"""A caller that has come back once waits for so long, and is not refused."""
+QUEUED_WAIT_S = 1.5
+"""A request that was queued waits for so long before it is refused."""
+SPREAD = 1.25
+"""Waits differ from their mean; few should exceed the objective."""
 REMEMBERED_S = 6.0
 MAXIMUM_REMEMBERED = 5000
 
@@ -96,7 +98,7 @@
     True
     """
     wait_s = expected_wait_s(holding, ahead=ahead, slots=slots)
-    return wait_s + START_S > objective_left_s
+    return wait_s * SPREAD + START_S > objective_left_s
 
 
 def retry_after_s(
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -187,7 +187,7 @@
             kind=ask.kind,
             organisation=ask.organisation,
             arrived_s=now - ask.waited_s if first_s is None else first_s,
-            expires_s=now + self._patience_s(ask, first_s),
+            expires_s=now + self._patience_s(ask),
             tokens=ask.tokens,
             words=ask.prompt_tokens,
             blocks=tuple(ask.blocks),
@@ -208,13 +208,15 @@
             return _answer(ask, State.QUEUED)
         return self._overloaded(pool, ask, now)
 
-    def _patience_s(self, ask: ttypes.PlaceAsk, first_s: float | None) -> float:
-        """Returns how long a request waits for a place."""
+    def _patience_s(self, ask: ttypes.PlaceAsk) -> float:
+        """Returns how long a request waits for a place.
+
+        One that was queued is not refused soon after: its caller has lost the
+        time in which coming back would have helped.
+        """
         if ask.kind != admission.ONLINE:
             return ask.wait_s
-        if first_s is None:
-            return min(ask.wait_s, ask.objective_s)
-        return min(ask.wait_s, overload.RETURNED_WAIT_S)
+        return min(ask.wait_s, overload.QUEUED_WAIT_S)
 
     def _within_rate(self, ask: ttypes.PlaceAsk, now: float) -> bool:
         if ask.rate_per_s <= 0.0:
