Reach the store through a peer where it turns a VM away

A worker that the store turned away could not write the results that it had for 7 s, lost its lease, and its items ran again elsewhere. A scheduler that had just started took unheard gateways for cut ones and gave out a ninth of each rate; one that had been cut off believed busy endpoints to be empty for 10 s.

Ruled out: the store itself, since other workers listed results in the same seconds; organisations over their rate, seen at 9 s to 15 s alone.

Change: calls that the store does not take are made by a worker that reaches it; silence counts from the scheduler's start; places of silent holders are taken back, not ended. Processes call the store from their own address, so that the test of a turned-away gateway can fail.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -123,3 +123,12 @@
 
 /** A batch job changed; its worker should look at once. */
 struct JobChanged { 1: required string job }
+
+/** A call of the key-value service, made for a process that it turns away. */
+struct StoreCall {
+  1: required string method,
+  /** The arguments, encoded by the caller. */
+  2: required binary arguments,
+}
+
+struct StoreAnswer { 1: required binary result }
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -1730,6 +1730,162 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class StoreCall(object):
+    """
+    A call of the key-value service, made for a process that it turns away.
+
+    Attributes:
+     - method
+     - arguments: The arguments, encoded by the caller.
+
+    """
+
+    __slots__ = (
+        'method',
+        'arguments',
+    )
+
+
+    def __init__(self, method=None, arguments=None,):
+        self.method = method
+        self.arguments = arguments
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.arguments = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreCall')
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 1)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.arguments is not None:
+            oprot.writeFieldBegin('arguments', TType.STRING, 2)
+            oprot.writeBinary(self.arguments)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.arguments is None:
+            raise TProtocolException(message='Required field arguments is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreAnswer(object):
+    """
+    Attributes:
+     - result
+
+    """
+
+    __slots__ = (
+        'result',
+    )
+
+
+    def __init__(self, result=None,):
+        self.result = result
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.result = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreAnswer')
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.STRING, 1)
+            oprot.writeBinary(self.result)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.result is None:
+            raise TProtocolException(message='Required field result is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ListedEntry)
 ListedEntry.thrift_spec = (
     None,  # 0
@@ -1847,5 +2003,16 @@
     None,  # 0
     (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
 )
+all_structs.append(StoreCall)
+StoreCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'method', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'arguments', 'BINARY', None, ),  # 2
+)
+all_structs.append(StoreAnswer)
+StoreAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'result', 'BINARY', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -121,16 +121,25 @@
     return not poll.poll(0)
 
 
-async def dial(address: str, timeout_s: float) -> abc.SocketStream:
+async def dial(
+    address: str, timeout_s: float, *, local_host: str | None = None
+) -> abc.SocketStream:
     """Opens a connection to `host:port`.
 
+    Args:
+        address: The address to connect to.
+        timeout_s: Seconds to wait for it.
+        local_host: The address to connect from, or None for any.
+
     Raises:
         EndpointError: It could not be opened; nothing was sent.
     """
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(
+                host, int(port), local_host=local_host
+            )
     except (OSError, TimeoutError, ValueError) as error:
         message = f"{address} is not reachable: {error!r}"
         raise errors.EndpointError(message, ran=errors.NOT_RUN) from None
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -189,7 +189,9 @@
         *,
         clock: Callable[[], float] = time.monotonic,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        local_host: str | None = None,
     ) -> None:
+        self.local_host = local_host
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
         self.idle: dict[str, list[Idle]] = {}
@@ -248,7 +250,9 @@
             await http11.abort(entry.stream)
         self.opened += 1
         call.progress.opened = True
-        return await http11.dial(call.address, self.connect_timeout_s)
+        return await http11.dial(
+            call.address, self.connect_timeout_s, local_host=self.local_host
+        )
 
     def _keep(
         self, address: str, stream: abc.SocketStream, answer: Answer
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -12,12 +12,14 @@
 
 from ibisknot import deployment
 from ibisknot import errors
+from ibisknot import fleetview
 from ibisknot import http_client
 from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
 from ibisknot import placement
+from ibisknot import store_relay
 from ibisknot import timer
 from ibisknot import view_runner
 
@@ -78,13 +80,18 @@
     )
     clock = timer.Timer()
     client = http_client.Client()
-    store_client = http_client.Client(connect_timeout_s=STORE_CONNECT_S)
+    store_client = http_client.Client(
+        connect_timeout_s=STORE_CONNECT_S, local_host=process.ip
+    )
     async with anyio.create_task_group() as group:
         peers = peer.Client(group)
         server = peer.Server()
-        store = platform.store(process.store, store_client)
+        direct = platform.store(process.store, store_client)
+        view = fleetview.View()
+        store = store_relay.Store(direct, view, peers, process.name, clock.now)
+        store.start(server)
         runner = view_runner.Runner(
-            process, store, platform.layout, peers, clock, group
+            process, store, direct, view, platform.layout, peers, clock, group
         )
         places = placement.Client(process, runner.view, peers, clock, group)
         made = Node(
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -245,8 +245,9 @@
             for m in self.view.members.values()
             if m.kind == deployment.GATEWAY
         }
+        # A scheduler that has just started has not been told of anyone yet.
         heard = sum(
-            now - self.heard_s.get(address, -1e9) <= HEARD_S
+            now - self.heard_s.get(address, self.started_s) <= HEARD_S
             for address in gateways
         )
         if not heard:
@@ -288,6 +289,7 @@
             slots=_slots(pool.state),
             hold_s=round(pool.holding.mean_s, 3),
             retry_after_s=answer.retry_after_s,
+            units=self._units(self.clock.now()),
             view_age_s=round(self.clock.now() - self.view.endpoints_read_s, 3),
         )
 
@@ -350,8 +352,9 @@
             del self.heard_s[holder]
             logs.event("holder_lost", holder=holder, silent_s=now - heard_s)
             for pool in self.pools.values():
-                actions = admission.take_back(pool.state, now, holder)
-                self._do(pool, actions)
+                # Its tickets are not ended: if this process was cut off, the
+                # holder reports them again.
+                self._do(pool, admission.reconcile(pool.state, now, holder, []))
         for pool in self.pools.values():
             self._do(pool, admission.tick(pool.state, now))
 
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -92,6 +92,9 @@
 
     Attributes:
         view: What is believed.
+        store: The key-value service, through a peer if need be.
+        direct: The same without peers: what is read there and told on must
+            not come from a peer.
         changed: Called after the endpoints or members changed.
         configured: Called after a new configuration was adopted.
         operator_changed: Called with other keys that the operator wrote.
@@ -102,6 +105,8 @@
         self,
         process: deployment.Process,
         store: KeyValue,
+        direct: KeyValue,
+        view: fleetview.View,
         layout: Layout,
         peers: peer.Client,
         clock: timer.Timer,
@@ -109,11 +114,12 @@
     ) -> None:
         self.process = process
         self.store = store
+        self.direct = direct
         self.layout = layout
         self.peers = peers
         self.clock = clock
         self.group = group
-        self.view = fleetview.View()
+        self.view = view
         self.me = fleetview.Member(
             name=process.name,
             kind=process.kind,
@@ -168,7 +174,9 @@
             return
         started_s = self.clock.now()
         try:
-            listing = await self.store.list_prefix(self.layout.endpoints_prefix)
+            listing = await self.direct.list_prefix(
+                self.layout.endpoints_prefix
+            )
         except errors.KeyValueError as error:
             self._answered(False, error.message)
             self.failures += 1
@@ -269,7 +277,7 @@
                 if not after:
                     after = await self._read_operator()
                     self._answered(True)
-                news = await self.store.changes(
+                news = await self.direct.changes(
                     self.layout.operator_prefix, after, WATCH_S
                 )
                 after = news.revision
@@ -282,7 +290,7 @@
                 await anyio.sleep(self.choice.uniform(0.2, FAILED_PAUSE_S))
 
     async def _read_operator(self) -> int:
-        listing = await self.store.list_prefix(self.layout.operator_prefix)
+        listing = await self.direct.list_prefix(self.layout.operator_prefix)
         for pair in listing.pairs:
             self._take_change(pairs.Change(pair.key, pair.value, pair.revision))
         return listing.revision
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -24,6 +24,21 @@
     )
 
 
+def _owner(fleet: platform_fleet.Fleet) -> str:
+    """Waits until a worker runs the fleet's only job; returns its name."""
+    names = ("store-0", "store-1")
+    started: list[str] = []
+
+    def is_started() -> bool:
+        started[:] = [
+            n for n in names if fleet.programs[n].events("job_started")
+        ]
+        return bool(started)
+
+    platform_fleet.wait_for(is_started)
+    return started[0]
+
+
 def test_online_request_reaches_one_engine_unchanged(
     fleet: platform_fleet.Fleet,
 ) -> None:
@@ -141,12 +156,8 @@
 ) -> None:
     """Guards against items that run again because their worker stopped."""
     assert fleet.submit("j-3", 8, events=90).status_code == 202
-    time.sleep(0.6)
-    owner = next(
-        name
-        for name in ("store-0", "store-1")
-        if fleet.programs[name].events("job_started")
-    )
+    owner = _owner(fleet)
+    time.sleep(0.5)
     assert fleet.programs[owner].stop(signal.SIGTERM) == 0
     platform_fleet.wait_for(lambda: len(fleet.results("j-3")) == 8)
     ids = [r["id"] for n in (0, 1) for r in fleet.runs(n)]
@@ -197,6 +208,22 @@
         assert len({r["Id"] for r in fleet.results(job)}) == 3
 
 
+def test_worker_that_the_store_turns_away_keeps_its_jobs(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against results that wait for the store, and items run again."""
+    assert fleet.submit("j-8", 8, events=120).status_code == 202
+    owner = int(_owner(fleet).removeprefix("store-"))
+    fleet.faults(refuse=[fleet.ip(40 + owner)])
+    platform_fleet.wait_for(
+        lambda: len(fleet.results("j-8")) == 8, timeout_s=6.0
+    )
+    time.sleep(6.0)
+    ids = [r["id"] for n in (0, 1) for r in fleet.runs(n)]
+    assert sum(i.startswith("j-8-") for i in ids) == 8
+    assert fleet.programs[f"store-{owner}"].events("store_relayed")
+
+
 def test_retired_worker_reports_when_it_is_empty(
     fleet: platform_fleet.Fleet,
 ) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -156,6 +156,52 @@
     anyio.run(main)
 
 
+def test_places_come_back_after_this_process_was_cut_off() -> None:
+    """Guards against a leader that believes busy endpoints to be empty."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(endpoints=1))
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=[]))
+        for number in range(2):
+            await made.on_ask(_ask(number))
+        clock.time_s += scheduler.SILENT_S + 0.1
+        await made.tick(clock.now())
+        places = [
+            ttypes.Place(
+                id=f"r{number}",
+                group="s",
+                endpoint="e0",
+                kind="online",
+                organisation="o",
+                tokens=1,
+                suspect=False,
+                due_s=math.inf,
+                needs_s=0.0,
+            )
+            for number in range(2)
+        ]
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=places))
+        answer = await made.on_ask(_ask(5, holder="g1:1"))
+        assert answer.state == State.QUEUED
+
+    anyio.run(main)
+
+
+def test_new_scheduler_gives_out_the_whole_rate_at_once() -> None:
+    """Guards against refusals after a restart, before all have reported."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(gateways=4))
+        clock.time_s += 0.5
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=[]))
+        assert made._units(clock.now()) == rates.ORGANISATION_UNITS
+        clock.time_s += scheduler.HEARD_S
+        await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=[]))
+        assert made._units(clock.now()) == rates.ORGANISATION_UNITS // 4
+
+    anyio.run(main)
+
+
 def test_places_of_a_lost_holder_come_back() -> None:
     """Guards against slots that a killed gateway holds for ever."""
 
