Check settings from the command line, and test the adapter's decoding

Cause: the programs on the platform had no command line, and bad input of the adapter was tested only through the whole path.

Measured: tests only; the start without arguments loads the same modules.

--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -1,6 +1,7 @@
 """Starts the product's programs on the users' platform."""
 
 from collections.abc import Callable
+import importlib
 import sys
 
 import anyio
@@ -76,8 +77,10 @@
 
 
 def _run(program: Callable[[], None]) -> None:
-    logs.start_bounded()
     try:
+        if sys.argv[1:]:
+            importlib.import_module("ibisknot.platform.commands").run()
+        logs.start_bounded()
         program()
     except errors.SettingsError as error:
         print(error.message, file=sys.stderr)
--- /dev/null
+++ b/tests/test_fleetview.py
@@ -0,0 +1,114 @@
+"""Beliefs about the fleet: the newer wins, and nothing goes back."""
+
+import fake_fleet
+import pytest
+
+from ibisknot import deployment
+from ibisknot import fleetview
+from ibisknot import http_server
+from ibisknot import pairs
+from ibisknot import serving
+
+
+def _configuration(version: int) -> serving.Configuration:
+    return serving.Configuration(
+        version=version,
+        routes=[],
+        services=frozenset(),
+        organisations={},
+        keys={},
+        has_keys=True,
+        limits=http_server.Limits(),
+    )
+
+
+def _listing(*names: str) -> list[pairs.Pair]:
+    return [pairs.Pair(name, name.encode(), 1) for name in names]
+
+
+def _adopt(
+    view: fleetview.View, now: float, revision: int, *names: str
+) -> bool:
+    return fleetview.adopt_endpoints(
+        view,
+        now,
+        revision=revision,
+        age_s=0.0,
+        entries=_listing(*names),
+        decode=lambda pair: fake_fleet.endpoint(pair.key),
+    )
+
+
+def test_configuration_never_goes_back() -> None:
+    """Guards against an older version that comes late from a peer."""
+    view = fleetview.View()
+    assert fleetview.adopt_configuration(view, 10, b"x", _configuration(5))
+    assert not fleetview.adopt_configuration(view, 9, b"y", _configuration(6))
+    assert not fleetview.adopt_configuration(view, 11, b"z", _configuration(4))
+    assert fleetview.adopt_configuration(view, 12, b"w", _configuration(7))
+    assert view.configuration is not None
+    assert (view.configuration.version, view.stated) == (7, b"w")
+
+
+def test_entry_that_is_gone_is_dropped_at_once() -> None:
+    """Guards against work for an endpoint that has left."""
+    view = fleetview.View()
+    _adopt(view, 1.0, 10, "a", "b")
+    _adopt(view, 1.4, 11, "b")
+    assert sorted(view.endpoints) == ["b"]
+
+
+def test_entries_that_lapsed_in_an_outage_stay_for_their_return() -> None:
+    """Guards against losing all endpoints with the store's return."""
+    view = fleetview.View()
+    _adopt(view, 1.0, 10, "a", "b")
+    back_s = 1.0 + fleetview.OUTAGE_S + 1.0
+    _adopt(view, back_s, 20, "b")
+    assert sorted(view.endpoints) == ["a", "b"]
+    _adopt(view, back_s + fleetview.OUTAGE_S / 2, 21, "b")
+    assert sorted(view.endpoints) == ["a", "b"]
+    _adopt(view, back_s + fleetview.RETURN_S + 0.1, 22, "b")
+    assert sorted(view.endpoints) == ["b"]
+
+
+def test_older_listing_is_left_aside() -> None:
+    """Guards against a slow peer's listing that revives an endpoint."""
+    view = fleetview.View()
+    _adopt(view, 1.0, 10, "a")
+    _adopt(view, 1.1, 9, "a", "b")
+    assert sorted(view.endpoints) == ["a"]
+
+
+def test_digest_confirms_only_what_is_known() -> None:
+    """Guards against fresh news of entries that a process does not have."""
+    view, other = fleetview.View(), fleetview.View()
+    _adopt(view, 1.0, 10, "a")
+    _adopt(other, 1.0, 11, "a", "b")
+    digest = fleetview.endpoints_digest(other)
+    assert not fleetview.confirm_endpoints(
+        view, 2.0, revision=11, age_s=0.0, digest=digest
+    )
+    assert view.endpoints_read_s == 1.0
+    own = fleetview.endpoints_digest(view)
+    assert fleetview.confirm_endpoints(
+        view, 2.0, revision=12, age_s=0.5, digest=own
+    )
+    assert (view.endpoints_read_s, view.endpoints_revision) == (1.5, 12)
+
+
+@pytest.mark.parametrize(("me", "later"), [("w1", "g0"), ("w0", "w1")])
+def test_processes_read_the_store_one_after_the_other(
+    me: str, later: str
+) -> None:
+    """Guards against every process reading the entries by itself."""
+    view = fake_fleet.view()
+    view.endpoints_read_s = 5.0
+    assert fleetview.poll_due_s(view, me) < fleetview.poll_due_s(view, later)
+
+
+def test_workers_lead_the_line() -> None:
+    """Guards against two orders of the same members."""
+    members = list(fake_fleet.view().members.values())
+    names = [m.name for m in fleetview.in_line(reversed(members))]
+    assert names == ["w0", "w1", "g0", "g1"]
+    assert members[0].kind == deployment.GATEWAY
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,78 @@
+"""The platform's settings file and the programs' command line."""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import platform_fleet
+import pytest
+
+from ibisknot import deployment
+from ibisknot import errors
+from ibisknot.platform import settings
+
+GATEWAY = pathlib.Path(sys.executable).parent / "ibisknot-gateway"
+
+
+def _text(**changed: str) -> str:
+    fields = {
+        "name": "front-1",
+        "kind": "front",
+        "ip": "10.0.0.1",
+        "zone": "z",
+        "seed": "10.0.0.2",
+        "peer_port": "7360",
+        "listen": 'Front = "10.0.0.1:80"',
+        "store": "10.9.9.9:1",
+    }
+    return platform_fleet.SETTINGS.format(**(fields | changed))
+
+
+def test_settings_are_decoded_into_the_product_words() -> None:
+    """Guards against a field that is read under a wrong meaning."""
+    process = settings.decode(_text())
+    assert process.kind == deployment.GATEWAY
+    assert process.peer_address == "10.0.0.1:7360"
+    assert process.seeds == ("10.0.0.2:7360",)
+    assert process.bounds.drain_s == 2.0
+    assert process.bounds.grace_s == 8.0
+    assert process.memory_bytes == 300 * 1024 * 1024
+
+
+def test_unknown_fields_are_ignored() -> None:
+    """Guards against a new field of the platform that stops the fleet."""
+    assert settings.decode("Fresh = [1]\n" + _text()).name == "front-1"
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("nonsense", "settings:"),
+        (_text(kind="side"), "MachineClass is 'side'"),
+        (_text().replace("Node =", "Nod ="), "Node"),
+        (_text(peer_port='"x"'), "PortRange"),
+    ],
+)
+def test_invalid_settings_name_what_is_wrong(text: str, says: str) -> None:
+    """Guards against a process that starts with settings it cannot read."""
+    with pytest.raises(errors.SettingsError, match=says):
+        settings.decode(text)
+
+
+@pytest.mark.parametrize(("kind", "status"), [("front", 0), ("side", 2)])
+def test_command_line_checks_the_settings(
+    tmp_path: pathlib.Path, kind: str, status: int
+) -> None:
+    """Guards against a check that starts the program, or always succeeds."""
+    path = tmp_path / "node.toml"
+    path.write_text(_text(kind=kind))
+    environment = dict(os.environ) | {"IBISKNOT_SETTINGS": str(path)}
+    done = subprocess.run(
+        [str(GATEWAY), "--check-settings"],
+        env=environment,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == status, done.stderr
