--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -50,6 +50,20 @@
     return ttypes.PlaceAsk(**(fields | changed))
 
 
+def _place(number: str) -> ttypes.Place:
+    return ttypes.Place(
+        id=number,
+        group="s",
+        endpoint="e0",
+        kind="online",
+        organisation="o",
+        tokens=1,
+        suspect=False,
+        due_s=math.inf,
+        needs_s=0.0,
+    )
+
+
 def test_no_more_places_than_slots_and_the_next_is_pushed() -> None:
     """Guards against requests that wait in an endpoint's own queue."""
 
@@ -92,17 +106,7 @@
     async def main() -> None:
         made, _, _, _ = _scheduler(fake_fleet.view(endpoints=1))
         for number in range(2):
-            place = ttypes.Place(
-                id=f"old{number}",
-                group="s",
-                endpoint="e0",
-                kind="online",
-                organisation="o",
-                tokens=1,
-                suspect=False,
-                due_s=math.inf,
-                needs_s=0.0,
-            )
+            place = _place(f"old{number}")
             await made.on_taken(ttypes.PlaceTaken(holder="g1:1", place=place))
         answer = await made.on_ask(_ask(1))
         assert answer.state == State.QUEUED
@@ -166,20 +170,7 @@
             await made.on_ask(_ask(number))
         clock.time_s += scheduler.SILENT_S + 0.1
         await made.tick(clock.now())
-        places = [
-            ttypes.Place(
-                id=f"r{number}",
-                group="s",
-                endpoint="e0",
-                kind="online",
-                organisation="o",
-                tokens=1,
-                suspect=False,
-                due_s=math.inf,
-                needs_s=0.0,
-            )
-            for number in range(2)
-        ]
+        places = [_place(f"r{number}") for number in range(2)]
         await made.on_held(ttypes.PlacesHeld(holder="g0:1", places=places))
         answer = await made.on_ask(_ask(5, holder="g1:1"))
         assert answer.state == State.QUEUED
