Begin the platform's tests when every process knows both engines

Its logs show that the gateway and the scheduler knew one engine only when the stream broke; the second attempt then goes to the same engine, as it should where there is no other. The fixture waited for the entry in the store, not for its readers.

Ruled out: the silence limit of one second; each attempt took 0.03 s.

Change: the fixture waits for endpoint_active in every process's log.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -187,6 +187,7 @@
             wait_for(lambda n=number: self.is_ready(n))
         for number in range(engines):
             wait_for(lambda n=number: self.is_listed(f"e-{n}"))
+            self.wait_for_endpoint(f"e-{number}")
         wait_for(lambda: self.chat().status_code == 200)
 
     def add_engine(self, number: int) -> Program:
@@ -263,6 +264,17 @@
         answer = self.admin(f"/kv-key?Key=servers/{engine}")
         return answer is not None and answer.status_code == 200
 
+    def wait_for_endpoint(self, engine: str) -> None:
+        """Waits until every gateway and worker knows an engine."""
+        for name, program in self.programs.items():
+            if name.startswith(("front-", "store-")):
+                wait_for(
+                    lambda p=program: any(
+                        e["endpoint"] == engine
+                        for e in p.events("endpoint_active")
+                    )
+                )
+
     def wait_for_version(self, version: int) -> None:
         """Waits until every gateway has adopted a version."""
         for name, program in self.programs.items():
