Move the bench and the stand-ins into folders of their own

The flat package held 168 files, of which 53 are the load and experiment tool or stand-ins, so a newcomer could not see which modules are the product.

--- a/benchmarks/large_upload.py
+++ b/benchmarks/large_upload.py
@@ -18,9 +18,9 @@
 import msgspec
 import psutil
 
-from ibisknot import _batch_parts
-from ibisknot import fleet as fleet_module
-from ibisknot import topology
+from ibisknot.bench import _batch_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import topology
 
 PIECE_ITEMS = 200
 SAMPLE_PERIOD_S = 0.1
--- a/benchmarks/token_cost.py
+++ b/benchmarks/token_cost.py
@@ -14,8 +14,8 @@
 import httpx
 import psutil
 
-from ibisknot import fleet as fleet_module
-from ibisknot import topology
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import topology
 
 SHORT_TOKENS = 10
 LONG_TOKENS = 210
--- /dev/null
+++ b/src/ibisknot/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: fleets, scenarios, checkers and reports."""
--- a/src/ibisknot/_batch_parts.py
+++ b/src/ibisknot/bench/_batch_parts.py
@@ -9,12 +9,12 @@
 import httpx
 import msgspec
 
-from ibisknot import fleet as fleet_module
 from ibisknot import jobs
 from ibisknot import keyvalue
-from ibisknot import scenario
 from ibisknot import settings
-from ibisknot import standin_engine
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
+from ibisknot.standins import standin_engine
 
 TIMEOUT_S = 30.0
 POLL_S = 0.25
--- a/src/ibisknot/_fleet_control.py
+++ b/src/ibisknot/bench/_fleet_control.py
@@ -7,11 +7,11 @@
 import httpx
 import msgspec
 
-from ibisknot import _fleet_parts
 from ibisknot import errors
 from ibisknot import keys
-from ibisknot import links
 from ibisknot import vmlist
+from ibisknot.bench import _fleet_parts
+from ibisknot.bench import links
 
 IN_FORCE_POLL_S = 0.02
 
--- a/src/ibisknot/_fleet_parts.py
+++ b/src/ibisknot/bench/_fleet_parts.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ibisknot import errors
-from ibisknot import topology as topology_module
+from ibisknot.bench import topology as topology_module
 
 MODEL = "small"
 OPEN_ROUTE = "notice"
--- a/src/ibisknot/_raw_client.py
+++ b/src/ibisknot/bench/_raw_client.py
@@ -10,7 +10,7 @@
 import anyio
 from anyio import abc
 
-from ibisknot import generator
+from ibisknot.bench import generator
 
 HEAD_END = b"\r\n\r\n"
 CHUNKED = b"transfer-encoding: chunked"
--- a/src/ibisknot/_scenario_parts.py
+++ b/src/ibisknot/bench/_scenario_parts.py
@@ -7,9 +7,9 @@
 import httpx
 import msgspec
 
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
 
 HIGH_RATE_PER_S = 10_000.0
 HEALTH_PERIOD_S = 0.2
--- a/src/ibisknot/checker_commit.py
+++ b/src/ibisknot/bench/checker_commit.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from ibisknot import checker
 from ibisknot import commit
+from ibisknot.bench import checker
 
 Decide = Callable[..., str]
 
--- a/src/ibisknot/checker_evidence.py
+++ b/src/ibisknot/bench/checker_evidence.py
@@ -12,10 +12,10 @@
 import math
 from typing import Any
 
-from ibisknot import checker
 from ibisknot import configuration
 from ibisknot import distribution
 from ibisknot import groups
+from ibisknot.bench import checker
 
 NEVER_S = -100
 LAST_S = 2
--- a/src/ibisknot/checker_orders.py
+++ b/src/ibisknot/bench/checker_orders.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterable
 import dataclasses
 
-from ibisknot import checker
 from ibisknot import lease as lease_module
 from ibisknot import orders
 from ibisknot import settings
+from ibisknot.bench import checker
 
 LIMITS = settings.Orders(lease_s=2.0, longest_pause_s=1.0, longest_order_s=1.0)
 MAXIMUM_EPOCH = 3
--- a/src/ibisknot/checker_rates.py
+++ b/src/ibisknot/bench/checker_rates.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from ibisknot import checker
 from ibisknot import rates
+from ibisknot.bench import checker
 
 ORGANISATION = "o"
 ALLOWANCE = rates.Allowance(rate=1.0, burst=4.0)
--- a/src/ibisknot/fleet.py
+++ b/src/ibisknot/bench/fleet.py
@@ -12,13 +12,13 @@
 import httpx
 import msgspec
 
-from ibisknot import _fleet_control
-from ibisknot import _fleet_parts
 from ibisknot import errors
 from ibisknot import keys
-from ibisknot import links
-from ibisknot import standin_engine
 from ibisknot import vmlist
+from ibisknot.bench import _fleet_control
+from ibisknot.bench import _fleet_parts
+from ibisknot.bench import links
+from ibisknot.standins import standin_engine
 
 MODEL = _fleet_parts.MODEL
 OPEN_ROUTE = _fleet_parts.OPEN_ROUTE
--- a/src/ibisknot/generator.py
+++ b/src/ibisknot/bench/generator.py
@@ -9,9 +9,9 @@
 import httpx
 import msgspec
 
-from ibisknot import _engine_text
-from ibisknot import fleet as fleet_module
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
+from ibisknot.standins import _engine_text
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
--- a/src/ibisknot/links.py
+++ b/src/ibisknot/bench/links.py
@@ -7,9 +7,9 @@
 import dataclasses
 from urllib import parse
 
-from ibisknot import _fleet_parts
-from ibisknot import standin_proxy
-from ibisknot import topology as topology_module
+from ibisknot.bench import _fleet_parts
+from ibisknot.bench import topology as topology_module
+from ibisknot.standins import standin_proxy
 
 PEER_PORTS = (7000, 7001, 7002)
 FIRST_PORT = 10_000
--- a/src/ibisknot/load.py
+++ b/src/ibisknot/bench/load.py
@@ -14,20 +14,20 @@
 from rich import table as rich_table
 
 import ibisknot
-from ibisknot import fleet as fleet_module
-from ibisknot import scenario
-from ibisknot import scenario_batch_deadline
-from ibisknot import scenario_config_storm
-from ibisknot import scenario_crash_request
-from ibisknot import scenario_fleet_cost
-from ibisknot import scenario_kv_outage
-from ibisknot import scenario_noisy_organisation
-from ibisknot import scenario_online_burst
-from ibisknot import scenario_rolling_restart
-from ibisknot import scenario_smoke
-from ibisknot import scenario_throughput
-from ibisknot import scenario_vm_loss
-from ibisknot import topology as topology_module
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
+from ibisknot.bench import scenario_batch_deadline
+from ibisknot.bench import scenario_config_storm
+from ibisknot.bench import scenario_crash_request
+from ibisknot.bench import scenario_fleet_cost
+from ibisknot.bench import scenario_kv_outage
+from ibisknot.bench import scenario_noisy_organisation
+from ibisknot.bench import scenario_online_burst
+from ibisknot.bench import scenario_rolling_restart
+from ibisknot.bench import scenario_smoke
+from ibisknot.bench import scenario_throughput
+from ibisknot.bench import scenario_vm_loss
+from ibisknot.bench import topology as topology_module
 
 SCENARIOS: dict[str, scenario.Scenario] = {
     "smoke": scenario_smoke.run,
@@ -229,7 +229,7 @@
 
 def _report(folder: pathlib.Path) -> None:
     # The plots' library is large, and only this command needs it.
-    from ibisknot import report
+    from ibisknot.bench import report
 
     path = report.write(folder)
     print(f"report: {path}")
--- a/src/ibisknot/reference.py
+++ b/src/ibisknot/bench/reference.py
@@ -8,8 +8,8 @@
 
 from ibisknot import buckets
 from ibisknot import configuration
-from ibisknot import generator
-from ibisknot import topology as topology_module
+from ibisknot.bench import generator
+from ibisknot.bench import topology as topology_module
 
 RATE_LIMITED = "rate_limited"
 
--- a/src/ibisknot/report.py
+++ b/src/ibisknot/bench/report.py
@@ -9,7 +9,7 @@
 from matplotlib import figure
 
 from ibisknot import errors
-from ibisknot import scenario
+from ibisknot.bench import scenario
 
 PAGE = "report.html"
 WIDTH_IN = 7.0
--- a/src/ibisknot/scenario.py
+++ b/src/ibisknot/bench/scenario.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ibisknot import topology as topology_module
+from ibisknot.bench import topology as topology_module
 
 
 class Point(msgspec.Struct, array_like=True):
--- a/src/ibisknot/scenario_batch_deadline.py
+++ b/src/ibisknot/bench/scenario_batch_deadline.py
@@ -6,11 +6,11 @@
 
 import anyio
 
-from ibisknot import _batch_parts
-from ibisknot import fleet as fleet_module
 from ibisknot import jobs
-from ibisknot import scenario
 from ibisknot import uploads
+from ibisknot.bench import _batch_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
 
 ENGINE_FLAGS = ["--slots", "8", "--step-s", "0.02"]
 """Slow engines, so that they and not the machine bound the throughput."""
--- a/src/ibisknot/scenario_config_storm.py
+++ b/src/ibisknot/bench/scenario_config_storm.py
@@ -15,8 +15,8 @@
 import httpx
 import msgspec
 
-from ibisknot import fleet as fleet_module
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
 
 IN_FORCE_LIMIT_S = 3.0
 HEAL_LIMIT_S = 8.0
--- a/src/ibisknot/scenario_crash_request.py
+++ b/src/ibisknot/bench/scenario_crash_request.py
@@ -6,11 +6,11 @@
 import httpx
 import msgspec
 
-from ibisknot import _scenario_parts
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
-from ibisknot import standin_engine
+from ibisknot.bench import _scenario_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
+from ibisknot.standins import standin_engine
 
 ONLINE_PER_S = 30.0
 ONLINE_TOKENS = 48
--- a/src/ibisknot/scenario_fleet_cost.py
+++ b/src/ibisknot/bench/scenario_fleet_cost.py
@@ -13,10 +13,10 @@
 import numpy
 import psutil
 
-from ibisknot import fleet as fleet_module
 from ibisknot import keys
 from ibisknot import logs
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
 
 VM_SIZES = (9, 18, 36, 72)
 ORGANISATION_SIZES = (8, 100, 1000, 6800)
--- a/src/ibisknot/scenario_kv_outage.py
+++ b/src/ibisknot/bench/scenario_kv_outage.py
@@ -9,10 +9,10 @@
 
 from ibisknot import configuration
 from ibisknot import errors
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import reference
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import reference
+from ibisknot.bench import scenario
 
 DOWN_S = 10.0
 SLOW_DELAY_S = 0.4
--- a/src/ibisknot/scenario_noisy_organisation.py
+++ b/src/ibisknot/bench/scenario_noisy_organisation.py
@@ -6,10 +6,10 @@
 from anyio import to_process
 
 from ibisknot import configuration
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import reference
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import reference
+from ibisknot.bench import scenario
 
 NOISY = "organisation-3"
 NOISE_FACTOR = 8.0
--- a/src/ibisknot/scenario_online_burst.py
+++ b/src/ibisknot/bench/scenario_online_burst.py
@@ -2,10 +2,10 @@
 
 import anyio
 
-from ibisknot import _scenario_parts
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
+from ibisknot.bench import _scenario_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
 
 STEADY_PER_S = 20.0
 BURST_PER_S = 60.0
--- a/src/ibisknot/scenario_rolling_restart.py
+++ b/src/ibisknot/bench/scenario_rolling_restart.py
@@ -4,9 +4,9 @@
 
 import anyio
 
-from ibisknot import _scenario_parts
-from ibisknot import fleet as fleet_module
-from ibisknot import scenario
+from ibisknot.bench import _scenario_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
 
 ONLINE_PER_S = 25.0
 ONLINE_TOKENS = 64
--- a/src/ibisknot/scenario_smoke.py
+++ b/src/ibisknot/bench/scenario_smoke.py
@@ -3,10 +3,10 @@
 import anyio
 import msgspec
 
-from ibisknot import _engine_text
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
+from ibisknot.standins import _engine_text
 
 BATCH_ITEMS = 40
 BATCH_TOKENS = 8
--- a/src/ibisknot/scenario_throughput.py
+++ b/src/ibisknot/bench/scenario_throughput.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from ibisknot import _fleet_parts
-from ibisknot import _raw_client
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
-from ibisknot import topology as topology_module
+from ibisknot.bench import _fleet_parts
+from ibisknot.bench import _raw_client
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
+from ibisknot.bench import topology as topology_module
 
 VMS = 3
 ENGINES = 4
--- a/src/ibisknot/scenario_vm_loss.py
+++ b/src/ibisknot/bench/scenario_vm_loss.py
@@ -2,13 +2,13 @@
 
 import anyio
 
-from ibisknot import _scenario_parts
 from ibisknot import admission_groups
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
-from ibisknot import scenario
-from ibisknot import scenario_vm_loss_batch
 from ibisknot import settings
+from ibisknot.bench import _scenario_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import scenario
+from ibisknot.bench import scenario_vm_loss_batch
 
 ONLINE_PER_S = 25.0
 ONLINE_TOKENS = 32
--- a/src/ibisknot/scenario_vm_loss_batch.py
+++ b/src/ibisknot/bench/scenario_vm_loss_batch.py
@@ -9,11 +9,11 @@
 
 import anyio
 
-from ibisknot import _batch_parts
-from ibisknot import fleet as fleet_module
 from ibisknot import jobs
 from ibisknot import ownership
-from ibisknot import scenario
+from ibisknot.bench import _batch_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import scenario
 
 ITEMS = 400
 TOKENS = 8
--- a/src/ibisknot/_engine_cache.py
+++ b/src/ibisknot/standins/_engine_cache.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from ibisknot import _engine_model
 from ibisknot import errors
+from ibisknot.standins import _engine_model
 
 EVENT_LIMIT = 20_000
 BLOCK_BYTES = 256
--- a/src/ibisknot/standin_engine.py
+++ b/src/ibisknot/standins/standin_engine.py
@@ -16,13 +16,13 @@
 from starlette import routing
 
 import ibisknot
-from ibisknot import _engine_cache
-from ibisknot import _engine_model
-from ibisknot import _engine_orders
-from ibisknot import _engine_text
 from ibisknot import errors
-from ibisknot import standin
 from ibisknot import web
+from ibisknot.standins import _engine_cache
+from ibisknot.standins import _engine_model
+from ibisknot.standins import _engine_orders
+from ibisknot.standins import _engine_text
+from ibisknot.standins import standin
 
 CRASH_MARK = "crash-this-engine"
 CRASH_STATUS = 70
--- a/src/ibisknot/standin_keyvalue.py
+++ b/src/ibisknot/standins/standin_keyvalue.py
@@ -17,8 +17,8 @@
 from starlette import routing
 
 import ibisknot
-from ibisknot import standin
 from ibisknot import web
+from ibisknot.standins import standin
 
 MAXIMUM_VALUE_BYTES = 1024 * 1024
 EXPIRY_PERIOD_S = 0.05
--- a/src/ibisknot/standin_plain.py
+++ b/src/ibisknot/standins/standin_plain.py
@@ -10,8 +10,8 @@
 from starlette import routing
 
 import ibisknot
-from ibisknot import standin
 from ibisknot import web
+from ibisknot.standins import standin
 
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 COUNT_HEADER = "idempotency-key"
--- a/src/ibisknot/standin_platform.py
+++ b/src/ibisknot/standins/standin_platform.py
@@ -11,9 +11,9 @@
 import cappa
 
 import ibisknot
-from ibisknot import standin
-from ibisknot import standin_keyvalue
-from ibisknot import standin_platform_store
+from ibisknot.standins import standin
+from ibisknot.standins import standin_keyvalue
+from ibisknot.standins import standin_platform_store
 
 
 @dataclasses.dataclass
--- a/src/ibisknot/standin_platform_engine.py
+++ b/src/ibisknot/standins/standin_platform_engine.py
@@ -18,8 +18,8 @@
 from starlette import routing
 
 import ibisknot
-from ibisknot import standin
 from ibisknot import web
+from ibisknot.standins import standin
 
 HEARTBEAT_S = 0.5
 ID = "X-Ibisknot-Request-Id"
--- a/src/ibisknot/standin_platform_store.py
+++ b/src/ibisknot/standins/standin_platform_store.py
@@ -9,9 +9,9 @@
 from starlette import responses
 from starlette import routing
 
-from ibisknot import standin
-from ibisknot import standin_keyvalue
 from ibisknot import web
+from ibisknot.standins import standin
+from ibisknot.standins import standin_keyvalue
 
 PAGE_ITEMS = 500
 LONGEST_WATCH_S = 30.0
--- a/src/ibisknot/standin_proxy.py
+++ b/src/ibisknot/standins/standin_proxy.py
@@ -16,8 +16,8 @@
 
 import ibisknot
 from ibisknot import errors
-from ibisknot import standin
 from ibisknot import web
+from ibisknot.standins import standin
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
--- a/src/ibisknot/standin_vms.py
+++ b/src/ibisknot/standins/standin_vms.py
@@ -11,9 +11,9 @@
 from starlette import routing
 
 import ibisknot
-from ibisknot import standin
 from ibisknot import vmlist
 from ibisknot import web
+from ibisknot.standins import standin
 
 
 class Service:
--- a/src/ibisknot/standin_weights.py
+++ b/src/ibisknot/standins/standin_weights.py
@@ -13,7 +13,7 @@
 import ibisknot
 from ibisknot import buckets
 from ibisknot import errors
-from ibisknot import standin
+from ibisknot.standins import standin
 
 CHUNK_BYTES = 256 * 1024
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,9 +15,9 @@
 import httpx
 import pytest
 
-from ibisknot import _fleet_parts
-from ibisknot import fleet as fleet_module
-from ibisknot import topology
+from ibisknot.bench import _fleet_parts
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import topology
 
 BIN = pathlib.Path(sys.executable).parent
 
--- a/tests/fake_keyvalue.py
+++ b/tests/fake_keyvalue.py
@@ -5,7 +5,7 @@
 from ibisknot import errors
 from ibisknot import keyvalue
 from ibisknot import settings
-from ibisknot import standin_keyvalue
+from ibisknot.standins import standin_keyvalue
 
 FAIL = "fail"
 LOSE = "lose"
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from ibisknot import checker
-from ibisknot import checker_commit
-from ibisknot import checker_evidence
-from ibisknot import checker_orders
-from ibisknot import checker_rates
 from ibisknot import commit
 from ibisknot import distribution
+from ibisknot.bench import checker
+from ibisknot.bench import checker_commit
+from ibisknot.bench import checker_evidence
+from ibisknot.bench import checker_orders
+from ibisknot.bench import checker_rates
 
 
 def explore_commit(**mutation: Any) -> checker.Outcome:
--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -11,7 +11,7 @@
 from ibisknot import configuration
 from ibisknot import errors
 from ibisknot import groups
-from ibisknot import standin_keyvalue
+from ibisknot.standins import standin_keyvalue
 
 TXN = "/v3/kv/txn"
 RANGE = "/v3/kv/range"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,11 +6,11 @@
 import conftest
 import httpx
 
-from ibisknot import fleet as fleet_module
-from ibisknot import links
-from ibisknot import standin_engine
-from ibisknot import topology
 from ibisknot import vmlist
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import links
+from ibisknot.bench import topology
+from ibisknot.standins import standin_engine
 
 Small = conftest.SmallFleet
 
--- a/tests/test_model_dispatch.py
+++ b/tests/test_model_dispatch.py
@@ -12,15 +12,15 @@
 import pytest
 
 from ibisknot import _attempt
-from ibisknot import _engine_text
 from ibisknot import errors
-from ibisknot import fleet as fleet_module
-from ibisknot import generator
 from ibisknot import keys
 from ibisknot import model_dispatch
-from ibisknot import standin_engine
 from ibisknot import tickets
-from ibisknot import topology
+from ibisknot.bench import fleet as fleet_module
+from ibisknot.bench import generator
+from ibisknot.bench import topology
+from ibisknot.standins import _engine_text
+from ibisknot.standins import standin_engine
 
 PAIR = topology.Topology(
     name="pair",
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,10 +5,10 @@
 import pytest
 
 from ibisknot import errors
-from ibisknot import generator
-from ibisknot import report
-from ibisknot import scenario
-from ibisknot import topology
+from ibisknot.bench import generator
+from ibisknot.bench import report
+from ibisknot.bench import scenario
+from ibisknot.bench import topology
 
 
 def saved(policy: str, latency_s: float) -> scenario.Saved:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,8 +1,8 @@
 """Choice of the endpoint with the least expected time to first token."""
 
 from ibisknot import _capacity
-from ibisknot import _engine_model
 from ibisknot import routing
+from ibisknot.standins import _engine_model
 
 
 def candidate(
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -6,8 +6,8 @@
 import httpx
 import pytest
 
-from ibisknot import _engine_cache
-from ibisknot import _engine_model
+from ibisknot.standins import _engine_cache
+from ibisknot.standins import _engine_model
 
 Start = Callable[..., conftest.StandIn]
 LONG = " ".join(f"w{number}" for number in range(64))
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -10,7 +10,9 @@
     path
     for folder in (
         "src/ibisknot",
+        "src/ibisknot/bench",
         "src/ibisknot/platform",
+        "src/ibisknot/standins",
         "tests",
         "examples",
         "benchmarks",
@@ -21,18 +23,20 @@
 
 def _imported_names(path: pathlib.Path) -> list[str]:
     """Returns names of this package that are imported without a module."""
-    modules = {p.stem for p in (ROOT / "src/ibisknot").iterdir()}
-    adapter = {p.stem for p in (ROOT / "src/ibisknot/platform").iterdir()}
+    modules = {
+        f"ibisknot{package}": {
+            p.stem
+            for p in (ROOT / "src/ibisknot" / package.lstrip(".")).iterdir()
+        }
+        for package in ("", ".bench", ".platform", ".standins")
+    }
     found: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
         if not isinstance(node, ast.ImportFrom) or node.module is None:
             continue
-        if node.module == "ibisknot":
+        if node.module in modules:
             names = {alias.name for alias in node.names}
-            found.extend(names - modules)
-        elif node.module == "ibisknot.platform":
-            names = {alias.name for alias in node.names}
-            found.extend(names - adapter)
+            found.extend(names - modules[node.module])
         elif node.module.startswith("ibisknot."):
             inside = node.module.startswith("ibisknot.gen.")
             names = {alias.name for alias in node.names}
@@ -52,3 +56,19 @@
     """Guards against modules that grow beyond one job."""
     lines = path.read_text(encoding="utf-8").count("\n")
     assert lines <= 500
+
+
+@pytest.mark.parametrize(
+    "path",
+    [path for path in SOURCES if path.parent.name in ("ibisknot", "platform")],
+    ids=lambda path: path.name,
+)
+def test_product_does_not_import_its_bench(path: pathlib.Path) -> None:
+    """Guards against programs that need the bench or stand-ins to run."""
+    modules = [
+        node.module or ""
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+        if isinstance(node, ast.ImportFrom)
+    ]
+    outside = ("ibisknot.bench", "ibisknot.standins")
+    assert not [name for name in modules if name.startswith(outside)]
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -8,7 +8,7 @@
 import conftest
 import httpx
 
-from ibisknot import scenario_smoke
+from ibisknot.bench import scenario_smoke
 
 Small = conftest.SmallFleet
 TRACE = "0af7651916cd43dd8448eb211c80319c"
