Let one scheduler revoke places, and drop adopted requests from its queue

Cause: after the leader returns, the scheduler that stood in for it keeps the requests that it had queued. It is told of all places that are taken, so it went on deciding: it revoked late batch places for requests in its queue that ran already or waited elsewhere, and the leader granted them again, every 9 ms for up to 10 s.

Ruled out: too few slots (all were held, but by items without progress), open circuits, lost pushes of grants (no push_failed line).

Change: adopting a place takes its request off the queue, and counts it where its holder uses it. A scheduler that nobody asked for 2 s revokes nothing.

--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -90,9 +90,13 @@
     group: _group.Group, now: float, number: str
 ) -> list[_group.Action]:
     """Takes a request out of the queue; a ticket stays until returned."""
+    _forget_waiting(group, number)
+    return _pump.pump(group, now)
+
+
+def _forget_waiting(group: _group.Group, number: str) -> None:
     if not group.online.remove(number):
         group.batch.remove(number)
-    return _pump.pump(group, now)
 
 
 def give_back(
@@ -121,12 +125,8 @@
             continue
         if now - held.granted_s >= TAKEN_BACK_AFTER_S:
             _group.remove(group, now, held)
-    for number, ticket in theirs.items():
-        if number in group.ended or _group.find(group, number) is not None:
-            continue
-        endpoint = _group.endpoint_of(group, ticket.endpoint)
-        if endpoint is not None:
-            _group.put(endpoint, now, ticket)
+    for ticket in theirs.values():
+        _take_in(group, now, ticket)
     return _pump.pump(group, now)
 
 
@@ -134,12 +134,22 @@
     group: _group.Group, now: float, ticket: _group.Held
 ) -> list[_group.Action]:
     """Adopts a ticket that another VM granted or its holder took itself."""
+    return _pump.pump(group, now) if _take_in(group, now, ticket) else []
+
+
+def _take_in(group: _group.Group, now: float, ticket: _group.Held) -> bool:
+    """Counts a ticket where its holder uses it; False if nothing changed."""
+    _forget_waiting(group, ticket.id)
     known = _group.find(group, ticket.id)
     endpoint = _group.endpoint_of(group, ticket.endpoint)
-    if ticket.id in group.ended or known is not None or endpoint is None:
-        return []
+    if ticket.id in group.ended or endpoint is None:
+        return False
+    if known is not None and known.endpoint == ticket.endpoint:
+        return False
+    if known is not None:
+        _group.remove(group, now, known)
     _group.put(endpoint, now, ticket)
-    return _pump.pump(group, now)
+    return True
 
 
 def is_waiting(group: _group.Group, number: str) -> bool:
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 from anyio import abc
@@ -43,6 +44,9 @@
     by_arrival=True,
 )
 """Endpoints with a stated number of slots slow down little when full."""
+STANDBY_POLICY = dataclasses.replace(POLICY, revokes=False)
+LEADS_S = 2.0
+"""A scheduler that nobody asked for this time leaves revoking to another."""
 
 State = ttypes.PlaceState
 
@@ -54,6 +58,7 @@
     Attributes:
         waiters: Peer address of the holder, by the id of its request.
         taken_s: Monotonic time at which each online place was taken.
+        asked_s: Monotonic time at which this scheduler was last asked.
     """
 
     name: str
@@ -63,6 +68,7 @@
     )
     waiters: dict[str, str] = dataclasses.field(default_factory=dict)
     taken_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    asked_s: float = -math.inf
 
 
 class Scheduler:
@@ -109,7 +115,7 @@
         pool = self.pools.get(name)
         if pool is None:
             pool = Pool(name)
-            pool.state.policy = POLICY
+            pool.state.policy = STANDBY_POLICY
             self.pools[name] = pool
         return pool
 
@@ -134,6 +140,8 @@
     async def on_ask(self, ask: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
         """Peer method: grants, queues or refuses a request for a place."""
         pool = self.pool(ask.group)
+        pool.asked_s = self.clock.now()
+        pool.state.policy = POLICY
         self._refresh(pool)
         repeated = admission.is_waiting(pool.state, ask.id)
         answer = self._decide(pool, ask)
@@ -356,6 +364,8 @@
                 # holder reports them again.
                 self._do(pool, admission.reconcile(pool.state, now, holder, []))
         for pool in self.pools.values():
+            if now - pool.asked_s > LEADS_S:
+                pool.state.policy = STANDBY_POLICY
             self._do(pool, admission.tick(pool.state, now))
 
     def _do(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -237,6 +237,17 @@
     assert not admission.all_held(made.group)
 
 
+def test_ticket_counts_where_its_holder_uses_it() -> None:
+    """Guards against a full endpoint that another admitter granted twice."""
+    made = world()
+    made.ask(admission.BATCH, 0)
+    ticket = next(iter(made.held.values()))
+    other = next(n for n in made.group.endpoints if n != ticket.endpoint)
+    moved = dataclasses.replace(ticket, endpoint=other)
+    made.do(admission.adopt(made.group, made.now, moved))
+    assert [t.endpoint for t in admission.all_held(made.group)] == [other]
+
+
 def test_next_admitter_adopts_what_is_in_flight() -> None:
     """Guards against over-admission after the admitting VM died."""
     made = world(limit=2.0)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -114,6 +114,60 @@
     anyio.run(main)
 
 
+def test_standby_revokes_nothing_for_what_another_scheduler_granted() -> None:
+    """Guards against two schedulers that both revoke for one request."""
+
+    async def main() -> None:
+        made, peers, clock, group = _scheduler(fake_fleet.view(endpoints=1))
+        due = {"kind": "batch", "needs_s": 4.0}
+        for number in range(2):
+            asked = _ask(number, due_s=20.0, holder="w0:1", **due)
+            assert (await made.on_ask(asked)).state == State.GRANTED
+        clock.time_s += scheduler.LEADS_S + 0.1
+        await made.tick(clock.now())
+        await made.on_taken(
+            ttypes.PlaceTaken(holder="g1:1", place=_place("online"))
+        )
+        await group.run()
+        assert peers.count("place_revoked") == 0
+        await made.on_ask(_ask(9))
+        await group.run()
+        assert peers.count("place_revoked") > 0
+
+    anyio.run(main)
+
+
+def test_request_that_another_scheduler_granted_waits_no_longer() -> None:
+    """Guards against revoking for a request that already runs."""
+
+    async def main() -> None:
+        made, peers, _, group = _scheduler(fake_fleet.view(endpoints=1))
+        batch = {"kind": "batch", "holder": "w0:1"}
+        for number in range(2):
+            late = _ask(number, due_s=1.0, needs_s=4.0, **batch)
+            assert (await made.on_ask(late)).state == State.GRANTED
+        soon = _ask(2, due_s=20.0, needs_s=4.0, **batch)
+        assert (await made.on_ask(soon)).state == State.QUEUED
+        await group.run()
+        assert peers.count("place_revoked") == 1
+        taken = ttypes.PlaceTaken(holder="w0:1", place=_place("r2"))
+        await made.on_taken(taken)
+        await made.on_returned(
+            ttypes.PlaceReturned(
+                group="s", id="r0", endpoint="e0", outcome="cancelled"
+            )
+        )
+        await made.on_returned(
+            ttypes.PlaceReturned(
+                group="s", id="r1", endpoint="e0", outcome="cancelled"
+            )
+        )
+        await group.run()
+        assert peers.count("place_answer") == 0
+
+    anyio.run(main)
+
+
 def test_rate_counts_over_all_gateways() -> None:
     """Guards against granting each gateway the whole rate."""
 
