--- a/src/ibisknot/gateway.py
+++ b/src/ibisknot/gateway.py
@@ -19,6 +19,8 @@
 
 NO_CONFIGURATION_RETRY_S = 0.5
 CLOSING_RETRY_S = 0.05
+LOGGED_TARGET = 200
+"""Characters of a target that a log line holds."""
 
 BatchCall = Callable[
     [http_server.Exchange, requests.Terms, serving.Configuration],
@@ -182,6 +184,9 @@
     ) -> None:
         took_s = self.clock.now() - exchange.message.received_s
         metrics.REQUESTS.inc({"outcome": outcome})
+        if not terms.id:
+            target = exchange.message.target.decode("latin-1")
+            fields["target"] = target[:LOGGED_TARGET]
         logs.event(
             "request",
             request=terms.id,
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,75 @@
+"""The gateway's decisions before a request is forwarded."""
+
+import dataclasses
+from typing import Any
+
+import anyio
+import fake_fleet
+import pytest
+
+from ibisknot import fleetview
+from ibisknot import gateway
+from ibisknot import http11
+from ibisknot import logs
+from ibisknot import requests
+
+
+@dataclasses.dataclass
+class _Exchange:
+    """A caller's request; the answer is kept."""
+
+    message: http11.Message
+    started: bool = False
+    status: int = 0
+
+    async def respond(self, status: int, *_: Any) -> None:
+        """Keeps the status."""
+        self.status = status
+
+
+class _Dialect:
+    def __init__(self, terms: requests.Terms) -> None:
+        self.found = terms
+
+    def terms(self, _headers: http11.Headers) -> requests.Terms:
+        return self.found
+
+    def refusal(self, _retry_after_s: float | None) -> http11.Headers:
+        return []
+
+
+def _handle(
+    terms: requests.Terms, target: bytes, monkeypatch: pytest.MonkeyPatch
+) -> tuple[int, dict[str, Any]]:
+    """Returns the status and the log line of a request."""
+    lines: list[dict[str, Any]] = []
+    monkeypatch.setattr(logs, "LISTENERS", [lines.append])
+    made = gateway.Gateway(
+        fleetview.View(),
+        None,  # type: ignore[arg-type]
+        _Dialect(terms),  # type: ignore[arg-type]
+        fake_fleet.Clock(),  # type: ignore[arg-type]
+    )
+    exchange: Any = _Exchange(http11.Message(b"GET", target, []))
+    anyio.run(made.handle, exchange)
+    return exchange.status, lines[-1]
+
+
+def test_request_without_configuration_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against keys that are checked against nothing."""
+    terms = requests.Terms(id="r1")
+    status, line = _handle(terms, b"/a", monkeypatch)
+    assert status == 503
+    assert (line["request"], line["ran"]) == ("r1", "not_run")
+    assert "target" not in line
+
+
+def test_call_without_id_is_logged_with_its_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a failed call of a job that no log line names."""
+    target = b"/job/4f?" + b"x" * 500
+    _, line = _handle(requests.Terms(), target, monkeypatch)
+    assert line["target"] == target[: gateway.LOGGED_TARGET].decode()
