Ask for another place under a new id after one was declined

Cause: a process that knows that an endpoint leaves declines its place and asks again under the same id, which the scheduler takes for given back: it refused the request as overloaded.

Each wait has its own id now.

--- /dev/null
+++ b/src/ibisknot/fallback.py
@@ -0,0 +1,104 @@
+"""Chooses endpoints by a process's own counts, while no scheduler answers."""
+
+from collections.abc import Mapping
+import random
+
+from ibisknot import admission
+from ibisknot import breaker
+from ibisknot import deployment
+from ibisknot import endpoint_list
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import rates
+from ibisknot import serving
+
+NO_ENDPOINT_RETRY_S = 0.5
+
+
+class Fallback:
+    """What one process knows of endpoints and rates by itself.
+
+    Attributes:
+        circuits: Circuit breaker of each endpoint by name.
+        shares: This process's part of each organisation's rate.
+    """
+
+    def __init__(
+        self, view: fleetview.View, choice: random.Random | None = None
+    ) -> None:
+        self.view = view
+        self.choice = choice or random.Random()
+        self.circuits: dict[str, breaker.Breaker] = {}
+        self.shares: dict[str, rates.Share] = {}
+
+    def note(self, endpoint: str, outcome: str, now: float) -> None:
+        """Notes how a request to an endpoint ended."""
+        circuit = self._circuit(endpoint)
+        if outcome == admission.OK:
+            breaker.succeeded(circuit)
+        elif outcome in (admission.UNREACHABLE, admission.CRASHED):
+            breaker.failed(circuit, now, certain=True)
+        elif outcome == admission.FAILED:
+            breaker.failed(circuit, now)
+
+    def _circuit(self, name: str) -> breaker.Breaker:
+        return self.circuits.setdefault(name, breaker.Breaker())
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        *,
+        avoid: frozenset[str],
+        used: Mapping[str, int],
+    ) -> endpoint_list.Endpoint:
+        """Returns the endpoint with the fewest requests of this process.
+
+        Args:
+            service: Whose endpoints are meant.
+            now: Monotonic time in seconds.
+            avoid: Endpoints that have already failed the request.
+            used: This process's requests by endpoint.
+
+        Raises:
+            OverloadedError: The service has no endpoint that may be up.
+        """
+        found = [
+            endpoint
+            for endpoint in fleetview.active(self.view, service)
+            if breaker.allows(self._circuit(endpoint.name), now)
+        ]
+        found = [e for e in found if e.name not in avoid] or found
+        if not found:
+            message = f"no endpoint of {service} is known to be up"
+            raise errors.OverloadedError(
+                message, retry_after_s=NO_ENDPOINT_RETRY_S
+            )
+        return min(
+            found, key=lambda e: (used.get(e.name, 0), self.choice.random())
+        )
+
+    def spend(self, organisation: serving.Organisation, now: float) -> None:
+        """Takes a token of this process's part of an organisation's rate.
+
+        Raises:
+            RateLimitError: The part is used up.
+        """
+        allowance = organisation.allowance()
+        if allowance is None:
+            return
+        gateways = sum(
+            m.kind == deployment.GATEWAY for m in self.view.members.values()
+        )
+        units = rates.ORGANISATION_UNITS // max(1, gateways)
+        share = self.shares.get(organisation.name)
+        if share is None:
+            share = rates.Share(updated_s=now, units=units)
+            share.level = rates.cap(units, allowance)
+            self.shares[organisation.name] = share
+        share.units = units
+        if not rates.spend(share, now, allowance):
+            raise errors.RateLimitError(
+                f"{organisation.name} is over its rate",
+                retry_after_s=rates.next_token_s(share, allowance),
+            )
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -5,6 +5,7 @@
 the process chooses by its own counts.
 """
 
+import collections
 import dataclasses
 import itertools
 import math
@@ -15,15 +16,14 @@
 from anyio import abc
 
 from ibisknot import admission
-from ibisknot import breaker
 from ibisknot import deployment
 from ibisknot import endpoint_list
 from ibisknot import errors
+from ibisknot import fallback
 from ibisknot import fleetview
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
-from ibisknot import rates
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
@@ -35,7 +35,7 @@
 """A request that waits asks again after this time, by its kind."""
 NOTICE_TIMEOUT_S = 0.4
 HELD_PERIOD_S = 0.8
-NO_ENDPOINT_RETRY_S = 0.5
+DECLINED_PAUSE_S = 0.02
 
 State = ttypes.PlaceState
 
@@ -95,8 +95,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Waiter:
+    """A request that waits for its place.
+
+    Attributes:
+        declined: The endpoint whose place this process did not take.
+    """
+
     answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     answer: ttypes.PlaceAnswer | None = None
+    declined: str = ""
 
 
 class Client:
@@ -124,9 +131,8 @@
         self.held: dict[str, Place] = {}
         self.waiters: dict[str, _Waiter] = {}
         self.down: set[str] = set()
-        self.shares: dict[str, rates.Share] = {}
-        self.circuits: dict[str, breaker.Breaker] = {}
         self.choice = random.Random()
+        self.fallback = fallback.Fallback(view, self.choice)
         self.prefix = f"{process.name}/{time.time_ns():x}"
         self.numbers = itertools.count(1)
 
@@ -151,8 +157,16 @@
             OverloadedError: No place will be free in time.
             RateLimitError: The organisation is over its rate.
         """
-        number = f"{self.prefix}/{next(self.numbers)}"
         started_s = self.clock.now()
+        while True:
+            place = await self._acquire_once(ask, started_s)
+            if place is not None:
+                return place
+            await anyio.sleep(DECLINED_PAUSE_S)
+
+    async def _acquire_once(self, ask: Ask, started_s: float) -> Place | None:
+        """Waits under one id, which ends with a place that was declined."""
+        number = f"{self.prefix}/{next(self.numbers)}"
         waiter = _Waiter()
         self.waiters[number] = waiter
         place: Place | None = None
@@ -164,13 +178,15 @@
             waited_s = self.clock.now() - started_s
             metrics.PLACES_WAITED_S.observe({"kind": ask.kind}, waited_s)
             if place is None:
-                self._tell_returned(number, ask, "", admission.CANCELLED)
+                self._tell_returned(
+                    number, ask, waiter.declined, admission.CANCELLED
+                )
             else:
                 _log_granted(place, waited_s)
 
     async def _acquire(
         self, ask: Ask, number: str, waiter: _Waiter, started_s: float
-    ) -> Place:
+    ) -> Place | None:
         while True:
             waited_s = self.clock.now() - started_s
             if waited_s >= ask.wait_s:
@@ -189,21 +205,18 @@
                 continue
             if answer.state == State.GRANTED:
                 place = self._granted(ask, number, answer, scheduler.name)
-                if place is not None:
-                    return place
-                waiter.answer = None
-                waiter.answered = anyio.Event()
-                await anyio.sleep(0.02)
-            else:
-                logs.event(
-                    "place_refused",
-                    request=ask.request,
-                    place=number,
-                    scheduler=scheduler.name,
-                    state=State._VALUES_TO_NAMES[answer.state].lower(),
-                    waited_s=round(self.clock.now() - started_s, 3),
-                )
-                raise _refusal(ask, answer)
+                if place is None:
+                    waiter.declined = answer.endpoint
+                return place
+            logs.event(
+                "place_refused",
+                request=ask.request,
+                place=number,
+                scheduler=scheduler.name,
+                state=State._VALUES_TO_NAMES[answer.state].lower(),
+                waited_s=round(self.clock.now() - started_s, 3),
+            )
+            raise _refusal(ask, answer)
 
     def _scheduler(self) -> fleetview.Member | None:
         for member in self.schedulers():
@@ -274,9 +287,6 @@
         endpoint = self.view.endpoints.get(answer.endpoint)
         if endpoint is None or endpoint.leaving:
             # The scheduler's view is older than this process's.
-            self._tell_returned(
-                number, ask, answer.endpoint, admission.CANCELLED
-            )
             return None
         place = Place(number, ask, endpoint, answer.alone, scheduler)
         self._keep(place)
@@ -300,62 +310,25 @@
             RateLimitError: This process's part of the rate is used up.
         """
         now = self.clock.now()
-        self._spend(ask, now)
-        found = [
-            e
-            for e in fleetview.active(self.view, ask.service)
-            if breaker.allows(self._circuit(e.name), now)
-        ]
-        found = [e for e in found if e.name not in ask.avoid] or found
-        if not found:
-            message = f"no endpoint of {ask.service} is known to be up"
-            raise errors.OverloadedError(
-                message, retry_after_s=NO_ENDPOINT_RETRY_S
-            )
-        counts = dict.fromkeys((e.name for e in found), 0)
-        for place in self.held.values():
-            if place.endpoint.name in counts:
-                counts[place.endpoint.name] += 1
-        endpoint = min(
-            found, key=lambda e: (counts[e.name], self.choice.random())
+        if ask.organisation is not None and ask.is_counted:
+            self.fallback.spend(ask.organisation, now)
+        used = collections.Counter(
+            place.endpoint.name for place in self.held.values()
+        )
+        endpoint = self.fallback.choose(
+            ask.service, now, avoid=ask.avoid, used=used
         )
         place = Place(number, ask, endpoint)
         logs.event(
             "place_chosen_alone",
             request=ask.request,
             endpoint=endpoint.name,
-            own=counts[endpoint.name],
+            own=used[endpoint.name],
             view_age_s=round(now - self.view.endpoints_read_s, 3),
         )
         self._keep(place)
         return place
 
-    def _spend(self, ask: Ask, now: float) -> None:
-        """Takes a token of this process's part of the rate."""
-        organisation = ask.organisation
-        if organisation is None or not ask.is_counted:
-            return
-        allowance = organisation.allowance()
-        if allowance is None:
-            return
-        gateways = sum(
-            m.kind == deployment.GATEWAY for m in self.view.members.values()
-        )
-        units = rates.ORGANISATION_UNITS // max(1, gateways)
-        share = self.shares.get(organisation.name)
-        if share is None:
-            share = rates.Share(updated_s=now)
-            self.shares[organisation.name] = share
-        fresh = share.units == 0
-        share.units = units
-        if fresh:
-            share.level = rates.cap(units, allowance)
-        if not rates.spend(share, now, allowance):
-            raise errors.RateLimitError(
-                f"{organisation.name} is over its rate",
-                retry_after_s=rates.next_token_s(share, allowance),
-            )
-
     # Returning ------------------------------------------------------------
 
     def release(self, place: Place, outcome: str) -> None:
@@ -363,13 +336,7 @@
         if self.held.pop(place.id, None) is None:
             return
         name = place.endpoint.name
-        circuit = self._circuit(name)
-        if outcome == admission.OK:
-            breaker.succeeded(circuit)
-        elif outcome in (admission.UNREACHABLE, admission.CRASHED):
-            breaker.failed(circuit, self.clock.now(), certain=True)
-        elif outcome == admission.FAILED:
-            breaker.failed(circuit, self.clock.now())
+        self.fallback.note(name, outcome, self.clock.now())
         metrics.ENDPOINT_CALLS.inc({"outcome": outcome})
         logs.event(
             "place_returned",
@@ -380,9 +347,6 @@
         )
         self._tell_returned(place.id, place.ask, name, outcome)
 
-    def _circuit(self, name: str) -> breaker.Breaker:
-        return self.circuits.setdefault(name, breaker.Breaker())
-
     def _tell_returned(
         self, number: str, ask: Ask, endpoint: str, outcome: str
     ) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -76,6 +76,9 @@
         await group.run()
         returned = [m for _, name, m in peers.calls if name == "place_returned"]
         assert returned[0].endpoint == "gone"
+        first, second = (m for _, name, m in peers.calls if name == "place_ask")
+        # A scheduler grants nothing under an id that was given back.
+        assert first.id == returned[0].id != second.id
 
     anyio.run(main)
 
