Let waiting requests ask the next scheduler as soon as one is lost

Cause: batch requests that wait ask again every 1.5 s only.

Change: losing or regaining a scheduler wakes all requests that wait; they ask whoever is first in line then.

--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -201,6 +201,7 @@
                 with anyio.move_on_after(min(ASK_AGAIN_S[ask.kind], left_s)):
                     await waiter.answered.wait()
                 answer = waiter.answer
+                waiter.answered = anyio.Event()
             if answer is None:
                 continue
             if answer.state == State.GRANTED:
@@ -268,6 +269,7 @@
             )
         except errors.IbisknotError as error:
             self.down.add(scheduler.name)
+            self._ask_again()
             logs.event(
                 "scheduler_silent",
                 level="warning",
@@ -373,6 +375,7 @@
             # The periodic report repeats what was lost.
             if member.name not in self.down:
                 self.down.add(member.name)
+                self._ask_again()
                 logs.event(
                     "scheduler_lost",
                     level="warning",
@@ -382,8 +385,14 @@
             return
         if member.name in self.down:
             self.down.discard(member.name)
+            self._ask_again()
             logs.event("scheduler_regained", scheduler=member.name)
 
+    def _ask_again(self) -> None:
+        """Lets all requests that wait ask whoever gives out places now."""
+        for waiter in self.waiters.values():
+            waiter.answered.set()
+
     async def _report(self, _now: float) -> None:
         """Timer callback: tells the schedulers all places held here."""
         message = ttypes.PlacesHeld(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -83,6 +83,34 @@
     anyio.run(main)
 
 
+def test_request_that_waits_asks_the_next_scheduler_at_once() -> None:
+    """Guards against slots that stay empty after a scheduler was lost."""
+
+    async def main() -> None:
+        made, peers, clock, group = _client()
+        queued = ttypes.PlaceAnswer(
+            id="",
+            state=ttypes.PlaceState.QUEUED,
+            endpoint="",
+            retry_after_s=0.0,
+            alone=False,
+        )
+        peers.answers["place_ask"] = lambda address, message: (
+            queued if address == "w0:1" else _granted(address, message)
+        )
+        with anyio.fail_after(placement.ASK_AGAIN_S[admission.BATCH] / 2):
+            async with anyio.create_task_group() as tasks:
+                ask = _ask(kind=admission.BATCH, wait_s=10.0)
+                tasks.start_soon(made.acquire, ask)
+                await anyio.wait_all_tasks_blocked()
+                peers.silent = {"w0:1"}
+                await made._report(clock.now())
+                await group.run()
+        assert [p.granted_by for p in made.held.values()] == ["w1"]
+
+    anyio.run(main)
+
+
 def test_part_of_the_rate_holds_while_no_scheduler_answers() -> None:
     """Guards against a cut gateway that admits a whole organisation's rate."""
 
