Write a member's entry again when only its lease was granted

Cause: a process whose write of its entry failed after the lease had been granted kept the lease alive and never wrote the entry, so it was missing in the fleet: peers told it nothing, and its part of the rates was given out twice.

Found by reading.

--- a/src/ibisknot/batch_intake.py
+++ b/src/ibisknot/batch_intake.py
@@ -21,7 +21,6 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import serving
-from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
 ATTEMPT_PAUSE_S = 0.1
@@ -74,7 +73,7 @@
     def __init__(
         self,
         process: deployment.Process,
-        store: view_runner.KeyValue,
+        store: pairs.Store,
         view: fleetview.View,
         peers: peer.Client,
         clock: Callable[[], float],
@@ -427,7 +426,7 @@
 
 
 async def read_items(
-    store: view_runner.KeyValue, meta: batch_records.Meta
+    store: pairs.Store, meta: batch_records.Meta
 ) -> list[batch_records.Item]:
     """Reads a job's items.
 
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -23,7 +23,6 @@
 from ibisknot import peer
 from ibisknot import serving
 from ibisknot import timer
-from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
 POLL_PERIOD_S = 1.5
@@ -77,7 +76,7 @@
     def __init__(
         self,
         process: deployment.Process,
-        store: view_runner.KeyValue,
+        store: pairs.Store,
         view: fleetview.View,
         peers: peer.Client,
         items: batch_item.Runner,
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -17,6 +17,7 @@
 from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import metrics
+from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import placement
 from ibisknot import store_relay
@@ -41,7 +42,7 @@
 
     settings_path: str
     load: Callable[[str], deployment.Process]
-    store: Callable[[str, http_client.Client], view_runner.KeyValue]
+    store: Callable[[str, http_client.Client], pairs.Store]
     layout: view_runner.Layout
 
 
@@ -59,7 +60,7 @@
     group: abc.TaskGroup
     clock: timer.Timer
     client: http_client.Client
-    store: view_runner.KeyValue
+    store: pairs.Store
     server: peer.Server
     peers: peer.Client
     runner: view_runner.Runner
@@ -122,7 +123,7 @@
         group.start_soon(clock.run)
         yield made
         with anyio.move_on_after(LEAVE_S):
-            await runner.leave()
+            await runner.registration.leave()
         group.cancel_scope.cancel()
     logs.event("stopped", program=program, vm=process.name)
     logs.flush()
--- a/src/ibisknot/pairs.py
+++ b/src/ibisknot/pairs.py
@@ -1,6 +1,7 @@
 """What the key-value service stores, checks, writes and reports."""
 
 import dataclasses
+from typing import Protocol
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,3 +56,36 @@
 
     changes: list[Change]
     revision: int
+
+
+class Store(Protocol):
+    """What the product needs of a key-value service."""
+
+    async def get(self, key: str) -> Pair | None:
+        """Returns the pair stored under a key, or None."""
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> Listing:
+        """Returns the pairs whose key has a prefix, in key order."""
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Waits for changes below a prefix after a revision."""
+
+    async def transact(
+        self,
+        guards: list[Guard],
+        puts: list[Put],
+        *,
+        deletes: list[str] = ...,
+    ) -> int:
+        """Writes all or nothing; returns the revision, or 0."""
+
+    async def grant(self, ttl_s: float) -> int:
+        """Creates a lease and returns its id."""
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renews a lease; False means that it has already ended."""
+
+    async def revoke(self, lease: int) -> None:
+        """Ends a lease and deletes the keys bound to it."""
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -13,6 +13,7 @@
 from ibisknot import http_client
 from ibisknot import logs
 from ibisknot import node
+from ibisknot import pairs
 from ibisknot import retire
 from ibisknot import view_runner
 from ibisknot import worker_program
@@ -45,7 +46,7 @@
 )
 
 
-def _store(address: str, client: http_client.Client) -> view_runner.KeyValue:
+def _store(address: str, client: http_client.Client) -> pairs.Store:
     return store.Store(address, client)
 
 
--- /dev/null
+++ b/src/ibisknot/registration.py
@@ -0,0 +1,110 @@
+"""A process's own entry among the members of the fleet."""
+
+import time
+
+from anyio import abc
+
+from ibisknot import deployment
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import pairs
+from ibisknot import peer
+from ibisknot import timer
+from ibisknot.gen.fleet import ttypes
+
+LEASE_S = 4.0
+RENEW_PERIOD_S = 1.3
+
+
+class Registration:
+    """Keeps this process's entry in the store, under a lease.
+
+    Attributes:
+        me: What the entry says.
+        lease: Id of the lease, 0 without one.
+        is_written: Whether the entry is known to be stored under the lease.
+    """
+
+    def __init__(
+        self, process: deployment.Process, store: pairs.Store, prefix: str
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.lease_s = max(LEASE_S, process.lease_minimum_s)
+        self.me = fleetview.Member(
+            name=process.name,
+            kind=process.kind,
+            data_centre=process.data_centre,
+            address=process.peer_address,
+            born_ms=int(time.time() * 1000),
+        )
+        self.lease = 0
+        self.is_written = False
+        self.leaving = False
+
+    def start(self, clock: timer.Timer, group: abc.TaskGroup) -> None:
+        """Writes the entry and keeps it alive."""
+        clock.subscribe("member_lease", RENEW_PERIOD_S, self.renew)
+        group.start_soon(self.renew, 0.0)
+
+    async def renew(self, _now: float) -> None:
+        """Timer callback: renews the lease, or writes the entry again."""
+        if self.leaving:
+            return
+        try:
+            if not self.lease or not await self.store.keep_alive(self.lease):
+                self.lease = await self.store.grant(self.lease_s)
+                self.is_written = False
+            if not self.is_written:
+                await self._write()
+        except errors.KeyValueError as error:
+            logs.event(
+                "member_not_registered", level="warning", cause=error.message
+            )
+
+    async def _write(self) -> None:
+        value = peer.encode(to_wire(self.me))
+        put = pairs.Put(self.prefix + self.me.name, value, self.lease)
+        await self.store.transact([], [put])
+        self.is_written = True
+        logs.event("member_registered", lease=self.lease)
+
+    async def leave(self) -> None:
+        """Removes the entry."""
+        self.leaving = True
+        if self.lease:
+            try:
+                await self.store.revoke(self.lease)
+            except errors.KeyValueError as error:
+                logs.event("lease_not_ended", cause=error.message)
+
+
+def to_wire(member: fleetview.Member) -> ttypes.Member:
+    """Returns a member as peers and the store hold it."""
+    return ttypes.Member(
+        name=member.name,
+        kind=member.kind,
+        data_centre=member.data_centre,
+        address=member.address,
+        born_ms=member.born_ms,
+    )
+
+
+def from_wire(member: ttypes.Member) -> fleetview.Member:
+    """Returns a member that was read."""
+    return fleetview.Member(
+        name=member.name,
+        kind=member.kind,
+        data_centre=member.data_centre,
+        address=member.address,
+        born_ms=member.born_ms,
+    )
+
+
+def member(pair: pairs.Pair) -> fleetview.Member | None:
+    """Returns the member of a stored entry, or None if it is unreadable."""
+    try:
+        return from_wire(peer.decode(pair.value, ttypes.Member))
+    except errors.PeerError:
+        return None
--- a/src/ibisknot/retire.py
+++ b/src/ibisknot/retire.py
@@ -15,7 +15,6 @@
 from ibisknot import errors
 from ibisknot import logs
 from ibisknot import pairs
-from ibisknot import view_runner
 
 RETRY_S = 0.3
 LONGEST_SHARE = 0.7
@@ -48,7 +47,7 @@
     def __init__(
         self,
         process: deployment.Process,
-        store: view_runner.KeyValue,
+        store: pairs.Store,
         worker: batch_worker.Worker,
         clock: Callable[[], float],
         group: abc.TaskGroup,
--- a/src/ibisknot/store_relay.py
+++ b/src/ibisknot/store_relay.py
@@ -19,7 +19,6 @@
 from ibisknot import logs
 from ibisknot import pairs
 from ibisknot import peer
-from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
 FRESH_S = 1.5
@@ -60,7 +59,7 @@
 
     def __init__(
         self,
-        direct: view_runner.KeyValue,
+        direct: pairs.Store,
         view: fleetview.View,
         peers: peer.Client,
         me: str,
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -3,9 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import random
-import time
-from typing import Any
-from typing import Protocol
 
 import anyio
 from anyio import abc
@@ -17,6 +14,7 @@
 from ibisknot import logs
 from ibisknot import pairs
 from ibisknot import peer
+from ibisknot import registration
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
@@ -29,43 +27,6 @@
 GOSSIP_PERIOD_S = 0.5
 GOSSIP_PEERS = 2
 PUSH_TIMEOUT_S = 0.4
-LEASE_S = 4.0
-RENEW_PERIOD_S = 1.3
-
-
-class KeyValue(Protocol):
-    """What the product needs of a key-value service."""
-
-    async def get(self, key: str) -> pairs.Pair | None:
-        """Returns the pair stored under a key, or None."""
-
-    async def list_prefix(
-        self, prefix: str, *, after: str = "", stale: bool = False
-    ) -> pairs.Listing:
-        """Returns the pairs whose key has a prefix, in key order."""
-
-    async def changes(
-        self, prefix: str, after: int, wait_s: float
-    ) -> pairs.Changes:
-        """Waits for changes below a prefix after a revision."""
-
-    async def transact(
-        self,
-        guards: list[pairs.Guard],
-        puts: list[pairs.Put],
-        *,
-        deletes: list[str] = ...,
-    ) -> int:
-        """Writes all or nothing; returns the revision, or 0."""
-
-    async def grant(self, ttl_s: float) -> int:
-        """Creates a lease and returns its id."""
-
-    async def keep_alive(self, lease: int) -> bool:
-        """Renews a lease; False means that it has already ended."""
-
-    async def revoke(self, lease: int) -> None:
-        """Ends a lease and deletes the keys bound to it."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -98,14 +59,14 @@
         changed: Called after the endpoints or members changed.
         configured: Called after a new configuration was adopted.
         operator_changed: Called with other keys that the operator wrote.
-        lease: The lease of this process's entry, 0 without one.
+        registration: This process's own entry.
     """
 
     def __init__(
         self,
         process: deployment.Process,
-        store: KeyValue,
-        direct: KeyValue,
+        store: pairs.Store,
+        direct: pairs.Store,
         view: fleetview.View,
         layout: Layout,
         peers: peer.Client,
@@ -120,21 +81,16 @@
         self.clock = clock
         self.group = group
         self.view = view
-        self.me = fleetview.Member(
-            name=process.name,
-            kind=process.kind,
-            data_centre=process.data_centre,
-            address=process.peer_address,
-            born_ms=int(time.time() * 1000),
+        self.registration = registration.Registration(
+            process, store, layout.members_prefix
         )
+        self.me = self.registration.me
         self.changed: list[Callable[[], None]] = []
         self.configured: list[Callable[[], None]] = []
         self.operator_changed: list[Callable[[pairs.Change], None]] = []
-        self.lease = 0
         self.choice = random.Random()
         self.poll_after_s = 0.0
         self.failures = 0
-        self.leaving = False
         self.reachable: bool | None = None
 
     def start(self, server: peer.Server) -> None:
@@ -144,9 +100,8 @@
         self.clock.subscribe("entries", POLL_TICK_S, self._poll)
         self.clock.subscribe("members", MEMBERS_PERIOD_S, self._poll_members)
         self.clock.subscribe("gossip", GOSSIP_PERIOD_S, self._gossip)
-        self.clock.subscribe("member_lease", RENEW_PERIOD_S, self._renew)
+        self.registration.start(self.clock, self.group)
         self.group.start_soon(self._follow_operator)
-        self.group.start_soon(self._renew, 0.0)
         self.group.start_soon(self._poll_members, 0.0)
         self.group.start_soon(self._gossip, 0.0)
 
@@ -219,7 +174,9 @@
             )
         except errors.KeyValueError:
             return
-        found = [m for m in map(_member, listing.pairs) if m is not None]
+        found = [
+            m for m in map(registration.member, listing.pairs) if m is not None
+        ]
         self._take_members(listing.revision, found)
 
     def _take_members(
@@ -238,35 +195,6 @@
             )
         self._notify(self.changed)
 
-    async def _renew(self, _now: float) -> None:
-        """Timer callback: keeps this process's entry alive."""
-        if self.leaving:
-            return
-        try:
-            if self.lease and await self.store.keep_alive(self.lease):
-                return
-            self.lease = await self.store.grant(
-                max(LEASE_S, self.process.lease_minimum_s)
-            )
-            key = self.layout.members_prefix + self.me.name
-            value = peer.encode(_to_wire(self.me))
-            put = pairs.Put(key, value, self.lease)
-            await self.store.transact([], [put])
-            logs.event("member_registered", lease=self.lease)
-        except errors.KeyValueError as error:
-            logs.event(
-                "member_not_registered", level="warning", cause=error.message
-            )
-
-    async def leave(self) -> None:
-        """Removes this process's entry."""
-        self.leaving = True
-        if self.lease:
-            try:
-                await self.store.revoke(self.lease)
-            except errors.KeyValueError as error:
-                logs.event("lease_not_ended", cause=error.message)
-
     # Configuration --------------------------------------------------------
 
     async def _follow_operator(self) -> None:
@@ -346,7 +274,9 @@
                 for p in view.entries.values()
             ]
             news.configuration = view.stated
-            news.members = [_to_wire(m) for m in view.members.values()]
+            news.members = [
+                registration.to_wire(m) for m in view.members.values()
+            ]
         return news
 
     async def on_news(self, news: ttypes.ViewNews) -> ttypes.ViewAck:
@@ -379,7 +309,7 @@
                 news.endpoints_revision, news.endpoints_age_s, entries
             )
         if news.members:
-            found = [_from_wire(m) for m in news.members]
+            found = [registration.from_wire(m) for m in news.members]
             self._take_members(news.members_revision, found)
         if news.endpoints is not None or not news.endpoints_revision:
             return True
@@ -470,30 +400,3 @@
             revision=revision,
             age_s=round(age_s, 3),
         )
-
-
-def _to_wire(member: fleetview.Member) -> ttypes.Member:
-    return ttypes.Member(
-        name=member.name,
-        kind=member.kind,
-        data_centre=member.data_centre,
-        address=member.address,
-        born_ms=member.born_ms,
-    )
-
-
-def _from_wire(member: Any) -> fleetview.Member:
-    return fleetview.Member(
-        name=member.name,
-        kind=member.kind,
-        data_centre=member.data_centre,
-        address=member.address,
-        born_ms=member.born_ms,
-    )
-
-
-def _member(pair: pairs.Pair) -> fleetview.Member | None:
-    try:
-        return _from_wire(peer.decode(pair.value, ttypes.Member))
-    except errors.PeerError:
-        return None
