--- a/src/ibisknot/bench/load.py
+++ b/src/ibisknot/bench/load.py
@@ -99,6 +99,22 @@
     folder: Annotated[str, cappa.Arg(help="Folder of saved runs.")] = "results"
 
 
+@dataclasses.dataclass
+class Plan:
+    """Compares recorded days with the best plan that knows them."""
+
+    logs: Annotated[
+        list[str], cappa.Arg(help="Files with the log lines of a day each.")
+    ]
+    plot: Annotated[
+        str | None, cappa.Arg(long=True, help="PNG file for the figures.")
+    ] = None
+    online_worth: Annotated[float, cappa.Arg(long=True)] = 3.1
+    online_late: Annotated[float, cappa.Arg(long=True)] = 0.47
+    batch_worth: Annotated[float, cappa.Arg(long=True)] = 19.0
+    batch_late: Annotated[float, cappa.Arg(long=True)] = 1.9
+
+
 @cappa.command(name="fleet")
 @dataclasses.dataclass
 class RunFleet:
@@ -113,7 +129,9 @@
 class Arguments:
     """Runs load and faults against a local fleet."""
 
-    command: cappa.Subcommands[List | RunScenario | RunFleet | Bench | Report]
+    command: cappa.Subcommands[
+        List | RunScenario | RunFleet | Bench | Report | Plan
+    ]
 
 
 def _topology(name: str) -> topology_module.Topology:
@@ -235,6 +253,35 @@
     print(f"report: {path}")
 
 
+def _plan(command: Plan) -> None:
+    # The solver's library is large, and only this command needs it.
+    from ibisknot.bench import planner
+    from ibisknot.bench import recorded
+
+    terms = planner.Terms(
+        online=command.online_worth,
+        online_late=command.online_late,
+        batch=command.batch_worth,
+        batch_late=command.batch_late,
+    )
+    table = rich_table.Table("day", "naive", "actual", "limit", "reached")
+    days: dict[str, planner.Figures] = {}
+    for name in command.logs:
+        path = pathlib.Path(name)
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            day = recorded.read(lines)
+        if not day.requests or not day.slots:
+            print(f"{name}: no places were given out", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE)
+        found = planner.compare(day, terms)
+        days[path.stem] = found
+        fields = (found.naive, found.actual, found.limit, found.reached())
+        table.add_row(path.stem, *(f"{field:.3f}" for field in fields))
+    rich_console.Console().print(table)
+    if command.plot is not None:
+        planner.draw(days, pathlib.Path(command.plot))
+
+
 def _check_name(name: str) -> None:
     if name not in SCENARIOS:
         known = ", ".join(SCENARIOS)
@@ -265,6 +312,8 @@
         anyio.run(_keep_fleet, command)
     elif isinstance(command, Report):
         _report(pathlib.Path(command.folder))
+    elif isinstance(command, Plan):
+        _plan(command)
     elif isinstance(command, Bench):
         if not _bench(command):
             raise SystemExit(EXIT_VIOLATION)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,85 @@
+"""The best plan of a recorded day, and the reading of the record."""
+
+import json
+
+import pytest
+
+from ibisknot import admission
+from ibisknot.bench import planner
+from ibisknot.bench import recorded
+
+TERMS = planner.Terms(endpoint_slots=1)
+
+
+def _online(arrived_s: float, held_s: float = 0.5) -> recorded.Request:
+    return recorded.Request(
+        admission.ONLINE, arrived_s, arrived_s, arrived_s + held_s, held_s
+    )
+
+
+def _batch(arrived_s: float, held_s: float) -> recorded.Request:
+    return recorded.Request(
+        admission.BATCH, arrived_s, arrived_s, arrived_s + held_s, held_s
+    )
+
+
+def _day(slots: int, *requests: recorded.Request) -> recorded.Day:
+    return recorded.Day(list(requests), [(0.0, slots)])
+
+
+def test_limit_is_all_where_there_is_room() -> None:
+    """Guards against a limit below what a policy reaches."""
+    day = _day(2, _online(0.0), _online(0.0), _batch(0.5, 4.0))
+    found = planner.compare(day, TERMS)
+    assert (found.actual, found.limit) == (1.0, pytest.approx(1.0))
+
+
+def test_limit_counts_each_slot_once() -> None:
+    """Guards against a plan that runs two requests in one slot."""
+    day = _day(1, _online(0.0), _online(0.0))
+    best = TERMS.online + TERMS.online_late
+    assert planner.limit(day, TERMS) == pytest.approx(best)
+
+
+def test_plan_moves_batch_out_of_the_way_of_online_requests() -> None:
+    """Guards against a limit that lets batch hold up online requests."""
+    day = _day(1, _batch(0.0, 10.0), _online(1.0), _online(2.0))
+    everything = TERMS.batch + 2 * TERMS.online
+    assert planner.limit(day, TERMS) == pytest.approx(everything)
+    late_items = [_batch(0.0, 12.0), _batch(0.0, 12.0)]
+    partly = planner.limit(_day(1, *late_items), TERMS)
+    assert TERMS.batch < partly < 2 * TERMS.batch
+
+
+def test_naive_policy_makes_online_requests_wait_behind_batch() -> None:
+    """Guards against a baseline that is better than the naive policy."""
+    day = _day(1, _batch(0.0, 2.0), _online(0.1), _online(20.0))
+    worth = TERMS.batch + TERMS.online_late + TERMS.online
+    assert planner.naive(day, TERMS) == pytest.approx(worth)
+
+
+def _line(second: float, event: str, **fields: object) -> str:
+    time = f"2026-01-01T00:00:{second:09.6f}+00:00"
+    line = {"time": time, "level": "info", "event": event, **fields}
+    return f"  {second} vm1 " + json.dumps(line)
+
+
+def test_day_is_read_from_log_lines() -> None:
+    """Guards against work that is counted twice when an item is resumed."""
+    taken = {"kind": "batch", "request": "a"}
+    lines = [
+        "service            servers arrivals",
+        _line(1.0, "place_queued", slots=8),
+        _line(3.0, "place_taken", place="p1", waited_s=2.0, **taken),
+        _line(4.0, "place_returned", place="p1", outcome="cancelled"),
+        _line(6.0, "place_taken", place="p2", waited_s=1.0, **taken),
+        _line(9.0, "place_returned", place="p2", outcome="ok"),
+        _line(9.5, "place_refused", state="overloaded"),
+        '{"time" and no JSON',
+    ]
+    day = recorded.read(lines)
+    (request,) = day.requests
+    assert request.held_s == pytest.approx(4.0)
+    assert request.ended_s is not None
+    assert request.ended_s - request.arrived_s == pytest.approx(8.0)
+    assert (day.slots[0][1], day.refused) == (8, 1)
