--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -69,8 +69,6 @@
   /** Requests a second; 0 means that no rate is to be checked. */
   13: required double rate_per_s,
   14: required double burst,
-  15: required i32 priority,
-  16: required string data_centre,
   /** Seconds until the result is due. */
   17: required double due_s,
   /** Seconds that the request will hold its place. */
@@ -119,7 +117,12 @@
 /** All places that a process holds. */
 struct PlacesHeld { 1: required string holder, 2: required list<Place> places }
 
-struct PlaceRevoked { 1: required string id }
+/** A place that its holder gives back at once. */
+struct PlaceRevoked {
+  1: required string id,
+  /** Name of the process that revokes it. */
+  2: required string scheduler,
+}
 
 /** A batch job changed; its worker should look at once. */
 struct JobChanged { 1: required string job }
--- a/src/ibisknot/bench/planner.py
+++ b/src/ibisknot/bench/planner.py
@@ -266,5 +266,5 @@
     axes.invert_yaxis()
     axes.set_xlabel("fraction of the worth that was asked for")
     axes.set_xlim(0.0, 1.0)
-    axes.legend()
+    axes.legend(loc="lower left")
     drawn.savefig(path, dpi=110)
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -653,8 +653,6 @@
      - avoid: Endpoints that have already failed this request.
      - rate_per_s: Requests a second; 0 means that no rate is to be checked.
      - burst
-     - priority
-     - data_centre
      - due_s: Seconds until the result is due.
      - needs_s: Seconds that the request will hold its place.
      - objective_s: Seconds until a waiting request is better refused.
@@ -677,8 +675,6 @@
         'avoid',
         'rate_per_s',
         'burst',
-        'priority',
-        'data_centre',
         'due_s',
         'needs_s',
         'objective_s',
@@ -686,7 +682,7 @@
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, priority=None, data_centre=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -701,8 +697,6 @@
         self.avoid = avoid
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self.priority = priority
-        self.data_centre = data_centre
         self.due_s = due_s
         self.needs_s = needs_s
         self.objective_s = objective_s
@@ -797,16 +791,6 @@
                     self.burst = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 15:
-                if ftype == TType.I32:
-                    self.priority = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 16:
-                if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.DOUBLE:
                     self.due_s = iprot.readDouble()
@@ -899,14 +883,6 @@
             oprot.writeFieldBegin('burst', TType.DOUBLE, 14)
             oprot.writeDouble(self.burst)
             oprot.writeFieldEnd()
-        if self.priority is not None:
-            oprot.writeFieldBegin('priority', TType.I32, 15)
-            oprot.writeI32(self.priority)
-            oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 16)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
-            oprot.writeFieldEnd()
         if self.due_s is not None:
             oprot.writeFieldBegin('due_s', TType.DOUBLE, 17)
             oprot.writeDouble(self.due_s)
@@ -955,10 +931,6 @@
             raise TProtocolException(message='Required field rate_per_s is unset!')
         if self.burst is None:
             raise TProtocolException(message='Required field burst is unset!')
-        if self.priority is None:
-            raise TProtocolException(message='Required field priority is unset!')
-        if self.data_centre is None:
-            raise TProtocolException(message='Required field data_centre is unset!')
         if self.due_s is None:
             raise TProtocolException(message='Required field due_s is unset!')
         if self.needs_s is None:
@@ -1592,18 +1564,23 @@
 
 class PlaceRevoked(object):
     """
+    A place that its holder gives back at once.
+
     Attributes:
      - id
+     - scheduler: Name of the process that revokes it.
 
     """
 
     __slots__ = (
         'id',
+        'scheduler',
     )
 
 
-    def __init__(self, id=None,):
+    def __init__(self, id=None, scheduler=None,):
         self.id = id
+        self.scheduler = scheduler
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1619,6 +1596,11 @@
                     self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.scheduler = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1633,12 +1615,18 @@
             oprot.writeFieldBegin('id', TType.STRING, 1)
             oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
             oprot.writeFieldEnd()
+        if self.scheduler is not None:
+            oprot.writeFieldBegin('scheduler', TType.STRING, 2)
+            oprot.writeString(self.scheduler.encode('utf-8') if sys.version_info[0] == 2 else self.scheduler)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.id is None:
             raise TProtocolException(message='Required field id is unset!')
+        if self.scheduler is None:
+            raise TProtocolException(message='Required field scheduler is unset!')
         return
 
     def __repr__(self):
@@ -1944,8 +1932,8 @@
     (12, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.DOUBLE, 'rate_per_s', None, None, ),  # 13
     (14, TType.DOUBLE, 'burst', None, None, ),  # 14
-    (15, TType.I32, 'priority', None, None, ),  # 15
-    (16, TType.STRING, 'data_centre', 'UTF8', None, ),  # 16
+    None,  # 15
+    None,  # 16
     (17, TType.DOUBLE, 'due_s', None, None, ),  # 17
     (18, TType.DOUBLE, 'needs_s', None, None, ),  # 18
     (19, TType.DOUBLE, 'objective_s', None, None, ),  # 19
@@ -1997,6 +1985,7 @@
 PlaceRevoked.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'scheduler', 'UTF8', None, ),  # 2
 )
 all_structs.append(JobChanged)
 JobChanged.thrift_spec = (
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -45,6 +45,9 @@
     "Seconds that a request waited for a place at an endpoint.",
     buckets=[0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0],
 )
+PLACES_REVOKED = aioprometheus.Counter(
+    "ibisknot_places_revoked_total", "Places that a scheduler revoked."
+)
 LOG_LINES_DROPPED = aioprometheus.Counter(
     "ibisknot_log_lines_dropped_total", "Log lines over the bound."
 )
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -266,8 +266,6 @@
             avoid=sorted(ask.avoid),
             rate_per_s=allowance.rate if allowance else 0.0,
             burst=allowance.burst if allowance else 0.0,
-            priority=0,
-            data_centre=self.process.data_centre,
             due_s=ask.due_s - self.clock.now(),
             needs_s=ask.needs_s,
             objective_s=ask.objective_s - waited_s,
@@ -459,6 +457,7 @@
                 request=place.ask.request,
                 place=place.id,
                 endpoint=place.endpoint.name,
+                revoked_by=message.scheduler,
             )
             place.revoked.set()
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -15,6 +15,7 @@
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import logs
+from ibisknot import metrics
 from ibisknot import overload
 from ibisknot import peer
 from ibisknot import rates
@@ -75,6 +76,7 @@
     """Decides on places with the product's admission.
 
     Attributes:
+        name: Name of this process.
         pools: The services that were asked for.
         shares: What is left of each organisation's rate.
         heard_s: Monotonic time of each holder's last report.
@@ -84,6 +86,7 @@
 
     def __init__(
         self,
+        name: str,
         view: fleetview.View,
         peers: peer.Client,
         clock: timer.Timer,
@@ -91,6 +94,7 @@
         *,
         choice: random.Random | None = None,
     ) -> None:
+        self.name = name
         self.view = view
         self.peers = peers
         self.clock = clock
@@ -390,10 +394,11 @@
                 if action.id != asked and holder:
                     self._push_refusal(pool, action.id, holder)
             else:
+                metrics.PLACES_REVOKED.inc({"service": pool.name})
                 self._send(
                     action.holder,
                     "place_revoked",
-                    ttypes.PlaceRevoked(id=action.id),
+                    ttypes.PlaceRevoked(id=action.id, scheduler=self.name),
                 )
 
     def _push_grant(self, ticket: admission.Held) -> None:
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -19,7 +19,11 @@
     """Runs the program until it is told to stop."""
     async with node.node(platform, program="ibisknot-worker") as made:
         giver = scheduler.Scheduler(
-            made.runner.view, made.peers, made.clock, made.group
+            made.process.name,
+            made.runner.view,
+            made.peers,
+            made.clock,
+            made.group,
         )
         giver.start(made.server)
         made.runner.changed.append(giver.refresh)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -42,6 +42,7 @@
             for name in ("e0", "e1")
         }
         self.made = scheduler.Scheduler(
+            "w0",
             self.view,
             fake_fleet.Peers(),  # type: ignore[arg-type]
             self.clock,  # type: ignore[arg-type]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -20,7 +20,7 @@
     peers = fake_fleet.Peers()
     clock = fake_fleet.Clock()
     group = fake_fleet.Group()
-    made = scheduler.Scheduler(view, peers, clock, group)  # type: ignore[arg-type]
+    made = scheduler.Scheduler("w0", view, peers, clock, group)  # type: ignore[arg-type]
     return made, peers, clock, group
 
 
@@ -40,8 +40,6 @@
         "avoid": [],
         "rate_per_s": 0.0,
         "burst": 0.0,
-        "priority": 0,
-        "data_centre": "d",
         "due_s": math.inf,
         "needs_s": 0.0,
         "objective_s": 5.0,
@@ -132,7 +130,9 @@
         assert peers.count("place_revoked") == 0
         await made.on_ask(_ask(9))
         await group.run()
-        assert peers.count("place_revoked") > 0
+        revoked = [m for _, name, m in peers.calls if name == "place_revoked"]
+        assert revoked
+        assert {message.scheduler for message in revoked} == {"w0"}
 
     anyio.run(main)
 
