--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -79,8 +79,6 @@
             avoid=[],
             rate_per_s=0.0,
             burst=0.0,
-            priority=0,
-            data_centre="d",
             due_s=1e9,
             needs_s=0.0,
             objective_s=self.objective_s,
