Learn of new members from peers while the store turns this process away

Members are only read from the store, and peers send them along only with other news, so store-1 never learned of the one worker that could have made its calls: its lease ended at 13.28 and its job ran again elsewhere.

Ruled out: the load alone (it only made store-0 start late), the lease's renewal, connections between processes.

Change: a process whose members are older than 2.5 s asks a few peers for all that they believe.

--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -24,6 +24,8 @@
 LONGEST_PAUSE_S = 1.0
 WATCH_S = 12.0
 MEMBERS_PERIOD_S = 1.0
+MEMBERS_STALE_S = 2.5
+"""Members that were read longer ago are asked of peers."""
 GOSSIP_PERIOD_S = 0.5
 GOSSIP_PEERS = 2
 PUSH_TIMEOUT_S = 0.4
@@ -360,8 +362,11 @@
     async def _gossip(self, _now: float) -> None:
         """Timer callback: compares beliefs with a few peers.
 
-        A process that knows no peer asks the seeds of its settings.
+        A process that knows no peer asks the seeds of its settings. One that
+        the store turns away learns of new members from its peers.
         """
+        age_s = self.clock.now() - self.view.members_read_s
+        is_stale = age_s > MEMBERS_STALE_S
         addresses = [m.address for m in self.others()]
         if not addresses:
             mine = self.process.peer_address
@@ -369,7 +374,7 @@
         count = min(GOSSIP_PEERS, len(addresses))
         async with anyio.create_task_group() as group:
             for address in self.choice.sample(addresses, count):
-                if self.view.configuration is None or not self.view.members:
+                if self.view.configuration is None or is_stale:
                     group.start_soon(self._try_pull, address)
                 else:
                     group.start_soon(self._tell, address)
