Take back the places of a holder that dies before its first report

The first worker had taken all 8 places and was killed before its first report of the places it holds; only holders that had reported were ever found silent, so its places stayed taken for good. The same holds for a holder that dies within 0.8 s of a scheduler's start.

Ruled out: the takeover (at 39.05, as meant), the asks (repeated and queued), open circuits (no failed attempt).

The new test fails without it.

--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -80,6 +80,8 @@
         pools: The services that were asked for.
         shares: What is left of each organisation's rate.
         heard_s: Monotonic time of each holder's last report.
+        expected_s: Monotonic time of the first place of each holder that has
+            not reported yet.
         refusals: The callers that were told to come back.
         started_s: Monotonic time of this process's start.
     """
@@ -103,6 +105,7 @@
         self.pools: dict[str, Pool] = {}
         self.shares: dict[str, rates.Share] = {}
         self.heard_s: dict[str, float] = {}
+        self.expected_s: dict[str, float] = {}
         self.refusals = overload.Refusals()
         self.started_s = clock.now()
 
@@ -145,6 +148,7 @@
         """Peer method: grants, queues or refuses a request for a place."""
         pool = self.pool(ask.group)
         pool.asked_s = self.clock.now()
+        self._expect(ask.holder)
         pool.state.policy = POLICY
         self._refresh(pool)
         repeated = admission.is_waiting(pool.state, ask.id)
@@ -313,8 +317,14 @@
         self._refresh(pool)
         self._adopt(pool, message.holder, message.place)
 
+    def _expect(self, holder: str) -> None:
+        """Awaits the reports of a holder, which may die before its first."""
+        if holder not in self.heard_s:
+            self.expected_s.setdefault(holder, self.clock.now())
+
     def _adopt(self, pool: Pool, holder: str, place: ttypes.Place) -> None:
         now = self.clock.now()
+        self._expect(holder)
         pool.taken_s.setdefault(place.id, now)
         ticket = _held(place, holder, now)
         self._do(pool, admission.adopt(pool.state, now, ticket))
@@ -342,6 +352,7 @@
         """Peer method: compares the places with what a holder says."""
         now = self.clock.now()
         self.heard_s[message.holder] = now
+        self.expected_s.pop(message.holder, None)
         by_pool: dict[str, list[admission.Held]] = {
             name: [] for name in self.pools
         }
@@ -358,10 +369,14 @@
 
     async def tick(self, now: float) -> None:
         """Timer callback: applies deadlines and forgets silent holders."""
-        for holder, heard_s in list(self.heard_s.items()):
+        for holder, heard_s in [
+            *self.heard_s.items(),
+            *self.expected_s.items(),
+        ]:
             if now - heard_s < SILENT_S:
                 continue
-            del self.heard_s[holder]
+            self.heard_s.pop(holder, None)
+            self.expected_s.pop(holder, None)
             logs.event("holder_lost", holder=holder, silent_s=now - heard_s)
             for pool in self.pools.values():
                 # Its tickets are not ended: if this process was cut off, the
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -168,6 +168,24 @@
     anyio.run(main)
 
 
+def test_places_of_a_holder_that_never_reported_come_back() -> None:
+    """Guards against slots lost to a process that died soon after its start."""
+
+    async def main() -> None:
+        made, _, clock, _ = _scheduler(fake_fleet.view(endpoints=1))
+        taken = ttypes.PlaceTaken(holder="w1:1", place=_place("told"))
+        await made.on_taken(taken)
+        granted = await made.on_ask(_ask(0, holder="w2:1"))
+        assert granted.state == State.GRANTED
+        assert (await made.on_ask(_ask(1))).state == State.QUEUED
+        clock.time_s += scheduler.SILENT_S + 0.1
+        await made.tick(clock.now())
+        states = [(await made.on_ask(_ask(n))).state for n in (2, 3, 4)]
+        assert states == [State.GRANTED, State.GRANTED, State.QUEUED]
+
+    anyio.run(main)
+
+
 def test_rate_counts_over_all_gateways() -> None:
     """Guards against granting each gateway the whole rate."""
 
