--- /dev/null
+++ b/src/ibisknot/batch_record_writer.py
@@ -0,0 +1,159 @@
+"""Guarded writes of the records of batch jobs by the worker that runs them.
+
+Each write requires that the job's record has not changed since it was read, so
+a worker that is not up to date changes nothing.
+"""
+
+from collections.abc import Sequence
+
+from ibisknot import batch_job
+from ibisknot import batch_jobs
+from ibisknot import batch_records
+from ibisknot import deployment
+from ibisknot import errors
+from ibisknot import logs
+from ibisknot import pairs
+
+
+class RecordWriter:
+    """Writes the records of the jobs of one worker.
+
+    Attributes:
+        process: Settings of the worker.
+        store: The key-value service.
+    """
+
+    def __init__(
+        self, process: deployment.Process, store: pairs.KeyValueStore
+    ) -> None:
+        self.process = process
+        self.store = store
+
+    async def take_over(
+        self, pair: pairs.Pair, progress: batch_records.Progress
+    ) -> int:
+        """Writes this worker as a job's owner; returns the revision, or 0."""
+        previous_owner = progress.owner
+        progress.owner = self.process.name
+        revision = await self._try_write(pair, progress)
+        if revision:
+            logs.event(
+                "job_taken_over",
+                job=progress.meta.id,
+                owner_before=previous_owner,
+                revision=revision,
+            )
+        return revision
+
+    async def pass_on(
+        self, pair: pairs.Pair, progress: batch_records.Progress, owner: str
+    ) -> bool:
+        """Writes another owner of a job of which nothing runs here."""
+        progress.owner = owner
+        revision = await self._try_write(pair, progress)
+        if revision:
+            logs.event(
+                "job_passed_on",
+                job=progress.meta.id,
+                owner=owner,
+                revision=revision,
+            )
+        return bool(revision)
+
+    async def move_to_ended(
+        self, pair: pairs.Pair, progress: batch_records.Progress
+    ) -> None:
+        """Moves the record of a cancelled job to the ended jobs."""
+        ended_key = batch_records.ENDED_PREFIX + progress.meta.id
+        put = pairs.Put(ended_key, batch_records.encode(progress))
+        guard = pairs.Guard(pair.key, pair.revision)
+        try:
+            await self.store.transact([guard], [put], deletes=[pair.key])
+        except errors.KeyValueError:
+            # The next poll finds the record again.
+            return
+
+    async def _try_write(
+        self, pair: pairs.Pair, progress: batch_records.Progress
+    ) -> int:
+        """Replaces a record; returns 0 if the next poll must try again."""
+        put = pairs.Put(pair.key, batch_records.encode(progress))
+        guard = pairs.Guard(pair.key, pair.revision)
+        try:
+            return await self.store.transact([guard], [put])
+        except errors.KeyValueError:
+            return 0
+
+    async def hand_over(
+        self, job: batch_job.Job, updated: batch_records.Progress
+    ) -> bool:
+        """Writes a new owner; returns False if the record has changed.
+
+        Raises:
+            KeyValueError: The write failed or may have failed.
+        """
+        key = batch_records.OPEN_PREFIX + updated.meta.id
+        guard = pairs.Guard(key, job.revision)
+        put = pairs.Put(key, batch_records.encode(updated))
+        revision = await self.store.transact([guard], [put])
+        if revision:
+            job.progress = updated
+            job.revision = revision
+            job.changed.set()
+            logs.event(
+                "job_handed_over",
+                job=updated.meta.id,
+                owner=updated.owner,
+                kept=len(updated.kept),
+                revision=revision,
+            )
+        return bool(revision)
+
+    async def append_results(self, job: batch_job.Job) -> bool:
+        """Tries once to write the leading unwritten results.
+
+        Returns:
+            False if the record has changed and must be read again.
+
+        Raises:
+            KeyValueError: The write failed or may have failed.
+        """
+        max_bytes = int(self.process.value_bytes * batch_jobs.VALUE_FRACTION)
+        written = batch_records.leading_results(job.unwritten, max_bytes)
+        progress = job.progress
+        updated, results = batch_records.append_results(progress, written)
+        if results:
+            revision = await self._commit(job, updated, results)
+            if not revision:
+                return False
+            job.progress = updated
+            job.revision = revision
+            logs.event(
+                "results_listed",
+                job=progress.meta.id,
+                position=len(progress.listed),
+                count=len(results),
+                revision=revision,
+            )
+        del job.unwritten[: len(written)]
+        return True
+
+    async def _commit(
+        self,
+        job: batch_job.Job,
+        updated: batch_records.Progress,
+        results: Sequence[batch_records.ItemResult],
+    ) -> int:
+        """Writes results and record; returns the revision, 0 if refused."""
+        job_id = updated.meta.id
+        key = batch_records.OPEN_PREFIX + job_id
+        guard = pairs.Guard(key, job.revision)
+        first_index = len(job.progress.listed)
+        results_key = batch_records.results_key(job_id, first_index)
+        puts = [pairs.Put(results_key, batch_records.encode(results))]
+        record = batch_records.encode(updated)
+        if updated.is_complete():
+            puts.append(pairs.Put(batch_records.ENDED_PREFIX + job_id, record))
+            return await self.store.transact([guard], puts, deletes=[key])
+        puts.append(pairs.Put(key, record))
+        return await self.store.transact([guard], puts)
--- a/src/ibisknot/batch_records.py
+++ b/src/ibisknot/batch_records.py
@@ -80,6 +80,8 @@
         closed: Whether its caller has cancelled it.
         kept: Indexes of the items that the previous owner still runs.
         kept_by: Name of that owner; empty without such items.
+        kept_by_started_ms: Unix time in milliseconds at which the process of
+            that owner started; 0 if it is not known.
     """
 
     meta: JobMeta
@@ -89,6 +91,7 @@
     closed: bool = False
     kept: list[int] = []
     kept_by: str = ""
+    kept_by_started_ms: int = 0
 
     def is_complete(self) -> bool:
         """Returns whether no item is left to run."""
@@ -227,7 +230,7 @@
 
 
 def with_new_owner(
-    progress: Progress, *, owner: str, kept: list[int]
+    progress: Progress, *, owner: str, kept: list[int], started_ms: int
 ) -> Progress:
     """Returns a job's progress with a new owner.
 
@@ -235,15 +238,15 @@
         progress: The progress up to now; it is not changed.
         owner: Name of the new owner.
         kept: Indexes of the items that the previous owner still runs.
+        started_ms: Unix time in milliseconds of the previous owner's start.
     """
-    return Progress(
-        meta=progress.meta,
+    return msgspec.structs.replace(
+        progress,
         owner=owner,
         listed=list(progress.listed),
-        waiting_tokens=progress.waiting_tokens,
-        closed=progress.closed,
         kept=sorted(kept),
         kept_by=progress.owner if kept else "",
+        kept_by_started_ms=started_ms if kept else 0,
     )
 
 
@@ -292,13 +295,10 @@
         listed.append(index)
         results.append(result)
         waiting_tokens -= item_tokens
-    updated = Progress(
-        meta=progress.meta,
-        owner=progress.owner,
+    updated = msgspec.structs.replace(
+        progress,
         listed=listed,
         waiting_tokens=max(0, waiting_tokens),
-        closed=progress.closed,
         kept=[index for index in progress.kept if index not in seen],
-        kept_by=progress.kept_by,
     )
     return updated, results
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -5,14 +5,15 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 import time
 
 import anyio
 from anyio import abc
 
 from ibisknot import batch_item
+from ibisknot import batch_job
 from ibisknot import batch_jobs
+from ibisknot import batch_record_writer
 from ibisknot import batch_records
 from ibisknot import deployment
 from ibisknot import errors
@@ -35,43 +36,16 @@
 """Items that run or wait for a ticket at one worker."""
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A job that this worker runs.
-
-    Attributes:
-        progress: The job's record as last read or written.
-        revision: Store revision of that record.
-        items: All items; empty until they are read.
-        unwritten: Item index, result and tokens of each unwritten result.
-        changed: Set when a task has finished or the job was handed over.
-        cancel_scope: Cancels everything that runs for the job.
-        tasks: Unfinished tasks by item index.
-        task_group: Runs the tasks; None until the items are read.
-    """
-
-    progress: batch_records.Progress
-    revision: int
-    items: list[batch_records.Item] = dataclasses.field(default_factory=list)
-    unwritten: list[tuple[int, batch_records.ItemResult, int]] = (
-        dataclasses.field(default_factory=list)
-    )
-    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    cancel_scope: anyio.CancelScope = dataclasses.field(
-        default_factory=anyio.CancelScope
-    )
-    tasks: dict[int, batch_item.Task] = dataclasses.field(default_factory=dict)
-    task_group: abc.TaskGroup | None = None
-
-
 class Worker:
     """Runs batch jobs on one worker.
 
     Attributes:
+        records: Writes the jobs' records.
         jobs: Jobs that run here, by id.
         missing_since_s: Monotonic time since which a job's owner is absent
             from the fleet, by name.
         is_draining: Whether this worker starts no more jobs and items.
+        started_ms: Unix time in milliseconds of this process's start.
         unix_s: Returns the Unix time in seconds.
         item_semaphore: Limits the number of items that run here.
     """
@@ -86,9 +60,12 @@
         clock: timer.Timer,
         task_group: abc.TaskGroup,
         *,
+        started_ms: int,
         unix_s: Callable[[], float] = time.time,
     ) -> None:
         self.process = process
+        self.records = batch_record_writer.RecordWriter(process, store)
+        self.started_ms = started_ms
         self.store = store
         self.view = view
         self.peers = peers
@@ -96,7 +73,7 @@
         self.clock = clock
         self.task_group = task_group
         self.unix_s = unix_s
-        self.jobs: dict[str, Job] = {}
+        self.jobs: dict[str, batch_job.Job] = {}
         self.missing_since_s: dict[str, float] = {}
         self.is_draining = False
         self.item_semaphore = anyio.Semaphore(MAX_RUNNING_ITEMS)
@@ -158,7 +135,7 @@
                 job.revision = pair.revision
             if progress.closed:
                 self._stop_job(job_id, "its caller has cancelled it")
-                await self._move_to_ended(pair, progress)
+                await self.records.move_to_ended(pair, progress)
             elif not self._runs_here(progress):
                 self._stop_job(job_id, f"{progress.owner} runs it")
             else:
@@ -168,11 +145,27 @@
             if progress.owner == self.process.name or self._should_take_over(
                 progress
             ):
-                await self._move_to_ended(pair, progress)
-        elif progress.owner == self.process.name and not self.is_draining:
-            self._start_job(progress, pair.revision)
+                await self.records.move_to_ended(pair, progress)
+        elif progress.owner == self.process.name:
+            if self.is_draining:
+                await self._pass_on(pair, progress)
+            else:
+                self._start_job(progress, pair.revision)
         elif self._should_take_over(progress):
-            await self._take_over(pair, progress)
+            revision = await self.records.take_over(pair, progress)
+            if revision:
+                self._start_job(progress, revision)
+
+    async def _pass_on(
+        self, pair: pairs.Pair, progress: batch_records.Progress
+    ) -> None:
+        """Gives a job that arrives while this worker drains to another one."""
+        others = self._other_workers()
+        if not others:
+            return
+        owner = batch_jobs.choose_owner(progress.meta.id, others)
+        if await self.records.pass_on(pair, progress, owner):
+            await self._notify_owner(progress)
 
     def _should_take_over(self, progress: batch_records.Progress) -> bool:
         """Returns whether this worker succeeds a job's departed owner."""
@@ -190,6 +183,23 @@
         now = self.clock.now()
         return now - self.missing_since_s.setdefault(worker, now) >= TAKEOVER_S
 
+    def _are_kept_items_lost(self, progress: batch_records.Progress) -> bool:
+        """Returns whether the process that kept items of a job has ended.
+
+        A worker that was restarted under its name runs nothing of what its
+        previous process kept.
+        """
+        started_ms = progress.kept_by_started_ms
+        if progress.kept_by == self.process.name:
+            return started_ms != self.started_ms
+        member = self.view.members.get(progress.kept_by)
+        if member is not None and started_ms:
+            return member.started_ms > started_ms
+        return self._is_departed(progress.kept_by)
+
+    def _other_workers(self) -> list[str]:
+        return [w for w in self._workers() if w != self.process.name]
+
     def _workers(self) -> list[str]:
         return [
             m.name
@@ -197,47 +207,13 @@
             if m.kind == deployment.WORKER
         ]
 
-    async def _take_over(
-        self, pair: pairs.Pair, progress: batch_records.Progress
-    ) -> None:
-        """Writes this worker as the owner of a job, then starts the job."""
-        previous_owner = progress.owner
-        progress.owner = self.process.name
-        put = pairs.Put(pair.key, batch_records.encode(progress))
-        guard = pairs.Guard(pair.key, pair.revision)
-        try:
-            revision = await self.store.transact([guard], [put])
-        except errors.KeyValueError:
-            return
-        if revision:
-            logs.event(
-                "job_taken_over",
-                job=progress.meta.id,
-                owner_before=previous_owner,
-                revision=revision,
-            )
-            self._start_job(progress, revision)
-
-    async def _move_to_ended(
-        self, pair: pairs.Pair, progress: batch_records.Progress
-    ) -> None:
-        """Moves the record of a cancelled job to the ended jobs."""
-        ended_key = batch_records.ENDED_PREFIX + progress.meta.id
-        put = pairs.Put(ended_key, batch_records.encode(progress))
-        guard = pairs.Guard(pair.key, pair.revision)
-        try:
-            await self.store.transact([guard], [put], deletes=[pair.key])
-        except errors.KeyValueError:
-            # The next poll finds the record again.
-            return
-
     def _start_job(
         self, progress: batch_records.Progress, revision: int
     ) -> None:
         job_id = progress.meta.id
         if job_id in self.jobs:
             return
-        job = Job(progress, revision)
+        job = batch_job.Job(progress, revision)
         self.jobs[job_id] = job
         self.task_group.start_soon(self._run_job, job)
 
@@ -248,7 +224,7 @@
             logs.event("job_stopped", job=job_id, cause=cause)
             job.cancel_scope.cancel()
 
-    async def _run_job(self, job: Job) -> None:
+    async def _run_job(self, job: batch_job.Job) -> None:
         """Runs a job until its results are written or it is stopped."""
         job_id = job.progress.meta.id
         logs.event(
@@ -272,7 +248,7 @@
         name = self.process.name
         return name in (progress.owner, progress.kept_by)
 
-    def _start_items(self, job: Job) -> None:
+    def _start_items(self, job: batch_job.Job) -> None:
         """Starts the items that have no result and do not run."""
         progress = job.progress
         if job.task_group is None or self.is_draining:
@@ -281,7 +257,7 @@
             return
         unwritten = {i for i, _, _ in job.unwritten}
         skipped = {*progress.listed, *unwritten, *job.tasks}
-        if not self._is_departed(progress.kept_by):
+        if not self._are_kept_items_lost(progress):
             skipped.update(progress.kept)
         for index, item in enumerate(job.items):
             if index not in skipped:
@@ -289,7 +265,7 @@
                 job.tasks[index] = task
                 job.task_group.start_soon(self._run_item, job, task)
 
-    async def _load_items(self, job: Job) -> None:
+    async def _load_items(self, job: batch_job.Job) -> None:
         while not job.items:
             try:
                 job.items = await batch_jobs.read_items(
@@ -301,7 +277,7 @@
                 await anyio.sleep(STORE_RETRY_PAUSE_S)
 
     def _make_task(
-        self, job: Job, index: int, item: batch_records.Item
+        self, job: batch_job.Job, index: int, item: batch_records.Item
     ) -> batch_item.Task:
         meta = job.progress.meta
         age_s = self.unix_s() - meta.submitted_ms / 1000
@@ -315,7 +291,9 @@
             submitted_s=self.clock.now() - age_s,
         )
 
-    async def _run_item(self, job: Job, task: batch_item.Task) -> None:
+    async def _run_item(
+        self, job: batch_job.Job, task: batch_item.Task
+    ) -> None:
         """Runs an item and queues its result, to be written."""
         async with self.item_semaphore:
             result = await self.item_runner.run(task)
@@ -350,9 +328,9 @@
     def _is_busy(self) -> bool:
         return any(j.tasks or j.unwritten for j in self.jobs.values())
 
-    async def _hand_over(self, job: Job, deadline_s: float) -> None:
+    async def _hand_over(self, job: batch_job.Job, deadline_s: float) -> None:
         """Hands over a job, except for the items that run here."""
-        others = [w for w in self._workers() if w != self.process.name]
+        others = self._other_workers()
         if not others:
             return
         while self.clock.now() < deadline_s:
@@ -363,9 +341,10 @@
                 progress,
                 owner=batch_jobs.choose_owner(progress.meta.id, others),
                 kept=[*job.tasks, *(i for i, _, _ in job.unwritten)],
+                started_ms=self.started_ms,
             )
             try:
-                if await self._write_handover(job, updated):
+                if await self.records.hand_over(job, updated):
                     await self._notify_owner(updated)
                     return
                 await self._reload_progress(job)
@@ -378,27 +357,6 @@
                 await anyio.sleep(STORE_RETRY_PAUSE_S)
                 await self._reload_progress(job)
 
-    async def _write_handover(
-        self, job: Job, updated: batch_records.Progress
-    ) -> bool:
-        """Writes a new owner; returns False if the record has changed."""
-        key = batch_records.OPEN_PREFIX + updated.meta.id
-        guard = pairs.Guard(key, job.revision)
-        put = pairs.Put(key, batch_records.encode(updated))
-        revision = await self.store.transact([guard], [put])
-        if revision:
-            job.progress = updated
-            job.revision = revision
-            job.changed.set()
-            logs.event(
-                "job_handed_over",
-                job=updated.meta.id,
-                owner=updated.owner,
-                kept=len(updated.kept),
-                revision=revision,
-            )
-        return bool(revision)
-
     async def _notify_owner(self, progress: batch_records.Progress) -> None:
         member = self.view.members.get(progress.owner)
         if member is None:
@@ -414,7 +372,7 @@
             job_id = progress.meta.id
             logs.event("owner_silent", job=job_id, cause=error.message)
 
-    async def _write_results(self, job: Job) -> None:
+    async def _write_results(self, job: batch_job.Job) -> None:
         """Writes results until all items are listed or run elsewhere."""
         while self._has_work(job):
             await job.changed.wait()
@@ -422,7 +380,8 @@
             job.changed = anyio.Event()
             while job.unwritten:
                 try:
-                    await self._append_results(job)
+                    if not await self.records.append_results(job):
+                        await self._reload_progress(job)
                 except errors.KeyValueError as error:
                     logs.event(
                         "results_not_written",
@@ -433,58 +392,14 @@
                     await anyio.sleep(STORE_RETRY_PAUSE_S)
                     await self._reload_progress(job)
 
-    def _has_work(self, job: Job) -> bool:
+    def _has_work(self, job: batch_job.Job) -> bool:
         """Returns whether this worker still has results to produce or write."""
         if job.progress.is_complete():
             return False
         is_owner = job.progress.owner == self.process.name
         return is_owner or bool(job.tasks or job.unwritten)
 
-    async def _append_results(self, job: Job) -> None:
-        """Tries once to write the leading unwritten results."""
-        max_bytes = int(self.process.value_bytes * batch_jobs.VALUE_FRACTION)
-        written = batch_records.leading_results(job.unwritten, max_bytes)
-        progress = job.progress
-        updated, results = batch_records.append_results(progress, written)
-        if results:
-            revision = await self._commit_results(
-                job, progress, updated, results
-            )
-            if not revision:
-                await self._reload_progress(job)
-                return
-            job.progress = updated
-            job.revision = revision
-            logs.event(
-                "results_listed",
-                job=progress.meta.id,
-                position=len(progress.listed),
-                count=len(results),
-                revision=revision,
-            )
-        del job.unwritten[: len(written)]
-
-    async def _commit_results(
-        self,
-        job: Job,
-        progress: batch_records.Progress,
-        updated: batch_records.Progress,
-        results: list[batch_records.ItemResult],
-    ) -> int:
-        """Writes results and record; returns the revision, 0 if refused."""
-        job_id = progress.meta.id
-        key = batch_records.OPEN_PREFIX + job_id
-        guard = pairs.Guard(key, job.revision)
-        results_key = batch_records.results_key(job_id, len(progress.listed))
-        puts = [pairs.Put(results_key, batch_records.encode(results))]
-        record = batch_records.encode(updated)
-        if updated.is_complete():
-            puts.append(pairs.Put(batch_records.ENDED_PREFIX + job_id, record))
-            return await self.store.transact([guard], puts, deletes=[key])
-        puts.append(pairs.Put(key, record))
-        return await self.store.transact([guard], puts)
-
-    async def _reload_progress(self, job: Job) -> None:
+    async def _reload_progress(self, job: batch_job.Job) -> None:
         """Reads a job's record after a write that failed or may have failed."""
         job_id = job.progress.meta.id
         try:
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -46,6 +46,7 @@
             items,
             worker_node.clock,
             worker_node.task_group,
+            started_ms=worker_node.runner.own_member.started_ms,
         )
         worker.start(worker_node.server)
         retirement = worker_retirement.Retirement(
--- /dev/null
+++ b/tests/fake_pairs_store.py
@@ -0,0 +1,80 @@
+"""An in-memory key-value service of the users' platform for tests."""
+
+import collections
+
+import anyio
+
+from ibisknot import errors
+from ibisknot import pairs
+
+
+class FakeStore:
+    """Holds pairs, and counts the calls by method.
+
+    Attributes:
+        stored: The stored pairs by key.
+        revision: Revision of the last change.
+        calls: Number of calls by method.
+        is_down: Whether all calls fail.
+        lost_answers: Number of next writes that take effect without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.stored: dict[str, pairs.Pair] = {}
+        self.revision = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.is_down = False
+        self.lost_answers = 0
+
+    def _count(self, method: str) -> None:
+        self.calls[method] += 1
+        if self.is_down:
+            raise errors.KeyValueError("the store is down")
+
+    async def get(self, key: str) -> pairs.Pair | None:
+        """Returns a pair."""
+        self._count("get")
+        return self.stored.get(key)
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> pairs.Listing:
+        """Returns the pairs below a prefix."""
+        self._count("list")
+        found = [
+            self.stored[key]
+            for key in sorted(self.stored)
+            if key.startswith(prefix) and key > after
+        ]
+        return pairs.Listing(found, self.revision)
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> pairs.Changes:
+        """Returns no changes after the whole wait."""
+        self._count("changes")
+        await anyio.sleep(wait_s)
+        return pairs.Changes([], after)
+
+    async def transact(
+        self,
+        guards: list[pairs.Guard],
+        puts: list[pairs.Put],
+        *,
+        deletes: list[str] | None = None,
+    ) -> int:
+        """Applies a transaction if its guards hold."""
+        self._count("transact")
+        for guard in guards:
+            pair = self.stored.get(guard.key)
+            if (0 if pair is None else pair.revision) != guard.revision:
+                return 0
+        self.revision += 1
+        for put in puts:
+            self.stored[put.key] = pairs.Pair(put.key, put.value, self.revision)
+        for key in deletes or []:
+            self.stored.pop(key, None)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise errors.KeyValueUnknownError("the answer was lost")
+        return self.revision
