--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -125,7 +125,33 @@
 }
 
 /** A batch job changed; its worker should look at once. */
-struct JobChanged { 1: required string job }
+struct JobChanged {
+  1: required string job,
+  /** The items of a new job, as the store holds them, to save a read. */
+  2: optional list<binary> parts,
+}
+
+/** Reads results of a batch job from the worker that runs it. */
+struct JobRead {
+  1: required string job,
+  /** Index of the first result to return, in the order of listing. */
+  2: required i32 first_index,
+  /** Seconds to wait while that result does not exist. */
+  3: required double wait_s,
+}
+
+/** Results of a batch job, if the worker is certain that it knows them all. */
+struct JobPage {
+  /** When it is false, only `owner` says anything. */
+  1: required bool certain,
+  /** Name of the worker that runs the job, as far as this one knows. */
+  2: required string owner,
+  3: required string organisation,
+  /** Number of the job's items. */
+  4: required i32 total,
+  /** The results, encoded as in the store. */
+  5: required binary results,
+}
 
 /** A call of the key-value service, made for a process that it turns away. */
 struct StoreCall {
--- a/src/ibisknot/batch_api.py
+++ b/src/ibisknot/batch_api.py
@@ -156,13 +156,13 @@
         """Performs a call on an existing job and responds to it."""
         organisation = _organisation_name(configuration, metadata, route)
         if isinstance(call, ReadResults):
-            total, results = await self.jobs.read_results(
+            total, results = await self.jobs.reader.read_results(
                 call.job_id, organisation, call.first_index, call.max_wait_s
             )
             body = self.dialect.encode_page(total, call.first_index, results)
             await exchange.respond(200, JSON_HEADERS, body)
         elif isinstance(call, ReadItemBody):
-            item_body = await self.jobs.read_item_body(
+            item_body = await self.jobs.reader.read_item_body(
                 call.job_id, organisation, call.item_id
             )
             if item_body is None:
--- a/src/ibisknot/batch_job.py
+++ b/src/ibisknot/batch_job.py
@@ -1,12 +1,17 @@
 """State of a batch job at the worker that runs it."""
 
 import dataclasses
+import math
 
 import anyio
 from anyio import abc
 
 from ibisknot import batch_item
 from ibisknot import batch_records
+from ibisknot import listed_results
+
+LATE_WRITE_S = 10.0
+"""Time in which a write without an answer may still take effect."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,6 +23,13 @@
         revision: Store revision of that record.
         items: All items; empty until they are read.
         unwritten: Item index, result and tokens of each unwritten result.
+        listed: The listed results, as far as they are known here.
+        lease_count: Count of this worker's leases when the record was last
+            read or written.
+        doubtful_until_s: Monotonic time until which a late write may still
+            change the record.
+        results_changed: Set when results were listed or the job has stopped
+            here; a new event follows.
         changed: Set when a task has finished or the job was handed over.
         cancel_scope: Cancels everything that runs for the job.
         tasks: Unfinished tasks by item index.
@@ -30,9 +42,70 @@
     unwritten: list[tuple[int, batch_records.ItemResult, int]] = (
         dataclasses.field(default_factory=list)
     )
+    listed: listed_results.ListedResults = dataclasses.field(
+        default_factory=listed_results.ListedResults
+    )
+    lease_count: int = 0
+    doubtful_until_s: float = math.inf
+    results_changed: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     cancel_scope: anyio.CancelScope = dataclasses.field(
         default_factory=anyio.CancelScope
     )
     tasks: dict[int, batch_item.Task] = dataclasses.field(default_factory=dict)
     task_group: abc.TaskGroup | None = None
+
+
+def is_only_writer(
+    job: Job, *, worker: str, lease_count: int, now: float
+) -> bool:
+    """Returns whether only this worker can have changed a job's record.
+
+    It holds while the worker's entry is in the store, because another worker
+    takes the job over only without that entry.
+
+    Args:
+        job: The job.
+        worker: Name of this worker.
+        lease_count: Count of the leases of its entry.
+        now: Monotonic time in seconds.
+    """
+    progress = job.progress
+    return (
+        progress.owner == worker
+        and not progress.closed
+        and not progress.kept
+        and job.lease_count == lease_count
+        and now >= job.doubtful_until_s
+    )
+
+
+def has_all_results(job: Job) -> bool:
+    """Returns whether the results of all items are known here."""
+    return len(job.listed.results) >= job.progress.meta.total
+
+
+def notify_readers(job: Job) -> None:
+    """Wakes the readers that wait for results of a job."""
+    job.results_changed.set()
+    job.results_changed = anyio.Event()
+
+
+def record_own_write(
+    job: Job, progress: batch_records.Progress, revision: int, lease_count: int
+) -> None:
+    """Records a successful write, which voids the earlier ones.
+
+    Args:
+        job: The job.
+        progress: The record that was written.
+        revision: Store revision of the write.
+        lease_count: Count of this worker's leases before the write.
+    """
+    job.progress = progress
+    job.revision = revision
+    job.lease_count = lease_count
+    job.doubtful_until_s = -math.inf
+    notify_readers(job)
--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -1,4 +1,4 @@
-"""Submits batch jobs, reads their results and cancels them at a gateway.
+"""Submits and cancels batch jobs at a gateway.
 
 All state is in the key-value service, so any gateway can handle any job. A
 write without a response is repeated under the same guards until its outcome is
@@ -6,18 +6,18 @@
 does not run.
 """
 
-import collections
 from collections.abc import Callable
-import dataclasses
 import time
 
 import anyio
-import xxhash
 
 from ibisknot import batch_records
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import job_owners
+from ibisknot import job_reader
+from ibisknot import listed_results
 from ibisknot import logs
 from ibisknot import pairs
 from ibisknot import peer
@@ -28,50 +28,19 @@
 STORE_RETRY_AFTER_S = 0.8
 OVER_LIMIT_RETRY_AFTER_S = 1.0
 NOTIFY_TIMEOUT_S = 0.3
-MAX_CACHED_JOBS = 64
-MAX_CACHED_BYTES = 16 * 1024 * 1024
-"""Largest total length of the outputs in all cached jobs."""
+MAX_NOTIFIED_BYTES = 256 * 1024
+"""The owner reads the items of a larger job from the store."""
 VALUE_FRACTION = 0.7
 """Fraction of the store's maximum value size that one value may fill."""
-MAX_PAGE_BYTES = 900_000
 MAX_COUNTED_JOBS = 64
 """A record of waiting tokens with more jobs is rebuilt without ended ones."""
 
 
-@dataclasses.dataclass(slots=True)
-class CachedJob:
-    """What a gateway has read about one job.
-
-    Attributes:
-        meta: The job's fixed properties.
-        results: Results in the order in which they were listed, from the
-            first one without gaps.
-        revision: Store revision up to which `results` is complete.
-        last_key: Key of the last value of results that was read.
-    """
-
-    meta: batch_records.JobMeta
-    results: list[batch_records.ItemResult] = dataclasses.field(
-        default_factory=list
-    )
-    revision: int = 0
-    last_key: str = ""
-
-    def is_complete(self) -> bool:
-        """Returns whether `results` has a result for every item."""
-        return len(self.results) >= self.meta.total
-
-    def output_size(self) -> int:
-        """Returns the length of all cached outputs."""
-        return sum(len(result.output) for result in self.results)
-
-
 class Jobs:
-    """Submits, reads and cancels batch jobs for one gateway.
+    """Submits and cancels batch jobs for one gateway.
 
     Attributes:
-        cached_jobs: The most recently used jobs, by id.
-        cached_items: Items by id, of the jobs whose bodies were read last.
+        reader: Reads jobs, and caches those that were submitted here.
     """
 
     def __init__(
@@ -89,12 +58,7 @@
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
-        self.cached_jobs: collections.OrderedDict[str, CachedJob] = (
-            collections.OrderedDict()
-        )
-        self.cached_items: collections.OrderedDict[
-            str, dict[str, batch_records.Item]
-        ] = collections.OrderedDict()
+        self.reader = job_reader.Reader(store, view, peers, clock)
 
     async def submit(
         self,
@@ -119,10 +83,9 @@
             KeyValueError: The store is unavailable and nothing was written.
             KeyValueUnknownError: It is unknown whether the job was accepted.
         """
-        if submission.id in self.cached_jobs:
-            self._check_access(
-                self.cached_jobs[submission.id].meta, organisation
-            )
+        cached = self.reader.cached_jobs.get(submission.id)
+        if cached is not None:
+            self._check_access(cached, organisation)
             return
         is_outcome_unknown = False
         while True:
@@ -161,9 +124,9 @@
         if pair is not None:
             waiting = batch_records.decode_waiting_tokens(pair.value)
         if submission.id in waiting.jobs:
-            job = await self._find_job(submission.id)
+            job = await self.reader.find_job(submission.id)
             if job is not None:
-                self._check_access(job.meta, organisation)
+                self._check_access(job, organisation)
                 return True
         tokens = submission.total_tokens()
         has_many_jobs = len(waiting.jobs) > MAX_COUNTED_JOBS
@@ -196,9 +159,9 @@
         self, submission: batch_records.Submission, organisation: str
     ) -> bool:
         """Returns True if the job is already stored, else refuses it."""
-        job = await self._find_job(submission.id)
+        job = await self.reader.find_job(submission.id)
         if job is not None:
-            self._check_access(job.meta, organisation)
+            self._check_access(job, organisation)
             return True
         raise errors.RateLimitError(
             f"{organisation} has too many batch tokens waiting",
@@ -227,7 +190,9 @@
         )
         progress = batch_records.Progress(
             meta=meta,
-            owner=self._choose_owner(submission.id),
+            owner=job_owners.choose_owner(
+                submission.id, job_owners.worker_names(self.view)
+            ),
             listed=[],
             waiting_tokens=submission.total_tokens(),
         )
@@ -247,12 +212,12 @@
         guards = [pairs.Guard(meta_key, 0), guard]
         revision = await self.store.transact(guards, puts)
         if not revision:
-            job = await self._find_job(meta.id)
+            job = await self.reader.find_job(meta.id)
             if job is None:
                 return False
-            self._check_access(job.meta, organisation)
+            self._check_access(job, organisation)
             return True
-        self._cache_job(CachedJob(meta, revision=revision))
+        self._cache_new_job(meta, revision)
         logs.event(
             "job_accepted",
             job=meta.id,
@@ -261,139 +226,49 @@
             owner=progress.owner,
             revision=revision,
         )
-        self.task_group.start_soon(self._notify_owner, meta.id, progress.owner)
+        self.task_group.start_soon(
+            self._notify_owner, meta.id, progress.owner, parts
+        )
         return True
 
-    def _choose_owner(self, job_id: str) -> str:
-        """Chooses the worker that owns a new job; empty if there is none."""
-        workers = [
-            m.name
-            for m in self.view.members.values()
-            if m.kind == deployment.WORKER
-        ]
-        return choose_owner(job_id, workers)
+    def _cache_new_job(
+        self, meta: batch_records.JobMeta, revision: int
+    ) -> None:
+        listed = listed_results.ListedResults(revision=revision)
+        self.reader.cache_job(job_reader.CachedJob(meta, listed))
+
+    def _check_access(
+        self, job: job_reader.CachedJob, organisation: str
+    ) -> None:
+        job_reader.check_access(
+            job.meta.id, job.meta.organisation, organisation
+        )
+
+    async def _notify_owner(
+        self, job_id: str, owner: str, parts: list[bytes] | None = None
+    ) -> None:
+        """Notifies a job's owner; a lost notification only delays it.
 
-    async def _notify_owner(self, job_id: str, owner: str) -> None:
-        """Notifies a job's owner; a lost notification only delays it."""
+        Args:
+            job_id: Id of the job.
+            owner: Name of the worker that runs it.
+            parts: The items of a new job, as they are stored.
+        """
         member = self.view.members.get(owner)
         if member is None:
             return
+        if parts and sum(map(len, parts)) > MAX_NOTIFIED_BYTES:
+            parts = None
         try:
             await self.peers.call(
                 member.address,
                 "job_changed",
-                ttypes.JobChanged(job=job_id),
+                ttypes.JobChanged(job=job_id, parts=parts),
                 timeout_s=NOTIFY_TIMEOUT_S,
             )
         except errors.IbisknotError as error:
             logs.event("owner_silent", job=job_id, cause=error.message)
 
-    def _check_access(
-        self, meta: batch_records.JobMeta, organisation: str
-    ) -> None:
-        """Raises NotFoundError for a job of another organisation."""
-        if meta.organisation != organisation:
-            raise errors.NotFoundError(f"no batch job {meta.id}")
-
-    def _cache_job(self, job: CachedJob) -> None:
-        """Caches a job as the one used last; evicts jobs over the limits."""
-        self.cached_jobs[job.meta.id] = job
-        self.cached_jobs.move_to_end(job.meta.id)
-        while len(self.cached_jobs) > MAX_CACHED_JOBS or (
-            len(self.cached_jobs) > 1
-            and sum(j.output_size() for j in self.cached_jobs.values())
-            > MAX_CACHED_BYTES
-        ):
-            self.cached_jobs.popitem(last=False)
-
-    async def _find_job(self, job_id: str) -> CachedJob | None:
-        """Returns a job from the cache or the store; None if it is unknown."""
-        job = self.cached_jobs.get(job_id)
-        if job is None:
-            pair = await self.store.get(batch_records.META_PREFIX + job_id)
-            if pair is None:
-                return None
-            job = CachedJob(batch_records.decode_meta(pair.value))
-        self._cache_job(job)
-        return job
-
-    async def _get_job(self, job_id: str, organisation: str) -> CachedJob:
-        """Returns an organisation's job; raises NotFoundError without one."""
-        job = await self._find_job(job_id)
-        if job is None:
-            raise errors.NotFoundError(f"no batch job {job_id}")
-        self._check_access(job.meta, organisation)
-        return job
-
-    async def read_results(
-        self, job_id: str, organisation: str, first_index: int, wait_s: float
-    ) -> tuple[int, list[batch_records.ItemResult]]:
-        """Returns one page of a job's results.
-
-        Args:
-            job_id: Id of the job.
-            organisation: Name of the organisation that reads it.
-            first_index: Index of the first result to return.
-            wait_s: Seconds to wait if that result does not exist yet.
-
-        Returns:
-            The number of the job's items, and the results.
-
-        Raises:
-            NotFoundError: The organisation has no such job.
-            KeyValueError: The store does not respond.
-        """
-        job = await self._get_job(job_id, organisation)
-        deadline_s = self.clock() + wait_s
-        if _is_pending(job, first_index):
-            # Another gateway may already have returned results that a watch
-            # would deliver later, so each call first lists the results.
-            await self._load_new_results(job)
-        while _is_pending(job, first_index) and self.clock() < deadline_s:
-            await self._wait_for_results(job, deadline_s - self.clock())
-        return job.meta.total, _first_page(job.results[first_index:])
-
-    async def _load_new_results(self, job: CachedJob) -> None:
-        """Lists the results after the cached ones and adds them."""
-        prefix = batch_records.results_prefix(job.meta.id)
-        listing = await self.store.list_prefix(prefix, after=job.last_key)
-        job.revision = listing.revision
-        for pair in listing.pairs:
-            _add_results(job, pair.key, pair.value)
-
-    async def _wait_for_results(self, job: CachedJob, wait_s: float) -> None:
-        """Watches a job's results for `wait_s` seconds and adds new ones."""
-        prefix = batch_records.results_prefix(job.meta.id)
-        try:
-            watched = await self.store.changes(prefix, job.revision, wait_s)
-        except errors.HistoryGoneError:
-            await self._load_new_results(job)
-            return
-        job.revision = max(job.revision, watched.revision)
-        for change in watched.changes:
-            if change.value is not None:
-                _add_results(job, change.key, change.value)
-
-    async def read_item_body(
-        self, job_id: str, organisation: str, item_id: str
-    ) -> bytes | None:
-        """Returns the request body of an item; None if there is no such item.
-
-        Raises:
-            NotFoundError: The organisation has no such job.
-            KeyValueError: The store does not respond.
-        """
-        job = await self._get_job(job_id, organisation)
-        items_by_id = self.cached_items.get(job_id)
-        if items_by_id is None:
-            items = await read_items(self.store, job.meta)
-            items_by_id = {entry.id: entry for entry in items}
-            self.cached_items[job_id] = items_by_id
-            while len(self.cached_items) > 4:
-                self.cached_items.popitem(last=False)
-        item = items_by_id.get(item_id)
-        return None if item is None else item.body
-
     async def cancel(
         self, job_id: str, organisation: str, deadline_s: float
     ) -> None:
@@ -404,7 +279,7 @@
             KeyValueError: The store does not respond, or the job's record
                 changed between each read and write until the deadline.
         """
-        await self._get_job(job_id, organisation)
+        await self.reader.get_job(job_id, organisation)
         while not await self._try_cancel(job_id):
             if self.clock() >= deadline_s:
                 raise errors.KeyValueError(f"job {job_id} changes too often")
@@ -431,36 +306,6 @@
         return bool(revision)
 
 
-def choose_owner(job_id: str, workers: list[str]) -> str:
-    """Chooses a job's owner by rendezvous hashing; empty without workers.
-
-    >>> choose_owner("j", []), choose_owner("j", ["w-1"])
-    ('', 'w-1')
-    """
-    return max(
-        workers,
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{job_id}/{name}".encode()),
-        default="",
-    )
-
-
-async def read_items(
-    store: pairs.KeyValueStore, meta: batch_records.JobMeta
-) -> list[batch_records.Item]:
-    """Reads all items of a job from the store.
-
-    Raises:
-        KeyValueError: The store does not respond, or a part is missing.
-    """
-    parts = []
-    for index in range(meta.parts):
-        pair = await store.get(batch_records.items_key(meta.id, index))
-        if pair is None:
-            raise errors.KeyValueError(f"job {meta.id} has no part {index}")
-        parts.append(pair.value)
-    return batch_records.decode_items(parts)
-
-
 def _is_within_limit(
     waiting: batch_records.WaitingTokens, tokens: int, route: serving.Route
 ) -> bool:
@@ -468,30 +313,3 @@
     if route.max_waiting_tokens <= 0:
         return True
     return sum(waiting.jobs.values()) + tokens <= route.max_waiting_tokens
-
-
-def _add_results(job: CachedJob, key: str, value: bytes) -> None:
-    """Adds the results of one value if they directly follow the cached ones."""
-    first_index = int(key.rpartition("/")[2])
-    if first_index == len(job.results):
-        job.results.extend(batch_records.decode_results(value))
-        job.last_key = key
-
-
-def _is_pending(job: CachedJob, index: int) -> bool:
-    """Returns whether the result at an index is not cached but may follow."""
-    return len(job.results) <= index and not job.is_complete()
-
-
-def _first_page(
-    results: list[batch_records.ItemResult],
-) -> list[batch_records.ItemResult]:
-    """Returns the leading results that fit one page, at least one."""
-    size_bytes = 0
-    page: list[batch_records.ItemResult] = []
-    for result in results:
-        size_bytes += len(result.output)
-        if page and size_bytes > MAX_PAGE_BYTES:
-            break
-        page.append(result)
-    return page
--- a/src/ibisknot/batch_record_writer.py
+++ b/src/ibisknot/batch_record_writer.py
@@ -4,6 +4,7 @@
 a worker that is not up to date changes nothing.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from ibisknot import batch_job
@@ -11,8 +12,10 @@
 from ibisknot import batch_records
 from ibisknot import deployment
 from ibisknot import errors
+from ibisknot import listed_results
 from ibisknot import logs
 from ibisknot import pairs
+from ibisknot import registration
 
 
 class RecordWriter:
@@ -21,21 +24,36 @@
     Attributes:
         process: Settings of the worker.
         store: The key-value service.
+        entry: This worker's entry among the members.
+        clock: Returns the monotonic time in seconds.
     """
 
     def __init__(
-        self, process: deployment.Process, store: pairs.KeyValueStore
+        self,
+        process: deployment.Process,
+        store: pairs.KeyValueStore,
+        entry: registration.Registration,
+        clock: Callable[[], float],
     ) -> None:
         self.process = process
         self.store = store
+        self.entry = entry
+        self.clock = clock
 
     async def take_over(
         self, pair: pairs.Pair, progress: batch_records.Progress
     ) -> int:
-        """Writes this worker as a job's owner; returns the revision, or 0."""
+        """Writes this worker as a job's owner; returns the revision, or 0.
+
+        The store refuses it if the previous owner's entry exists: a worker
+        that is only missing in an old list of members keeps its jobs.
+        """
         previous_owner = progress.owner
         progress.owner = self.process.name
-        revision = await self._try_write(pair, progress)
+        guards = []
+        if previous_owner:
+            guards.append(pairs.Guard(self.entry.key(previous_owner), 0))
+        revision = await self._try_write(pair, progress, guards)
         if revision:
             logs.event(
                 "job_taken_over",
@@ -74,13 +92,16 @@
             return
 
     async def _try_write(
-        self, pair: pairs.Pair, progress: batch_records.Progress
+        self,
+        pair: pairs.Pair,
+        progress: batch_records.Progress,
+        guards: Sequence[pairs.Guard] = (),
     ) -> int:
         """Replaces a record; returns 0 if the next poll must try again."""
         put = pairs.Put(pair.key, batch_records.encode(progress))
         guard = pairs.Guard(pair.key, pair.revision)
         try:
-            return await self.store.transact([guard], [put])
+            return await self.store.transact([guard, *guards], [put])
         except errors.KeyValueError:
             return 0
 
@@ -95,10 +116,8 @@
         key = batch_records.OPEN_PREFIX + updated.meta.id
         guard = pairs.Guard(key, job.revision)
         put = pairs.Put(key, batch_records.encode(updated))
-        revision = await self.store.transact([guard], [put])
+        revision = await self._write(job, updated, [guard], [put])
         if revision:
-            job.progress = updated
-            job.revision = revision
             job.changed.set()
             logs.event(
                 "job_handed_over",
@@ -126,8 +145,6 @@
             revision = await self._commit(job, updated, results)
             if not revision:
                 return False
-            job.progress = updated
-            job.revision = revision
             logs.event(
                 "results_listed",
                 job=progress.meta.id,
@@ -154,6 +171,37 @@
         record = batch_records.encode(updated)
         if updated.is_complete():
             puts.append(pairs.Put(batch_records.ENDED_PREFIX + job_id, record))
-            return await self.store.transact([guard], puts, deletes=[key])
-        puts.append(pairs.Put(key, record))
-        return await self.store.transact([guard], puts)
+            deletes = [key]
+        else:
+            puts.append(pairs.Put(key, record))
+            deletes = []
+        revision = await self._write(job, updated, [guard], puts, deletes)
+        if revision:
+            listed_results.add(job.listed, results_key, results)
+            batch_job.notify_readers(job)
+        return revision
+
+    async def _write(
+        self,
+        job: batch_job.Job,
+        updated: batch_records.Progress,
+        guards: list[pairs.Guard],
+        puts: list[pairs.Put],
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Writes a job's record; returns the revision, 0 if refused.
+
+        Raises:
+            KeyValueError: The write failed or may have failed.
+        """
+        lease_count = self.entry.lease_count
+        try:
+            revision = await self.store.transact(
+                guards, puts, deletes=list(deletes)
+            )
+        except errors.KeyValueUnknownError:
+            job.doubtful_until_s = self.clock() + batch_job.LATE_WRITE_S
+            raise
+        if revision:
+            batch_job.record_own_write(job, updated, revision, lease_count)
+        return revision
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -4,7 +4,9 @@
 because each append is guarded by the record's revision.
 """
 
+import collections
 from collections.abc import Callable
+import math
 import time
 
 import anyio
@@ -18,10 +20,13 @@
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import job_owners
+from ibisknot import job_reader
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import pairs
 from ibisknot import peer
+from ibisknot import registration
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
@@ -32,6 +37,11 @@
 WRITE_DELAY_S = 0.15
 """Results that arrive within this time are written in one transaction."""
 STORE_RETRY_PAUSE_S = 0.3
+MAX_ENDED_JOBS = 256
+MAX_ENDED_BYTES = 16 * 1024 * 1024
+"""Largest total length of the outputs of ended jobs that are retained."""
+NO_LEASE = -1
+"""Marks a job whose record this worker no longer follows."""
 MAX_RUNNING_ITEMS = 200
 """Items that run or wait for a ticket at one worker."""
 
@@ -45,7 +55,11 @@
         missing_since_s: Monotonic time since which a job's owner is absent
             from the fleet, by name.
         is_draining: Whether this worker starts no more jobs and items.
-        started_ms: Unix time in milliseconds of this process's start.
+        entry: This worker's entry among the members.
+        started_s: Monotonic time of this process's start.
+        ended_jobs: Jobs of which all results were listed here, by id, the
+            last one at the end.
+        owners: Owners of the open jobs that were listed last, by job id.
         unix_s: Returns the Unix time in seconds.
         item_semaphore: Limits the number of items that run here.
     """
@@ -59,13 +73,16 @@
         item_runner: batch_item.Runner,
         clock: timer.Timer,
         task_group: abc.TaskGroup,
+        entry: registration.Registration,
         *,
-        started_ms: int,
         unix_s: Callable[[], float] = time.time,
     ) -> None:
         self.process = process
-        self.records = batch_record_writer.RecordWriter(process, store)
-        self.started_ms = started_ms
+        self.records = batch_record_writer.RecordWriter(
+            process, store, entry, clock.now
+        )
+        self.entry = entry
+        self.started_s = clock.now()
         self.store = store
         self.view = view
         self.peers = peers
@@ -74,6 +91,10 @@
         self.task_group = task_group
         self.unix_s = unix_s
         self.jobs: dict[str, batch_job.Job] = {}
+        self.ended_jobs: collections.OrderedDict[str, batch_job.Job] = (
+            collections.OrderedDict()
+        )
+        self.owners: dict[str, str] = {}
         self.missing_since_s: dict[str, float] = {}
         self.is_draining = False
         self.item_semaphore = anyio.Semaphore(MAX_RUNNING_ITEMS)
@@ -85,30 +106,39 @@
 
     async def on_job_changed(self, message: ttypes.JobChanged) -> None:
         """Peer method: the record of a job of this worker has changed."""
-        self.task_group.start_soon(self._read_job, message.job)
+        self.task_group.start_soon(self._read_job, message.job, message.parts)
 
-    async def _read_job(self, job_id: str) -> None:
+    async def _read_job(
+        self, job_id: str, parts: list[bytes] | None = None
+    ) -> None:
+        """Reads and applies a job's record; `parts` has a new job's items."""
+        lease_count = self.entry.lease_count
         try:
             pair = await self.store.get(batch_records.OPEN_PREFIX + job_id)
         except errors.KeyValueError as error:
             logs.event("job_not_read", job=job_id, cause=error.message)
             return
         if pair is not None:
-            await self._apply_record(pair)
+            await self._apply_record(pair, lease_count)
+            job = self.jobs.get(job_id)
+            if job is not None and parts and not job.items:
+                job.items = batch_records.decode_items(parts)
 
     async def poll(self, now: float) -> None:
         """Timer callback: lists the open jobs and applies their records."""
+        lease_count = self.entry.lease_count
         try:
             listing = await self.store.list_prefix(batch_records.OPEN_PREFIX)
         except errors.KeyValueError:
             return
         self._update_missing_owners(now)
-        open_ids = set()
+        owners = {}
         for pair in listing.pairs:
-            open_ids.add(pair.key.removeprefix(batch_records.OPEN_PREFIX))
-            await self._apply_record(pair)
+            job_id = pair.key.removeprefix(batch_records.OPEN_PREFIX)
+            owners[job_id] = await self._apply_record(pair, lease_count)
+        self.owners = owners
         for job_id, job in list(self.jobs.items()):
-            if job_id not in open_ids and job.revision < listing.revision:
+            if job_id not in owners and job.revision < listing.revision:
                 self._stop_job(job_id, "it is no longer open")
 
     def _update_missing_owners(self, now: float) -> None:
@@ -120,27 +150,57 @@
                 # The member list is stale, so the absence is not confirmed.
                 self.missing_since_s[name] = now
 
-    async def _apply_record(self, pair: pairs.Pair) -> None:
-        """Starts, stops or takes over a job as its record demands."""
+    async def _apply_record(self, pair: pairs.Pair, lease_count: int) -> str:
+        """Starts, stops or takes over a job as its record demands.
+
+        Args:
+            pair: The record.
+            lease_count: Count of this worker's leases before it was read.
+
+        Returns:
+            The owner that the record names; empty if it cannot be decoded.
+        """
         try:
             progress = batch_records.decode_progress(pair.value)
         except errors.KeyValueError as error:
             logs.event("job_unreadable", key=pair.key, cause=error.message)
-            return
+            return ""
+        job = self.jobs.get(progress.meta.id)
+        if job is None:
+            await self._apply_foreign_record(pair, progress, lease_count)
+        else:
+            await self._apply_own_record(job, pair, progress, lease_count)
+        return progress.owner
+
+    async def _apply_own_record(
+        self,
+        job: batch_job.Job,
+        pair: pairs.Pair,
+        progress: batch_records.Progress,
+        lease_count: int,
+    ) -> None:
+        """Continues or stops a job that runs here as its record demands."""
         job_id = progress.meta.id
-        job = self.jobs.get(job_id)
-        if job is not None:
+        if pair.revision >= job.revision:
             if pair.revision > job.revision:
                 job.progress = progress
                 job.revision = pair.revision
-            if progress.closed:
-                self._stop_job(job_id, "its caller has cancelled it")
-                await self.records.move_to_ended(pair, progress)
-            elif not self._runs_here(progress):
-                self._stop_job(job_id, f"{progress.owner} runs it")
-            else:
-                self._start_items(job)
-            return
+            job.lease_count = lease_count
+        if progress.closed:
+            self._stop_job(job_id, "its caller has cancelled it")
+            await self.records.move_to_ended(pair, progress)
+        elif not self._runs_here(progress):
+            self._stop_job(job_id, f"{progress.owner} runs it")
+        else:
+            self._start_items(job)
+
+    async def _apply_foreign_record(
+        self,
+        pair: pairs.Pair,
+        progress: batch_records.Progress,
+        lease_count: int,
+    ) -> None:
+        """Starts or takes over a job that does not run here."""
         if progress.closed:
             if progress.owner == self.process.name or self._should_take_over(
                 progress
@@ -150,28 +210,43 @@
             if self.is_draining:
                 await self._pass_on(pair, progress)
             else:
-                self._start_job(progress, pair.revision)
+                doubtful_until_s = self.started_s + batch_job.LATE_WRITE_S
+                self._start_job(
+                    batch_job.Job(
+                        progress,
+                        pair.revision,
+                        lease_count=lease_count,
+                        doubtful_until_s=doubtful_until_s,
+                    )
+                )
         elif self._should_take_over(progress):
             revision = await self.records.take_over(pair, progress)
             if revision:
-                self._start_job(progress, revision)
+                self._start_job(
+                    batch_job.Job(
+                        progress,
+                        revision,
+                        lease_count=lease_count,
+                        doubtful_until_s=-math.inf,
+                    )
+                )
 
     async def _pass_on(
         self, pair: pairs.Pair, progress: batch_records.Progress
     ) -> None:
         """Gives a job that arrives while this worker drains to another one."""
-        others = self._other_workers()
+        others = self.other_workers()
         if not others:
             return
-        owner = batch_jobs.choose_owner(progress.meta.id, others)
+        owner = job_owners.choose_owner(progress.meta.id, others)
         if await self.records.pass_on(pair, progress, owner):
-            await self._notify_owner(progress)
+            await self.notify_owner(progress)
 
     def _should_take_over(self, progress: batch_records.Progress) -> bool:
         """Returns whether this worker succeeds a job's departed owner."""
         if self.is_draining or not self._is_departed(progress.owner):
             return False
-        successor = batch_jobs.choose_owner(progress.meta.id, self._workers())
+        successor = job_owners.choose_owner(progress.meta.id, self._workers())
         return successor == self.process.name
 
     def _is_departed(self, worker: str) -> bool:
@@ -191,37 +266,36 @@
         """
         started_ms = progress.kept_by_started_ms
         if progress.kept_by == self.process.name:
-            return started_ms != self.started_ms
+            return started_ms != self.entry.own_member.started_ms
         member = self.view.members.get(progress.kept_by)
         if member is not None and started_ms:
             return member.started_ms > started_ms
         return self._is_departed(progress.kept_by)
 
-    def _other_workers(self) -> list[str]:
+    def other_workers(self) -> list[str]:
+        """Returns the names of the fleet's other workers."""
         return [w for w in self._workers() if w != self.process.name]
 
     def _workers(self) -> list[str]:
-        return [
-            m.name
-            for m in self.view.members.values()
-            if m.kind == deployment.WORKER
-        ]
-
-    def _start_job(
-        self, progress: batch_records.Progress, revision: int
-    ) -> None:
-        job_id = progress.meta.id
-        if job_id in self.jobs:
-            return
-        job = batch_job.Job(progress, revision)
-        self.jobs[job_id] = job
-        self.task_group.start_soon(self._run_job, job)
+        return job_owners.worker_names(self.view)
+
+    def find_job(self, job_id: str) -> batch_job.Job | None:
+        """Returns a job that runs here or has ended here."""
+        return self.jobs.get(job_id) or self.ended_jobs.get(job_id)
+
+    def _start_job(self, job: batch_job.Job) -> None:
+        job_id = job.progress.meta.id
+        if job_id not in self.jobs:
+            self.jobs[job_id] = job
+            self.task_group.start_soon(self._run_job, job)
 
     def _stop_job(self, job_id: str, cause: str) -> None:
         """Cancels everything that runs for a job; `cause` is only logged."""
         job = self.jobs.pop(job_id, None)
         if job is not None:
             logs.event("job_stopped", job=job_id, cause=cause)
+            job.lease_count = NO_LEASE
+            batch_job.notify_readers(job)
             job.cancel_scope.cancel()
 
     async def _run_job(self, job: batch_job.Job) -> None:
@@ -242,6 +316,19 @@
                 task_group.cancel_scope.cancel()
         if self.jobs.get(job_id) is job:
             del self.jobs[job_id]
+            if batch_job.has_all_results(job):
+                self._retain_ended_job(job)
+
+    def _retain_ended_job(self, job: batch_job.Job) -> None:
+        """Retains a job for its readers; evicts jobs over the limits."""
+        job.items.clear()
+        self.ended_jobs[job.progress.meta.id] = job
+        while len(self.ended_jobs) > MAX_ENDED_JOBS or (
+            len(self.ended_jobs) > 1
+            and sum(j.listed.output_size() for j in self.ended_jobs.values())
+            > MAX_ENDED_BYTES
+        ):
+            self.ended_jobs.popitem(last=False)
 
     def _runs_here(self, progress: batch_records.Progress) -> bool:
         """Returns whether this worker runs some or all of a job's items."""
@@ -268,7 +355,7 @@
     async def _load_items(self, job: batch_job.Job) -> None:
         while not job.items:
             try:
-                job.items = await batch_jobs.read_items(
+                job.items = await job_reader.read_items(
                     self.store, job.progress.meta
                 )
             except errors.KeyValueError as error:
@@ -303,61 +390,8 @@
             job.unwritten.append((task.index, result, task.item.tokens))
         job.changed.set()
 
-    async def drain(self, deadline_s: float) -> None:
-        """Hands all jobs over and finishes the items that run at endpoints.
-
-        Args:
-            deadline_s: Monotonic time at which to return.
-        """
-        self.is_draining = True
-        for job in list(self.jobs.values()):
-            for task in list(job.tasks.values()):
-                if not task.is_at_endpoint:
-                    task.cancel_scope.cancel()
-        async with anyio.create_task_group() as task_group:
-            for job in list(self.jobs.values()):
-                task_group.start_soon(self._hand_over, job, deadline_s)
-        while self._is_busy() and self.clock.now() < deadline_s:
-            await anyio.sleep(WRITE_DELAY_S)
-        logs.event(
-            "jobs_left",
-            jobs=len(self.jobs),
-            items=sum(len(j.tasks) for j in self.jobs.values()),
-        )
-
-    def _is_busy(self) -> bool:
-        return any(j.tasks or j.unwritten for j in self.jobs.values())
-
-    async def _hand_over(self, job: batch_job.Job, deadline_s: float) -> None:
-        """Hands over a job, except for the items that run here."""
-        others = self._other_workers()
-        if not others:
-            return
-        while self.clock.now() < deadline_s:
-            progress = job.progress
-            if progress.is_complete() or progress.owner != self.process.name:
-                return
-            updated = batch_records.with_new_owner(
-                progress,
-                owner=batch_jobs.choose_owner(progress.meta.id, others),
-                kept=[*job.tasks, *(i for i, _, _ in job.unwritten)],
-                started_ms=self.started_ms,
-            )
-            try:
-                if await self.records.hand_over(job, updated):
-                    await self._notify_owner(updated)
-                    return
-                await self._reload_progress(job)
-            except errors.KeyValueError as error:
-                logs.event(
-                    "job_not_handed_over",
-                    job=progress.meta.id,
-                    cause=error.message,
-                )
-                await anyio.sleep(STORE_RETRY_PAUSE_S)
-                await self._reload_progress(job)
-
-    async def _notify_owner(self, progress: batch_records.Progress) -> None:
+    async def notify_owner(self, progress: batch_records.Progress) -> None:
+        """Notifies a job's owner; a lost notification only delays it."""
         member = self.view.members.get(progress.owner)
         if member is None:
             return
@@ -381,7 +415,7 @@
             while job.unwritten:
                 try:
                     if not await self.records.append_results(job):
-                        await self._reload_progress(job)
+                        await self.reload_progress(job)
                 except errors.KeyValueError as error:
                     logs.event(
                         "results_not_written",
@@ -390,7 +424,7 @@
                         cause=error.message,
                     )
                     await anyio.sleep(STORE_RETRY_PAUSE_S)
-                    await self._reload_progress(job)
+                    await self.reload_progress(job)
 
     def _has_work(self, job: batch_job.Job) -> bool:
         """Returns whether this worker still has results to produce or write."""
@@ -399,7 +433,7 @@
         is_owner = job.progress.owner == self.process.name
         return is_owner or bool(job.tasks or job.unwritten)
 
-    async def _reload_progress(self, job: batch_job.Job) -> None:
+    async def reload_progress(self, job: batch_job.Job) -> None:
         """Reads a job's record after a write that failed or may have failed."""
         job_id = job.progress.meta.id
         try:
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -1654,16 +1654,19 @@
 
     Attributes:
      - job
+     - parts: The items of a new job, as the store holds them, to save a read.
 
     """
 
     __slots__ = (
         'job',
+        'parts',
     )
 
 
-    def __init__(self, job=None,):
+    def __init__(self, job=None, parts=None,):
         self.job = job
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1679,6 +1682,16 @@
                     self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readBinary()
+                        self.parts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1693,12 +1706,247 @@
             oprot.writeFieldBegin('job', TType.STRING, 1)
             oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter41 in self.parts:
+                oprot.writeBinary(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.job is None:
+            raise TProtocolException(message='Required field job is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobRead(object):
+    """
+    Reads results of a batch job from the worker that runs it.
+
+    Attributes:
+     - job
+     - first_index: Index of the first result to return, in the order of listing.
+     - wait_s: Seconds to wait while that result does not exist.
+
+    """
+
+    __slots__ = (
+        'job',
+        'first_index',
+        'wait_s',
+    )
+
+
+    def __init__(self, job=None, first_index=None, wait_s=None,):
+        self.job = job
+        self.first_index = first_index
+        self.wait_s = wait_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.first_index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.wait_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobRead')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I32, 2)
+            oprot.writeI32(self.first_index)
+            oprot.writeFieldEnd()
+        if self.wait_s is not None:
+            oprot.writeFieldBegin('wait_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.wait_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.job is None:
             raise TProtocolException(message='Required field job is unset!')
+        if self.first_index is None:
+            raise TProtocolException(message='Required field first_index is unset!')
+        if self.wait_s is None:
+            raise TProtocolException(message='Required field wait_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobPage(object):
+    """
+    Results of a batch job, if the worker is certain that it knows them all.
+
+    Attributes:
+     - certain: When it is false, only `owner` says anything.
+     - owner: Name of the worker that runs the job, as far as this one knows.
+     - organisation
+     - total: Number of the job's items.
+     - results: The results, encoded as in the store.
+
+    """
+
+    __slots__ = (
+        'certain',
+        'owner',
+        'organisation',
+        'total',
+        'results',
+    )
+
+
+    def __init__(self, certain=None, owner=None, organisation=None, total=None, results=None,):
+        self.certain = certain
+        self.owner = owner
+        self.organisation = organisation
+        self.total = total
+        self.results = results
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.certain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.results = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobPage')
+        if self.certain is not None:
+            oprot.writeFieldBegin('certain', TType.BOOL, 1)
+            oprot.writeBool(self.certain)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 2)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 4)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        if self.results is not None:
+            oprot.writeFieldBegin('results', TType.STRING, 5)
+            oprot.writeBinary(self.results)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.certain is None:
+            raise TProtocolException(message='Required field certain is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.total is None:
+            raise TProtocolException(message='Required field total is unset!')
+        if self.results is None:
+            raise TProtocolException(message='Required field results is unset!')
         return
 
     def __repr__(self):
@@ -1991,6 +2239,23 @@
 JobChanged.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 2
+)
+all_structs.append(JobRead)
+JobRead.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'first_index', None, None, ),  # 2
+    (3, TType.DOUBLE, 'wait_s', None, None, ),  # 3
+)
+all_structs.append(JobPage)
+JobPage.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'certain', None, None, ),  # 1
+    (2, TType.STRING, 'owner', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'total', None, None, ),  # 4
+    (5, TType.STRING, 'results', 'BINARY', None, ),  # 5
 )
 all_structs.append(StoreCall)
 StoreCall.thrift_spec = (
--- a/src/ibisknot/registration.py
+++ b/src/ibisknot/registration.py
@@ -1,5 +1,7 @@
 """Registers a process as a member of the fleet."""
 
+from collections.abc import Callable
+import math
 import time
 
 from anyio import abc
@@ -16,6 +18,12 @@
 LEASE_TTL_S = 4.0
 """The store may require a longer lease."""
 RENEW_PERIOD_S = 1.3
+CERTAINTY_MARGIN_S = 0.3
+"""Time before the end of a lease from which its entry may be gone."""
+
+
+def _boot_time() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Registration:
@@ -25,6 +33,12 @@
         lease_ttl_s: Time to live of the lease, in seconds.
         own_member: This process as a member of the fleet.
         lease_id: Id of the lease; 0 without one.
+        lease_count: Number of leases under which the entry was written. While
+            it stays the same and the entry is certain, the entry was never
+            missing.
+        renewed_s: Boot time before the last successful call about the lease.
+        boot_time: Returns the time since the machine's start in seconds. It
+            includes the time for which the machine was suspended.
         is_written: Whether the entry was written under the lease.
         is_deregistered: Whether the entry must not be written again.
     """
@@ -34,7 +48,10 @@
         process: deployment.Process,
         store: pairs.KeyValueStore,
         key_prefix: str,
+        *,
+        boot_time: Callable[[], float] = _boot_time,
     ) -> None:
+        self.boot_time = boot_time
         self.store = store
         self.key_prefix = key_prefix
         self.lease_ttl_s = max(LEASE_TTL_S, process.lease_minimum_s)
@@ -46,6 +63,8 @@
             started_ms=int(time.time() * 1000),
         )
         self.lease_id = 0
+        self.lease_count = 0
+        self.renewed_s = -math.inf
         self.is_written = False
         self.is_deregistered = False
 
@@ -61,14 +80,16 @@
         """
         if self.is_deregistered:
             return
+        asked_s = self.boot_time()
         try:
             if not self.lease_id or not await self.store.keep_alive(
                 self.lease_id
             ):
-                self.lease_id = await self.store.grant(self.lease_ttl_s)
                 self.is_written = False
+                self.lease_id = await self.store.grant(self.lease_ttl_s)
             if not self.is_written:
                 await self._write_entry()
+            self.renewed_s = asked_s
         except errors.KeyValueError as error:
             logs.event(
                 "member_not_registered", level="warning", cause=error.message
@@ -76,13 +97,23 @@
 
     async def _write_entry(self) -> None:
         value = peer.encode(to_wire(self.own_member))
-        put = pairs.Put(
-            self.key_prefix + self.own_member.name, value, self.lease_id
-        )
+        put = pairs.Put(self.key(self.own_member.name), value, self.lease_id)
         await self.store.transact([], [put])
         self.is_written = True
+        self.lease_count += 1
         logs.event("member_registered", lease=self.lease_id)
 
+    def key(self, name: str) -> str:
+        """Returns the key of the entry of a process."""
+        return self.key_prefix + name
+
+    def is_certain(self) -> bool:
+        """Returns whether the store certainly has this process's entry."""
+        if not self.is_written or self.is_deregistered:
+            return False
+        age_s = self.boot_time() - self.renewed_s
+        return age_s < self.lease_ttl_s - CERTAINTY_MARGIN_S
+
     async def deregister(self) -> None:
         """Ends the lease, which removes the entry from the store."""
         self.is_deregistered = True
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -1,8 +1,10 @@
 """`ibisknot-worker`: grants tickets and runs batch jobs."""
 
+from ibisknot import batch_drain
 from ibisknot import batch_item
 from ibisknot import batch_worker
 from ibisknot import forward
+from ibisknot import job_answers
 from ibisknot import node
 from ibisknot import scheduler
 from ibisknot import worker_retirement
@@ -46,9 +48,15 @@
             items,
             worker_node.clock,
             worker_node.task_group,
-            started_ms=worker_node.runner.own_member.started_ms,
+            worker_node.runner.registration,
         )
         worker.start(worker_node.server)
+        job_answers.Answers(
+            worker,
+            worker_node.runner.registration,
+            worker_node.store,
+            worker_node.clock.now,
+        ).start(worker_node.server)
         retirement = worker_retirement.Retirement(
             worker_node.process,
             worker_node.store,
@@ -64,4 +72,4 @@
             + worker_node.process.bounds.grace_s
             - EXIT_MARGIN_S
         )
-        await worker.drain(end_s)
+        await batch_drain.drain(worker, end_s)
--- a/src/ibisknot/worker_retirement.py
+++ b/src/ibisknot/worker_retirement.py
@@ -10,6 +10,7 @@
 import anyio
 from anyio import abc
 
+from ibisknot import batch_drain
 from ibisknot import batch_worker
 from ibisknot import deployment
 from ibisknot import errors
@@ -89,7 +90,7 @@
         deadline_s = self.clock() + order.within_s * MAX_DRAIN_FRACTION
         self.worker.is_draining = True
         await self._report(is_done=False)
-        await self.worker.drain(deadline_s)
+        await batch_drain.drain(self.worker, deadline_s)
         await self._report(is_done=True)
 
     async def _report(self, *, is_done: bool) -> None:
--- a/tests/fake_pairs_store.py
+++ b/tests/fake_pairs_store.py
@@ -78,3 +78,18 @@
             self.lost_answers -= 1
             raise errors.KeyValueUnknownError("the answer was lost")
         return self.revision
+
+    async def grant(self, ttl_s: float) -> int:
+        """Returns the id of a new lease."""
+        self._count("grant")
+        self.revision += 1
+        return self.revision
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        """Renews a lease; leases do not end."""
+        self._count("keep_alive")
+        return True
+
+    async def revoke(self, lease_id: int) -> None:
+        """Ends a lease; its keys stay."""
+        self._count("revoke")
--- /dev/null
+++ b/tests/test_job_reader.py
@@ -0,0 +1,196 @@
+"""Reads of a job's results through the worker that runs it."""
+
+import anyio
+import job_world
+import pytest
+
+from ibisknot import batch_job
+from ibisknot import errors
+from ibisknot import job_reader
+
+
+def test_reads_of_a_running_job_make_no_store_calls() -> None:
+    """Guards against calls that grow with the callers who wait for jobs."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        await world.finish_item(1)
+        world.store.calls.clear()
+        for _ in range(20):
+            assert await world.read() == ["i1"]
+            assert await world.read(first_index=1) == []
+        assert not world.store.calls
+
+    job_world.run(scenario)
+
+
+def test_read_returns_as_soon_as_a_result_is_listed() -> None:
+    """Guards against callers who poll because a read returns too early."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        found: list[str] = []
+
+        async def read() -> None:
+            found.extend(await world.read(wait_s=5.0))
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(read)
+            await anyio.wait_all_tasks_blocked()
+            assert not found
+            await world.finish_item(2)
+        assert found == ["i2"]
+
+    job_world.run(scenario)
+
+
+def test_ended_job_is_read_without_the_store() -> None:
+    """Guards against store calls for jobs that were read to their end."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        for index in (0, 1, 2):
+            await world.finish_item(index)
+        assert not world.worker.jobs
+        world.store.calls.clear()
+        world.boot_time_s += 100
+        assert await world.read() == ["i0", "i1", "i2"]
+        assert not world.store.calls
+
+    job_world.run(scenario)
+
+
+def test_results_of_an_earlier_owner_are_returned() -> None:
+    """Guards against results that are missing after a takeover."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w0"))
+        await world.list_elsewhere(2)
+        progress = world.stored_job()
+        progress.owner = "w0"
+        await world.store_job(progress)
+        await world.entry.renew(0.0)
+        await world.poll()
+        world.clock.time_s += batch_job.LATE_WRITE_S
+        await world.finish_item(0)
+        assert await world.read() == ["i2", "i0"]
+        assert world.peers.count("job_read") == 1
+
+    job_world.run(scenario)
+
+
+def test_worker_whose_entry_may_be_gone_does_not_answer() -> None:
+    """Guards against results that disappear between two reads.
+
+    A worker that was suspended does not know that another one has taken its
+    job over and listed a result, which another gateway has returned.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.boot_time_s += world.entry.lease_ttl_s
+        await world.list_elsewhere(0)
+        assert await world.read() == ["i0"]
+
+    job_world.run(scenario)
+
+
+def test_worker_whose_entry_was_missing_reads_the_record_first() -> None:
+    """Guards against a lost job that looks like an own one after a lapse."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        await world.list_elsewhere(0)
+        world.store.stored.pop(job_world.MEMBERS_PREFIX + "w0")
+        world.entry.lease_id = 0
+        await world.entry.renew(0.0)
+        assert await world.read() == ["i0"]
+
+    job_world.run(scenario)
+
+
+def test_worker_does_not_answer_while_a_late_write_may_take_effect() -> None:
+    """Guards against a result that a late write lists unknown to the worker."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        await world.finish_item(0)
+        world.store.lost_answers = 1
+        await world.finish_item(1)
+        job = world.worker.jobs["j"]
+        assert job.doubtful_until_s > world.clock.now()
+        assert await world.read() == ["i0", "i1"]
+        assert world.store.calls["list"]
+        # The guard of the late write no longer holds after the next write.
+        job.progress = world.stored_job()
+        job.revision = world.store.stored[job_world.OPEN_KEY].revision
+        job.unwritten.clear()
+        job.unwritten.append((2, job_world.result(2), 1))
+        await world.worker.records.append_results(job)
+        assert job.doubtful_until_s < world.clock.now()
+
+    job_world.run(scenario)
+
+
+def test_new_process_does_not_answer_before_its_first_write() -> None:
+    """Guards against a write of the ended process that takes effect late."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.entry.renew(0.0)
+        await world.store_job(job_world.record(owner="w0"))
+        await world.poll()
+        await world.read()
+        assert world.store.calls["list"]
+
+    job_world.run(scenario)
+
+
+def test_worker_does_not_answer_while_another_one_keeps_items() -> None:
+    """Guards against results of kept items that the owner does not know."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job(kept=[1], kept_by="w1")
+        await world.list_elsewhere(1)
+        assert await world.read() == ["i1"]
+
+    job_world.run(scenario)
+
+
+def test_silent_worker_is_not_asked_again_at_once() -> None:
+    """Guards against reads that each wait for a worker that is lost."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w0"))
+        world.peers.unresponsive.add("w0:1")
+        assert await world.read() == []
+        assert await world.read() == []
+        assert world.peers.count("job_read") == 1
+        world.clock.time_s += job_reader.SILENT_PAUSE_S
+        assert await world.read() == []
+        assert world.peers.count("job_read") == 2
+
+    job_world.run(scenario)
+
+
+def test_worker_names_the_one_that_runs_a_job() -> None:
+    """Guards against store reads of every job whose owner has changed."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w1"))
+        await world.poll()
+        await world.read()
+        asked = [address for address, method, _ in world.peers.calls]
+        assert asked == ["w0:1", "w1:1"]
+
+    job_world.run(scenario)
+
+
+def test_job_of_another_organisation_is_not_found() -> None:
+    """Guards against results that an organisation reads of another one."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        with pytest.raises(errors.NotFoundError):
+            await world.reader.read_results("j", "two", 0, 0.0)
+
+    job_world.run(scenario)
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -82,3 +82,22 @@
     assert (
         registration.decode_member(pairs.Pair("members/x", b"\xff", 1)) is None
     )
+
+
+def test_entry_is_not_certain_after_the_machine_was_suspended() -> None:
+    """Guards against a worker that trusts its lease after it was suspended.
+
+    The monotonic time does not count a suspension; the lease does.
+    """
+    boot_time_s = [50.0]
+    registered = registration.Registration(
+        fake_fleet.process("w0"),
+        _FakeStore(),  # type: ignore[arg-type]
+        "members/",
+        boot_time=lambda: boot_time_s[0],
+    )
+    assert not registered.is_certain()
+    anyio.run(registered.renew, 0.0)
+    assert registered.is_certain()
+    boot_time_s[0] += registered.lease_ttl_s
+    assert not registered.is_certain()
