--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -33,6 +33,10 @@
   8: optional list<Member> members,
   /** Hash of what the entries say, so that they need not be repeated. */
   9: required i64 endpoints_digest,
+  /** Hash of the members, so that they need not be repeated. */
+  10: optional i64 members_digest,
+  /** Seconds since the members were read from the store. */
+  11: optional double members_age_s,
 }
 
 /** The receiver's revisions after it took the news. */
@@ -41,6 +45,8 @@
   2: required i64 endpoints_revision,
   /** Whether the receiver lacks the entries that the digest stands for. */
   3: required bool wants_entries,
+  /** Whether the receiver lacks the members that the digest stands for. */
+  4: optional bool wants_members,
 }
 
 struct ViewAsk { 1: required string sender }
@@ -153,6 +159,19 @@
   5: required binary results,
 }
 
+/** Reads the body of one item from the worker that runs its job. */
+struct JobItemRead { 1: required string job, 2: required string item }
+
+struct JobItem {
+  /** When it is false, only `owner` says anything. */
+  1: required bool certain,
+  /** Name of the worker that runs the job, as far as this one knows. */
+  2: required string owner,
+  3: required string organisation,
+  /** Absent if the job has no such item. */
+  4: optional binary body,
+}
+
 /** A call of the key-value service, made for a process that it turns away. */
 struct StoreCall {
   1: required string method,
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -24,8 +24,15 @@
 """Age of the entries at which the first process reads them again."""
 POLL_STAGGER_S = 0.15
 """Additional age for each position in the order of precedence."""
+MEMBERS_POLL_PERIOD_S = 1.0
+"""Age of the members at which the first process reads them again."""
 MAX_STAGGER_STEPS = 8
-"""Position from which on the additional age no longer grows."""
+"""Position from which on the additional age grows only slowly."""
+LATE_STAGGER_S = 0.05
+"""Additional age for each later position.
+
+It bounds the reads per second of a large fleet that receives no updates.
+"""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -195,7 +202,12 @@
 
 
 def adopt_members(
-    view: View, now: float, *, revision: int, members: Iterable[Member]
+    view: View,
+    now: float,
+    *,
+    revision: int,
+    members: Iterable[Member],
+    age_s: float = 0.0,
 ) -> bool:
     """Adopts a listing of the fleet's processes if it is newer.
 
@@ -207,13 +219,14 @@
         now: Monotonic time in seconds.
         revision: The store's revision when the members were read.
         members: All members of the listing.
+        age_s: Seconds since the members were read.
 
     Returns:
         Whether the view's members changed.
     """
     if revision < view.members_revision:
         return False
-    view.members_read_s = now
+    view.members_read_s = max(view.members_read_s, now - age_s)
     if revision == view.members_revision:
         return False
     listed = {member.name: member for member in members}
@@ -225,6 +238,43 @@
     return changed
 
 
+def members_digest(view: View) -> int:
+    """Returns a signed 64-bit hash of the members, which peers compare.
+
+    It must be the same in all builds of a fleet, so it does not depend on the
+    names of fields.
+    """
+    rows = sorted(
+        (m.name, m.kind, m.data_centre, m.address, m.started_ms)
+        for m in view.members.values()
+    )
+    return xxhash.xxh3_64_intdigest(repr(rows).encode()) - (1 << 63)
+
+
+def confirm_members(
+    view: View, now: float, *, revision: int, age_s: float, digest: int
+) -> bool:
+    """Records that the members were unchanged at a later read.
+
+    Args:
+        view: The view to change.
+        now: Monotonic time in seconds.
+        revision: The store's revision at that read.
+        age_s: Seconds since that read.
+        digest: Hash of the members at that read.
+
+    Returns:
+        False if the digest differs, so that the members themselves are needed.
+    """
+    if revision < view.members_revision:
+        return True
+    if digest != members_digest(view):
+        return False
+    view.members_revision = revision
+    view.members_read_s = max(view.members_read_s, now - age_s)
+    return True
+
+
 def active_endpoints(view: View, service: str) -> list[fleet_endpoint.Endpoint]:
     """Returns a service's endpoints that are not draining, sorted by name."""
     endpoints = [
@@ -244,15 +294,43 @@
     return sorted(members, key=lambda m: (m.kind != deployment.WORKER, m.name))
 
 
+def position(view: View, own_name: str) -> int:
+    """Returns a process's position in the order of precedence.
+
+    A process that is not listed comes after the listed ones.
+    """
+    names = [member.name for member in by_precedence(view.members.values())]
+    return names.index(own_name) if own_name in names else len(names)
+
+
 def poll_due_s(view: View, own_name: str) -> float:
     """Returns the monotonic time at which a process reads the entries itself.
 
     The first process in order of precedence reads them and publishes them to
     the others, which read them only if they receive no update in time.
     """
-    names = [member.name for member in by_precedence(view.members.values())]
-    position = names.index(own_name) if own_name in names else MAX_STAGGER_STEPS
-    delay_s = POLL_PERIOD_S
-    if position:
-        delay_s += POLL_STAGGER_S * (1 + min(position, MAX_STAGGER_STEPS))
-    return view.endpoints_read_s + delay_s
+    delay_s = _stagger_s(view, own_name)
+    return view.endpoints_read_s + POLL_PERIOD_S + delay_s
+
+
+def members_poll_due_s(view: View, own_name: str) -> float:
+    """Returns the monotonic time at which a process reads the members itself.
+
+    The order is the one of `poll_due_s`.
+    """
+    delay_s = _stagger_s(view, own_name)
+    return view.members_read_s + MEMBERS_POLL_PERIOD_S + delay_s
+
+
+def _stagger_s(view: View, own_name: str) -> float:
+    """Returns the seconds by which a process reads later than the first one.
+
+    >>> round(_stagger_s(View(), "a"), 2)
+    0.0
+    """
+    index = position(view, own_name)
+    if not index:
+        return 0.0
+    late_steps = max(0, index - MAX_STAGGER_STEPS)
+    steps = 1 + min(index, MAX_STAGGER_STEPS)
+    return POLL_STAGGER_S * steps + LATE_STAGGER_S * late_steps
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -282,6 +282,8 @@
      - members_revision
      - members
      - endpoints_digest: Hash of what the entries say, so that they need not be repeated.
+     - members_digest: Hash of the members, so that they need not be repeated.
+     - members_age_s: Seconds since the members were read from the store.
 
     """
 
@@ -295,10 +297,12 @@
         'members_revision',
         'members',
         'endpoints_digest',
+        'members_digest',
+        'members_age_s',
     )
 
 
-    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None,):
+    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None,):
         self.sender = sender
         self.configuration_revision = configuration_revision
         self.configuration = configuration
@@ -308,6 +312,8 @@
         self.members_revision = members_revision
         self.members = members
         self.endpoints_digest = endpoints_digest
+        self.members_digest = members_digest
+        self.members_age_s = members_age_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -375,6 +381,16 @@
                     self.endpoints_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.members_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.members_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -427,6 +443,14 @@
             oprot.writeFieldBegin('endpoints_digest', TType.I64, 9)
             oprot.writeI64(self.endpoints_digest)
             oprot.writeFieldEnd()
+        if self.members_digest is not None:
+            oprot.writeFieldBegin('members_digest', TType.I64, 10)
+            oprot.writeI64(self.members_digest)
+            oprot.writeFieldEnd()
+        if self.members_age_s is not None:
+            oprot.writeFieldBegin('members_age_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.members_age_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -472,6 +496,7 @@
      - configuration_revision
      - endpoints_revision
      - wants_entries: Whether the receiver lacks the entries that the digest stands for.
+     - wants_members: Whether the receiver lacks the members that the digest stands for.
 
     """
 
@@ -479,13 +504,15 @@
         'configuration_revision',
         'endpoints_revision',
         'wants_entries',
+        'wants_members',
     )
 
 
-    def __init__(self, configuration_revision=None, endpoints_revision=None, wants_entries=None,):
+    def __init__(self, configuration_revision=None, endpoints_revision=None, wants_entries=None, wants_members=None,):
         self.configuration_revision = configuration_revision
         self.endpoints_revision = endpoints_revision
         self.wants_entries = wants_entries
+        self.wants_members = wants_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -511,6 +538,11 @@
                     self.wants_entries = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.wants_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -533,6 +565,10 @@
             oprot.writeFieldBegin('wants_entries', TType.BOOL, 3)
             oprot.writeBool(self.wants_entries)
             oprot.writeFieldEnd()
+        if self.wants_members is not None:
+            oprot.writeFieldBegin('wants_members', TType.BOOL, 4)
+            oprot.writeBool(self.wants_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1968,6 +2004,202 @@
         return not (self == other)
 
 
+class JobItemRead(object):
+    """
+    Reads the body of one item from the worker that runs its job.
+
+    Attributes:
+     - job
+     - item
+
+    """
+
+    __slots__ = (
+        'job',
+        'item',
+    )
+
+
+    def __init__(self, job=None, item=None,):
+        self.job = job
+        self.item = item
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.item = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobItemRead')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.item is not None:
+            oprot.writeFieldBegin('item', TType.STRING, 2)
+            oprot.writeString(self.item.encode('utf-8') if sys.version_info[0] == 2 else self.item)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.job is None:
+            raise TProtocolException(message='Required field job is unset!')
+        if self.item is None:
+            raise TProtocolException(message='Required field item is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobItem(object):
+    """
+    Attributes:
+     - certain: When it is false, only `owner` says anything.
+     - owner: Name of the worker that runs the job, as far as this one knows.
+     - organisation
+     - body: Absent if the job has no such item.
+
+    """
+
+    __slots__ = (
+        'certain',
+        'owner',
+        'organisation',
+        'body',
+    )
+
+
+    def __init__(self, certain=None, owner=None, organisation=None, body=None,):
+        self.certain = certain
+        self.owner = owner
+        self.organisation = organisation
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.certain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobItem')
+        if self.certain is not None:
+            oprot.writeFieldBegin('certain', TType.BOOL, 1)
+            oprot.writeBool(self.certain)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 2)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 4)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.certain is None:
+            raise TProtocolException(message='Required field certain is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoreCall(object):
     """
     A call of the key-value service, made for a process that it turns away.
@@ -2150,6 +2382,8 @@
     (7, TType.I64, 'members_revision', None, None, ),  # 7
     (8, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 8
     (9, TType.I64, 'endpoints_digest', None, None, ),  # 9
+    (10, TType.I64, 'members_digest', None, None, ),  # 10
+    (11, TType.DOUBLE, 'members_age_s', None, None, ),  # 11
 )
 all_structs.append(ViewAck)
 ViewAck.thrift_spec = (
@@ -2157,6 +2391,7 @@
     (1, TType.I64, 'configuration_revision', None, None, ),  # 1
     (2, TType.I64, 'endpoints_revision', None, None, ),  # 2
     (3, TType.BOOL, 'wants_entries', None, None, ),  # 3
+    (4, TType.BOOL, 'wants_members', None, None, ),  # 4
 )
 all_structs.append(ViewAsk)
 ViewAsk.thrift_spec = (
@@ -2257,6 +2492,20 @@
     (4, TType.I32, 'total', None, None, ),  # 4
     (5, TType.STRING, 'results', 'BINARY', None, ),  # 5
 )
+all_structs.append(JobItemRead)
+JobItemRead.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'item', 'UTF8', None, ),  # 2
+)
+all_structs.append(JobItem)
+JobItem.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'certain', None, None, ),  # 1
+    (2, TType.STRING, 'owner', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
+)
 all_structs.append(StoreCall)
 StoreCall.thrift_spec = (
     None,  # 0
--- /dev/null
+++ b/src/ibisknot/operator_watch.py
@@ -0,0 +1,86 @@
+"""Follows the keys that the operator writes to the key-value service."""
+
+from collections.abc import Callable
+import random
+
+import anyio
+
+from ibisknot import errors
+from ibisknot import pairs
+
+WATCH_TIMEOUT_S = 12.0
+"""Time after which a watch call without changes returns."""
+MIN_RETRY_PAUSE_S = 0.2
+MAX_RETRY_PAUSE_S = 0.5
+UNNEEDED_PAUSE_S = 0.25
+"""Period at which a process checks whether it must follow the keys."""
+
+
+class OperatorWatch:
+    """Applies the changes of the operator's keys.
+
+    Attributes:
+        store: The key-value service, called directly: what is applied is
+            published to peers and must not come from one.
+        prefix: Prefix of the keys.
+        apply: Called with each change, and with each key when all are read.
+        is_needed: Returns whether the keys must be followed now.
+        on_reachability: Called with whether the service responds, and with
+            the cause if it does not.
+    """
+
+    def __init__(
+        self,
+        store: pairs.KeyValueStore,
+        prefix: str,
+        apply: Callable[[pairs.Change], None],
+        *,
+        is_needed: Callable[[], bool],
+        on_reachability: Callable[[bool, str], None],
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.apply = apply
+        self.is_needed = is_needed
+        self.on_reachability = on_reachability
+        self.rng = random.Random()
+
+    async def run(self) -> None:
+        """Follows the keys until cancelled.
+
+        Reads all keys first, and again when the changes since the last known
+        revision are unknown.
+        """
+        after_revision = 0
+        while True:
+            if not self.is_needed():
+                after_revision = 0
+                await anyio.sleep(UNNEEDED_PAUSE_S)
+                continue
+            try:
+                if not after_revision:
+                    after_revision = await self._read_all()
+                    self.on_reachability(True, "")
+                after_revision = await self._wait_for_changes(after_revision)
+            except errors.HistoryGoneError:
+                after_revision = 0
+            except errors.KeyValueError as error:
+                self.on_reachability(False, error.message)
+                pause_s = self.rng.uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S)
+                await anyio.sleep(pause_s)
+
+    async def _read_all(self) -> int:
+        """Applies all keys; returns the store's revision."""
+        listing = await self.store.list_prefix(self.prefix)
+        for pair in listing.pairs:
+            self.apply(pairs.Change(pair.key, pair.value, pair.revision))
+        return listing.revision
+
+    async def _wait_for_changes(self, after_revision: int) -> int:
+        """Applies the next changes; returns the revision that they reach."""
+        watched = await self.store.changes(
+            self.prefix, after_revision, WATCH_TIMEOUT_S
+        )
+        for change in watched.changes:
+            self.apply(change)
+        return watched.revision
--- a/src/ibisknot/registration.py
+++ b/src/ibisknot/registration.py
@@ -15,9 +15,14 @@
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
-LEASE_TTL_S = 4.0
-"""The store may require a longer lease."""
-RENEW_PERIOD_S = 1.3
+WORKER_LEASE_TTL_S = 4.0
+"""A worker's jobs are taken over when its entry has ended.
+
+The store may require a longer lease.
+"""
+GATEWAY_LEASE_TTL_S = 15.0
+"""Nothing waits for the end of a gateway's entry."""
+RENEWALS_PER_LEASE = 3
 CERTAINTY_MARGIN_S = 0.3
 """Time before the end of a lease from which its entry may be gone."""
 
@@ -54,7 +59,12 @@
         self.boot_time = boot_time
         self.store = store
         self.key_prefix = key_prefix
-        self.lease_ttl_s = max(LEASE_TTL_S, process.lease_minimum_s)
+        ttl_s = (
+            WORKER_LEASE_TTL_S
+            if process.kind == deployment.WORKER
+            else GATEWAY_LEASE_TTL_S
+        )
+        self.lease_ttl_s = max(ttl_s, process.lease_minimum_s)
         self.own_member = fleetview.Member(
             name=process.name,
             kind=process.kind,
@@ -70,7 +80,8 @@
 
     def start(self, clock: timer.Timer, task_group: abc.TaskGroup) -> None:
         """Writes the entry and starts the renewal of its lease."""
-        clock.subscribe("member_lease", RENEW_PERIOD_S, self.renew)
+        period_s = self.lease_ttl_s / RENEWALS_PER_LEASE
+        clock.subscribe("member_lease", period_s, self.renew)
         task_group.start_soon(self.renew, 0.0)
 
     async def renew(self, _now: float) -> None:
--- /dev/null
+++ b/src/ibisknot/view_exchange.py
@@ -0,0 +1,310 @@
+"""Exchanges fleet views between processes.
+
+A short update has revisions and digests. The receiver's answer says which
+parts it lacks, and only those are sent.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import anyio
+
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import pairs
+from ibisknot import peer
+from ibisknot import registration
+from ibisknot import timer
+from ibisknot.gen.fleet import ttypes
+
+MEMBERS_STALE_S = 2.5
+"""Members that are older are requested from peers."""
+GOSSIP_PERIOD_S = 0.5
+GOSSIP_PEERS = 2
+"""Random peers with which a process exchanges updates in each period."""
+PEER_TIMEOUT_S = 0.4
+RECENT_READ_S = 3.0
+"""Age of the entries up to which their sender hears from the store."""
+START_WAIT_S = 2.0
+"""Time after its start in which a process uses only what is recent.
+
+A peer that was cut off may still have a withdrawn key or an endpoint that has
+left, and a process that has just started knows no better.
+"""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Adoption:
+    """Adopts the parts of a view that a peer has sent, if they are newer.
+
+    Attributes:
+        configuration: Adopts a configuration from its revision, its encoding
+            and the name of the sender.
+        entries: Adopts the endpoints' entries from the revision and the age
+            in seconds of their read.
+        members: Adopts the members from the revision of their read, and its
+            age in seconds.
+    """
+
+    configuration: Callable[[int, bytes, str], None]
+    entries: Callable[[int, float, list[pairs.Pair]], None]
+    members: Callable[[int, list[fleetview.Member], float], None]
+
+
+class Exchange:
+    """Sends the view of one process to peers, and receives theirs.
+
+    Attributes:
+        own_name: Name of this process's VM.
+        seeds: Returns peer addresses to use while no members are known.
+        view: The view of this process.
+        adoption: Adopts what peers send.
+        started_s: Monotonic time of this process's start.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        seeds: Callable[[], list[str]],
+        view: fleetview.View,
+        adoption: Adoption,
+        peers: peer.Client,
+        clock: timer.Timer,
+    ) -> None:
+        self.own_name = own_name
+        self.seeds = seeds
+        self.view = view
+        self.adoption = adoption
+        self.peers = peers
+        self.clock = clock
+        self.rng = random.Random()
+        self.started_s = clock.now()
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the peer methods and starts the gossip."""
+        server.on("view_news", ttypes.ViewNews, self.on_update)
+        server.on("view_ask", ttypes.ViewAsk, self.on_view_request)
+        self.clock.subscribe("gossip", GOSSIP_PERIOD_S, self.gossip)
+
+    def _other_members(self) -> list[fleetview.Member]:
+        return [
+            m for m in self.view.members.values() if m.name != self.own_name
+        ]
+
+    def _compose_update(
+        self,
+        *,
+        configuration: bool = False,
+        entries: bool = False,
+        members: bool = False,
+    ) -> ttypes.ViewNews:
+        """Returns an update for a peer.
+
+        It has revisions and digests, and those parts that the peer needs.
+        """
+        view = self.view
+        now = self.clock.now()
+        update = ttypes.ViewNews(
+            sender=self.own_name,
+            configuration_revision=view.configuration_revision,
+            endpoints_revision=view.endpoints_revision,
+            endpoints_age_s=min(1e6, now - view.endpoints_read_s),
+            members_revision=view.members_revision,
+            members_age_s=min(1e6, now - view.members_read_s),
+            endpoints_digest=fleetview.endpoints_digest(view),
+            members_digest=fleetview.members_digest(view),
+        )
+        if configuration:
+            update.configuration = view.encoded_configuration
+        if entries:
+            update.endpoints = [
+                ttypes.ListedEntry(p.key, p.value, p.revision)
+                for p in view.entries.values()
+            ]
+        if members:
+            update.members = [
+                registration.to_wire(m) for m in view.members.values()
+            ]
+        return update
+
+    async def on_update(self, update: ttypes.ViewNews) -> ttypes.ViewAck:
+        """Peer method: adopts those parts of a peer's view that are newer."""
+        self._adopt_update(update)
+        view = self.view
+        return ttypes.ViewAck(
+            configuration_revision=view.configuration_revision,
+            endpoints_revision=view.endpoints_revision,
+            wants_entries=not self._has_entries(update),
+            wants_members=not self._has_members(update),
+        )
+
+    async def on_view_request(
+        self, _request: ttypes.ViewAsk
+    ) -> ttypes.ViewNews:
+        """Peer method: returns a full update."""
+        return self._compose_update(
+            configuration=True, entries=True, members=True
+        )
+
+    def _adopt_update(self, update: ttypes.ViewNews) -> None:
+        """Adopts the parts of an update that are newer."""
+        if not self._is_usable(update):
+            if update.configuration:
+                logs.event(
+                    "update_too_old",
+                    peer=update.sender,
+                    age_s=round(update.endpoints_age_s, 3),
+                    revision=update.configuration_revision,
+                )
+            return
+        if update.configuration:
+            self.adoption.configuration(
+                update.configuration_revision,
+                update.configuration,
+                update.sender,
+            )
+        if update.endpoints is not None and update.endpoints_revision:
+            entries = [
+                pairs.Pair(e.name, e.value, e.revision)
+                for e in update.endpoints
+            ]
+            self.adoption.entries(
+                update.endpoints_revision, update.endpoints_age_s, entries
+            )
+        if update.members:
+            members = [registration.from_wire(m) for m in update.members]
+            age_s = update.members_age_s or 0.0
+            self.adoption.members(update.members_revision, members, age_s)
+
+    def _is_usable(self, update: ttypes.ViewNews) -> bool:
+        """Returns whether a process that knows nothing may use an update."""
+        if self.view.configuration is not None:
+            return True
+        if update.endpoints_age_s <= RECENT_READ_S:
+            return True
+        return self.clock.now() - self.started_s >= START_WAIT_S
+
+    def _has_entries(self, update: ttypes.ViewNews) -> bool:
+        """Returns whether a short update's digest is that of the own entries.
+
+        A later read of the same entries is recorded.
+        """
+        if update.endpoints is not None or not update.endpoints_revision:
+            return True
+        if not self._is_usable(update):
+            return True
+        return fleetview.confirm_endpoints(
+            self.view,
+            self.clock.now(),
+            revision=update.endpoints_revision,
+            age_s=update.endpoints_age_s,
+            digest=update.endpoints_digest,
+        )
+
+    def _has_members(self, update: ttypes.ViewNews) -> bool:
+        """Returns whether a short update's digest is that of the own members.
+
+        A later read of the same members is recorded.
+        """
+        if update.members is not None or update.members_digest is None:
+            return True
+        return fleetview.confirm_members(
+            self.view,
+            self.clock.now(),
+            revision=update.members_revision,
+            age_s=update.members_age_s or 0.0,
+            digest=update.members_digest,
+        )
+
+    async def publish(self) -> None:
+        """Sends a short update to all other processes."""
+        update = self._compose_update()
+        async with anyio.create_task_group() as task_group:
+            for member in self._other_members():
+                task_group.start_soon(self._send_update, member.address, update)
+
+    async def _send_update(
+        self, address: str, short_update: ttypes.ViewNews
+    ) -> None:
+        """Sends a short update to a peer, and what it then lacks.
+
+        Requests the peer's view if its configuration is newer.
+        """
+        try:
+            ack = await self._call_update(address, short_update)
+            revision = self.view.configuration_revision
+            if ack.configuration_revision > revision:
+                await self._request_view(address)
+                return
+            lacks_configuration = ack.configuration_revision < revision
+            if ack.wants_entries or ack.wants_members or lacks_configuration:
+                update = self._compose_update(
+                    configuration=lacks_configuration,
+                    entries=ack.wants_entries,
+                    members=bool(ack.wants_members),
+                )
+                await self._call_update(address, update)
+        except errors.IbisknotError:
+            # The peer gets the state from its own reads or from another peer.
+            pass
+
+    async def _call_update(
+        self, address: str, update: ttypes.ViewNews
+    ) -> ttypes.ViewAck:
+        """Sends an update and returns the peer's answer.
+
+        Raises:
+            PeerError: The peer did not respond.
+        """
+        return await self.peers.call(
+            address,
+            "view_news",
+            update,
+            ttypes.ViewAck,
+            timeout_s=PEER_TIMEOUT_S,
+        )
+
+    async def _request_view(self, address: str) -> None:
+        """Requests a peer's full view and adopts what is newer.
+
+        Raises:
+            PeerError: The peer did not respond.
+        """
+        update = await self.peers.call(
+            address,
+            "view_ask",
+            ttypes.ViewAsk(sender=self.own_name),
+            ttypes.ViewNews,
+            timeout_s=PEER_TIMEOUT_S,
+        )
+        self._adopt_update(update)
+
+    async def gossip(self, _now: float) -> None:
+        """Timer callback: exchanges updates with a few random peers.
+
+        A process without other members uses the seeds of its settings. A
+        process without a configuration or with stale members requests its
+        peers' views: it may have no access to the store.
+        """
+        age_s = self.clock.now() - self.view.members_read_s
+        is_stale = age_s > MEMBERS_STALE_S
+        addresses = [m.address for m in self._other_members()]
+        if not addresses:
+            addresses = self.seeds()
+        count = min(GOSSIP_PEERS, len(addresses))
+        update = self._compose_update()
+        async with anyio.create_task_group() as task_group:
+            for address in self.rng.sample(addresses, count):
+                if self.view.configuration is None or is_stale:
+                    task_group.start_soon(self._try_request_view, address)
+                else:
+                    task_group.start_soon(self._send_update, address, update)
+
+    async def _try_request_view(self, address: str) -> None:
+        """Requests a peer's view; logs a failure."""
+        try:
+            await self._request_view(address)
+        except errors.IbisknotError as error:
+            logs.event("seed_silent", peer=address, cause=error.message)
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -6,9 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
-import random
 
-import anyio
 from anyio import abc
 
 from ibisknot import deployment
@@ -16,27 +14,29 @@
 from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import logs
+from ibisknot import operator_watch
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import registration
 from ibisknot import serving
 from ibisknot import timer
-from ibisknot.gen.fleet import ttypes
+from ibisknot import view_exchange
 
 POLL_CHECK_PERIOD_S = 0.1
 """Period at which a process checks whether a read of the entries is due."""
 RETRY_PAUSE_S = 0.5
-"""Pause after one failed read of the entries; longest pause of the watch."""
+"""Pause after one failed read of the entries."""
 MAX_RETRY_PAUSE_S = 1.0
-WATCH_TIMEOUT_S = 12.0
-"""Time after which a watch call without changes returns."""
-MEMBERS_POLL_PERIOD_S = 1.0
-MEMBERS_STALE_S = 2.5
-"""Members that are older are requested from peers."""
-GOSSIP_PERIOD_S = 0.5
-GOSSIP_PEERS = 2
-"""Random peers with which a process exchanges updates in each period."""
-PEER_TIMEOUT_S = 0.4
+MEMBERS_CHECK_PERIOD_S = 0.25
+"""Period at which a process checks whether a read of the members is due."""
+UPDATES_MISSING_S = 1.5
+"""Age of the entries above which a gateway follows the operator's keys."""
+MAX_PUBLISHERS = 3
+"""Processes in order of precedence that publish a configuration to all.
+
+The others pass it on by gossip, so that the messages grow with the fleet and
+not with its square.
+"""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -77,8 +77,12 @@
         change_callbacks: Called after endpoints or members changed.
         configuration_callbacks: Called after a configuration was adopted.
         operator_callbacks: Called with each change of another operator key.
+        exchange: Exchanges views with peers.
+        operator_watch: Follows the operator's keys.
         next_poll_s: Monotonic time before which the entries are not read
             again, after a failed read.
+        next_members_poll_s: Monotonic time before which the members are not
+            read again.
         failed_polls: Failed reads of the entries since the last success.
         is_store_reachable: Whether the last direct call succeeded; None
             before the first.
@@ -110,24 +114,41 @@
         self.change_callbacks: list[Callable[[], None]] = []
         self.configuration_callbacks: list[Callable[[], None]] = []
         self.operator_callbacks: list[Callable[[pairs.Change], None]] = []
-        self.rng = random.Random()
+        self.exchange = view_exchange.Exchange(
+            self.own_member.name,
+            self._seed_addresses,
+            view,
+            view_exchange.Adoption(
+                self.adopt_configuration,
+                self._adopt_entries,
+                self._adopt_members,
+            ),
+            peers,
+            clock,
+        )
+        self.operator_watch = operator_watch.OperatorWatch(
+            direct_store,
+            layout.operator_prefix,
+            self._apply_operator_change,
+            is_needed=self._needs_own_watch,
+            on_reachability=self._record_reachability,
+        )
         self.next_poll_s = 0.0
+        self.next_members_poll_s = 0.0
         self.failed_polls = 0
         self.is_store_reachable: bool | None = None
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and starts the periodic work."""
-        server.on("view_news", ttypes.ViewNews, self.on_update)
-        server.on("view_ask", ttypes.ViewAsk, self.on_view_request)
+        self.exchange.start(server)
         self.clock.subscribe("entries", POLL_CHECK_PERIOD_S, self._poll_entries)
         self.clock.subscribe(
-            "members", MEMBERS_POLL_PERIOD_S, self._poll_members
+            "members", MEMBERS_CHECK_PERIOD_S, self._poll_members
         )
-        self.clock.subscribe("gossip", GOSSIP_PERIOD_S, self._gossip)
         self.registration.start(self.clock, self.task_group)
-        self.task_group.start_soon(self._watch_operator_keys)
+        self.task_group.start_soon(self.operator_watch.run)
         self.task_group.start_soon(self._poll_members, 0.0)
-        self.task_group.start_soon(self._gossip, 0.0)
+        self.task_group.start_soon(self.exchange.gossip, 0.0)
 
     def other_members(self) -> list[fleetview.Member]:
         """Returns the other processes of the fleet."""
@@ -137,6 +158,11 @@
             if m.name != self.own_member.name
         ]
 
+    def _seed_addresses(self) -> list[str]:
+        """Returns the seeds of the settings without this process."""
+        own_address = self.process.peer_address
+        return [a for a in self.process.seeds if a != own_address]
+
     def _record_reachability(self, is_reachable: bool, cause: str = "") -> None:
         """Records whether the store responds, and logs each change."""
         if is_reachable == self.is_store_reachable:
@@ -170,7 +196,7 @@
         self._record_reachability(True)
         age_s = self.clock.now() - started_s
         self._adopt_entries(listing.revision, age_s, listing.pairs)
-        await self._publish_update()
+        await self.exchange.publish()
 
     def _adopt_entries(
         self, revision: int, age_s: float, entries: list[pairs.Pair]
@@ -196,10 +222,19 @@
     # Members --------------------------------------------------------------
 
     async def _poll_members(self, _now: float) -> None:
-        """Timer callback: reads the fleet's members.
+        """Timer callback: reads and publishes the members when they are due.
 
-        A stale answer is acceptable except for the first read.
+        A stale answer is acceptable except for the first read. The entries'
+        next update carries the members to the others.
         """
+        now = self.clock.now()
+        if now < max(
+            fleetview.members_poll_due_s(self.view, self.own_member.name),
+            self.next_members_poll_s,
+        ):
+            return
+        # The read is not repeated at once when it fails.
+        self.next_members_poll_s = now + fleetview.MEMBERS_POLL_PERIOD_S
         try:
             listing = await self.store.list_prefix(
                 self.layout.members_prefix, stale=self.view.members_revision > 0
@@ -211,17 +246,24 @@
             for m in map(registration.decode_member, listing.pairs)
             if m is not None
         ]
-        self._adopt_members(listing.revision, members)
+        self._adopt_members(listing.revision, members, age_s=0.0)
 
     def _adopt_members(
-        self, revision: int, members: list[fleetview.Member]
+        self, revision: int, members: list[fleetview.Member], age_s: float
     ) -> None:
         """Adopts a listing of the members; logs and reports changes."""
         before = self.view.members
         if not fleetview.adopt_members(
-            self.view, self.clock.now(), revision=revision, members=members
+            self.view,
+            self.clock.now(),
+            revision=revision,
+            members=members,
+            age_s=age_s,
         ):
             return
+        if self.own_member.name not in self.view.members:
+            # The entry has lapsed; its renewal may be seconds away.
+            self.task_group.start_soon(self.registration.renew, 0.0)
         came = sorted(self.view.members.keys() - before.keys())
         left = sorted(before.keys() - self.view.members.keys())
         if came or left:
@@ -232,53 +274,8 @@
 
     # Configuration --------------------------------------------------------
 
-    async def _watch_operator_keys(self) -> None:
-        """Applies changes of the operator's keys until cancelled.
-
-        Reads all keys first, and again when the store no longer has the
-        history of changes since the last known revision.
-        """
-        after_revision = 0
-        while True:
-            try:
-                if not after_revision:
-                    after_revision = await self._read_operator_keys()
-                    self._record_reachability(True)
-                watched = await self.direct_store.changes(
-                    self.layout.operator_prefix, after_revision, WATCH_TIMEOUT_S
-                )
-                after_revision = watched.revision
-                for change in watched.changes:
-                    self._apply_change(change)
-            except errors.HistoryGoneError:
-                after_revision = 0
-            except errors.KeyValueError as error:
-                self._record_reachability(False, error.message)
-                await anyio.sleep(self.rng.uniform(0.2, RETRY_PAUSE_S))
-
-    async def _read_operator_keys(self) -> int:
-        """Applies all of the operator's keys; returns the store's revision."""
-        listing = await self.direct_store.list_prefix(
-            self.layout.operator_prefix
-        )
-        for pair in listing.pairs:
-            self._apply_change(
-                pairs.Change(pair.key, pair.value, pair.revision)
-            )
-        return listing.revision
-
-    def _apply_change(self, change: pairs.Change) -> None:
-        """Adopts a new configuration; passes other changes to callbacks."""
-        if change.key != self.layout.configuration_key:
-            for callback in self.operator_callbacks:
-                callback(change)
-        elif change.value is not None:
-            self.adopt_configuration(
-                change.revision, change.value, source="store"
-            )
-
     def adopt_configuration(
-        self, revision: int, encoded: bytes, *, source: str
+        self, revision: int, encoded: bytes, source: str
     ) -> None:
         """Adopts a configuration if it is newer, and publishes it to peers.
 
@@ -308,160 +305,31 @@
                 source=source,
             )
             self._run_callbacks(self.configuration_callbacks)
-            self.task_group.start_soon(self._publish_update)
+            if self._publishes_configuration():
+                self.task_group.start_soon(self.exchange.publish)
 
-    # Peers ----------------------------------------------------------------
+    def _publishes_configuration(self) -> bool:
+        """Returns whether this process sends new configurations to all."""
+        position = fleetview.position(self.view, self.own_member.name)
+        return position < MAX_PUBLISHERS
 
-    def _compose_update(self, *, full: bool) -> ttypes.ViewNews:
-        """Returns an update for a peer.
+    def _needs_own_watch(self) -> bool:
+        """Returns whether this process must follow the operator's keys itself.
 
-        A short update has only revisions and a digest; a full one has the
-        configuration, entries and members as well.
+        A gateway that receives updates gets configurations with them.
         """
-        view = self.view
-        now = self.clock.now()
-        update = ttypes.ViewNews(
-            sender=self.own_member.name,
-            configuration_revision=view.configuration_revision,
-            endpoints_revision=view.endpoints_revision,
-            endpoints_age_s=min(1e6, now - view.endpoints_read_s),
-            members_revision=view.members_revision,
-            endpoints_digest=fleetview.endpoints_digest(view),
-        )
-        if full:
-            update.endpoints = [
-                ttypes.ListedEntry(p.key, p.value, p.revision)
-                for p in view.entries.values()
-            ]
-            update.configuration = view.encoded_configuration
-            update.members = [
-                registration.to_wire(m) for m in view.members.values()
-            ]
-        return update
-
-    async def on_update(self, update: ttypes.ViewNews) -> ttypes.ViewAck:
-        """Peer method: adopts those parts of a peer's view that are newer."""
-        wants_entries = not self._adopt_update(update)
-        view = self.view
-        return ttypes.ViewAck(
-            configuration_revision=view.configuration_revision,
-            endpoints_revision=view.endpoints_revision,
-            wants_entries=wants_entries,
-        )
-
-    async def on_view_request(
-        self, _request: ttypes.ViewAsk
-    ) -> ttypes.ViewNews:
-        """Peer method: returns a full update."""
-        return self._compose_update(full=True)
-
-    def _adopt_update(self, update: ttypes.ViewNews) -> bool:
-        """Adopts the parts of an update that are newer.
-
-        Returns:
-            False if the update is short and its digest does not match the
-            endpoints of this process, which then needs the entries.
-        """
-        if update.configuration:
-            self.adopt_configuration(
-                update.configuration_revision,
-                update.configuration,
-                source=update.sender,
-            )
-        if update.endpoints is not None and update.endpoints_revision:
-            entries = [
-                pairs.Pair(e.name, e.value, e.revision)
-                for e in update.endpoints
-            ]
-            self._adopt_entries(
-                update.endpoints_revision, update.endpoints_age_s, entries
-            )
-        if update.members:
-            members = [registration.from_wire(m) for m in update.members]
-            self._adopt_members(update.members_revision, members)
-        if update.endpoints is not None or not update.endpoints_revision:
+        if self.process.kind == deployment.WORKER:
             return True
-        return fleetview.confirm_endpoints(
-            self.view,
-            self.clock.now(),
-            revision=update.endpoints_revision,
-            age_s=update.endpoints_age_s,
-            digest=update.endpoints_digest,
-        )
-
-    async def _publish_update(self) -> None:
-        """Sends a short update to all other processes."""
-        async with anyio.create_task_group() as task_group:
-            for member in self.other_members():
-                task_group.start_soon(self._send_update, member.address)
+        age_s = self.clock.now() - self.view.endpoints_read_s
+        return self.view.configuration is None or age_s > UPDATES_MISSING_S
 
-    async def _send_update(self, address: str, *, full: bool = False) -> None:
-        """Sends an update to a peer, and brings both up to date.
-
-        Requests the peer's view if its configuration is newer, and sends a
-        full update if the peer's configuration or entries are older.
-        """
-        try:
-            ack = await self.peers.call(
-                address,
-                "view_news",
-                self._compose_update(full=full),
-                ttypes.ViewAck,
-                timeout_s=PEER_TIMEOUT_S,
-            )
-            revision = self.view.configuration_revision
-            if ack.configuration_revision > revision:
-                await self._request_view(address)
-            elif not full and (
-                ack.wants_entries or ack.configuration_revision < revision
-            ):
-                await self._send_update(address, full=True)
-        except errors.IbisknotError:
-            # The peer gets the state from its own reads or from another peer.
-            pass
-
-    async def _request_view(self, address: str) -> None:
-        """Requests a peer's full view and adopts what is newer.
-
-        Raises:
-            PeerError: The peer did not respond.
-        """
-        update = await self.peers.call(
-            address,
-            "view_ask",
-            ttypes.ViewAsk(sender=self.own_member.name),
-            ttypes.ViewNews,
-            timeout_s=PEER_TIMEOUT_S,
-        )
-        self._adopt_update(update)
-
-    async def _gossip(self, _now: float) -> None:
-        """Timer callback: exchanges updates with a few random peers.
-
-        A process without other members uses the seeds of its settings. A
-        process without a configuration or with stale members requests its
-        peers' views: it may have no access to the store.
-        """
-        age_s = self.clock.now() - self.view.members_read_s
-        is_stale = age_s > MEMBERS_STALE_S
-        addresses = [m.address for m in self.other_members()]
-        if not addresses:
-            own_address = self.process.peer_address
-            addresses = [a for a in self.process.seeds if a != own_address]
-        count = min(GOSSIP_PEERS, len(addresses))
-        async with anyio.create_task_group() as task_group:
-            for address in self.rng.sample(addresses, count):
-                if self.view.configuration is None or is_stale:
-                    task_group.start_soon(self._try_request_view, address)
-                else:
-                    task_group.start_soon(self._send_update, address)
-
-    async def _try_request_view(self, address: str) -> None:
-        """Requests a peer's view; logs a failure."""
-        try:
-            await self._request_view(address)
-        except errors.IbisknotError as error:
-            logs.event("seed_silent", peer=address, cause=error.message)
+    def _apply_operator_change(self, change: pairs.Change) -> None:
+        """Adopts a new configuration; passes other changes to callbacks."""
+        if change.key != self.layout.configuration_key:
+            for callback in self.operator_callbacks:
+                callback(change)
+        elif change.value is not None:
+            self.adopt_configuration(change.revision, change.value, "store")
 
 
 def _log_endpoint_changes(
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -135,3 +135,18 @@
     names = [m.name for m in fleetview.by_precedence(reversed(members))]
     assert names == ["w0", "w1", "g0", "g1"]
     assert members[0].kind == deployment.GATEWAY
+
+
+def test_reads_of_a_fleet_without_updates_are_bounded() -> None:
+    """Guards against a whole fleet that reads the store at once.
+
+    It loses its source of updates when the store forgets its history or the
+    first workers are killed.
+    """
+    view = fake_fleet.view(gateways=165, workers=30)
+    due_s = sorted(fleetview.poll_due_s(view, name) for name in view.members)
+    most = max(
+        sum(start_s <= other_s < start_s + 1.0 for other_s in due_s)
+        for start_s in due_s
+    )
+    assert most <= 1 + 1.0 / fleetview.LATE_STAGGER_S
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -1,75 +1,265 @@
-"""Exchange of fleet views between processes."""
+"""What a process reads from the store itself, and what it gets from peers."""
 
 from typing import Any
 
 import anyio
 import fake_fleet
+import fake_pairs_store
+import pytest
 
 from ibisknot import deployment
 from ibisknot import fleetview
 from ibisknot import http_server
+from ibisknot import operator_watch
+from ibisknot import peer
+from ibisknot import registration
 from ibisknot import serving
+from ibisknot import view_exchange
 from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
 NEW_MEMBER = ttypes.Member("w9", deployment.WORKER, "d", "w9:1", 1)
+MEMBERS_PREFIX = "m/"
 
 
-def _runner() -> tuple[view_runner.Runner, fake_fleet.Peers, fake_fleet.Clock]:
-    view = fake_fleet.view(gateways=1, workers=1)
-    view.configuration = serving.Configuration(
-        1, [], frozenset(), {}, {}, False, http_server.Limits()
-    )
-    view.members_revision = 5
-    peers = fake_fleet.Peers()
-    clock = fake_fleet.Clock()
-    layout = view_runner.Layout(
-        "o/", "o/c", "e/", "m/", _decode_nothing, _decode_no_endpoint
-    )
-    runner = view_runner.Runner(
-        fake_fleet.process("g0"),
-        None,  # type: ignore[arg-type]
-        None,  # type: ignore[arg-type]
-        view,
-        layout,
-        peers,  # type: ignore[arg-type]
-        clock,  # type: ignore[arg-type]
-        fake_fleet.TaskGroup(),  # type: ignore[arg-type]
-    )
-    peers.answers["view_news"] = lambda _a, _m: ttypes.ViewAck(0, 0, False)
-    peers.answers["view_ask"] = lambda _a, _m: ttypes.ViewNews(
-        sender="w0",
-        configuration_revision=0,
-        endpoints_revision=0,
-        endpoints_age_s=0.0,
-        members_revision=9,
-        endpoints_digest=0,
-        members=[NEW_MEMBER],
-    )
-    return runner, peers, clock
+class _World:
+    """One process of a fleet of two gateways and two workers.
 
+    Attributes:
+        runner: Keeps the process's view up to date.
+        exchange: Exchanges it with peers.
+    """
 
-def _decode_nothing(_encoded: bytes) -> serving.Configuration:
-    raise AssertionError
+    def __init__(self, name: str = "g0") -> None:
+        self.store = fake_pairs_store.FakeStore()
+        self.view = fake_fleet.view(gateways=2, workers=2)
+        self.view.configuration = serving.Configuration(
+            1, [], frozenset(), {}, {}, False, http_server.Limits()
+        )
+        self.view.members_revision = 5
+        self.peers = fake_fleet.Peers()
+        self.clock = fake_fleet.Clock()
+        self.view.members_read_s = self.clock.now()
+        self.view.endpoints_read_s = self.clock.now()
+        self.task_group = fake_fleet.TaskGroup()
+        process = fake_fleet.process(name)
+        process.kind = self.view.members[name].kind
+        self.runner = view_runner.Runner(
+            process,
+            self.store,
+            self.store,
+            self.view,
+            view_runner.Layout(
+                "o/",
+                "o/c",
+                "e/",
+                MEMBERS_PREFIX,
+                lambda _encoded: serving.Configuration(
+                    2, [], frozenset(), {}, {}, False, http_server.Limits()
+                ),
+                lambda _pair: None,
+            ),
+            self.peers,  # type: ignore[arg-type]
+            self.clock,  # type: ignore[arg-type]
+            self.task_group,  # type: ignore[arg-type]
+        )
+        self.exchange = self.runner.exchange
+        self.peers.answers["view_news"] = lambda _a, _m: ttypes.ViewAck(
+            0, 0, False
+        )
+        self.peers.answers["view_ask"] = lambda _a, _m: ttypes.ViewNews(
+            sender="w0",
+            configuration_revision=0,
+            endpoints_revision=0,
+            endpoints_age_s=0.0,
+            members_revision=9,
+            endpoints_digest=0,
+            members=[NEW_MEMBER],
+        )
 
+    def poll_members(self) -> None:
+        """Runs the periodic check of the members."""
+        anyio.run(self.runner._poll_members, self.clock.now())
 
-def _decode_no_endpoint(_pair: Any) -> None:
-    return None
+    def sent(self) -> list[ttypes.ViewNews]:
+        """Returns the updates that were sent."""
+        return [m for _, method, m in self.peers.calls if method == "view_news"]
 
 
 def test_process_without_access_to_the_store_gets_members_from_peers() -> None:
     """Guards against a VM that has no worker to relay its store calls."""
-    runner, peers, clock = _runner()
-    runner.view.members_read_s = clock.now() - view_runner.MEMBERS_STALE_S - 0.1
-    anyio.run(runner._gossip, clock.now())
-    assert peers.count("view_ask") == 1
-    assert fleetview.by_precedence(runner.view.members.values())[0].name == "w9"
+    world = _World()
+    world.clock.time_s += view_exchange.MEMBERS_STALE_S + 0.1
+    anyio.run(world.exchange.gossip, world.clock.now())
+    assert world.peers.count("view_ask") == view_exchange.GOSSIP_PEERS
+    first = fleetview.by_precedence(world.view.members.values())[0]
+    assert first.name == "w9"
 
 
-def test_process_that_reads_the_members_itself_requests_no_view() -> None:
+def test_process_with_current_members_requests_no_view() -> None:
     """Guards against full views that are sent in every gossip period."""
-    runner, peers, clock = _runner()
-    runner.view.members_read_s = clock.now() - view_runner.MEMBERS_POLL_PERIOD_S
-    anyio.run(runner._gossip, clock.now())
-    assert peers.count("view_ask") == 0
-    assert peers.count("view_news") == 1
+    world = _World()
+    world.clock.time_s += fleetview.MEMBERS_POLL_PERIOD_S
+    anyio.run(world.exchange.gossip, world.clock.now())
+    assert world.peers.count("view_ask") == 0
+    assert world.peers.count("view_news") == view_exchange.GOSSIP_PEERS
+
+
+@pytest.mark.parametrize(("name", "reads"), [("w0", 1), ("w1", 0), ("g0", 0)])
+def test_only_the_first_process_reads_the_members(
+    name: str, reads: int
+) -> None:
+    """Guards against store calls that grow with the number of processes."""
+    world = _World(name)
+    world.clock.time_s += fleetview.MEMBERS_POLL_PERIOD_S
+    world.poll_members()
+    assert world.store.calls["list"] == reads
+
+
+def test_members_are_read_when_no_peer_sends_them() -> None:
+    """Guards against old members after the loss of the first worker."""
+    world = _World("g1")
+    world.clock.time_s += view_exchange.MEMBERS_STALE_S
+    world.poll_members()
+    assert world.store.calls["list"] == 1
+    world.poll_members()
+    assert world.store.calls["list"] == 1
+
+
+def test_equal_members_are_confirmed_without_being_sent() -> None:
+    """Guards against lists of all members in every update of a large fleet."""
+    world = _World("g0")
+    other = _World("w0")
+    other.view.members_revision = 8
+    other.clock.time_s += 3.0
+    other.view.members_read_s = other.clock.now() - 0.5
+    update = other.exchange._compose_update()
+    world.clock.time_s += 3.0
+    ack = anyio.run(world.exchange.on_update, update)
+    assert not ack.wants_members
+    assert world.view.members_read_s == world.clock.now() - 0.5
+    assert world.view.members_revision == 8
+
+
+def test_process_with_other_members_asks_for_them() -> None:
+    """Guards against a process that never hears of a new member."""
+    world = _World("g0")
+    other = _World("w0")
+    other.view.members["g7"] = fake_fleet.member("g7", deployment.GATEWAY)
+    other.view.members_revision = 8
+    ack = anyio.run(world.exchange.on_update, other.exchange._compose_update())
+    assert ack.wants_members
+    full = other.exchange._compose_update(members=True)
+    assert not anyio.run(world.exchange.on_update, full).wants_members
+    assert "g7" in world.view.members
+
+
+def test_only_the_parts_that_a_peer_lacks_are_sent() -> None:
+    """Guards against configurations that are sent with every new member."""
+    world = _World("w0")
+    world.view.encoded_configuration = b"configuration"
+    world.view.configuration_revision = 3
+    world.peers.answers["view_news"] = lambda _a, _m: ttypes.ViewAck(
+        3, 0, False, True
+    )
+    update = world.exchange._compose_update()
+    anyio.run(world.exchange._send_update, "g0:1", update)
+    assert [m.members is not None for m in world.sent()] == [False, True]
+    assert all(m.configuration is None for m in world.sent())
+
+
+@pytest.mark.parametrize(("name", "is_needed"), [("g0", False), ("w1", True)])
+def test_gateway_that_gets_updates_does_not_watch_the_store(
+    name: str, is_needed: bool
+) -> None:
+    """Guards against a watch of the store by every gateway."""
+    world = _World(name)
+
+    async def main() -> None:
+        with anyio.move_on_after(0.05):
+            await world.runner.operator_watch.run()
+
+    anyio.run(main)
+    assert bool(world.store.calls) == is_needed
+
+
+def test_gateway_without_updates_watches_the_store() -> None:
+    """Guards against a gateway that is cut off from its peers.
+
+    It must still learn of a withdrawn key while it reaches the store.
+    """
+    world = _World("g0")
+    world.clock.time_s += view_runner.UPDATES_MISSING_S + 0.1
+
+    async def main() -> None:
+        with anyio.move_on_after(operator_watch.UNNEEDED_PAUSE_S):
+            await world.runner.operator_watch.run()
+
+    anyio.run(main)
+    assert world.store.calls["changes"] == 1
+
+
+@pytest.mark.parametrize(("name", "sends"), [("w0", 3), ("g1", 0)])
+def test_only_the_first_processes_publish_a_configuration(
+    name: str, sends: int
+) -> None:
+    """Guards against messages that grow with the square of the fleet."""
+    world = _World(name)
+    world.runner.adopt_configuration(7, b"new", "store")
+    anyio.run(world.task_group.run)
+    receivers = {address for address, _, _ in world.peers.calls}
+    assert len(receivers) == sends
+
+
+def test_process_that_is_not_listed_registers_at_once() -> None:
+    """Guards against a process that stays unknown until its next renewal."""
+    world = _World("g0")
+    anyio.run(world.runner.registration.renew, 0.0)
+    world.runner._adopt_members(9, [registration.from_wire(NEW_MEMBER)], 0.0)
+    anyio.run(world.task_group.run)
+    assert world.store.calls["keep_alive"] == 1
+
+
+def test_updates_survive_their_encoding() -> None:
+    """Guards against fields that the wire does not carry."""
+    update = _World().exchange._compose_update(members=True)
+    decoded: Any = peer.decode(peer.encode(update), ttypes.ViewNews)
+    assert decoded.members_digest == update.members_digest
+    assert len(decoded.members) == 4
+
+
+def _full_update(age_s: float) -> ttypes.ViewNews:
+    return ttypes.ViewNews(
+        sender="g1",
+        configuration_revision=4,
+        configuration=b"old",
+        endpoints_revision=4,
+        endpoints_age_s=age_s,
+        endpoints=[ttypes.ListedEntry("e/left", b"", 3)],
+        members_revision=9,
+        endpoints_digest=0,
+    )
+
+
+def test_started_process_does_not_use_what_a_cut_off_peer_has() -> None:
+    """Guards against a withdrawn key that is in use again after a restart.
+
+    The peer was cut off from the store when the key was withdrawn; the same
+    holds for an endpoint that has left.
+    """
+    world = _World()
+    world.view.configuration = None
+    anyio.run(world.exchange.on_update, _full_update(60.0))
+    assert world.view.configuration is None
+    assert world.view.entries == {}
+    anyio.run(world.exchange.on_update, _full_update(0.5))
+    assert world.view.configuration_revision == 4
+
+
+def test_started_process_uses_old_state_if_there_is_no_other() -> None:
+    """Guards against refusing all callers while the store is away."""
+    world = _World()
+    world.view.configuration = None
+    world.clock.time_s += view_exchange.START_WAIT_S
+    anyio.run(world.exchange.on_update, _full_update(60.0))
+    assert world.view.configuration_revision == 4
