--- a/src/ibisknot/batch_drain.py
+++ b/src/ibisknot/batch_drain.py
@@ -8,6 +8,7 @@
 from ibisknot import errors
 from ibisknot import job_owners
 from ibisknot import logs
+from ibisknot import result_listing
 
 POLL_PERIOD_S = 0.15
 """Period at which the worker checks whether it still has work."""
@@ -62,12 +63,12 @@
             if await worker.records.hand_over(job, updated):
                 await worker.notify_owner(updated)
                 return
-            await worker.reload_progress(job)
+            await worker.listing.reload(job)
         except errors.KeyValueError as error:
             logs.event(
                 "job_not_handed_over",
                 job=progress.meta.id,
                 cause=error.message,
             )
-            await anyio.sleep(batch_worker.STORE_RETRY_PAUSE_S)
-            await worker.reload_progress(job)
+            await anyio.sleep(result_listing.STORE_RETRY_PAUSE_S)
+            await worker.listing.reload(job)
--- a/src/ibisknot/batch_job.py
+++ b/src/ibisknot/batch_job.py
@@ -58,6 +58,11 @@
     task_group: abc.TaskGroup | None = None
 
 
+def runs_at(progress: batch_records.Progress, worker: str) -> bool:
+    """Returns whether a worker runs some or all of a job's items."""
+    return worker in (progress.owner, progress.kept_by)
+
+
 def is_only_writer(
     job: Job, *, worker: str, lease_count: int, now: float
 ) -> bool:
--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -28,6 +28,8 @@
 STORE_RETRY_AFTER_S = 0.8
 OVER_LIMIT_RETRY_AFTER_S = 1.0
 NOTIFY_TIMEOUT_S = 0.3
+NOTIFY_ATTEMPTS = 5
+NOTIFY_RETRY_PAUSE_S = 0.2
 MAX_NOTIFIED_BYTES = 256 * 1024
 """The owner reads the items of a larger job from the store."""
 VALUE_FRACTION = 0.7
@@ -247,27 +249,33 @@
     async def _notify_owner(
         self, job_id: str, owner: str, parts: list[bytes] | None = None
     ) -> None:
-        """Notifies a job's owner; a lost notification only delays it.
+        """Notifies a job's owner, in some attempts.
+
+        If all are lost, the job is delayed until the owner's next listing.
 
         Args:
             job_id: Id of the job.
             owner: Name of the worker that runs it.
             parts: The items of a new job, as they are stored.
         """
-        member = self.view.members.get(owner)
-        if member is None:
-            return
         if parts and sum(map(len, parts)) > MAX_NOTIFIED_BYTES:
             parts = None
-        try:
-            await self.peers.call(
-                member.address,
-                "job_changed",
-                ttypes.JobChanged(job=job_id, parts=parts),
-                timeout_s=NOTIFY_TIMEOUT_S,
-            )
-        except errors.IbisknotError as error:
-            logs.event("owner_silent", job=job_id, cause=error.message)
+        for _ in range(NOTIFY_ATTEMPTS):
+            member = self.view.members.get(owner)
+            if member is None:
+                return
+            try:
+                await self.peers.call(
+                    member.address,
+                    "job_changed",
+                    ttypes.JobChanged(job=job_id, parts=parts),
+                    timeout_s=NOTIFY_TIMEOUT_S,
+                )
+            except errors.IbisknotError as error:
+                logs.event("owner_silent", job=job_id, cause=error.message)
+                await anyio.sleep(NOTIFY_RETRY_PAUSE_S)
+            else:
+                return
 
     async def cancel(
         self, job_id: str, organisation: str, deadline_s: float
@@ -279,18 +287,21 @@
             KeyValueError: The store does not respond, or the job's record
                 changed between each read and write until the deadline.
         """
-        await self.reader.get_job(job_id, organisation)
-        while not await self._try_cancel(job_id):
+        while not await self._try_cancel(job_id, organisation):
             if self.clock() >= deadline_s:
                 raise errors.KeyValueError(f"job {job_id} changes too often")
 
-    async def _try_cancel(self, job_id: str) -> bool:
+    async def _try_cancel(self, job_id: str, organisation: str) -> bool:
         """Tries once to cancel a job; returns whether it has ended."""
         key = batch_records.OPEN_PREFIX + job_id
         pair = await self.store.get(key)
         if pair is None:
+            await self.reader.get_job(job_id, organisation)
             return True
         progress = batch_records.decode_progress(pair.value)
+        job_reader.check_access(
+            job_id, progress.meta.organisation, organisation
+        )
         if progress.closed:
             return True
         progress.closed = True
@@ -302,7 +313,9 @@
             return False
         if revision:
             logs.event("job_ended", job=job_id, revision=revision)
-            await self._notify_owner(job_id, progress.owner)
+            self.task_group.start_soon(
+                self._notify_owner, job_id, progress.owner
+            )
         return bool(revision)
 
 
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -27,16 +27,23 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import registration
+from ibisknot import result_listing
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
-POLL_PERIOD_S = 1.5
+MIN_POLL_PERIOD_S = 1.5
+MAX_FLEET_POLLS_PER_S = 2.8
+"""Listings of the open jobs by all workers together.
+
+A listing finds what a lost notification has missed.
+"""
+POLL_CHECK_PERIOD_S = 0.25
+"""Period at which a worker checks whether a listing is due."""
+MEMBERS_STALE_S = 3.0
+"""Age of the member list above which an absence is not confirmed."""
 TAKEOVER_S = 1.5
 """Jobs are taken over from an owner absent from the fleet for this time."""
-WRITE_DELAY_S = 0.15
-"""Results that arrive within this time are written in one transaction."""
-STORE_RETRY_PAUSE_S = 0.3
 MAX_ENDED_JOBS = 256
 MAX_ENDED_BYTES = 16 * 1024 * 1024
 """Largest total length of the outputs of ended jobs that are retained."""
@@ -51,12 +58,15 @@
 
     Attributes:
         records: Writes the jobs' records.
+        listing: Lists the jobs' results.
         jobs: Jobs that run here, by id.
         missing_since_s: Monotonic time since which a job's owner is absent
             from the fleet, by name.
         is_draining: Whether this worker starts no more jobs and items.
         entry: This worker's entry among the members.
         started_s: Monotonic time of this process's start.
+        next_poll_s: Monotonic time of the next listing of the open jobs.
+        polled_lease_count: Count of this worker's leases at the last listing.
         ended_jobs: Jobs of which all results were listed here, by id, the
             last one at the end.
         owners: Owners of the open jobs that were listed last, by job id.
@@ -82,7 +92,18 @@
             process, store, entry, clock.now
         )
         self.entry = entry
+        self.listing = result_listing.ResultListing(
+            process.name,
+            self.records,
+            store,
+            view,
+            self._stop_job,
+            clock.now,
+            unix_s,
+        )
         self.started_s = clock.now()
+        self.next_poll_s = 0.0
+        self.polled_lease_count = 0
         self.store = store
         self.view = view
         self.peers = peers
@@ -102,7 +123,28 @@
     def start(self, server: peer.Server) -> None:
         """Registers the peer method and the poll of open jobs."""
         server.on("job_changed", ttypes.JobChanged, self.on_job_changed)
-        self.clock.subscribe("jobs", POLL_PERIOD_S, self.poll)
+        self.clock.subscribe("jobs", POLL_CHECK_PERIOD_S, self._poll_if_due)
+
+    def on_members_changed(self) -> None:
+        """Lists the jobs again soon when a worker has been lost."""
+        now = self.clock.now()
+        present = set(self._workers())
+        for name in set(self.owners.values()) - present - {""}:
+            if name not in self.missing_since_s:
+                self.missing_since_s[name] = now
+                self._poll_within(TAKEOVER_S)
+
+    def _poll_within(self, delay_s: float) -> None:
+        self.next_poll_s = min(self.next_poll_s, self.clock.now() + delay_s)
+
+    async def _poll_if_due(self, now: float) -> None:
+        """Timer callback: lists the open jobs when that is due.
+
+        After this worker's entry was missing, its jobs may have other owners.
+        """
+        was_missing = self.entry.lease_count != self.polled_lease_count
+        if now >= self.next_poll_s or was_missing:
+            await self.poll(now)
 
     async def on_job_changed(self, message: ttypes.JobChanged) -> None:
         """Peer method: the record of a job of this worker has changed."""
@@ -125,8 +167,10 @@
                 job.items = batch_records.decode_items(parts)
 
     async def poll(self, now: float) -> None:
-        """Timer callback: lists the open jobs and applies their records."""
+        """Lists the open jobs and applies their records."""
+        self.next_poll_s = now + poll_period_s(len(self._workers()))
         lease_count = self.entry.lease_count
+        self.polled_lease_count = lease_count
         try:
             listing = await self.store.list_prefix(batch_records.OPEN_PREFIX)
         except errors.KeyValueError:
@@ -146,9 +190,10 @@
         for name in list(self.missing_since_s):
             if name in self.view.members:
                 del self.missing_since_s[name]
-            elif now - self.view.members_read_s > 2 * POLL_PERIOD_S:
+            elif now - self.view.members_read_s > MEMBERS_STALE_S:
                 # The member list is stale, so the absence is not confirmed.
                 self.missing_since_s[name] = now
+                self._poll_within(TAKEOVER_S)
 
     async def _apply_record(self, pair: pairs.Pair, lease_count: int) -> str:
         """Starts, stops or takes over a job as its record demands.
@@ -189,7 +234,7 @@
         if progress.closed:
             self._stop_job(job_id, "its caller has cancelled it")
             await self.records.move_to_ended(pair, progress)
-        elif not self._runs_here(progress):
+        elif not batch_job.runs_at(progress, self.process.name):
             self._stop_job(job_id, f"{progress.owner} runs it")
         else:
             self._start_items(job)
@@ -221,7 +266,9 @@
                 )
         elif self._should_take_over(progress):
             revision = await self.records.take_over(pair, progress)
-            if revision:
+            if not revision:
+                self._poll_within(TAKEOVER_S)
+            else:
                 self._start_job(
                     batch_job.Job(
                         progress,
@@ -256,7 +303,10 @@
         if worker in self._workers():
             return False
         now = self.clock.now()
-        return now - self.missing_since_s.setdefault(worker, now) >= TAKEOVER_S
+        missing_s = now - self.missing_since_s.setdefault(worker, now)
+        if missing_s < TAKEOVER_S:
+            self._poll_within(TAKEOVER_S - missing_s)
+        return missing_s >= TAKEOVER_S
 
     def _are_kept_items_lost(self, progress: batch_records.Progress) -> bool:
         """Returns whether the process that kept items of a job has ended.
@@ -312,7 +362,7 @@
             async with anyio.create_task_group() as task_group:
                 job.task_group = task_group
                 self._start_items(job)
-                await self._write_results(job)
+                await self.listing.list_results(job)
                 task_group.cancel_scope.cancel()
         if self.jobs.get(job_id) is job:
             del self.jobs[job_id]
@@ -330,11 +380,6 @@
         ):
             self.ended_jobs.popitem(last=False)
 
-    def _runs_here(self, progress: batch_records.Progress) -> bool:
-        """Returns whether this worker runs some or all of a job's items."""
-        name = self.process.name
-        return name in (progress.owner, progress.kept_by)
-
     def _start_items(self, job: batch_job.Job) -> None:
         """Starts the items that have no result and do not run."""
         progress = job.progress
@@ -361,7 +406,7 @@
             except errors.KeyValueError as error:
                 job_id = job.progress.meta.id
                 logs.event("job_not_read", job=job_id, cause=error.message)
-                await anyio.sleep(STORE_RETRY_PAUSE_S)
+                await anyio.sleep(result_listing.STORE_RETRY_PAUSE_S)
 
     def _make_task(
         self, job: batch_job.Job, index: int, item: batch_records.Item
@@ -406,44 +451,11 @@
             job_id = progress.meta.id
             logs.event("owner_silent", job=job_id, cause=error.message)
 
-    async def _write_results(self, job: batch_job.Job) -> None:
-        """Writes results until all items are listed or run elsewhere."""
-        while self._has_work(job):
-            await job.changed.wait()
-            await anyio.sleep(WRITE_DELAY_S)
-            job.changed = anyio.Event()
-            while job.unwritten:
-                try:
-                    if not await self.records.append_results(job):
-                        await self.reload_progress(job)
-                except errors.KeyValueError as error:
-                    logs.event(
-                        "results_not_written",
-                        job=job.progress.meta.id,
-                        waiting=len(job.unwritten),
-                        cause=error.message,
-                    )
-                    await anyio.sleep(STORE_RETRY_PAUSE_S)
-                    await self.reload_progress(job)
 
-    def _has_work(self, job: batch_job.Job) -> bool:
-        """Returns whether this worker still has results to produce or write."""
-        if job.progress.is_complete():
-            return False
-        is_owner = job.progress.owner == self.process.name
-        return is_owner or bool(job.tasks or job.unwritten)
+def poll_period_s(workers: int) -> float:
+    """Returns the seconds between two listings of the open jobs by a worker.
 
-    async def reload_progress(self, job: batch_job.Job) -> None:
-        """Reads a job's record after a write that failed or may have failed."""
-        job_id = job.progress.meta.id
-        try:
-            pair = await self.store.get(batch_records.OPEN_PREFIX + job_id)
-        except errors.KeyValueError:
-            return
-        if pair is None:
-            self._stop_job(job_id, "it has ended")
-            return
-        job.progress = batch_records.decode_progress(pair.value)
-        job.revision = pair.revision
-        if not self._runs_here(job.progress):
-            self._stop_job(job_id, f"{job.progress.owner} runs it")
+    >>> poll_period_s(4), round(poll_period_s(14), 1)
+    (1.5, 5.0)
+    """
+    return max(MIN_POLL_PERIOD_S, workers / MAX_FLEET_POLLS_PER_S)
--- a/src/ibisknot/job_answers.py
+++ b/src/ibisknot/job_answers.py
@@ -23,7 +23,7 @@
 
 
 class Answers:
-    """Answers reads of the results of one worker's jobs.
+    """Answers reads of one worker's jobs.
 
     Attributes:
         worker: Runs the jobs.
@@ -46,8 +46,9 @@
         self.clock = clock
 
     def start(self, server: peer.Server) -> None:
-        """Registers the peer method."""
+        """Registers the peer methods."""
         server.on("job_read", ttypes.JobRead, self.on_read)
+        server.on("job_item", ttypes.JobItemRead, self.on_item_read)
 
     async def on_read(self, request: ttypes.JobRead) -> ttypes.JobPage:
         """Peer method: returns one page of a job's results."""
@@ -67,6 +68,20 @@
                 await job.results_changed.wait()
         return _uncertain(job.progress.owner)
 
+    async def on_item_read(self, request: ttypes.JobItemRead) -> ttypes.JobItem:
+        """Peer method: returns the body of an item, which never changes."""
+        job = self.worker.find_job(request.job)
+        if job is None or not job.items:
+            owner = self.worker.owners.get(request.job, "")
+            return ttypes.JobItem(certain=False, owner=owner, organisation="")
+        bodies = (e.body for e in job.items if e.id == request.item)
+        return ttypes.JobItem(
+            certain=True,
+            owner=self.worker.process.name,
+            organisation=job.progress.meta.organisation,
+            body=next(bodies, None),
+        )
+
     async def _knows_all_results(self, job: batch_job.Job) -> bool:
         """Returns whether every listed result of a job is known here.
 
--- a/src/ibisknot/job_reader.py
+++ b/src/ibisknot/job_reader.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+from typing import Any
 
 from ibisknot import batch_records
 from ibisknot import errors
@@ -146,7 +147,12 @@
         deadline_s = self.clock() + wait_s
         cached = self.cached_jobs.get(job_id)
         if cached is None or not cached.is_complete():
-            page = await self._ask_workers(job_id, first_index, wait_s)
+            request = ttypes.JobRead(
+                job=job_id, first_index=first_index, wait_s=wait_s
+            )
+            page = await self._ask_workers(
+                job_id, "job_read", request, ttypes.JobPage, wait_s
+            )
             if page is not None:
                 check_access(job_id, page.organisation, organisation)
                 results = batch_records.decode_results(page.results)
@@ -158,55 +164,55 @@
     # Workers --------------------------------------------------------------
 
     async def _ask_workers(
-        self, job_id: str, first_index: int, wait_s: float
-    ) -> ttypes.JobPage | None:
+        self,
+        job_id: str,
+        method: str,
+        request: Any,
+        answer_type: type[Any],
+        wait_s: float = 0.0,
+    ) -> Any:
         """Returns the answer of the worker that runs a job.
 
-        Returns None if it does not answer or is not certain.
+        Args:
+            job_id: Id of the job.
+            method: Name of the peer method.
+            request: The request.
+            answer_type: Type of the answer, with `certain` and `owner`.
+            wait_s: Seconds for which the worker may wait.
+
+        Returns:
+            The answer, or None if no worker answers or is certain.
         """
         name = self.owners.get(job_id) or job_owners.choose_owner(
             job_id, job_owners.worker_names(self.view)
         )
         for _ in range(MAX_WORKERS_ASKED):
-            page = await self._ask_worker(name, job_id, first_index, wait_s)
-            if page is None:
+            member = self.view.members.get(name)
+            is_silent = self.clock() < self.silent_until_s.get(name, 0.0)
+            if member is None or is_silent:
+                return None
+            try:
+                answer = await self.peers.call(
+                    member.address,
+                    method,
+                    request,
+                    answer_type,
+                    timeout_s=wait_s + ANSWER_MARGIN_S,
+                )
+            except errors.IbisknotError as error:
+                self._record_silence(job_id, name, error.message)
                 return None
-            if page.certain:
+            if answer.certain:
                 self._record_owner(job_id, name)
-                return page
-            if page.owner in ("", name):
+                return answer
+            if answer.owner in ("", name):
                 return None
-            name = page.owner
+            name = answer.owner
         return None
 
-    async def _ask_worker(
-        self, name: str, job_id: str, first_index: int, wait_s: float
-    ) -> ttypes.JobPage | None:
-        """Asks one worker; returns None without an answer."""
-        member = self.view.members.get(name)
-        is_silent = self.clock() < self.silent_until_s.get(name, 0.0)
-        if member is None or is_silent:
-            return None
-        request = ttypes.JobRead(
-            job=job_id, first_index=first_index, wait_s=wait_s
-        )
-        try:
-            return await self.peers.call(
-                member.address,
-                "job_read",
-                request,
-                ttypes.JobPage,
-                timeout_s=wait_s + ANSWER_MARGIN_S,
-            )
-        except errors.IbisknotError as error:
-            self.silent_until_s[name] = self.clock() + SILENT_PAUSE_S
-            logs.event(
-                "job_worker_silent",
-                job=job_id,
-                worker=name,
-                cause=error.message,
-            )
-            return None
+    def _record_silence(self, job_id: str, name: str, cause: str) -> None:
+        self.silent_until_s[name] = self.clock() + SILENT_PAUSE_S
+        logs.event("job_worker_silent", job=job_id, worker=name, cause=cause)
 
     def _record_owner(self, job_id: str, name: str) -> None:
         self.owners[job_id] = name
@@ -258,6 +264,15 @@
             NotFoundError: The organisation has no such job.
             KeyValueError: The store does not respond.
         """
+        answer = await self._ask_workers(
+            job_id,
+            "job_item",
+            ttypes.JobItemRead(job=job_id, item=item_id),
+            ttypes.JobItem,
+        )
+        if answer is not None:
+            check_access(job_id, answer.organisation, organisation)
+            return answer.body
         job = await self.get_job(job_id, organisation)
         items_by_id = self.cached_items.get(job_id)
         if items_by_id is None:
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -51,6 +51,7 @@
             worker_node.runner.registration,
         )
         worker.start(worker_node.server)
+        worker_node.runner.change_callbacks.append(worker.on_members_changed)
         job_answers.Answers(
             worker,
             worker_node.runner.registration,
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -7,6 +7,7 @@
 import fake_fleet
 import fake_pairs_store
 
+from ibisknot import batch_job
 from ibisknot import batch_records
 from ibisknot import batch_worker
 from ibisknot import deployment
@@ -15,6 +16,7 @@
 from ibisknot import job_reader
 from ibisknot import pairs
 from ibisknot import registration
+from ibisknot import result_listing
 
 OPEN_KEY = batch_records.OPEN_PREFIX + "j"
 MEMBERS_PREFIX = "members/"
@@ -55,11 +57,14 @@
         self, address: str, method: str, message: Any, *_: Any, **__: Any
     ) -> Any:
         """Records and answers a call."""
-        if method != "job_read" or address in self.unresponsive:
+        is_read = method in ("job_read", "job_item")
+        if not is_read or address in self.unresponsive:
             return await super().call(address, method, message)
         self.calls.append((address, method, message))
         if address != "w0:1":
             raise errors.PeerError(f"{address} is not reachable")
+        if method == "job_item":
+            return await self.answers_of_worker.on_item_read(message)
         return await self.answers_of_worker.on_read(message)
 
 
@@ -111,7 +116,7 @@
     async def store_job(self, progress: batch_records.Progress) -> None:
         """Stores the records of a job."""
         items = [
-            batch_records.Item(f"i{n}", "/", [], b"", 1)
+            batch_records.Item(f"i{n}", "/", [], b"body", 1)
             for n in range(progress.meta.total)
         ]
         (part,) = batch_records.split_items(items, 10_000)
@@ -137,12 +142,12 @@
         await self.entry.renew(0.0)
         await self.store_job(record(owner="w0", **fields))
         await self.poll()
-        self.clock.time_s += batch_worker.batch_job.LATE_WRITE_S
+        self.clock.time_s += batch_job.LATE_WRITE_S
 
     async def finish_item(self, index: int) -> None:
         """Finishes an item and lets the worker list its result."""
         self.runner.finished[index].set()
-        await anyio.sleep(2 * batch_worker.WRITE_DELAY_S)
+        await anyio.sleep(3 * result_listing.MIN_WRITE_DELAY_S)
 
     async def list_elsewhere(self, index: int) -> None:
         """Lists an item's result as another owner of the job does."""
--- a/tests/test_batch_worker.py
+++ b/tests/test_batch_worker.py
@@ -1,11 +1,15 @@
 """Ownership of batch jobs by workers."""
 
+import anyio
 import job_world
 
 from ibisknot import batch_worker
 from ibisknot import deployment
 from ibisknot import fleetview
+from ibisknot import http_server
 from ibisknot import pairs
+from ibisknot import result_listing
+from ibisknot import serving
 
 
 def test_draining_worker_passes_on_a_job_that_it_is_given() -> None:
@@ -111,3 +115,74 @@
         assert world.runner.started == [0, 1, 2]
 
     job_world.run(scenario)
+
+
+def test_loss_of_a_worker_brings_the_next_listing_forward() -> None:
+    """Guards against jobs that wait for the rare listing of a large fleet."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w1"))
+        await world.poll()
+        world.worker.next_poll_s = world.clock.now() + 60
+        world.view.members_read_s = world.clock.now()
+        del world.view.members["w1"]
+        world.worker.on_members_changed()
+        world.clock.time_s += batch_worker.TAKEOVER_S
+        await world.worker._poll_if_due(world.clock.now())
+        await anyio.wait_all_tasks_blocked()
+        assert world.runner.started == [0, 1, 2]
+
+    job_world.run(scenario)
+
+
+def test_listings_of_all_workers_are_bounded() -> None:
+    """Guards against store calls that grow with the number of workers."""
+    for workers in (4, 14, 30, 200):
+        rate = workers / batch_worker.poll_period_s(workers)
+        assert rate <= batch_worker.MAX_FLEET_POLLS_PER_S
+
+
+def test_results_that_end_together_are_written_together() -> None:
+    """Guards against a store call for each result of a job."""
+
+    async def scenario(world: job_world.World) -> None:
+        world.view.configuration = _configuration(completion_target_s=60.0)
+        world.worker.unix_s = lambda: 0.0
+        world.worker.listing.unix_s = lambda: 0.0
+        await world.start_job()
+        writes = world.store.calls["transact"]
+        for index in (0, 1, 2):
+            world.runner.finished[index].set()
+            await anyio.sleep(result_listing.MIN_WRITE_DELAY_S)
+        await anyio.sleep(2 * result_listing.MIN_WRITE_DELAY_S)
+        assert not world.worker.jobs
+        assert world.store.calls["transact"] == writes + 1
+
+    job_world.run(scenario)
+
+
+def test_results_of_a_job_that_is_nearly_due_are_written_at_once() -> None:
+    """Guards against results that are listed after they were due."""
+
+    async def scenario(world: job_world.World) -> None:
+        world.view.configuration = _configuration(completion_target_s=1.0)
+        await world.start_job()
+        await world.finish_item(1)
+        assert world.stored_job().listed == [1]
+
+    job_world.run(scenario)
+
+
+def _configuration(*, completion_target_s: float) -> serving.Configuration:
+    """Returns a configuration with the route of the test's jobs."""
+    route = serving.Route(
+        "batch",
+        "host",
+        "/",
+        serving.BATCH,
+        (),
+        completion_target_s=completion_target_s,
+    )
+    return serving.Configuration(
+        1, [route], frozenset(), {}, {}, False, http_server.Limits()
+    )
--- a/tests/test_job_reader.py
+++ b/tests/test_job_reader.py
@@ -194,3 +194,31 @@
             await world.reader.read_results("j", "two", 0, 0.0)
 
     job_world.run(scenario)
+
+
+def test_body_of_an_item_is_read_without_the_store() -> None:
+    """Guards against store calls for each body of a running job."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.store.calls.clear()
+        reader = world.reader
+        assert await reader.read_item_body("j", "one", "i1") == b"body"
+        assert await reader.read_item_body("j", "one", "unknown") is None
+        with pytest.raises(errors.NotFoundError):
+            await reader.read_item_body("j", "two", "i1")
+        assert not world.store.calls
+
+    job_world.run(scenario)
+
+
+def test_body_is_read_from_the_store_when_the_worker_is_lost() -> None:
+    """Guards against bodies that disappear with a worker."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.peers.unresponsive.add("w0:1")
+        body = await world.reader.read_item_body("j", "one", "i2")
+        assert body == b"body"
+
+    job_world.run(scenario)
