--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -20,8 +20,15 @@
 from ibisknot import serving
 
 TICKET_WAIT_S = 10.0
-IDLE_TIMEOUT_S = 2.0
-"""An attempt fails when its endpoint sends nothing for this time."""
+MIN_STALL_TIMEOUT_S = 2.0
+"""An attempt fails when its endpoint sends no new event for this time."""
+MAX_STALL_TIMEOUT_S = 32.0
+"""The time doubles with each stall of an item, up to this limit.
+
+An endpoint that is slow but sound is thus not cut for ever.
+"""
+MAX_OUTPUT_BYTES = 700_000
+"""Largest output of an item; a larger one does not fit into the store."""
 RETRY_PAUSE_S = 0.1
 """Pause before another attempt; each failure adds as much again."""
 ROUTE_POLL_PAUSE_S = 0.3
@@ -50,6 +57,8 @@
         submitted_s: Monotonic time at which the job was accepted.
         event_data: Data of the events received so far, in order.
         last_event_id: Id of the last of these events.
+        stalls: Number of attempts that ended without progress.
+        output_bytes: Size of `event_data`.
         failures: Number of responses that report a failure of the item.
         attempts: Number of requests sent to endpoints.
         failed_endpoints: Names of the endpoints to avoid next, because the
@@ -67,6 +76,8 @@
     submitted_s: float
     event_data: list[str] = dataclasses.field(default_factory=list)
     last_event_id: int | None = None
+    stalls: int = 0
+    output_bytes: int = 0
     failures: int = 0
     attempts: int = 0
     failed_endpoints: set[str] = dataclasses.field(default_factory=set)
@@ -239,6 +250,8 @@
         except* errors.EndpointError as raised:
             error = raised.exceptions[0]
             assert isinstance(error, errors.EndpointError)
+            if isinstance(error, errors.StalledError):
+                task.stalls += 1
             # An item that always fails must not count against endpoints
             # that work.
             if not isinstance(error, errors.ItemFailedError):
@@ -310,7 +323,8 @@
             ),
             body=item.body,
             is_own_response=lambda h: self.dialect.is_response_to(item.id, h),
-            read_timeout_s=IDLE_TIMEOUT_S,
+            read_timeout_s=stall_timeout_s(task.stalls),
+            needs_useful_data=True,
         )
 
     async def _receive_events(
@@ -332,11 +346,30 @@
                 if event.id > expected_id:
                     message = f"event {expected_id} is missing"
                     raise errors.TruncatedStreamError(message)
+                task.output_bytes += len(event.data)
+                if task.output_bytes > MAX_OUTPUT_BYTES:
+                    self._discard_output(task)
                 task.event_data.append(event.data)
                 task.last_event_id = event.id
+                answer.record_progress()
         if splitter.incomplete:
             raise errors.TruncatedStreamError("the stream ends within an event")
 
+    def _discard_output(self, task: Task) -> None:
+        """Discards output that has no end, so that the item starts again.
+
+        Raises:
+            ItemFailedError: Always. It counts as a failure of the item, which
+                is given up if every endpoint sends so much.
+        """
+        task.event_data.clear()
+        task.output_bytes = 0
+        task.last_event_id = None
+        task.failures += 1
+        raise errors.ItemFailedError(
+            f"the output is over {MAX_OUTPUT_BYTES} bytes"
+        )
+
     def _record_run_time(self, task: Task, run_s: float) -> None:
         """Records the run time of an item that ran from its start."""
         metadata = self.dialect.decode_metadata(
@@ -377,6 +410,15 @@
         return batch_records.ItemResult(task.item.id, batch_records.FAILED, "")
 
 
+def stall_timeout_s(stalls: int) -> float:
+    """Returns the seconds without a new event after which an attempt fails.
+
+    >>> [stall_timeout_s(n) for n in (0, 1, 9)]
+    [2.0, 4.0, 32.0]
+    """
+    return min(MAX_STALL_TIMEOUT_S, MIN_STALL_TIMEOUT_S * 2.0**stalls)
+
+
 def _parse_events(
     splitter: event_stream.Splitter, chunk: bytes
 ) -> list[event_stream.Event]:
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -235,6 +235,12 @@
     ran = RAN
 
 
+class StalledError(EndpointError):
+    """The endpoint sent nothing useful for too long."""
+
+    code = "endpoint_stalled"
+
+
 class KeyValueError(IbisknotError):
     """The key-value service refused or did not receive the call."""
 
--- a/src/ibisknot/event_stream.py
+++ b/src/ibisknot/event_stream.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 128 * 1024
+"""Limit on the data of each stream that waits for the end of an event."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 import dataclasses
 import math
-import random
 
 from ibisknot import admission
 from ibisknot import crash_notices
@@ -22,8 +21,10 @@
 from ibisknot import serving
 from ibisknot import timer
 
-STALL_TIMEOUT_S = 1.0
-"""Time without data after which a retry at another endpoint begins."""
+MIN_STALL_TIMEOUT_S = 1.0
+"""Time without progress after which a retry at another endpoint begins."""
+STALL_GAPS = 2.0
+"""A stream is stalled after this many of its longest intended pauses."""
 MIN_REMAINING_S = 0.03
 """A request is not sent with less time than this until its deadline."""
 MAX_ATTEMPTS = 6
@@ -117,7 +118,6 @@
         self.client = client
         self.dialect = dialect
         self.clock = clock
-        self.rng = random.Random()
 
     async def forward(self, task: Task) -> None:
         """Forwards a request until its response is complete.
@@ -222,7 +222,8 @@
         # data of another one.
         task.splitter = event_stream.Splitter()
         if self._may_run_again(task, pending_runs=1):
-            call.read_timeout_s = STALL_TIMEOUT_S
+            call.read_timeout_s = stall_timeout_s(task.route)
+            call.needs_useful_data = task.route.resumable
         try:
             async with self.client.send(call) as response:
                 if self.dialect.says_not_run(response.status, response.headers):
@@ -325,7 +326,8 @@
         resumable = task.route.resumable and response.status == 200
         async for chunk in response.chunks():
             if resumable:
-                await self._relay_events(task, chunk)
+                if await self._relay_events(task, chunk):
+                    response.record_progress()
             elif chunk:
                 await exchange.send(chunk)
         if resumable and task.splitter.incomplete:
@@ -346,12 +348,15 @@
             headers.append((b"Content-Length", length.encode()))
         await task.exchange.start(response.status, headers)
 
-    async def _relay_events(self, task: Task, chunk: bytes) -> None:
+    async def _relay_events(self, task: Task, chunk: bytes) -> bool:
         """Relays the events that are complete with this chunk.
 
         Only complete events are relayed, so that another endpoint can continue
         the stream after the last one. Events that were relayed before are
         skipped.
+
+        Returns:
+            Whether an event was relayed.
         """
         try:
             received = event_stream.feed(task.splitter, chunk)
@@ -369,6 +374,19 @@
             relayed.append(event.raw)
         if relayed:
             await task.exchange.send(b"".join(relayed))
+        return bool(relayed)
+
+
+def stall_timeout_s(route: serving.Route) -> float:
+    """Returns the seconds without progress after which a stream is stalled.
+
+    >>> route = serving.Route("r", "h", "/", serving.STREAM, ())
+    >>> stall_timeout_s(route)
+    1.0
+    >>> stall_timeout_s(dataclasses.replace(route, event_gap_target_s=2.0))
+    4.0
+    """
+    return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
 def _fingerprint(task: Task) -> str:
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -125,6 +125,8 @@
     server.is_closing = True
     await anyio.sleep(BALANCER_NOTICE_S)
     caller_gateway.is_stopping = True
+    # Connections that the kernel has already accepted are answered.
+    server.stop_accepting()
     while server.active_requests and gateway_node.clock.now() < end_s:
         await anyio.sleep(DRAIN_POLL_PERIOD_S)
     logs.event(
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -8,6 +8,7 @@
 import dataclasses
 import select
 import socket
+import struct
 
 import anyio
 from anyio import abc
@@ -122,6 +123,13 @@
     raw_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def reset_on_close(stream: abc.SocketStream) -> None:
+    """Makes the close of a connection visible to the peer as a reset."""
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    linger = struct.pack("ii", 1, 0)
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def is_idle(stream: abc.SocketStream) -> bool:
     """Returns whether a connection is open and has no data to read."""
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -27,6 +27,16 @@
 """Idle connections that are retained for one address."""
 MAX_SKIPPED_RESPONSES = 3
 """Responses to earlier requests that one call skips."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Size of the bodies of these responses."""
+MAX_INFORMATIONAL_RESPONSES = 8
+"""Responses such as `100 Continue` before the final one."""
+MAX_READS_AFTER_TIMEOUT = 3
+"""Reads after the time without progress has passed.
+
+A process that was paused finds the data that came in the meantime.
+"""
+LATE_READ_TIMEOUT_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,8 +76,12 @@
         is_own_response: Returns whether a response with these headers belongs
             to this request. A late response to an earlier request on the same
             connection does not. None accepts every response.
-        read_timeout_s: Seconds without received data after which the call
-            fails, or None for no limit.
+        read_timeout_s: Seconds without progress after which the call fails,
+            or None for no limit. `needs_useful_data` says what progress is.
+        needs_useful_data: Whether only a response's head and what its reader
+            reports by `Response.record_progress` count as progress, so that
+            single bytes now and then do not keep a call alive. Otherwise all
+            received data counts.
         progress: Progress of the call.
     """
 
@@ -78,6 +92,7 @@
     body: bytes = b""
     is_own_response: Callable[[http11.Headers], bool] | None = None
     read_timeout_s: float | None = None
+    needs_useful_data: bool = False
     progress: Progress = dataclasses.field(default_factory=Progress)
 
 
@@ -89,6 +104,9 @@
         status: Status code, 0 until the head was read.
         headers: Headers, empty until the head was read.
         complete: Whether the whole body was read.
+        skipped_bytes: Size of the bodies of skipped responses.
+        progress_s: Monotonic time of the last progress.
+        reads_after_timeout: Reads since the time without progress has passed.
     """
 
     def __init__(self, stream: abc.SocketStream, call: Call) -> None:
@@ -98,6 +116,14 @@
         self.status = 0
         self.headers: http11.Headers = []
         self.complete = False
+        self.skipped_bytes = 0
+        self.progress_s = anyio.current_time()
+        self.reads_after_timeout = 0
+
+    def record_progress(self) -> None:
+        """Restarts the time without progress after which the call fails."""
+        self.progress_s = anyio.current_time()
+        self.reads_after_timeout = 0
 
     def get_header(self, name: bytes) -> str | None:
         """Returns a header's first value by its name in lower case."""
@@ -111,14 +137,36 @@
             self.parser.receive_data(await self._receive())
 
     async def _receive(self) -> bytes:
+        """Returns received data; empty at the end of the connection.
+
+        Raises:
+            TimeoutError: There was no progress for the call's read timeout.
+        """
         timeout_s = self.call.read_timeout_s
         try:
             if timeout_s is None:
                 return await self.stream.receive(http11.READ_BYTES)
-            with anyio.fail_after(timeout_s):
-                return await self.stream.receive(http11.READ_BYTES)
+            with anyio.fail_after(self._remaining_s(timeout_s)):
+                data = await self.stream.receive(http11.READ_BYTES)
         except anyio.EndOfStream:
             return b""
+        if not self.call.needs_useful_data:
+            self.record_progress()
+        return data
+
+    def _remaining_s(self, timeout_s: float) -> float:
+        """Returns the seconds for which the next read may wait.
+
+        Raises:
+            TimeoutError: The reads after the timeout are used up.
+        """
+        remaining_s = self.progress_s + timeout_s - anyio.current_time()
+        if remaining_s > 0.0:
+            return remaining_s
+        self.reads_after_timeout += 1
+        if self.reads_after_timeout > MAX_READS_AFTER_TIMEOUT:
+            raise TimeoutError
+        return LATE_READ_TIMEOUT_S
 
     async def read_head(self) -> None:
         """Reads the head of the response to this call.
@@ -127,9 +175,7 @@
             RemoteProtocolError: There is no response to this call.
         """
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            event = await self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+            event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise h11.RemoteProtocolError("closed without a response")
             headers = http11.raw_headers(event)
@@ -137,16 +183,35 @@
             if is_own_response is None or is_own_response(headers):
                 self.status = event.status_code
                 self.headers = headers
+                self.record_progress()
                 return
             await self._skip_response()
         raise h11.RemoteProtocolError(
             "received only responses to other requests"
         )
 
+    async def _next_final_event(self) -> Any:
+        """Returns the next event that is not an informational response."""
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise h11.RemoteProtocolError("too many informational responses")
+
     async def _skip_response(self) -> None:
-        """Skips a response to an earlier request."""
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
-            pass
+        """Skips a response to an earlier request.
+
+        Raises:
+            RemoteProtocolError: The skipped responses are too large.
+        """
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise h11.RemoteProtocolError("a skipped response is cut")
+            self.skipped_bytes += len(event.data)
+            if self.skipped_bytes > MAX_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError("skipped responses are too large")
+            event = await self._next_event()
         remaining, ended = self.parser.trailing_data
         self.parser = _make_parser(self.call)
         if remaining:
@@ -159,6 +224,7 @@
 
         Raises:
             TruncatedStreamError: The response is incomplete or malformed.
+            StalledError: There was no progress for the call's read timeout.
         """
         try:
             while True:
@@ -170,6 +236,8 @@
                     return
                 else:
                     raise h11.RemoteProtocolError("the response is incomplete")
+        except TimeoutError:
+            raise _stalled_error(self.call, errors.RAN) from None
         except (h11.RemoteProtocolError, *http11.CONNECTION_ERRORS) as error:
             message = (
                 f"response of {self.call.address} is incomplete: {error!r}"
@@ -264,16 +332,29 @@
                 await http11.close_abruptly(stream)
 
     async def fetch(
-        self, call: Call, *, max_bytes: int = 16 * 1024 * 1024
+        self,
+        call: Call,
+        *,
+        max_bytes: int = 16 * 1024 * 1024,
+        check: Callable[[int, bytes], None] | None = None,
     ) -> tuple[int, bytes]:
         """Sends a call and returns the status and body of the response.
 
+        Args:
+            call: The call.
+            max_bytes: Largest size of the body.
+            check: Called with status and body. If it raises, the connection
+                is not used again.
+
         Raises:
             EndpointError: There is no complete response; `ran` tells whether
                 the request may have run.
         """
         async with self.send(call) as response:
-            return response.status, await response.read_body(max_bytes)
+            body = await response.read_body(max_bytes)
+            if check is not None:
+                check(response.status, body)
+            return response.status, body
 
     async def _take_connection(self, call: Call) -> abc.SocketStream:
         """Returns an idle connection, or a new one if none is usable."""
@@ -369,10 +450,17 @@
     call: Call, error: BaseException
 ) -> errors.EndpointError:
     ran = errors.UNKNOWN if call.progress.sending_started else errors.NOT_RUN
+    if isinstance(error, TimeoutError):
+        return _stalled_error(call, ran)
     message = f"no response from {call.address}: {error!r}"
     return errors.EndpointError(message, ran=ran)
 
 
+def _stalled_error(call: Call, ran: str) -> errors.StalledError:
+    message = f"{call.address}: no progress for {call.read_timeout_s} s"
+    return errors.StalledError(message, ran=ran)
+
+
 def _unwrap(group: BaseExceptionGroup[BaseException]) -> BaseException:
     """Returns the first single error in nested exception groups."""
     error: BaseException = group
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -129,7 +129,10 @@
         clock: Returns the monotonic time.
         is_closing: Whether responses ask callers to close their connections
             and idle connections are closed.
-        active_requests: Number of requests that are being handled.
+        active_requests: Number of requests that are being received or
+            handled.
+        accept_scope: Cancelled to accept no more connections; None before
+            the server listens.
         buffered_bytes: Size of all request bodies in memory.
         max_buffered_bytes: Limit on `buffered_bytes`; requests above it are
             refused.
@@ -149,6 +152,7 @@
         self.clock = clock
         self.is_closing = False
         self.active_requests = 0
+        self.accept_scope: anyio.CancelScope | None = None
         self.buffered_bytes = 0
         self.max_buffered_bytes = max_buffered_bytes
         self.open_connections = 0
@@ -159,8 +163,15 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=1024
         )
-        async with listener:
-            await listener.serve(self.serve_connection)
+        async with listener, anyio.create_task_group() as task_group:
+            with anyio.CancelScope() as self.accept_scope:
+                await listener.serve(self.serve_connection, task_group)
+            await listener.aclose()
+
+    def stop_accepting(self) -> None:
+        """Closes the listener; open connections are served to their end."""
+        if self.accept_scope is not None:
+            self.accept_scope.cancel()
 
     async def serve_connection(self, stream: abc.SocketStream) -> None:
         """Handles the requests of one connection, one after another."""
@@ -201,28 +212,54 @@
     async def run(self) -> None:
         """Handles requests until the connection is to be closed."""
         while True:
-            try:
-                request = await self._read_request()
-            except errors.IbisknotError as error:
-                await self._reject(error)
-                return
-            if request is None:
+            if not await self._wait_for_request():
                 return
-            exchange = Exchange(
-                request,
-                self.stream,
-                self.parser,
-                is_closing=lambda: self.server.is_closing,
-            )
-            await self._handle(exchange)
-            self.release_body_bytes()
-            if exchange.aborted or not exchange.finished:
+            self.server.active_requests += 1
+            try:
+                keeps_open = await self._serve_request()
+            finally:
+                self.server.active_requests -= 1
+            if not keeps_open:
                 return
             if self.parser.our_state is not h11.DONE:
                 await self._linger()
                 return
             self.parser.start_next_cycle()
 
+    async def _serve_request(self) -> bool:
+        """Receives and handles one request.
+
+        Returns:
+            Whether its response is complete.
+        """
+        try:
+            request = await self._read_request()
+        except errors.IbisknotError as error:
+            await self._reject(error)
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(
+            request,
+            self.stream,
+            self.parser,
+            is_closing=lambda: self.server.is_closing,
+        )
+        await self._handle(exchange)
+        self.release_body_bytes()
+        if exchange.aborted and exchange.started:
+            self._make_abort_visible()
+        return exchange.finished and not exchange.aborted
+
+    def _make_abort_visible(self) -> None:
+        """Makes the close of the connection a reset where it must be one.
+
+        A response to an HTTP/1.0 request may end with its connection. Only a
+        reset shows such a caller that the response is incomplete.
+        """
+        if self.parser.their_http_version == b"1.0":
+            http11.reset_on_close(self.stream)
+
     async def _receive(self) -> bytes:
         if self.unparsed:
             data = bytes(self.unparsed)
@@ -241,11 +278,6 @@
                 too many bodies are in memory.
         """
         limits = self.server.limits
-        if not self.unparsed and not self.parser.trailing_data[0]:
-            data = await self._wait_for_request(limits.idle_timeout_s)
-            if not data:
-                return None
-            self.unparsed += data
         received_s = self.server.clock()
         try:
             with anyio.fail_after(limits.header_timeout_s):
@@ -270,15 +302,24 @@
             raise errors.BadRequestError(str(error)) from None
         return request
 
-    async def _wait_for_request(self, idle_timeout_s: float) -> bytes:
-        """Returns the first bytes of a request; empty to end the connection."""
+    async def _wait_for_request(self) -> bool:
+        """Waits for the first bytes of a request.
+
+        Returns:
+            False if the connection has ended, or is to be closed because it
+            was idle for too long or the server is closing.
+        """
+        if self.unparsed or self.parser.trailing_data[0]:
+            return True
+        idle_timeout_s = self.server.limits.idle_timeout_s
         deadline_s = self.server.clock() + idle_timeout_s
         while self.server.clock() < deadline_s:
             with anyio.move_on_after(CLOSING_POLL_S):
-                return await self._receive()
+                self.unparsed += await self._receive()
+                return bool(self.unparsed)
             if self.server.is_closing:
-                return b""
-        return b""
+                return False
+        return False
 
     async def _read_head(self) -> h11.Request | None:
         while True:
@@ -332,7 +373,6 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Runs the handler; cancels it when the caller disconnects."""
-        self.server.active_requests += 1
         try:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(
@@ -344,8 +384,6 @@
                 task_group.cancel_scope.cancel()
         except* errors.CallerGoneError:
             exchange.abort()
-        finally:
-            self.server.active_requests -= 1
 
     async def _watch_for_disconnect(
         self, exchange: Exchange, handler_scope: anyio.CancelScope
--- a/src/ibisknot/platform/key_value_store.py
+++ b/src/ibisknot/platform/key_value_store.py
@@ -2,10 +2,11 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 from typing import TypeVar
-from urllib import parse
+import urllib.parse
 
 import anyio
 import msgspec
@@ -20,6 +21,9 @@
 WATCH_MARGIN_S = 1.0
 """Time for the response after the time that the store may wait."""
 ResponseT = TypeVar("ResponseT")
+ResultT = TypeVar("ResultT")
+_REFUSALS = (429, 503)
+"""Statuses that promise that a call has changed nothing."""
 _JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -61,22 +65,40 @@
         address: Host and port of the store.
         http_client: HTTP client that makes the calls.
         calls: Number of calls that were made.
+        newest_revision: Highest revision in the store's responses so far.
     """
 
     def __init__(self, address: str, client: http_client.Client) -> None:
         self.address = address
         self.http_client = client
         self.calls = 0
+        self.newest_revision = 0
 
     async def _call(
         self,
         method: str,
         target: str,
+        parse: Callable[[int, bytes], ResultT],
         body: Any = None,
         *,
         timeout_s: float,
         is_write: bool = False,
-    ) -> tuple[int, bytes]:
+    ) -> ResultT:
+        """Makes a call and returns its parsed response.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            parse: Parses the status and body of a response. If it raises, the
+                response may belong to another call, and its connection is not
+                used again.
+            body: Body of the call before its encoding, or None.
+            timeout_s: Seconds after which the call fails.
+            is_write: Whether the call may change a value.
+
+        Raises:
+            KeyValueError: The store did not respond, or with an error.
+        """
         content = b"" if body is None else msgspec.json.encode(body)
         host = (b"Host", self.address.encode())
         call = http_client.Call(
@@ -89,18 +111,27 @@
         self.calls += 1
         name = target.partition("?")[0].split("/")[1]
         metrics.count_key_value_call(name)
+        results: list[ResultT] = []
+
+        def check(status: int, response: bytes) -> None:
+            if status not in _REFUSALS:
+                results.append(parse(status, response))
+
         try:
             with anyio.fail_after(timeout_s):
-                status, response = await self.http_client.fetch(call)
+                status, _ = await self.http_client.fetch(call, check=check)
         except errors.EndpointError as error:
             raise _call_error(call, error.message, is_write=is_write) from None
         except TimeoutError:
             cause = f"no response within {timeout_s} s"
             raise _call_error(call, cause, is_write=is_write) from None
-        if status in (429, 503):
+        if not results:
             message = f"the store responded with status {status} to {name}"
             raise errors.KeyValueError(message)
-        return status, response
+        return results[0]
+
+    def _record_revision(self, revision: int) -> None:
+        self.newest_revision = max(self.newest_revision, revision)
 
     async def get(self, key: str) -> pairs.Pair | None:
         """Returns the pair stored under a key, or None.
@@ -108,12 +139,16 @@
         Raises:
             KeyValueError: The store did not respond, or with an error.
         """
-        target = "/kv-key?" + parse.urlencode({"Key": key})
-        status, body = await self._call("GET", target, timeout_s=READ_TIMEOUT_S)
-        if status == 404:
-            return None
-        item = _decode_response(status, body, _KeyItem)
-        return _decode_pair(item)
+
+        def parse(status: int, body: bytes) -> pairs.Pair | None:
+            if status == 404:
+                return None
+            item = _decode_response(status, body, _KeyItem)
+            _check_answer(item.Key == key, f"key {key}")
+            return _decode_pair(item)
+
+        target = "/kv-key?" + urllib.parse.urlencode({"Key": key})
+        return await self._call("GET", target, parse, timeout_s=READ_TIMEOUT_S)
 
     async def list_prefix(
         self, prefix: str, *, after: str = "", stale: bool = False
@@ -132,25 +167,38 @@
         listed: list[pairs.Pair] = []
         revision = 0
         while True:
-            query = {"Prefix": prefix}
-            if after:
-                query["After"] = after
-            if stale:
-                query["AllowStale"] = "1"
-            status, body = await self._call(
-                "GET",
-                "/kv-range?" + parse.urlencode(query, safe="/"),
-                timeout_s=READ_TIMEOUT_S,
-            )
-            page = _decode_response(status, body, _Page)
+            page = await self._list_page(prefix, after, stale=stale)
             # The pages are not read at one revision. The revision of the first
             # page is the one up to which all pages are complete.
             revision = revision or page.StoreRevision
             listed.extend(_decode_pair(item) for item in page.Items)
             if not page.HasMore or not page.Items:
+                self._record_revision(revision)
                 return pairs.Listing(listed, revision)
             after = page.Items[-1].Key
 
+    async def _list_page(
+        self, prefix: str, after: str, *, stale: bool
+    ) -> _Page:
+        """Returns one page of a listing."""
+
+        def parse(status: int, body: bytes) -> _Page:
+            page = _decode_response(status, body, _Page)
+            is_answer = all(
+                item.Key.startswith(prefix) and item.Key > after
+                for item in page.Items
+            )
+            _check_answer(is_answer, f"prefix {prefix}")
+            return page
+
+        query = {"Prefix": prefix}
+        if after:
+            query["After"] = after
+        if stale:
+            query["AllowStale"] = "1"
+        target = "/kv-range?" + urllib.parse.urlencode(query, safe="/")
+        return await self._call("GET", target, parse, timeout_s=READ_TIMEOUT_S)
+
     async def changes(
         self, prefix: str, after: int, wait_s: float
     ) -> pairs.Changes:
@@ -166,21 +214,28 @@
                 revision.
             KeyValueError: The store did not respond, or with an error.
         """
+
+        def parse(status: int, body: bytes) -> _Events | None:
+            if status == 410:
+                return None
+            events = _decode_response(status, body, _Events)
+            is_answer = all(e.Key.startswith(prefix) for e in events.events)
+            _check_answer(is_answer, f"prefix {prefix}")
+            return events
+
         query = {
             "Prefix": prefix,
             "After": str(after),
             "WaitMs": str(min(30_000, int(wait_s * 1000))),
         }
-        status, body = await self._call(
-            "GET",
-            "/kv-watch?" + parse.urlencode(query, safe="/"),
-            timeout_s=wait_s + WATCH_MARGIN_S,
+        target = "/kv-watch?" + urllib.parse.urlencode(query, safe="/")
+        events = await self._call(
+            "GET", target, parse, timeout_s=wait_s + WATCH_MARGIN_S
         )
-        if status == 410:
+        if events is None:
             raise errors.HistoryGoneError(
                 f"the store no longer has the history of {prefix}"
             )
-        events = _decode_response(status, body, _Events)
         changed = [
             pairs.Change(
                 e.Key, None if e.Tombstone else _decode_value(e), e.Revision
@@ -207,6 +262,23 @@
                 still do so as long as its guards hold.
             LeaseEndedError: A put names a lease that has ended.
         """
+        revision_before = self.newest_revision
+
+        def parse(status: int, body: bytes) -> int:
+            if status == 412:
+                return 0
+            if status == 404:
+                raise errors.LeaseEndedError("the lease of a write has ended")
+            try:
+                revision = _decode_response(status, body, _Committed).Revision
+            except errors.KeyValueError as error:
+                raise errors.KeyValueUnknownError(error.message) from None
+            if revision <= revision_before:
+                raise errors.KeyValueUnknownError(
+                    f"revision {revision} is that of an earlier write"
+                )
+            return revision
+
         body = {
             "ExpectedRev": [
                 {"Key": g.key, "Revision": g.revision} for g in guards
@@ -221,14 +293,16 @@
             ],
             "Remove": list(deletes),
         }
-        status, response = await self._call(
-            "POST", "/kv-txn", body, timeout_s=WRITE_TIMEOUT_S, is_write=True
+        revision = await self._call(
+            "POST",
+            "/kv-txn",
+            parse,
+            body,
+            timeout_s=WRITE_TIMEOUT_S,
+            is_write=True,
         )
-        if status == 412:
-            return 0
-        if status == 404:
-            raise errors.LeaseEndedError("the lease of a write has ended")
-        return _decode_response(status, response, _Committed).Revision
+        self._record_revision(revision)
+        return revision
 
     async def grant(self, ttl_s: float) -> int:
         """Creates a lease and returns its id.
@@ -236,13 +310,14 @@
         Raises:
             KeyValueError: The store did not respond, or with an error.
         """
-        status, body = await self._call(
+        lease = await self._call(
             "POST",
             "/kv-lease",
+            lambda status, body: _decode_response(status, body, _Lease),
             {"TtlMs": int(ttl_s * 1000)},
             timeout_s=WRITE_TIMEOUT_S,
         )
-        return _decode_response(status, body, _Lease).Lease
+        return lease.Lease
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renews a lease; returns False if it has already ended.
@@ -250,13 +325,16 @@
         Raises:
             KeyValueError: The store did not respond, or with an error.
         """
-        status, body = await self._call(
-            "POST", f"/kv-keep/{lease_id}", timeout_s=READ_TIMEOUT_S
+
+        def parse(status: int, body: bytes) -> bool:
+            if status == 404:
+                return False
+            _decode_response(status, body, _Lease)
+            return True
+
+        return await self._call(
+            "POST", f"/kv-keep/{lease_id}", parse, timeout_s=READ_TIMEOUT_S
         )
-        if status == 404:
-            return False
-        _decode_response(status, body, _Lease)
-        return True
 
     async def revoke(self, lease_id: int) -> None:
         """Ends a lease and deletes the keys bound to it.
@@ -265,7 +343,10 @@
             KeyValueError: The store did not respond, or with an error.
         """
         await self._call(
-            "DELETE", f"/kv-lease-end/{lease_id}", timeout_s=READ_TIMEOUT_S
+            "DELETE",
+            f"/kv-lease-end/{lease_id}",
+            lambda status, _body: status,
+            timeout_s=READ_TIMEOUT_S,
         )
 
 
@@ -277,6 +358,16 @@
     return errors.KeyValueError(f"the store is not reachable: {cause}")
 
 
+def _check_answer(is_answer: bool, question: str) -> None:
+    """Checks that a response is not a late copy of another one.
+
+    Raises:
+        KeyValueError: It does not answer the question.
+    """
+    if not is_answer:
+        raise errors.KeyValueError(f"the response is not about {question}")
+
+
 def _decode_response(
     status: int, body: bytes, response_type: type[ResponseT]
 ) -> ResponseT:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import random
 
 import anyio
 from anyio import abc
@@ -28,6 +29,8 @@
     b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r1\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+CONNECT_TIMEOUT_S = 5.0
+"""A busy machine must not turn a slow connection into a refusal."""
 STREAM_END = b"0\r\n\r\n"
 
 
@@ -109,9 +112,11 @@
     Attributes:
         remaining: Endpoints for which no ticket was granted yet.
         outcomes: Outcomes of the released tickets.
+        rng: Chooses among the services of a route.
     """
 
     def __init__(self, endpoints: list[ScriptedEndpoint]) -> None:
+        self.rng = random.Random(0)
         self.remaining = list(endpoints)
         self.outcomes: list[str] = []
 
@@ -157,7 +162,7 @@
     clock = timer.Timer()
     forwarder = forward.Forwarder(
         tickets,  # type: ignore[arg-type]
-        http_client.Client(),
+        http_client.Client(connect_timeout_s=CONNECT_TIMEOUT_S),
         programs.REQUEST_DIALECT,
         clock,
         crash_notices.CrashNotices(
--- /dev/null
+++ b/tests/test_batch_item.py
@@ -0,0 +1,156 @@
+"""Runs of batch items at endpoints that are slow, stalled or never end."""
+
+import anyio
+from anyio import abc
+import pytest
+import scripted
+
+from ibisknot import batch_item
+from ibisknot import batch_records
+from ibisknot import fleetview
+from ibisknot import http_client
+from ibisknot import http_server
+from ibisknot import serving
+from ibisknot import timer
+from ibisknot.platform import headers
+from ibisknot.platform import programs
+
+COMPLETE = scripted.encode_event(1, "a") + scripted.encode_event(2, "b")
+
+
+def _view(route: serving.Route) -> fleetview.View:
+    configuration = serving.Configuration(
+        1, [route], frozenset(), {}, {}, False, http_server.Limits()
+    )
+    return fleetview.View(configuration=configuration)
+
+
+def _run(
+    *scripts: scripted.Script,
+) -> tuple[batch_records.ItemResult | None, batch_item.Task]:
+    """Runs an item at one endpoint after another."""
+    route = scripted.make_route(kind=serving.BATCH, max_attempts=3)
+    endpoints = [
+        scripted.ScriptedEndpoint(f"e{n}", [script])
+        for n, script in enumerate(scripts)
+    ]
+    clock = timer.Timer()
+    item = batch_records.Item("r1", "/a/x", [], b"", 10)
+    outcome: list[tuple[batch_records.ItemResult | None, batch_item.Task]] = []
+
+    async def main() -> None:
+        task = batch_item.Task(
+            "j", 0, item, "r", "h", serving.Organisation("one"), clock.now()
+        )
+        async with scripted.serving_endpoints(*endpoints):
+            runner = batch_item.Runner(
+                scripted.ScriptedTickets(endpoints),  # type: ignore[arg-type]
+                http_client.Client(
+                    connect_timeout_s=scripted.CONNECT_TIMEOUT_S
+                ),
+                programs.REQUEST_DIALECT,
+                headers.item_headers,
+                clock.now,
+                _view(route),
+            )
+            outcome.append((await runner.run(task), task))
+
+    anyio.run(main)
+    return outcome[0]
+
+
+async def _complete(stream: abc.SocketStream, _head: bytes) -> None:
+    await stream.send(scripted.STREAM_HEAD)
+    await stream.send(scripted.encode_chunk(COMPLETE))
+    await stream.send(scripted.STREAM_END)
+
+
+def _script_repeated(
+    data: bytes, *, pause_s: float, first: bytes = b""
+) -> scripted.Script:
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        try:
+            await stream.send(scripted.STREAM_HEAD)
+            if first:
+                await stream.send(scripted.encode_chunk(first))
+            while True:
+                await stream.send(scripted.encode_chunk(data))
+                await anyio.sleep(pause_s)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    return script
+
+
+@pytest.fixture
+def short_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shortens the time without progress, so that the tests are quick."""
+    monkeypatch.setattr(batch_item, "MIN_STALL_TIMEOUT_S", 0.4)
+
+
+@pytest.mark.usefixtures("short_timeout")
+@pytest.mark.parametrize(
+    "data",
+    [b":", b"data: without id\n\n", scripted.encode_event(1, "again")],
+    ids=["comment bytes", "events without id", "old events"],
+)
+def test_stalled_item_goes_on_at_another_endpoint(data: bytes) -> None:
+    """Guards against an item that holds its slot for ever.
+
+    A byte now and then, or events that add nothing, are no progress.
+    """
+    stalled = _script_repeated(
+        data, pause_s=0.05, first=scripted.encode_event(1, "a")
+    )
+    result, task = _run(stalled, _complete)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert task.stalls == 1
+
+
+@pytest.mark.usefixtures("short_timeout")
+def test_slow_but_sound_endpoint_is_given_more_time() -> None:
+    """Guards against an item that is cut at each endpoint and never ends."""
+
+    async def slow(stream: abc.SocketStream, head: bytes) -> None:
+        try:
+            await anyio.sleep(0.6)
+            await _complete(stream, head)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    result, task = _run(slow, slow)
+    assert result is not None
+    assert result.state == batch_records.DONE
+    assert task.stalls == 1
+
+
+def test_output_without_end_is_discarded() -> None:
+    """Guards against memory for events that never end."""
+    result, task = _run(_script_events(), _complete)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert task.failures == 1
+
+
+def test_item_whose_output_never_ends_is_given_up() -> None:
+    """Guards against an item that is run without end."""
+    endless = _script_events()
+    result, _ = _run(endless, endless, endless)
+    assert result is not None
+    assert result.state == batch_records.FAILED
+
+
+def _script_events() -> scripted.Script:
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        try:
+            await stream.send(scripted.STREAM_HEAD)
+            event_id = 0
+            while True:
+                event_id += 1
+                event = scripted.encode_event(event_id, "x" * 50_000)
+                await stream.send(scripted.encode_chunk(event))
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    return script
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -9,6 +9,7 @@
 import scripted
 
 from ibisknot import errors
+from ibisknot import http_client
 from ibisknot import serving
 
 
@@ -195,5 +196,118 @@
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         with pytest.raises(errors.EndpointError):
             await scripted.send_request(address)
+        assert len(first.received_heads) == 1
 
     _run([first], scripted.make_route(resumable=False), check)
+
+
+def _script_paced(
+    *pieces: bytes, pause_s: float, head: bytes = scripted.STREAM_HEAD
+) -> scripted.Script:
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        try:
+            await stream.send(head)
+            for piece in pieces:
+                await anyio.sleep(pause_s)
+                await stream.send(scripted.encode_chunk(piece))
+            await stream.send(scripted.STREAM_END)
+        except anyio.BrokenResourceError:
+            # The forwarder has given this endpoint up.
+            return
+
+    return script
+
+
+def test_stream_that_sends_no_events_goes_on_at_another_endpoint() -> None:
+    """Guards against a stalled stream that single bytes keep alive."""
+    event = scripted.encode_event(1, "a")
+    trickle = [event] + [b":"] * 200
+    first = scripted.ScriptedEndpoint(
+        "e1", [_script_paced(*trickle, pause_s=0.05)]
+    )
+    second = scripted.ScriptedEndpoint(
+        "e2", [_script_stream(scripted.encode_event(2, "b"))]
+    )
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert (status, body) == (200, event + scripted.encode_event(2, "b"))
+
+    _run([first, second], scripted.make_route(), check)
+
+
+def test_slow_stream_within_its_intended_pauses_is_not_cut() -> None:
+    """Guards against sound streams that are cut because they are slow."""
+    events = [scripted.encode_event(n, "a") for n in (1, 2)]
+    first = scripted.ScriptedEndpoint(
+        "e1", [_script_paced(*events, pause_s=1.3)]
+    )
+    second = scripted.ScriptedEndpoint("e2", [_close])
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        assert await scripted.send_request(address) == (200, b"".join(events))
+        assert second.received_heads == []
+
+    _run([first, second], scripted.make_route(event_gap_target_s=1.5), check)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Line: ",
+        b"no answer at all ",
+    ],
+    ids=["informational", "late body", "head", "no HTTP"],
+)
+def test_endless_bytes_end_the_attempt(head: bytes) -> None:
+    """Guards against memory and time for an answer that never comes."""
+    sent_bytes = [0]
+
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        data = head * (1 + 16_384 // len(head))
+        try:
+            await stream.send(head)
+            while True:
+                await stream.send(data)
+                sent_bytes[0] += len(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    first = scripted.ScriptedEndpoint("e1", [script])
+    second = scripted.ScriptedEndpoint(
+        "e2", [_script_stream(scripted.encode_event(1, "a"))]
+    )
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert (status, body) == (200, scripted.encode_event(1, "a"))
+        # What the connection's buffers hold comes on top of the limit.
+        limit = http_client.MAX_SKIPPED_BYTES + 16 * 1024 * 1024
+        assert sent_bytes[0] <= limit
+
+    _run([first, second], scripted.make_route(), check)
+
+
+def test_endless_event_ends_the_attempt() -> None:
+    """Guards against memory for an event whose end never comes."""
+
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        try:
+            await stream.send(scripted.STREAM_HEAD)
+            while True:
+                await stream.send(scripted.encode_chunk(b"x" * 16_384))
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    first = scripted.ScriptedEndpoint("e1", [script])
+    second = scripted.ScriptedEndpoint(
+        "e2", [_script_stream(scripted.encode_event(1, "a"))]
+    )
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert (status, body) == (200, scripted.encode_event(1, "a"))
+
+    _run([first, second], scripted.make_route(), check)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -115,3 +115,79 @@
         assert cancelled == [True]
 
     _run(http_server.Server(wait), check)
+
+
+def test_request_that_is_being_received_counts_as_active() -> None:
+    """Guards against a planned stop that cuts a request without an answer."""
+
+    async def check(address: str, server: http_server.Server) -> None:
+        host, _, port = address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b"POST / HTTP/1.1\r\nHost: h\r\n")
+            await anyio.sleep(0.1)
+            assert server.active_requests == 1
+            await stream.send(b"Content-Length: 2\r\n\r\nok")
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+        with anyio.fail_after(1.0):
+            while server.active_requests:
+                await anyio.sleep(0.01)
+
+    _run(http_server.Server(_echo), check)
+
+
+def test_server_that_stops_accepting_answers_open_connections() -> None:
+    """Guards against a planned stop that cuts accepted connections."""
+
+    async def main() -> None:
+        server = http_server.Server(_echo)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await listener.aclose()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(server.serve, f"127.0.0.1:{port}")
+            while server.accept_scope is None:
+                await anyio.sleep(0.01)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await anyio.sleep(0.1)
+                server.stop_accepting()
+                await anyio.sleep(0.1)
+                await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+            with pytest.raises(OSError):
+                await anyio.connect_tcp("127.0.0.1", port)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_aborted_response_does_not_look_complete(version: bytes) -> None:
+    """Guards against half an answer that a caller takes for all of it.
+
+    The end of the connection ends a response to an HTTP/1.0 request.
+    """
+
+    async def fail_halfway(exchange: http_server.Exchange) -> None:
+        await exchange.start(200, [])
+        await exchange.send(b"half")
+        await anyio.sleep(0.1)
+        exchange.abort()
+
+    async def check(address: str, _server: http_server.Server) -> None:
+        host, _, port = address.rpartition(":")
+        received = b""
+        is_reset = False
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b"GET / HTTP/" + version + b"\r\nHost: h\r\n\r\n")
+            try:
+                while True:
+                    received += await stream.receive()
+            except anyio.EndOfStream:
+                pass
+            except anyio.BrokenResourceError:
+                is_reset = True
+        has_end = b"chunked" in received and received.endswith(b"0\r\n\r\n")
+        is_chunked = b"chunked" in received
+        assert is_reset or (is_chunked and not has_end)
+
+    _run(http_server.Server(fail_halfway), check)
