--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -401,6 +401,8 @@
     Tickets that are already revoked will free their slots, so each of them
     counts for one such request.
     """
+    if not group.batch_queue.size:
+        return
     with_due_time = [
         r for r in group.batch_queue.all_requests() if r.due_s < math.inf
     ]
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 
 from ibisknot import _admission_state
 from ibisknot import _capacity
@@ -36,6 +37,8 @@
 find_ticket = _admission_state.find_ticket
 
 ENDED_RETENTION_S = 10.0
+MAX_EXPIRED_IDS = 200
+"""Ids of released tickets that one tick removes."""
 """Retention of the ids of released tickets, for messages that come late."""
 MAX_GRANT_DELIVERY_S = 2.0
 """Longest time that a grant takes to reach its holder.
@@ -232,9 +235,12 @@
 
     Called periodically.
     """
-    for ticket_id in [
-        i for i, s in group.ended_s.items() if s < now - ENDED_RETENTION_S
-    ]:
+    # The ids are in the order of their ends.
+    for ticket_id, ended_s in list(
+        itertools.islice(group.ended_s.items(), MAX_EXPIRED_IDS)
+    ):
+        if ended_s >= now - ENDED_RETENTION_S:
+            break
         del group.ended_s[ticket_id]
     return _decisions.decide(group, now)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -157,3 +157,38 @@
         retry_after_s=0.0,
         alone=False,
     )
+
+
+def test_request_costs_two_messages() -> None:
+    """Guards against messages to each scheduler for each request."""
+
+    async def main() -> None:
+        client, peers, _, task_group = _make_client(workers=5)
+        peers.answers["place_ask"] = _grant
+        ticket = await client.acquire(_request())
+        client.release(ticket, admission.OK)
+        await task_group.run()
+        sent = [(address, method) for address, method, _ in peers.calls]
+        assert sent == [("w0:1", "place_ask"), ("w0:1", "place_returned")]
+
+    anyio.run(main)
+
+
+def test_next_scheduler_gets_a_report_when_the_active_one_is_lost() -> None:
+    """Guards against a standby that grants slots that are taken."""
+
+    async def main() -> None:
+        client, peers, _, task_group = _make_client()
+        peers.answers["place_ask"] = _grant
+        held = await client.acquire(_request())
+        peers.unresponsive = {"w0:1"}
+        await client.acquire(_request())
+        await task_group.run()
+        reports = [
+            message
+            for address, method, message in peers.calls
+            if (address, method) == ("w1:1", "places_held")
+        ]
+        assert held.id in [place.id for place in reports[0].places]
+
+    anyio.run(main)
