--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -122,7 +122,7 @@
     started_s = gateway_node.clock.now()
     end_s = started_s + gateway_node.process.bounds.grace_s - EXIT_MARGIN_S
     # Each answer from now on asks its caller to open another connection.
-    server.is_closing = True
+    server.start_closing()
     await anyio.sleep(BALANCER_NOTICE_S)
     caller_gateway.is_stopping = True
     # Connections that the kernel has already accepted are answered.
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -17,8 +17,8 @@
 """A caller to which a send takes longer is taken to have disconnected."""
 MAX_PIPELINED_BYTES = 64 * 1024
 """Limit on data that a caller sends while its request is handled."""
-CLOSING_POLL_S = 0.25
-"""Period at which idle connections check whether the server is closing."""
+CLOSING_WAIT_S = 0.5
+"""Time that a new connection has for its request while the server closes."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,6 +131,7 @@
             and idle connections are closed.
         active_requests: Number of requests that are being received or
             handled.
+        idle_scopes: Cancelled to close the connections without a request.
         accept_scope: Cancelled to accept no more connections; None before
             the server listens.
         buffered_bytes: Size of all request bodies in memory.
@@ -152,6 +153,7 @@
         self.clock = clock
         self.is_closing = False
         self.active_requests = 0
+        self.idle_scopes: set[anyio.CancelScope] = set()
         self.accept_scope: anyio.CancelScope | None = None
         self.buffered_bytes = 0
         self.max_buffered_bytes = max_buffered_bytes
@@ -168,6 +170,12 @@
                 await listener.serve(self.serve_connection, task_group)
             await listener.aclose()
 
+    def start_closing(self) -> None:
+        """Closes idle connections, and others after their next response."""
+        self.is_closing = True
+        for scope in list(self.idle_scopes):
+            scope.cancel()
+
     def stop_accepting(self) -> None:
         """Closes the listener; open connections are served to their end."""
         if self.accept_scope is not None:
@@ -311,15 +319,16 @@
         """
         if self.unparsed or self.parser.trailing_data[0]:
             return True
-        idle_timeout_s = self.server.limits.idle_timeout_s
-        deadline_s = self.server.clock() + idle_timeout_s
-        while self.server.clock() < deadline_s:
-            with anyio.move_on_after(CLOSING_POLL_S):
+        timeout_s = self.server.limits.idle_timeout_s
+        if self.server.is_closing:
+            timeout_s = CLOSING_WAIT_S
+        with anyio.move_on_after(timeout_s) as scope:
+            self.server.idle_scopes.add(scope)
+            try:
                 self.unparsed += await self._receive()
-                return bool(self.unparsed)
-            if self.server.is_closing:
-                return False
-        return False
+            finally:
+                self.server.idle_scopes.discard(scope)
+        return bool(self.unparsed)
 
     async def _read_head(self) -> h11.Request | None:
         while True:
--- a/src/ibisknot/timer.py
+++ b/src/ibisknot/timer.py
@@ -42,8 +42,8 @@
         subscriptions: The periodic callbacks.
     """
 
-    MAX_PAUSE_S = 0.1
-    """Longest sleep, so that a new subscription is called in time."""
+    MAX_PAUSE_S = 0.5
+    """Longest sleep; a new subscription may be called that much later."""
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock = clock
--- a/src/ibisknot/view_exchange.py
+++ b/src/ibisknot/view_exchange.py
@@ -24,6 +24,10 @@
 GOSSIP_PERIOD_S = 0.5
 GOSSIP_PEERS = 2
 """Random peers with which a process exchanges updates in each period."""
+CALM_GOSSIP_PERIOD_S = 1.5
+"""Pause after an exchange with one peer while updates arrive in time."""
+CALM_AGE_S = 1.0
+"""Age of the entries up to which updates arrive in time."""
 PEER_TIMEOUT_S = 0.4
 RECENT_READ_S = 3.0
 """Age of the entries up to which their sender hears from the store."""
@@ -62,6 +66,8 @@
         view: The view of this process.
         adoption: Adopts what peers send.
         started_s: Monotonic time of this process's start.
+        next_gossip_s: Monotonic time before which no exchange is needed while
+            updates arrive in time.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         self.clock = clock
         self.rng = random.Random()
         self.started_s = clock.now()
+        self.next_gossip_s = 0.0
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and starts the gossip."""
@@ -288,12 +295,19 @@
         process without a configuration or with stale members requests its
         peers' views: it may have no access to the store.
         """
-        age_s = self.clock.now() - self.view.members_read_s
-        is_stale = age_s > MEMBERS_STALE_S
+        now = self.clock.now()
+        is_calm = (
+            self.view.configuration is not None
+            and now - self.view.endpoints_read_s <= CALM_AGE_S
+        )
+        if is_calm and now < self.next_gossip_s:
+            return
+        self.next_gossip_s = now + CALM_GOSSIP_PERIOD_S
+        is_stale = now - self.view.members_read_s > MEMBERS_STALE_S
         addresses = [m.address for m in self._other_members()]
         if not addresses:
             addresses = self.seeds()
-        count = min(GOSSIP_PEERS, len(addresses))
+        count = min(1 if is_calm else GOSSIP_PEERS, len(addresses))
         update = self._compose_update()
         async with anyio.create_task_group() as task_group:
             for address in self.rng.sample(addresses, count):
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -22,7 +22,7 @@
 from ibisknot import timer
 from ibisknot import view_exchange
 
-POLL_CHECK_PERIOD_S = 0.1
+POLL_CHECK_PERIOD_S = 0.2
 """Period at which a process checks whether a read of the entries is due."""
 RETRY_PAUSE_S = 0.5
 """Pause after one failed read of the entries."""
