--- a/src/ibisknot/endpoint_http.py
+++ b/src/ibisknot/endpoint_http.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import anyio
 import httpx
 import msgspec
 
@@ -13,9 +14,18 @@
 """Longest time between two parts of a response."""
 PROBE_TIMEOUT_S = 0.5
 """Timeout of probes and reports, apart from requests of callers."""
+MAX_REPORT_BYTES = 1024 * 1024
+"""Largest response to a probe or a read of a report."""
 MAX_CONNECTIONS = 2000
 """Most connections of one process to all endpoints."""
 
+_REPORT_ERRORS = (
+    httpx.HTTPError,
+    TimeoutError,
+    errors.TruncatedStreamError,
+    msgspec.MsgspecError,
+)
+
 
 class Load(msgspec.Struct):
     """An engine's load report, which is delayed by the engine's report lag.
@@ -85,21 +95,19 @@
         running. A timeout does not: the engine may be paused or slow.
         """
         try:
-            await self.probe_client.get(self._dial_url(f"{url}/v1/models"))
-        except httpx.TimeoutException:
+            await self._fetch(self.probe_client, f"{url}/v1/models")
+        except httpx.HTTPError as error:
+            return isinstance(error, httpx.TimeoutException)
+        except (TimeoutError, errors.TruncatedStreamError):
             return True
-        except httpx.HTTPError:
-            return False
         return True
 
     async def read_load(self, url: str) -> Load | None:
         """Returns an engine's load report, None if it is not available."""
         try:
-            response = await self.http_client.get(
-                self._dial_url(f"{url}/engine/load"), timeout=PROBE_TIMEOUT_S
-            )
-            return msgspec.json.decode(response.content, type=Load)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+            content = await self._fetch(self.http_client, f"{url}/engine/load")
+            return msgspec.json.decode(content, type=Load)
+        except _REPORT_ERRORS:
             return None
 
     async def read_cache_events(self, url: str, after: int) -> list[CacheEvent]:
@@ -108,16 +116,45 @@
         The list is empty if the engine does not answer.
         """
         try:
-            response = await self.http_client.get(
-                self._dial_url(f"{url}/engine/cache/events"),
+            content = await self._fetch(
+                self.http_client,
+                f"{url}/engine/cache/events",
                 params={"after": after},
-                timeout=PROBE_TIMEOUT_S,
             )
-            decoded = msgspec.json.decode(response.content, type=CacheEvents)
-        except (httpx.HTTPError, msgspec.MsgspecError):
+            decoded = msgspec.json.decode(content, type=CacheEvents)
+        except _REPORT_ERRORS:
             return []
         return decoded.events
 
+    async def _fetch(
+        self,
+        client: httpx.AsyncClient,
+        url: str,
+        *,
+        params: dict[str, int] | None = None,
+    ) -> bytes:
+        """Returns a small response that arrives within `PROBE_TIMEOUT_S`.
+
+        Raises:
+            HTTPError: The endpoint does not answer.
+            TimeoutError: The response has not ended in time.
+            TruncatedStreamError: It is larger than `MAX_REPORT_BYTES`.
+        """
+        body = bytearray()
+        with anyio.fail_after(PROBE_TIMEOUT_S):
+            async with client.stream(
+                "GET",
+                self._dial_url(url),
+                params=params,
+                timeout=PROBE_TIMEOUT_S,
+            ) as response:
+                async for chunk in response.aiter_bytes():
+                    body += chunk
+                    if len(body) > MAX_REPORT_BYTES:
+                        message = f"{url} sent over {MAX_REPORT_BYTES} bytes"
+                        raise errors.TruncatedStreamError(message)
+        return bytes(body)
+
     async def aclose(self) -> None:
         """Closes the connections."""
         await self.probe_client.aclose()
--- a/src/ibisknot/relay.py
+++ b/src/ibisknot/relay.py
@@ -18,7 +18,8 @@
 DONE_EVENT = b"data: [DONE]"
 """Last event of a complete stream."""
 EVENT_STREAM = "text/event-stream"
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Limit on a body that is held in memory; many may come at once."""
 
 T = TypeVar("T")
 Guard = Callable[[], Awaitable[errors.IbisknotError]]
