--- /dev/null
+++ b/src/ibisknot/_placement_messages.py
@@ -0,0 +1,73 @@
+"""Messages to schedulers about tickets, which the wire calls places."""
+
+from typing import TYPE_CHECKING
+
+from ibisknot.gen.fleet import ttypes
+
+if TYPE_CHECKING:
+    from ibisknot import placement
+
+
+def ask(
+    request: "placement.TicketRequest",
+    ticket_id: str,
+    *,
+    holder: str,
+    waited_s: float,
+    now: float,
+) -> ttypes.PlaceAsk:
+    """Returns the message that asks a scheduler for a ticket.
+
+    Args:
+        request: The request for a ticket.
+        ticket_id: Id of the ticket.
+        holder: Peer address of this process.
+        waited_s: Seconds for which the request has waited.
+        now: Monotonic time in seconds.
+    """
+    organisation = request.organisation
+    allowance = None
+    if organisation is not None and request.is_rate_limited:
+        allowance = organisation.allowance()
+    return ttypes.PlaceAsk(
+        id=ticket_id,
+        group=request.service,
+        kind=request.kind,
+        organisation=organisation.name if organisation else "",
+        tokens=request.max_tokens,
+        prompt_tokens=request.prompt_tokens,
+        blocks=list(request.prompt_blocks),
+        holder=holder,
+        wait_s=request.max_wait_s - waited_s,
+        waited_s=waited_s,
+        suspect=request.crash_suspect,
+        avoid=sorted(request.avoid),
+        rate_per_s=allowance.rate if allowance else 0.0,
+        burst=allowance.burst if allowance else 0.0,
+        due_s=request.due_s - now,
+        needs_s=request.expected_duration_s,
+        objective_s=request.objective_s - waited_s,
+        fingerprint=request.fingerprint,
+    )
+
+
+def place(ticket: "placement.Ticket", now: float) -> ttypes.Place:
+    """Returns a ticket as schedulers are told of it.
+
+    Args:
+        ticket: The ticket.
+        now: Monotonic time in seconds.
+    """
+    request = ticket.request
+    end_s = ticket.acquired_s + request.expected_duration_s
+    return ttypes.Place(
+        id=ticket.id,
+        group=request.service,
+        endpoint=ticket.endpoint.name,
+        kind=request.kind,
+        organisation=request.organisation.name if request.organisation else "",
+        tokens=request.max_tokens,
+        suspect=request.crash_suspect,
+        due_s=request.due_s - now,
+        needs_s=max(0.0, end_s - now),
+    )
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -1,5 +1,7 @@
 """`ibisknot-gateway`: serves callers on the platform's entry VMs."""
 
+from collections.abc import Callable
+
 import anyio
 
 from ibisknot import batch_api
@@ -20,6 +22,8 @@
 EXIT_MARGIN_S = 0.7
 """Time kept for the shutdown before the VM's grace period ends."""
 DRAIN_POLL_PERIOD_S = 0.05
+LAST_CONNECTIONS_S = http_server.CLOSING_WAIT_S + 0.2
+"""Time in which connections without a request end before the process exits."""
 BODY_MEMORY_DIVISOR = 5
 """Buffered request bodies may use one part in this many of the memory."""
 
@@ -125,12 +129,24 @@
     server.start_closing()
     await anyio.sleep(BALANCER_NOTICE_S)
     caller_gateway.is_stopping = True
-    # Connections that the kernel has already accepted are answered.
+    await _wait_until(lambda: not server.active_requests, gateway_node, end_s)
+    # Connections that were accepted until now still get an answer.
     server.stop_accepting()
-    while server.active_requests and gateway_node.clock.now() < end_s:
-        await anyio.sleep(DRAIN_POLL_PERIOD_S)
+    await _wait_until(
+        lambda: not server.open_connections,
+        gateway_node,
+        min(end_s, gateway_node.clock.now() + LAST_CONNECTIONS_S),
+    )
     logs.event(
         "drained",
         left=server.active_requests,
         took_s=round(gateway_node.clock.now() - started_s, 3),
     )
+
+
+async def _wait_until(
+    is_done: Callable[[], bool], gateway_node: node.Node, end_s: float
+) -> None:
+    """Waits for a condition, but at most until a monotonic time."""
+    while not is_done() and gateway_node.clock.now() < end_s:
+        await anyio.sleep(DRAIN_POLL_PERIOD_S)
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -18,7 +18,10 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 """Limit on data that a caller sends while its request is handled."""
 CLOSING_WAIT_S = 0.5
-"""Time that a new connection has for its request while the server closes."""
+"""Time that a connection has for its next request while the server closes.
+
+It is not closed at once: a request may be on its way.
+"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,7 +134,7 @@
             and idle connections are closed.
         active_requests: Number of requests that are being received or
             handled.
-        idle_scopes: Cancelled to close the connections without a request.
+        idle_scopes: Time limits of the connections without a request.
         accept_scope: Cancelled to accept no more connections; None before
             the server listens.
         buffered_bytes: Size of all request bodies in memory.
@@ -171,10 +174,11 @@
             await listener.aclose()
 
     def start_closing(self) -> None:
-        """Closes idle connections, and others after their next response."""
+        """Closes idle connections soon, and others after their response."""
         self.is_closing = True
-        for scope in list(self.idle_scopes):
-            scope.cancel()
+        end_s = anyio.current_time() + CLOSING_WAIT_S
+        for scope in self.idle_scopes:
+            scope.deadline = min(scope.deadline, end_s)
 
     def stop_accepting(self) -> None:
         """Closes the listener; open connections are served to their end."""
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -18,6 +18,7 @@
 import anyio
 from anyio import abc
 
+from ibisknot import _placement_messages
 from ibisknot import admission
 from ibisknot import deployment
 from ibisknot import errors
@@ -263,29 +264,12 @@
         waited_s: float,
     ) -> ttypes.PlaceAnswer | None:
         """Sends the request to a scheduler; returns None without an answer."""
-        organisation = request.organisation
-        allowance = None
-        if organisation is not None and request.is_rate_limited:
-            allowance = organisation.allowance()
-        message = ttypes.PlaceAsk(
-            id=ticket_id,
-            group=request.service,
-            kind=request.kind,
-            organisation=organisation.name if organisation else "",
-            tokens=request.max_tokens,
-            prompt_tokens=request.prompt_tokens,
-            blocks=list(request.prompt_blocks),
+        message = _placement_messages.ask(
+            request,
+            ticket_id,
             holder=self.process.peer_address,
-            wait_s=request.max_wait_s - waited_s,
             waited_s=waited_s,
-            suspect=request.crash_suspect,
-            avoid=sorted(request.avoid),
-            rate_per_s=allowance.rate if allowance else 0.0,
-            burst=allowance.burst if allowance else 0.0,
-            due_s=request.due_s - self.clock.now(),
-            needs_s=request.expected_duration_s,
-            objective_s=request.objective_s - waited_s,
-            fingerprint=request.fingerprint,
+            now=self.clock.now(),
         )
         try:
             return await self.peers.call(
@@ -449,23 +433,7 @@
             )
 
     def _to_wire(self, ticket: Ticket) -> ttypes.Place:
-        request = ticket.request
-        now = self.clock.now()
-        return ttypes.Place(
-            id=ticket.id,
-            group=request.service,
-            endpoint=ticket.endpoint.name,
-            kind=request.kind,
-            organisation=request.organisation.name
-            if request.organisation
-            else "",
-            tokens=request.max_tokens,
-            suspect=request.crash_suspect,
-            due_s=request.due_s - now,
-            needs_s=max(
-                0.0, ticket.acquired_s + request.expected_duration_s - now
-            ),
-        )
+        return _placement_messages.place(ticket, self.clock.now())
 
     async def on_answer(self, answer: ttypes.PlaceAnswer) -> None:
         """Peer method: receives the decision on a queued request."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -191,3 +191,35 @@
         assert is_reset or (is_chunked and not has_end)
 
     _run(http_server.Server(fail_halfway), check)
+
+
+def test_connection_that_is_open_when_the_server_closes_is_answered() -> None:
+    """Guards against a planned stop that cuts a request on its way."""
+
+    async def check(address: str, server: http_server.Server) -> None:
+        host, _, port = address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            while not server.open_connections:
+                await anyio.sleep(0.01)
+            server.start_closing()
+            await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            response = await stream.receive()
+        assert response.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in response.lower()
+
+    _run(http_server.Server(_echo), check)
+
+
+def test_idle_connections_end_soon_when_the_server_closes() -> None:
+    """Guards against a stop that waits for callers who send nothing."""
+
+    async def check(address: str, server: http_server.Server) -> None:
+        host, _, port = address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            while not server.idle_scopes:
+                await anyio.sleep(0.01)
+            server.start_closing()
+            with pytest.raises(anyio.EndOfStream), anyio.fail_after(10.0):
+                await stream.receive()
+
+    _run(http_server.Server(_echo), check)
