--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -1,15 +1,11 @@
 """Messages to schedulers about tickets, which the wire calls places."""
 
-from typing import TYPE_CHECKING
-
+from ibisknot import ticket_types
 from ibisknot.gen.fleet import ttypes
 
-if TYPE_CHECKING:
-    from ibisknot import placement
-
 
 def ask(
-    request: "placement.TicketRequest",
+    request: ticket_types.TicketRequest,
     ticket_id: str,
     *,
     holder: str,
@@ -51,7 +47,7 @@
     )
 
 
-def place(ticket: "placement.Ticket", now: float) -> ttypes.Place:
+def place(ticket: ticket_types.Ticket, now: float) -> ttypes.Place:
     """Returns a ticket as schedulers are told of it.
 
     Args:
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -18,6 +18,7 @@
 from ibisknot import placement
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot import ticket_types
 
 TICKET_WAIT_S = 10.0
 MIN_STALL_TIMEOUT_S = 2.0
@@ -198,7 +199,7 @@
 
     async def _acquire_ticket(
         self, task: Task, route: serving.Route
-    ) -> placement.Ticket:
+    ) -> ticket_types.Ticket:
         """Waits for a ticket to run an item.
 
         Raises:
@@ -211,7 +212,7 @@
         if service is None:
             raise errors.OverloadedError(f"{route.name} has no service")
         return await self.tickets.acquire(
-            placement.TicketRequest(
+            ticket_types.TicketRequest(
                 service=service,
                 kind=admission.BATCH,
                 request_id=item.id,
@@ -231,7 +232,7 @@
         )
 
     async def _attempt(
-        self, task: Task, ticket: placement.Ticket
+        self, task: Task, ticket: ticket_types.Ticket
     ) -> batch_records.ItemResult | None:
         """Runs an item once under a ticket, which it releases.
 
@@ -265,7 +266,7 @@
         return result
 
     async def _send(
-        self, task: Task, ticket: placement.Ticket
+        self, task: Task, ticket: ticket_types.Ticket
     ) -> batch_records.ItemResult | None:
         """Sends an item's request and receives its events.
 
@@ -297,7 +298,7 @@
         )
 
     def _make_call(
-        self, task: Task, ticket: placement.Ticket
+        self, task: Task, ticket: ticket_types.Ticket
     ) -> http_client.Call:
         """Returns the request that continues an item after its last event."""
         item = task.item
@@ -381,7 +382,7 @@
     def _record_failure(
         self,
         task: Task,
-        ticket: placement.Ticket,
+        ticket: ticket_types.Ticket,
         error: errors.EndpointError,
     ) -> None:
         """Logs a failed attempt and avoids its endpoint in the next."""
@@ -429,7 +430,7 @@
 
 
 async def _cancel_on_revoke(
-    ticket: placement.Ticket, scope: anyio.CancelScope
+    ticket: ticket_types.Ticket, scope: anyio.CancelScope
 ) -> None:
     await ticket.revoked.wait()
     scope.cancel()
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -19,6 +19,7 @@
 from ibisknot import placement
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot import ticket_types
 from ibisknot import timer
 
 MIN_STALL_TIMEOUT_S = 1.0
@@ -149,7 +150,7 @@
             if task.exchange.finished or task.exchange.aborted:
                 return
 
-    async def _acquire_ticket(self, task: Task) -> placement.Ticket:
+    async def _acquire_ticket(self, task: Task) -> ticket_types.Ticket:
         """Acquires a ticket for the next attempt.
 
         Only before the first run may the request be refused because it is
@@ -165,7 +166,7 @@
             objective_s = max(0.0, task.route.objective_s - waited_s)
         metadata = task.metadata
         return await self.tickets.acquire(
-            placement.TicketRequest(
+            ticket_types.TicketRequest(
                 service=task.service,
                 kind=admission.ONLINE,
                 request_id=metadata.id,
@@ -182,7 +183,7 @@
         )
 
     def _make_call(
-        self, task: Task, ticket: placement.Ticket
+        self, task: Task, ticket: ticket_types.Ticket
     ) -> http_client.Call:
         request = task.exchange.request
         remaining_s = None
@@ -207,7 +208,7 @@
             ),
         )
 
-    async def _attempt(self, task: Task, ticket: placement.Ticket) -> str:
+    async def _attempt(self, task: Task, ticket: ticket_types.Ticket) -> str:
         """Sends a request once and relays the response.
 
         Returns:
@@ -274,7 +275,10 @@
         )
 
     def _record_failure(
-        self, task: Task, ticket: placement.Ticket, error: errors.EndpointError
+        self,
+        task: Task,
+        ticket: ticket_types.Ticket,
+        error: errors.EndpointError,
     ) -> None:
         task.failed_endpoints.add(ticket.endpoint.name)
         logs.event(
@@ -292,7 +296,7 @@
         self,
         fingerprint: str,
         task: Task,
-        ticket: placement.Ticket,
+        ticket: ticket_types.Ticket,
         error: errors.EndpointError,
     ) -> None:
         """Reports a request whose endpoint failed before the first event.
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -11,7 +11,6 @@
 import collections
 import dataclasses
 import itertools
-import math
 import random
 import time
 
@@ -23,12 +22,11 @@
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fallback
-from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
-from ibisknot import serving
+from ibisknot import ticket_types
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
@@ -53,63 +51,6 @@
 State = ttypes.PlaceState
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class TicketRequest:
-    """A request for a ticket at one of a service's endpoints.
-
-    Attributes:
-        kind: `online` or `batch`.
-        organisation: Organisation whose rate applies, or None.
-        max_wait_s: Seconds that the request may wait for its ticket.
-        objective_s: Seconds until the first token is due; an online request
-            that is expected to miss this is refused at once.
-        fingerprint: Hash that a request shares with its resends.
-        max_tokens: Tokens of the prompt and of the longest answer.
-        prompt_blocks: Hashes of the prompt's leading blocks.
-        crash_suspect: Whether it was in flight when an endpoint crashed.
-        avoid: Names of the endpoints that have already failed the request.
-        is_rate_limited: Whether it consumes a token of the organisation's rate.
-        due_s: Monotonic time at which the result is due.
-        expected_duration_s: Seconds for which it will hold its ticket.
-    """
-
-    service: str
-    kind: str
-    request_id: str
-    organisation: serving.Organisation | None
-    max_wait_s: float
-    objective_s: float = math.inf
-    fingerprint: int = 0
-    max_tokens: int = 0
-    prompt_tokens: int = 0
-    prompt_blocks: tuple[int, ...] = ()
-    crash_suspect: bool = False
-    avoid: frozenset[str] = frozenset()
-    is_rate_limited: bool = True
-    due_s: float = math.inf
-    expected_duration_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Ticket:
-    """Permission to run one request at one endpoint.
-
-    Attributes:
-        exclusive: Whether no other request may run on the endpoint meanwhile.
-        granted_by: Name of the scheduler, empty if chosen by this process.
-        revoked: Set when a more urgent request needs the slot.
-        acquired_s: Monotonic time at which it was acquired.
-    """
-
-    id: str
-    request: TicketRequest
-    endpoint: fleet_endpoint.Endpoint
-    exclusive: bool = False
-    granted_by: str = ""
-    revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    acquired_s: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
     """A request that waits for a scheduler's decision.
@@ -149,7 +90,7 @@
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
-        self.tickets: dict[str, Ticket] = {}
+        self.tickets: dict[str, ticket_types.Ticket] = {}
         self.pending: dict[str, _PendingRequest] = {}
         self.unresponsive: set[str] = set()
         self.rng = random.Random()
@@ -171,7 +112,9 @@
         workers = [m for m in members if m.kind == deployment.WORKER]
         return fleetview.by_precedence(workers)[:MAX_SCHEDULERS]
 
-    async def acquire(self, request: TicketRequest) -> Ticket:
+    async def acquire(
+        self, request: ticket_types.TicketRequest
+    ) -> ticket_types.Ticket:
         """Waits for a ticket.
 
         Raises:
@@ -186,13 +129,13 @@
             await anyio.sleep(DECLINED_RETRY_DELAY_S)
 
     async def _acquire_once(
-        self, request: TicketRequest, started_s: float
-    ) -> Ticket | None:
+        self, request: ticket_types.TicketRequest, started_s: float
+    ) -> ticket_types.Ticket | None:
         """Waits under one ticket id; returns None if the grant was declined."""
         ticket_id = f"{self.id_prefix}/{next(self.id_counter)}"
         pending = _PendingRequest()
         self.pending[ticket_id] = pending
-        ticket: Ticket | None = None
+        ticket: ticket_types.Ticket | None = None
         try:
             ticket = await self._request(request, ticket_id, pending, started_s)
             return ticket
@@ -209,11 +152,11 @@
 
     async def _request(
         self,
-        request: TicketRequest,
+        request: ticket_types.TicketRequest,
         ticket_id: str,
         pending: _PendingRequest,
         started_s: float,
-    ) -> Ticket | None:
+    ) -> ticket_types.Ticket | None:
         """Waits for a decision; returns None if a grant was declined."""
         while True:
             waited_s = self.clock.now() - started_s
@@ -259,7 +202,7 @@
     async def _send(
         self,
         member: fleetview.Member,
-        request: TicketRequest,
+        request: ticket_types.TicketRequest,
         ticket_id: str,
         waited_s: float,
     ) -> ttypes.PlaceAnswer | None:
@@ -292,20 +235,22 @@
 
     def _accept(
         self,
-        request: TicketRequest,
+        request: ticket_types.TicketRequest,
         ticket_id: str,
         answer: ttypes.PlaceAnswer,
         scheduler: str,
-    ) -> Ticket | None:
+    ) -> ticket_types.Ticket | None:
         endpoint = self.view.endpoints.get(answer.endpoint)
         if endpoint is None or endpoint.leaving:
             # The scheduler's view is older than this process's.
             return None
-        ticket = Ticket(ticket_id, request, endpoint, answer.alone, scheduler)
+        ticket = ticket_types.Ticket(
+            ticket_id, request, endpoint, answer.alone, scheduler
+        )
         self._record_ticket(ticket)
         return ticket
 
-    def _record_ticket(self, ticket: Ticket) -> None:
+    def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
         message = ttypes.PlaceTaken(
@@ -315,7 +260,9 @@
         if active is not None and active.name != ticket.granted_by:
             self._notify(active, "place_taken", message)
 
-    def _use_fallback(self, request: TicketRequest, ticket_id: str) -> Ticket:
+    def _use_fallback(
+        self, request: ticket_types.TicketRequest, ticket_id: str
+    ) -> ticket_types.Ticket:
         """Chooses an endpoint by this process's own tickets and rate share."""
         now = self.clock.now()
         if request.organisation is not None and request.is_rate_limited:
@@ -326,7 +273,7 @@
         endpoint = self.fallback.choose_endpoint(
             request.service, now, avoid=request.avoid, in_flight=in_flight
         )
-        ticket = Ticket(ticket_id, request, endpoint)
+        ticket = ticket_types.Ticket(ticket_id, request, endpoint)
         logs.event(
             "place_chosen_alone",
             request=request.request_id,
@@ -337,7 +284,7 @@
         self._record_ticket(ticket)
         return ticket
 
-    def release(self, ticket: Ticket, outcome: str) -> None:
+    def release(self, ticket: ticket_types.Ticket, outcome: str) -> None:
         """Releases a ticket; never waits for a scheduler."""
         if self.tickets.pop(ticket.id, None) is None:
             return
@@ -354,7 +301,11 @@
         self._notify_released(ticket.id, ticket.request, name, outcome)
 
     def _notify_released(
-        self, ticket_id: str, request: TicketRequest, name: str, outcome: str
+        self,
+        ticket_id: str,
+        request: ticket_types.TicketRequest,
+        name: str,
+        outcome: str,
     ) -> None:
         message = ttypes.PlaceReturned(
             group=request.service, id=ticket_id, endpoint=name, outcome=outcome
@@ -432,7 +383,7 @@
                 self._call, member, "places_held", message
             )
 
-    def _to_wire(self, ticket: Ticket) -> ttypes.Place:
+    def _to_wire(self, ticket: ticket_types.Ticket) -> ttypes.Place:
         return _placement_messages.place(ticket, self.clock.now())
 
     async def on_answer(self, answer: ttypes.PlaceAnswer) -> None:
@@ -456,7 +407,7 @@
             ticket.revoked.set()
 
 
-def _log_acquired(ticket: Ticket, waited_s: float) -> None:
+def _log_acquired(ticket: ticket_types.Ticket, waited_s: float) -> None:
     logs.event(
         "place_taken",
         request=ticket.request.request_id,
@@ -469,7 +420,7 @@
 
 
 def _refusal_error(
-    request: TicketRequest, answer: ttypes.PlaceAnswer
+    request: ticket_types.TicketRequest, answer: ttypes.PlaceAnswer
 ) -> errors.IbisknotError:
     retry_s = answer.retry_after_s
     if answer.state == State.OVER_RATE:
--- /dev/null
+++ b/src/ibisknot/ticket_types.py
@@ -0,0 +1,66 @@
+"""Tickets, which permit requests to run at endpoints, and requests for them."""
+
+import dataclasses
+import math
+
+import anyio
+
+from ibisknot import fleet_endpoint
+from ibisknot import serving
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TicketRequest:
+    """A request for a ticket at one of a service's endpoints.
+
+    Attributes:
+        kind: `online` or `batch`.
+        organisation: Organisation whose rate applies, or None.
+        max_wait_s: Seconds that the request may wait for its ticket.
+        objective_s: Seconds until the first token is due; an online request
+            that is expected to miss this is refused at once.
+        fingerprint: Hash that a request shares with its resends.
+        max_tokens: Tokens of the prompt and of the longest answer.
+        prompt_blocks: Hashes of the prompt's leading blocks.
+        crash_suspect: Whether it was in flight when an endpoint crashed.
+        avoid: Names of the endpoints that have already failed the request.
+        is_rate_limited: Whether it consumes a token of the organisation's rate.
+        due_s: Monotonic time at which the result is due.
+        expected_duration_s: Seconds for which it will hold its ticket.
+    """
+
+    service: str
+    kind: str
+    request_id: str
+    organisation: serving.Organisation | None
+    max_wait_s: float
+    objective_s: float = math.inf
+    fingerprint: int = 0
+    max_tokens: int = 0
+    prompt_tokens: int = 0
+    prompt_blocks: tuple[int, ...] = ()
+    crash_suspect: bool = False
+    avoid: frozenset[str] = frozenset()
+    is_rate_limited: bool = True
+    due_s: float = math.inf
+    expected_duration_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Ticket:
+    """Permission to run one request at one endpoint.
+
+    Attributes:
+        exclusive: Whether no other request may run on the endpoint meanwhile.
+        granted_by: Name of the scheduler, empty if chosen by this process.
+        revoked: Set when a more urgent request needs the slot.
+        acquired_s: Monotonic time at which it was acquired.
+    """
+
+    id: str
+    request: TicketRequest
+    endpoint: fleet_endpoint.Endpoint
+    exclusive: bool = False
+    granted_by: str = ""
+    revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    acquired_s: float = 0.0
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -17,9 +17,9 @@
 from ibisknot import http_client
 from ibisknot import http_server
 from ibisknot import peer
-from ibisknot import placement
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot import ticket_types
 from ibisknot import timer
 from ibisknot.platform import programs
 
@@ -121,8 +121,8 @@
         self.outcomes: list[str] = []
 
     async def acquire(
-        self, request: placement.TicketRequest
-    ) -> placement.Ticket:
+        self, request: ticket_types.TicketRequest
+    ) -> ticket_types.Ticket:
         """Returns a ticket at the next endpoint.
 
         Raises:
@@ -132,9 +132,11 @@
             raise errors.OverloadedError(
                 "no endpoint remains", retry_after_s=1.0
             )
-        return placement.Ticket("p", request, self.remaining.pop(0).endpoint())
+        return ticket_types.Ticket(
+            "p", request, self.remaining.pop(0).endpoint()
+        )
 
-    def release(self, ticket: placement.Ticket, outcome: str) -> None:
+    def release(self, ticket: ticket_types.Ticket, outcome: str) -> None:
         """Records the outcome."""
         self.outcomes.append(outcome)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from ibisknot import errors
 from ibisknot import placement
 from ibisknot import serving
+from ibisknot import ticket_types
 from ibisknot.gen.fleet import ttypes
 
 
@@ -29,7 +30,7 @@
     return client, peers, clock, task_group
 
 
-def _request(**changed: Any) -> placement.TicketRequest:
+def _request(**changed: Any) -> ticket_types.TicketRequest:
     fields: dict[str, Any] = {
         "service": "s",
         "kind": admission.ONLINE,
@@ -37,7 +38,7 @@
         "organisation": None,
         "max_wait_s": 1.0,
     }
-    return placement.TicketRequest(**(fields | changed))
+    return ticket_types.TicketRequest(**(fields | changed))
 
 
 def test_unresponsive_scheduler_is_skipped_until_it_accepts_a_report() -> None:
