--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -94,7 +94,11 @@
         capacity: Estimated capacity of its engine.
         circuit: Its circuit breaker.
         view: Its cache and load as this process has them.
-        tickets: Tickets in flight by id.
+        tickets: Tickets in flight by id; changed only by this module's
+            functions, which count them.
+        online: Number of online tickets.
+        revoked: Number of revoked tickets.
+        exclusive: Number of exclusive tickets.
         online_peak: Decayed peak of the number of online tickets.
         online_peak_s: Monotonic time of `online_peak`.
         reserved: Whether it is being emptied for an exclusive request.
@@ -112,6 +116,9 @@
         default_factory=routing.EndpointView
     )
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
+    online: int = 0
+    revoked: int = 0
+    exclusive: int = 0
     online_peak: float = 0.0
     online_peak_s: float = 0.0
     reserved: bool = False
@@ -119,7 +126,15 @@
 
     def online_count(self) -> int:
         """Returns the number of online tickets."""
-        return sum(t.kind == ONLINE for t in self.tickets.values())
+        return self.online
+
+    def batch_count(self) -> int:
+        """Returns the number of batch tickets, revoked ones included."""
+        return len(self.tickets) - self.online
+
+    def unrevoked_batch_count(self) -> int:
+        """Returns the number of batch tickets that are not revoked."""
+        return len(self.tickets) - self.online - self.revoked
 
     def unrevoked_batch(self) -> list[Ticket]:
         """Returns the batch tickets that are not revoked."""
@@ -131,7 +146,7 @@
 
     def unrevoked_count(self) -> int:
         """Returns the number of tickets that are not revoked."""
-        return sum(not t.revoked for t in self.tickets.values())
+        return len(self.tickets) - self.revoked
 
     def expected_token_gap_s(self) -> float:
         """Returns the expected seconds between tokens at the current load."""
@@ -139,7 +154,7 @@
 
     def has_exclusive(self) -> bool:
         """Returns whether an exclusive ticket is in flight."""
-        return any(t.exclusive for t in self.tickets.values())
+        return self.exclusive > 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -259,12 +274,30 @@
 def add_ticket(endpoint: Endpoint, now: float, ticket: Ticket) -> None:
     """Adds a ticket to an endpoint."""
     endpoint.online_peak = decayed_online_peak(endpoint, now)
+    replaced = endpoint.tickets.get(ticket.id)
+    if replaced is not None:
+        _count(endpoint, replaced, -1)
     endpoint.tickets[ticket.id] = ticket
+    _count(endpoint, ticket, 1)
     endpoint.online_peak = max(endpoint.online_peak, endpoint.online_count())
     endpoint.online_peak_s = now
     routing.record_running(endpoint.view, now, len(endpoint.tickets))
 
 
+def revoke_ticket(endpoint: Endpoint, ticket: Ticket) -> None:
+    """Marks a batch ticket of an endpoint as revoked."""
+    if not ticket.revoked:
+        ticket.revoked = True
+        endpoint.revoked += 1
+
+
+def _count(endpoint: Endpoint, ticket: Ticket, change: int) -> None:
+    """Adds a ticket to the counts, or subtracts it."""
+    endpoint.online += change * (ticket.kind == ONLINE)
+    endpoint.revoked += change * ticket.revoked
+    endpoint.exclusive += change * ticket.exclusive
+
+
 def remove_ticket(group: Group, now: float, ticket: Ticket) -> None:
     """Removes a ticket from its endpoint."""
     endpoint = find_endpoint(group, ticket.endpoint)
@@ -272,5 +305,7 @@
         return
     endpoint.online_peak = decayed_online_peak(endpoint, now)
     endpoint.online_peak_s = now
-    endpoint.tickets.pop(ticket.id, None)
+    removed = endpoint.tickets.pop(ticket.id, None)
+    if removed is not None:
+        _count(endpoint, removed, -1)
     routing.record_running(endpoint.view, now, len(endpoint.tickets))
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -87,7 +87,7 @@
 ) -> int:
     """Returns the sequences that would run beside one more online request."""
     online = endpoint.online_count()
-    batch = len(endpoint.unrevoked_batch())
+    batch = endpoint.unrevoked_batch_count()
     if policy.revokes_batch:
         idle = endpoint.capacity.limit - policy.displaced_per_online * (
             online + 1
@@ -321,26 +321,29 @@
     Returns:
         The endpoint of that ticket if it has a free slot now, else nothing.
     """
-    with_batch = [e for e in endpoints if e.unrevoked_batch()]
+    with_batch = [e for e in endpoints if e.unrevoked_batch_count()]
     if not with_batch:
         return []
     chosen = max(
         with_batch,
         key=lambda e: (
             urgency.least_urgent(e.unrevoked_batch(), now).is_late,
-            len(e.unrevoked_batch()),
+            e.unrevoked_batch_count(),
             e.name,
         ),
     )
-    _revoke(urgency.least_urgent(chosen.unrevoked_batch(), now).ticket, actions)
+    ticket = urgency.least_urgent(chosen.unrevoked_batch(), now).ticket
+    _revoke(chosen, ticket, actions)
     return [chosen] if _has_free_slot(chosen) else []
 
 
 def _revoke(
-    ticket: _admission_state.Ticket, actions: list[_admission_state.Action]
+    endpoint: _admission_state.Endpoint,
+    ticket: _admission_state.Ticket,
+    actions: list[_admission_state.Action],
 ) -> None:
     """Marks a ticket as revoked and adds the action for it."""
-    ticket.revoked = True
+    _admission_state.revoke_ticket(endpoint, ticket)
     actions.append(_admission_state.Revoke(ticket.id, ticket.holder))
 
 
@@ -353,7 +356,7 @@
     for endpoint in group.endpoints.values():
         if endpoint.reserved:
             for ticket in endpoint.unrevoked_batch():
-                _revoke(ticket, actions)
+                _revoke(endpoint, ticket, actions)
 
 
 def _batch_limit(
@@ -384,8 +387,9 @@
     if not endpoint.online_count() and not endpoint.prefers_online:
         return
     limit = _batch_limit(endpoint, now, policy)
-    for _ in range(len(endpoint.unrevoked_batch()) - limit):
+    for _ in range(endpoint.unrevoked_batch_count() - limit):
         _revoke(
+            endpoint,
             urgency.least_urgent(endpoint.unrevoked_batch(), now).ticket,
             actions,
         )
@@ -408,14 +412,15 @@
     ]
     on_time = sum(urgency.can_be_on_time(r, now) for r in with_due_time)
     late = [
-        ticket
+        (endpoint, ticket)
         for endpoint in _shareable_endpoints(_usable_endpoints(group, now))
         for ticket in endpoint.unrevoked_batch()
         if urgency.is_late(ticket, now)
     ]
-    revoked = sum(t.revoked for t in _admission_state.all_tickets(group))
-    for ticket in late[: max(0, on_time - revoked)]:
-        _revoke(ticket, actions)
+    endpoints = (*group.endpoints.values(), *group.draining.values())
+    revoked = sum(e.revoked for e in endpoints)
+    for endpoint, ticket in late[: max(0, on_time - revoked)]:
+        _revoke(endpoint, ticket, actions)
 
 
 def _grant_batch(
@@ -440,7 +445,7 @@
             free = [
                 e
                 for e in _shareable_endpoints(usable)
-                if _batch_count(e) < _batch_limit(e, now, group.policy)
+                if e.batch_count() < _batch_limit(e, now, group.policy)
             ]
         if free:
             _grant(group, now, request, choose(free, request), actions)
@@ -448,13 +453,6 @@
     return False
 
 
-def _batch_count(endpoint: _admission_state.Endpoint) -> int:
-    """Returns the number of batch tickets, revoked ones included."""
-    return sum(
-        t.kind == _admission_state.BATCH for t in endpoint.tickets.values()
-    )
-
-
 def _grant(
     group: _admission_state.Group,
     now: float,
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -463,7 +463,7 @@
 def _has_online_slot(group: admission.Group) -> bool:
     """Returns whether a slot is free or held by batch that can be revoked."""
     return any(
-        e.unrevoked_count() < int(e.capacity.limit) or e.unrevoked_batch()
+        e.unrevoked_count() < int(e.capacity.limit) or e.unrevoked_batch_count()
         for e in group.endpoints.values()
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -155,6 +155,16 @@
     return sim
 
 
+def check_counts(group: admission.Group) -> None:
+    """Checks that each endpoint's counts are those of its tickets."""
+    for endpoint in (*group.endpoints.values(), *group.draining.values()):
+        tickets = list(endpoint.tickets.values())
+        online = [t for t in tickets if t.kind == admission.ONLINE]
+        assert endpoint.online == len(online)
+        assert endpoint.revoked == sum(t.revoked for t in tickets)
+        assert endpoint.exclusive == sum(t.exclusive for t in tickets)
+
+
 @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
 @hypothesis.given(events=EVENTS)
 def test_tickets_are_neither_lost_nor_over_the_limit(
@@ -171,6 +181,7 @@
         sim.step(event, index)
         in_flight = {t.id for t in admission.all_tickets(sim.group)}
         assert in_flight == set(sim.tickets)
+        check_counts(sim.group)
         queued = (
             sim.group.online_queue.all_requests()
             + sim.group.batch_queue.all_requests()
