--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -1,8 +1,6 @@
 """Acquires and releases the tickets that permit requests to run at endpoints.
 
-The active scheduler grants tickets and is notified of each that is acquired
-or released; the standby schedulers get a periodic report, and one at once when
-the active scheduler is lost. A request does not wait for a scheduler
+The active scheduler grants tickets. A request does not wait for a scheduler
 that is cut off or frozen: after a short timeout it goes to the next scheduler.
 If none responds, the process chooses the endpoint itself, by its own tickets.
 On the wire and in log events, a ticket is a place.
@@ -31,7 +29,7 @@
 from ibisknot.gen.fleet import ttypes
 
 MAX_SCHEDULERS = 3
-"""Schedulers that receive reports of all tickets, the active one first."""
+"""Schedulers that receive all updates on tickets, the active one first."""
 REQUEST_TIMEOUT_S = {admission.ONLINE: 0.1, admission.BATCH: 1.0}
 """Time after which a scheduler counts as unresponsive, by kind of request.
 
@@ -74,7 +72,6 @@
         unresponsive: Names of the schedulers that did not answer. Requests
             skip a scheduler until it accepts a periodic report.
         is_retrying: Whether `_retry_pending` is running.
-        is_reporting: Whether a report is about to be sent.
     """
 
     def __init__(
@@ -98,7 +95,6 @@
         self.id_prefix = f"{process.name}/{time.time_ns():x}"
         self.id_counter = itertools.count(1)
         self.is_retrying = False
-        self.is_reporting = False
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and the periodic report."""
@@ -223,7 +219,8 @@
                 timeout_s=REQUEST_TIMEOUT_S[request.kind],
             )
         except errors.IbisknotError as error:
-            self._record_loss(member)
+            self.unresponsive.add(member.name)
+            self._start_retry()
             logs.event(
                 "scheduler_silent",
                 level="warning",
@@ -256,9 +253,9 @@
         message = ttypes.PlaceTaken(
             holder=self.process.peer_address, place=self._to_wire(ticket)
         )
-        active = self._responsive_scheduler()
-        if active is not None and active.name != ticket.granted_by:
-            self._notify(active, "place_taken", message)
+        for member in self.schedulers():
+            if member.name != ticket.granted_by:
+                self._notify(member, "place_taken", message)
 
     def _use_fallback(
         self, request: ticket_types.TicketRequest, ticket_id: str
@@ -310,14 +307,14 @@
         message = ttypes.PlaceReturned(
             group=request.service, id=ticket_id, endpoint=name, outcome=outcome
         )
-        active = self._responsive_scheduler()
-        if active is not None:
-            self._notify(active, "place_returned", message)
+        for member in self.schedulers():
+            self._notify(member, "place_returned", message)
 
     def _notify(
         self, member: fleetview.Member, method: str, message: object
     ) -> None:
-        self.task_group.start_soon(self._call, member, method, message)
+        if member.name not in self.unresponsive:
+            self.task_group.start_soon(self._call, member, method, message)
 
     async def _call(
         self, member: fleetview.Member, method: str, message: object
@@ -329,7 +326,8 @@
         except errors.IbisknotError as error:
             # The next periodic report carries what this message said.
             if member.name not in self.unresponsive:
-                self._record_loss(member)
+                self.unresponsive.add(member.name)
+                self._start_retry()
                 logs.event(
                     "scheduler_lost",
                     level="warning",
@@ -342,14 +340,6 @@
             self._start_retry()
             logs.event("scheduler_regained", scheduler=member.name)
 
-    def _record_loss(self, member: fleetview.Member) -> None:
-        """Turns to the next scheduler, which gets a report at once."""
-        self.unresponsive.add(member.name)
-        self._start_retry()
-        if not self.is_reporting:
-            self.is_reporting = True
-            self.task_group.start_soon(self._report_tickets)
-
     def _start_retry(self) -> None:
         """Resends the pending requests, because the scheduler has changed."""
         if not self.is_retrying:
@@ -367,11 +357,6 @@
 
     async def _report(self, _now: float) -> None:
         """Timer callback: reports all tickets to the schedulers."""
-        await self._report_tickets()
-
-    async def _report_tickets(self) -> None:
-        """Sends a report to each scheduler, without waiting for answers."""
-        self.is_reporting = False
         message = ttypes.PlacesHeld(
             holder=self.process.peer_address,
             places=[self._to_wire(ticket) for ticket in self.tickets.values()],
--- a/src/ibisknot/result_listing.py
+++ b/src/ibisknot/result_listing.py
@@ -13,7 +13,7 @@
 from ibisknot import pairs
 
 MIN_WRITE_DELAY_S = 0.1
-MAX_WRITE_DELAY_S = 1.0
+MAX_WRITE_DELAY_S = 0.4
 """Results that arrive within this time are written in one transaction."""
 URGENT_S = 4.0
 """Time before a job is due from which its results are written at once."""
