--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -294,19 +294,30 @@
     return sorted(members, key=lambda m: (m.kind != deployment.WORKER, m.name))
 
 
-def position(view: View, own_name: str) -> int:
-    """Returns a process's position in the order of precedence.
+def readers(members: Iterable[Member]) -> list[Member]:
+    """Returns the members in the order in which they read the store for all.
+
+    Workers come in the reverse of their order as schedulers, so that the
+    active scheduler does not also publish to the whole fleet.
+    """
+    ordered = by_precedence(members)
+    workers = [m for m in ordered if m.kind == deployment.WORKER]
+    return workers[::-1] + ordered[len(workers) :]
+
+
+def reader_position(view: View, own_name: str) -> int:
+    """Returns a process's position in the order of `readers`.
 
     A process that is not listed comes after the listed ones.
     """
-    names = [member.name for member in by_precedence(view.members.values())]
+    names = [member.name for member in readers(view.members.values())]
     return names.index(own_name) if own_name in names else len(names)
 
 
 def poll_due_s(view: View, own_name: str) -> float:
     """Returns the monotonic time at which a process reads the entries itself.
 
-    The first process in order of precedence reads them and publishes them to
+    The first process in the order of `readers` reads and publishes them to
     the others, which read them only if they receive no update in time.
     """
     delay_s = _stagger_s(view, own_name)
@@ -328,7 +339,7 @@
     >>> round(_stagger_s(View(), "a"), 2)
     0.0
     """
-    index = position(view, own_name)
+    index = reader_position(view, own_name)
     if not index:
         return 0.0
     late_steps = max(0, index - MAX_STAGGER_STEPS)
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -30,10 +30,11 @@
 
 MAX_SCHEDULERS = 3
 """Schedulers that receive all updates on tickets, the active one first."""
-REQUEST_TIMEOUT_S = {admission.ONLINE: 0.1, admission.BATCH: 1.0}
+REQUEST_TIMEOUT_S = {admission.ONLINE: 0.2, admission.BATCH: 1.0}
 """Time after which a scheduler counts as unresponsive, by kind of request.
 
 It is longer for batch: bursts of batch delay a scheduler that still responds.
+For online it leaves time for the next scheduler within the objective.
 """
 BATCH_DELAY_S = 3.0
 """Time that batch waits for a responsive scheduler before the fallback."""
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -32,7 +32,7 @@
 UPDATES_MISSING_S = 1.5
 """Age of the entries above which a gateway follows the operator's keys."""
 MAX_PUBLISHERS = 3
-"""Processes in order of precedence that publish a configuration to all.
+"""Processes in the order of readers that publish a configuration to all.
 
 The others pass it on by gossip, so that the messages grow with the fleet and
 not with its square.
@@ -310,8 +310,8 @@
 
     def _publishes_configuration(self) -> bool:
         """Returns whether this process sends new configurations to all."""
-        position = fleetview.position(self.view, self.own_member.name)
-        return position < MAX_PUBLISHERS
+        name = self.own_member.name
+        return fleetview.reader_position(self.view, name) < MAX_PUBLISHERS
 
     def _needs_own_watch(self) -> bool:
         """Returns whether this process must follow the operator's keys itself.
