--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -83,6 +83,8 @@
   19: required double objective_s,
   /** What a request and its resends have in common. */
   20: required i64 fingerprint,
+  /** Data centre of the process that asks. */
+  21: optional string data_centre,
 }
 
 enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -91,6 +91,7 @@
 
     Attributes:
         name: Name of the endpoint in the configuration.
+        data_centre: Name of its data centre; empty if it is not known.
         capacity: Estimated capacity of its engine.
         circuit: Its circuit breaker.
         view: Its cache and load as this process has them.
@@ -106,6 +107,7 @@
     """
 
     name: str
+    data_centre: str = ""
     capacity: _capacity.Capacity = dataclasses.field(
         default_factory=_capacity.Capacity
     )
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -44,16 +44,34 @@
     request: _fair_queue.QueuedRequest,
 ) -> _admission_state.Endpoint:
     """Chooses the endpoint with the least expected time to first token."""
-    options = [
-        routing.Candidate(e.name, e.unrevoked_count(), e.capacity, e.view)
-        for e in candidates
-    ]
+    options = [_candidate(e, request, e.unrevoked_count()) for e in candidates]
     chosen = routing.choose(
         options, request.prompt_blocks, request.prompt_words
     )
     return next(e for e in candidates if e.name == chosen.name)
 
 
+def _candidate(
+    endpoint: _admission_state.Endpoint,
+    request: _fair_queue.QueuedRequest,
+    running: int,
+) -> routing.Candidate:
+    """Returns an endpoint as it would serve a request.
+
+    Args:
+        endpoint: The endpoint.
+        request: The request.
+        running: Sequences that run beside it.
+    """
+    return routing.Candidate(
+        endpoint.name,
+        running,
+        endpoint.capacity,
+        endpoint.view,
+        routing.network_delay_s(request.data_centre, endpoint.data_centre),
+    )
+
+
 def least_expected_after_revocation(
     policy: _admission_state.Policy,
 ) -> ChooseEndpoint:
@@ -69,9 +87,7 @@
         request: _fair_queue.QueuedRequest,
     ) -> _admission_state.Endpoint:
         options = [
-            routing.Candidate(
-                e.name, _running_after_revocation(e, policy), e.capacity, e.view
-            )
+            _candidate(e, request, _running_after_revocation(e, policy))
             for e in candidates
         ]
         chosen = routing.choose(
--- a/src/ibisknot/_fair_queue.py
+++ b/src/ibisknot/_fair_queue.py
@@ -25,6 +25,7 @@
         prompt_words: Words in its prompt.
         prompt_blocks: Chained hashes of the prompt's leading blocks.
         holder: Peer address of the process that requests the ticket.
+        data_centre: Data centre of that process; empty if it is not known.
         crash_suspect: Whether it was in flight on an endpoint that crashed.
         avoid: Names of endpoints where it already failed; they are chosen
             only if no other endpoint is usable.
@@ -41,6 +42,7 @@
     prompt_words: int = 0
     prompt_blocks: tuple[int, ...] = ()
     holder: str = ""
+    data_centre: str = ""
     crash_suspect: bool = False
     avoid: frozenset[str] = frozenset()
     due_s: float = math.inf
--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -9,6 +9,7 @@
     ticket_id: str,
     *,
     holder: str,
+    data_centre: str,
     waited_s: float,
     now: float,
 ) -> ttypes.PlaceAsk:
@@ -18,6 +19,7 @@
         request: The request for a ticket.
         ticket_id: Id of the ticket.
         holder: Peer address of this process.
+        data_centre: Data centre of this process.
         waited_s: Seconds for which the request has waited.
         now: Monotonic time in seconds.
     """
@@ -44,6 +46,7 @@
         needs_s=request.expected_duration_s,
         objective_s=request.objective_s - waited_s,
         fingerprint=request.fingerprint,
+        data_centre=data_centre,
     )
 
 
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -53,6 +53,7 @@
     names: Iterable[str],
     *,
     slots: Mapping[str, int] | None = None,
+    data_centres: Mapping[str, str] | None = None,
 ) -> list[_admission_state.Action]:
     """Sets the active endpoints; other endpoints drain.
 
@@ -62,6 +63,7 @@
         names: Names of the active endpoints.
         slots: Slots of each endpoint for which they are configured and need
             not be estimated.
+        data_centres: Data centre of each endpoint for which it is known.
     """
     active = set(names)
     for name in list(group.endpoints):
@@ -78,6 +80,9 @@
     for name, count in (slots or {}).items():
         if name in group.endpoints:
             group.endpoints[name].capacity.limit = float(count)
+    for name, data_centre in (data_centres or {}).items():
+        if name in group.endpoints:
+            group.endpoints[name].data_centre = data_centre
     return _decisions.decide(group, now)
 
 
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -693,6 +693,7 @@
      - needs_s: Seconds that the request will hold its place.
      - objective_s: Seconds until a waiting request is better refused.
      - fingerprint: What a request and its resends have in common.
+     - data_centre: Data centre of the process that asks.
 
     """
 
@@ -715,10 +716,11 @@
         'needs_s',
         'objective_s',
         'fingerprint',
+        'data_centre',
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None, data_centre=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -737,6 +739,7 @@
         self.needs_s = needs_s
         self.objective_s = objective_s
         self.fingerprint = fingerprint
+        self.data_centre = data_centre
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -847,6 +850,11 @@
                     self.fingerprint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -935,6 +943,10 @@
             oprot.writeFieldBegin('fingerprint', TType.I64, 20)
             oprot.writeI64(self.fingerprint)
             oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 21)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2421,6 +2433,7 @@
     (18, TType.DOUBLE, 'needs_s', None, None, ),  # 18
     (19, TType.DOUBLE, 'objective_s', None, None, ),  # 19
     (20, TType.I64, 'fingerprint', None, None, ),  # 20
+    (21, TType.STRING, 'data_centre', 'UTF8', None, ),  # 21
 )
 all_structs.append(PlaceAnswer)
 PlaceAnswer.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -208,6 +208,7 @@
             request,
             ticket_id,
             holder=self.process.peer_address,
+            data_centre=self.process.data_centre,
             waited_s=waited_s,
             now=self.clock.now(),
         )
--- a/src/ibisknot/routing.py
+++ b/src/ibisknot/routing.py
@@ -23,6 +23,8 @@
 
 It covers the unknown lag of the report.
 """
+OTHER_DATA_CENTRE_S = 0.003
+"""Expected delay of a first token that comes from another data centre."""
 STEPS_TO_FIRST_TOKEN = 1.5
 """A new sequence waits half a step on average, and then runs its own."""
 
@@ -104,12 +106,14 @@
         running: Number of this process's sequences in flight there.
         capacity: Estimated capacity of its engine.
         view: Its cache and load.
+        delay_s: Seconds that the network adds to the first token.
     """
 
     name: str
     running: int
     capacity: _capacity.Capacity
     view: EndpointView
+    delay_s: float = 0.0
 
 
 def record_prompt(view: EndpointView, blocks: Iterable[int]) -> None:
@@ -204,7 +208,23 @@
     # tokens is the mean remaining length divided by the number of running ones.
     queue_s = excess * gap_s
     prefill_s = uncached_words * _capacity.PREFILL_S_PER_WORD
-    return STEPS_TO_FIRST_TOKEN * gap_s + prefill_s + queue_s
+    engine_s = STEPS_TO_FIRST_TOKEN * gap_s + prefill_s + queue_s
+    return engine_s + candidate.delay_s
+
+
+def network_delay_s(data_centre: str, other: str) -> float:
+    """Returns the expected delay between a caller's VM and an endpoint.
+
+    Args:
+        data_centre: Data centre of the VM; empty if it is not known.
+        other: Data centre of the endpoint; empty if it is not known.
+
+    >>> network_delay_s("a", "a"), network_delay_s("a", "b")
+    (0.0, 0.003)
+    """
+    if not data_centre or not other or data_centre == other:
+        return 0.0
+    return OTHER_DATA_CENTRE_S
 
 
 def choose(
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -136,7 +136,13 @@
         now = self.clock.now()
         self._apply(
             service,
-            admission.set_endpoints(service.group, now, names, slots=slots),
+            admission.set_endpoints(
+                service.group,
+                now,
+                names,
+                slots=slots,
+                data_centres={e.name: e.data_centre for e in found},
+            ),
         )
 
     async def on_request(self, request: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
@@ -202,6 +208,7 @@
             prompt_words=request.prompt_tokens,
             prompt_blocks=tuple(request.blocks),
             holder=request.holder,
+            data_centre=request.data_centre or "",
             crash_suspect=request.suspect,
             avoid=frozenset(request.avoid),
             due_s=now + request.due_s,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -31,6 +31,22 @@
     assert chosen.name == "b"
 
 
+def test_endpoint_in_the_same_data_centre_wins_among_equal_loads() -> None:
+    """Guards against streams that cross data centres without a reason."""
+    near = candidate("b", 3)
+    far = candidate("a", 3)
+    far.delay_s = routing.network_delay_s("x", "y")
+    assert routing.choose([far, near], (), 64).name == "b"
+
+
+def test_load_outweighs_the_data_centre() -> None:
+    """Guards against overload of the endpoints of one data centre."""
+    near = candidate("b", 60)
+    far = candidate("a", 3)
+    far.delay_s = routing.network_delay_s("x", "y")
+    assert routing.choose([far, near], (), 64).name == "a"
+
+
 def test_long_queue_outweighs_a_cached_prefix() -> None:
     """Guards against overload of the endpoint that has a common prefix."""
     blocks = routing.prompt_blocks("w " * 64)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """The scheduler: slot counts, refusals, rates, and lost processes."""
 
+import dataclasses
 import math
 from typing import Any
 
@@ -328,3 +329,20 @@
         assert [task[1][2].id for task in tasks] == ["r11"]
 
     anyio.run(main)
+
+
+def test_ticket_is_granted_in_the_data_centre_of_its_holder() -> None:
+    """Guards against streams that cross data centres without a reason."""
+
+    async def main() -> None:
+        view = fake_fleet.view(endpoints=4)
+        for index, name in enumerate(sorted(view.endpoints)):
+            view.endpoints[name] = dataclasses.replace(
+                view.endpoints[name], data_centre=f"d{index}"
+            )
+        worker, _, _, _ = _make_scheduler(view)
+        for index, name in enumerate(sorted(view.endpoints)):
+            request = _request(index, data_centre=f"d{index}")
+            assert (await worker.on_request(request)).endpoint == name
+
+    anyio.run(main)
