--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -196,7 +196,8 @@
         self._record_reachability(True)
         age_s = self.clock.now() - started_s
         self._adopt_entries(listing.revision, age_s, listing.pairs)
-        await self.exchange.publish()
+        # The next read does not wait for members that do not answer.
+        self.task_group.start_soon(self.exchange.publish)
 
     def _adopt_entries(
         self, revision: int, age_s: float, entries: list[pairs.Pair]
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -276,3 +276,22 @@
     world.clock.time_s += view_exchange.START_WAIT_S
     anyio.run(world.exchange.on_update, _full_update(60.0))
     assert world.view.configuration_revision == 4
+
+
+def test_next_read_does_not_wait_for_silent_members() -> None:
+    """Guards against old entries everywhere because one member is lost."""
+    world = _World("w1")
+    world.clock.time_s += fleetview.POLL_PERIOD_S
+
+    async def never(*_: Any, **__: Any) -> None:
+        await anyio.sleep_forever()
+
+    world.peers.call = never  # type: ignore[method-assign, assignment]
+
+    async def main() -> None:
+        with anyio.fail_after(5.0):
+            await world.runner._poll_entries(world.clock.now())
+
+    anyio.run(main)
+    assert world.store.calls["list"] == 1
+    assert world.task_group.tasks
