--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -1,9 +1,9 @@
 """Decides which tickets of an admission group to grant, refuse or revoke."""
 
-from collections.abc import Callable
 import math
 
 from ibisknot import _admission_state
+from ibisknot import _endpoint_choice
 from ibisknot import _fair_queue
 from ibisknot import breaker
 from ibisknot import routing
@@ -32,90 +32,11 @@
 batch for long.
 """
 
-ChooseEndpoint = Callable[
-    [list[_admission_state.Endpoint], _fair_queue.QueuedRequest],
-    _admission_state.Endpoint,
-]
-"""Chooses one of the candidate endpoints for a request."""
-
-
-def least_expected_first_token(
-    candidates: list[_admission_state.Endpoint],
-    request: _fair_queue.QueuedRequest,
-) -> _admission_state.Endpoint:
-    """Chooses the endpoint with the least expected time to first token."""
-    options = [_candidate(e, request, e.unrevoked_count()) for e in candidates]
-    chosen = routing.choose(
-        options, request.prompt_blocks, request.prompt_words
-    )
-    return next(e for e in candidates if e.name == chosen.name)
-
-
-def _candidate(
-    endpoint: _admission_state.Endpoint,
-    request: _fair_queue.QueuedRequest,
-    running: int,
-) -> routing.Candidate:
-    """Returns an endpoint as it would serve a request.
-
-    Args:
-        endpoint: The endpoint.
-        request: The request.
-        running: Sequences that run beside it.
-    """
-    return routing.Candidate(
-        endpoint.name,
-        running,
-        endpoint.capacity,
-        endpoint.view,
-        routing.network_delay_s(request.data_centre, endpoint.data_centre),
-    )
-
-
-def least_expected_after_revocation(
-    policy: _admission_state.Policy,
-) -> ChooseEndpoint:
-    """Returns a function that chooses endpoints for online requests.
-
-    It chooses the least expected time to first token, and counts on each
-    endpoint only the batch sequences that would still run beside one more
-    online request, not those that would be revoked for it.
-    """
-
-    def choose(
-        candidates: list[_admission_state.Endpoint],
-        request: _fair_queue.QueuedRequest,
-    ) -> _admission_state.Endpoint:
-        options = [
-            _candidate(e, request, _running_after_revocation(e, policy))
-            for e in candidates
-        ]
-        chosen = routing.choose(
-            options, request.prompt_blocks, request.prompt_words
-        )
-        return next(e for e in candidates if e.name == chosen.name)
-
-    return choose
-
-
-def _running_after_revocation(
-    endpoint: _admission_state.Endpoint, policy: _admission_state.Policy
-) -> int:
-    """Returns the sequences that would run beside one more online request."""
-    online = endpoint.online_count()
-    batch = endpoint.unrevoked_batch_count()
-    if policy.revokes_batch:
-        idle = endpoint.capacity.limit - policy.displaced_per_online * (
-            online + 1
-        )
-        batch = min(batch, max(0, int(idle - policy.headroom_slots)))
-    return online + batch
-
 
 def decide(
     group: _admission_state.Group,
     now: float,
-    choose: ChooseEndpoint | None = None,
+    choose: _endpoint_choice.ChooseEndpoint | None = None,
 ) -> list[_admission_state.Action]:
     """Grants, refuses and revokes tickets until nothing more can be done.
 
@@ -129,8 +50,10 @@
     Returns:
         The actions to carry out.
     """
-    choose_for_online = choose or least_expected_after_revocation(group.policy)
-    choose_for_batch = choose or least_expected_first_token
+    choose_for_online = (
+        choose or _endpoint_choice.least_expected_after_revocation(group.policy)
+    )
+    choose_for_batch = choose or _endpoint_choice.least_expected_first_token
     actions: list[_admission_state.Action] = []
     for queue in (group.online_queue, group.batch_queue):
         for request in queue.expire(now):
@@ -255,7 +178,7 @@
 def _grant_online(
     group: _admission_state.Group,
     now: float,
-    choose: ChooseEndpoint,
+    choose: _endpoint_choice.ChooseEndpoint,
     actions: list[_admission_state.Action],
 ) -> bool:
     """Grants one queued online request if possible; returns whether it did."""
@@ -442,7 +365,7 @@
 def _grant_batch(
     group: _admission_state.Group,
     now: float,
-    choose: ChooseEndpoint,
+    choose: _endpoint_choice.ChooseEndpoint,
     actions: list[_admission_state.Action],
 ) -> bool:
     """Grants one queued batch request if possible; returns whether it did.
--- /dev/null
+++ b/src/ibisknot/_endpoint_choice.py
@@ -0,0 +1,86 @@
+"""Chooses the endpoint at which a request gets its ticket."""
+
+from collections.abc import Callable
+
+from ibisknot import _admission_state
+from ibisknot import _fair_queue
+from ibisknot import routing
+
+ChooseEndpoint = Callable[
+    [list[_admission_state.Endpoint], _fair_queue.QueuedRequest],
+    _admission_state.Endpoint,
+]
+"""Chooses one of the candidate endpoints for a request."""
+
+
+def least_expected_first_token(
+    candidates: list[_admission_state.Endpoint],
+    request: _fair_queue.QueuedRequest,
+) -> _admission_state.Endpoint:
+    """Chooses the endpoint with the least expected time to first token."""
+    options = [_candidate(e, request, e.unrevoked_count()) for e in candidates]
+    chosen = routing.choose(
+        options, request.prompt_blocks, request.prompt_words
+    )
+    return next(e for e in candidates if e.name == chosen.name)
+
+
+def _candidate(
+    endpoint: _admission_state.Endpoint,
+    request: _fair_queue.QueuedRequest,
+    running: int,
+) -> routing.Candidate:
+    """Returns an endpoint as it would serve a request.
+
+    Args:
+        endpoint: The endpoint.
+        request: The request.
+        running: Sequences that run beside it.
+    """
+    return routing.Candidate(
+        endpoint.name,
+        running,
+        endpoint.capacity,
+        endpoint.view,
+        routing.network_delay_s(request.data_centre, endpoint.data_centre),
+    )
+
+
+def least_expected_after_revocation(
+    policy: _admission_state.Policy,
+) -> ChooseEndpoint:
+    """Returns a function that chooses endpoints for online requests.
+
+    It chooses the least expected time to first token, and counts on each
+    endpoint only the batch sequences that would still run beside one more
+    online request, not those that would be revoked for it.
+    """
+
+    def choose(
+        candidates: list[_admission_state.Endpoint],
+        request: _fair_queue.QueuedRequest,
+    ) -> _admission_state.Endpoint:
+        options = [
+            _candidate(e, request, _running_after_revocation(e, policy))
+            for e in candidates
+        ]
+        chosen = routing.choose(
+            options, request.prompt_blocks, request.prompt_words
+        )
+        return next(e for e in candidates if e.name == chosen.name)
+
+    return choose
+
+
+def _running_after_revocation(
+    endpoint: _admission_state.Endpoint, policy: _admission_state.Policy
+) -> int:
+    """Returns the sequences that would run beside one more online request."""
+    online = endpoint.online_count()
+    batch = endpoint.unrevoked_batch_count()
+    if policy.revokes_batch:
+        idle = endpoint.capacity.limit - policy.displaced_per_online * (
+            online + 1
+        )
+        batch = min(batch, max(0, int(idle - policy.headroom_slots)))
+    return online + batch
--- /dev/null
+++ b/src/ibisknot/_scheduler_messages.py
@@ -0,0 +1,52 @@
+"""Messages between the scheduler and the holders of tickets."""
+
+from ibisknot import admission
+from ibisknot.gen.fleet import ttypes
+
+
+def to_ticket(wire: ttypes.Place, holder: str, now: float) -> admission.Ticket:
+    """Returns a ticket that a holder has reported.
+
+    Args:
+        wire: The ticket as the holder describes it.
+        holder: Peer address of the holder.
+        now: Monotonic time in seconds.
+    """
+    return admission.Ticket(
+        id=wire.id,
+        kind=wire.kind,
+        organisation=wire.organisation,
+        holder=holder,
+        endpoint=wire.endpoint,
+        granted_s=now,
+        max_tokens=wire.tokens,
+        crash_suspect=wire.suspect,
+        due_s=now + wire.due_s,
+        expected_end_s=now + wire.needs_s,
+    )
+
+
+def answer(
+    request: ttypes.PlaceAsk,
+    state: int,
+    endpoint: str = "",
+    *,
+    retry_s: float = 0.0,
+    alone: bool = False,
+) -> ttypes.PlaceAnswer:
+    """Returns the answer to a request for a ticket.
+
+    Args:
+        request: The request.
+        state: The decision.
+        endpoint: Name of the endpoint of a granted ticket.
+        retry_s: Seconds after which a refused caller may retry.
+        alone: Whether nothing else may run on the endpoint.
+    """
+    return ttypes.PlaceAnswer(
+        id=request.id,
+        state=state,
+        endpoint=endpoint,
+        retry_after_s=retry_s,
+        alone=alone,
+    )
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -10,6 +10,7 @@
 
 from anyio import abc
 
+from ibisknot import _scheduler_messages
 from ibisknot import admission
 from ibisknot import deployment
 from ibisknot import errors
@@ -163,16 +164,20 @@
     ) -> ttypes.PlaceAnswer:
         now = self.clock.now()
         if admission.is_queued(service.group, request.id):
-            return _answer(request, State.QUEUED)
+            return _scheduler_messages.answer(request, State.QUEUED)
         if not service.group.endpoints:
-            return _answer(request, State.UNSERVED, retry_s=UNSERVED_RETRY_S)
+            return _scheduler_messages.answer(
+                request, State.UNSERVED, retry_s=UNSERVED_RETRY_S
+            )
         granted = request.id in service.granted_s
         first_s = overload.first_seen_s(self.refusals, now, request.fingerprint)
         if not granted and not self._consume_token(request, now):
             share = self.shares[request.organisation]
             allowance = rates.Allowance(request.rate_per_s, request.burst)
             retry_s = rates.next_token_s(share, allowance)
-            return _answer(request, State.OVER_RATE, retry_s=retry_s)
+            return _scheduler_messages.answer(
+                request, State.OVER_RATE, retry_s=retry_s
+            )
         if not granted and first_s is None and self._is_late(service, request):
             self._refund_token(request)
             return self._refuse(service, request, now)
@@ -183,7 +188,9 @@
     ) -> ttypes.PlaceAnswer:
         overload.record_refusal(self.refusals, now, request.fingerprint)
         retry_s = self._retry_after_s(service, request.wait_s)
-        return _answer(request, State.OVERLOADED, retry_s=retry_s)
+        return _scheduler_messages.answer(
+            request, State.OVERLOADED, retry_s=retry_s
+        )
 
     def _admit(
         self,
@@ -223,11 +230,11 @@
         )
         if granted:
             ticket = granted[0]
-            return _answer(
+            return _scheduler_messages.answer(
                 request, State.GRANTED, ticket.endpoint, alone=ticket.exclusive
             )
         if request.id in service.queued_holders:
-            return _answer(request, State.QUEUED)
+            return _scheduler_messages.answer(request, State.QUEUED)
         return self._refuse(service, request, now)
 
     def _queue_timeout_s(self, request: ttypes.PlaceAsk) -> float:
@@ -334,7 +341,7 @@
         now = self.clock.now()
         self._await_first_report(holder)
         service.granted_s.setdefault(wire.id, now)
-        ticket = _to_ticket(wire, holder, now)
+        ticket = _scheduler_messages.to_ticket(wire, holder, now)
         self._apply(service, admission.adopt_ticket(service.group, now, ticket))
 
     async def on_released(self, message: ttypes.PlaceReturned) -> None:
@@ -368,7 +375,9 @@
         for wire in message.places:
             self._update_endpoints(self.service(wire.group))
             reported = tickets_by_service.setdefault(wire.group, [])
-            reported.append(_to_ticket(wire, message.holder, now))
+            reported.append(
+                _scheduler_messages.to_ticket(wire, message.holder, now)
+            )
         for name, tickets in tickets_by_service.items():
             service = self.services[name]
             actions = admission.reconcile(
@@ -473,35 +482,3 @@
         e.unrevoked_count() < int(e.capacity.limit) or e.unrevoked_batch_count()
         for e in group.endpoints.values()
     )
-
-
-def _to_ticket(wire: ttypes.Place, holder: str, now: float) -> admission.Ticket:
-    return admission.Ticket(
-        id=wire.id,
-        kind=wire.kind,
-        organisation=wire.organisation,
-        holder=holder,
-        endpoint=wire.endpoint,
-        granted_s=now,
-        max_tokens=wire.tokens,
-        crash_suspect=wire.suspect,
-        due_s=now + wire.due_s,
-        expected_end_s=now + wire.needs_s,
-    )
-
-
-def _answer(
-    request: ttypes.PlaceAsk,
-    state: int,
-    endpoint: str = "",
-    *,
-    retry_s: float = 0.0,
-    alone: bool = False,
-) -> ttypes.PlaceAnswer:
-    return ttypes.PlaceAnswer(
-        id=request.id,
-        state=state,
-        endpoint=endpoint,
-        retry_after_s=retry_s,
-        alone=alone,
-    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ibisknot import _decisions
+from ibisknot import _endpoint_choice
 from ibisknot import admission
 
 ENDPOINTS = ["e1", "e2", "e3"]
@@ -335,7 +336,7 @@
     assert limits[0] > 4.0 > limits[1]
 
 
-def _peak_load(choose: _decisions.ChooseEndpoint) -> int:
+def _peak_load(choose: _endpoint_choice.ChooseEndpoint) -> int:
     """Returns the highest number of tickets of an endpoint at a steady rate."""
     group = admission.Group()
     admission.set_endpoints(group, 0.0, ENDPOINTS)
@@ -370,6 +371,6 @@
     ) -> admission.Endpoint:
         return rng.choice(endpoints)
 
-    assert _peak_load(_decisions.least_expected_first_token) < _peak_load(
+    assert _peak_load(_endpoint_choice.least_expected_first_token) < _peak_load(
         choose_at_random
     )
