--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -112,7 +112,12 @@
   9: required double needs_s,
 }
 
-struct PlaceTaken { 1: required string holder, 2: required Place place }
+struct PlaceTaken {
+  1: required string holder,
+  2: required Place place,
+  /** Name of the scheduler; empty if the holder chose the place itself. */
+  3: optional string granted_by,
+}
 
 struct PlaceReturned {
   1: required string group,
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -1323,18 +1323,21 @@
     Attributes:
      - holder
      - place
+     - granted_by: Name of the scheduler; empty if the holder chose the place itself.
 
     """
 
     __slots__ = (
         'holder',
         'place',
+        'granted_by',
     )
 
 
-    def __init__(self, holder=None, place=None,):
+    def __init__(self, holder=None, place=None, granted_by=None,):
         self.holder = holder
         self.place = place
+        self.granted_by = granted_by
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1356,6 +1359,11 @@
                     self.place.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.granted_by = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1374,6 +1382,10 @@
             oprot.writeFieldBegin('place', TType.STRUCT, 2)
             self.place.write(oprot)
             oprot.writeFieldEnd()
+        if self.granted_by is not None:
+            oprot.writeFieldBegin('granted_by', TType.STRING, 3)
+            oprot.writeString(self.granted_by.encode('utf-8') if sys.version_info[0] == 2 else self.granted_by)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2462,6 +2474,7 @@
     None,  # 0
     (1, TType.STRING, 'holder', 'UTF8', None, ),  # 1
     (2, TType.STRUCT, 'place', [Place, None], None, ),  # 2
+    (3, TType.STRING, 'granted_by', 'UTF8', None, ),  # 3
 )
 all_structs.append(PlaceReturned)
 PlaceReturned.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -253,7 +253,9 @@
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
         message = ttypes.PlaceTaken(
-            holder=self.process.peer_address, place=self._to_wire(ticket)
+            holder=self.process.peer_address,
+            place=self._to_wire(ticket),
+            granted_by=ticket.granted_by,
         )
         for member in self.schedulers():
             if member.name != ticket.granted_by:
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -327,8 +327,16 @@
         )
 
     async def on_acquired(self, message: ttypes.PlaceTaken) -> None:
-        """Peer method: adopts a ticket that this scheduler did not grant."""
+        """Peer method: adopts a ticket that this scheduler did not grant.
+
+        If a scheduler that comes before this one has granted it, that one is
+        active, and this one must not revoke what it grants.
+        """
         service = self.service(message.place.group)
+        granted_by = message.granted_by or self.name
+        if granted_by < self.name:
+            service.last_request_s = -math.inf
+            service.group.policy = STANDBY_POLICY
         self._update_endpoints(service)
         self._adopt(service, message.holder, message.place)
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 
 import anyio
 import fake_fleet
+import pytest
 
 from ibisknot import fleetview
 from ibisknot import rates
@@ -146,6 +147,32 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize(("granted_by", "revokes"), [("v0", 0), ("w1", 1)])
+def test_scheduler_stands_by_when_an_earlier_one_grants(
+    granted_by: str, revokes: int
+) -> None:
+    """Guards against a successor that revokes what its leader grants.
+
+    The leader was restarted, and its callers have just come back to it.
+    """
+
+    async def main() -> None:
+        worker, peers, _, task_group = _make_scheduler(
+            fake_fleet.view(endpoints=1)
+        )
+        for index in range(2):
+            request = _request(index, kind="batch", due_s=20.0, holder="w0:1")
+            assert (await worker.on_request(request)).state == State.GRANTED
+        message = ttypes.PlaceTaken(
+            holder="g1:1", place=_wire_ticket("online"), granted_by=granted_by
+        )
+        await worker.on_acquired(message)
+        await task_group.run()
+        assert peers.count("place_revoked") == revokes
+
+    anyio.run(main)
+
+
 def test_request_granted_by_another_scheduler_leaves_the_queue() -> None:
     """Guards against revoking tickets for a request that already runs."""
 
