--- a/src/ibisknot/batch_job.py
+++ b/src/ibisknot/batch_job.py
@@ -12,6 +12,11 @@
 
 LATE_WRITE_S = 10.0
 """Time in which a write without an answer may still take effect."""
+MAX_PENDING_WRITE_S = 0.3
+"""A write that waits longer for its answer has perhaps been done.
+
+Others may then see its results in the store before this worker knows.
+"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +33,8 @@
             read or written.
         doubtful_until_s: Monotonic time until which a late write may still
             change the record.
+        write_started_s: Monotonic time of the start of a write that has no
+            answer yet, or None.
         results_changed: Set when results were listed or the job has stopped
             here; a new event follows.
         changed: Set when a task has finished or the job was handed over.
@@ -47,6 +54,7 @@
     )
     lease_count: int = 0
     doubtful_until_s: float = math.inf
+    write_started_s: float | None = None
     results_changed: anyio.Event = dataclasses.field(
         default_factory=anyio.Event
     )
@@ -78,6 +86,9 @@
         now: Monotonic time in seconds.
     """
     progress = job.progress
+    started_s = job.write_started_s
+    if started_s is not None and now - started_s > MAX_PENDING_WRITE_S:
+        return False
     return (
         progress.owner == worker
         and not progress.closed
--- a/src/ibisknot/batch_record_writer.py
+++ b/src/ibisknot/batch_record_writer.py
@@ -195,6 +195,7 @@
             KeyValueError: The write failed or may have failed.
         """
         lease_count = self.entry.lease_count
+        job.write_started_s = self.clock()
         try:
             revision = await self.store.transact(
                 guards, puts, deletes=list(deletes)
@@ -202,6 +203,8 @@
         except errors.KeyValueUnknownError:
             job.doubtful_until_s = self.clock() + batch_job.LATE_WRITE_S
             raise
+        finally:
+            job.write_started_s = None
         if revision:
             batch_job.record_own_write(job, updated, revision, lease_count)
         return revision
--- a/tests/test_job_reader.py
+++ b/tests/test_job_reader.py
@@ -1,5 +1,7 @@
 """Reads of a job's results through the worker that runs it."""
 
+from typing import Any
+
 import anyio
 import job_world
 import pytest
@@ -132,6 +134,44 @@
     job_world.run(scenario)
 
 
+def test_worker_does_not_answer_while_a_write_waits_for_its_answer() -> None:
+    """Guards against results that only readers of the store have seen."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        job = world.worker.jobs["j"]
+        job.write_started_s = world.clock.now()
+        world.store.calls.clear()
+        await world.read()
+        assert not world.store.calls
+        world.clock.time_s += 2 * batch_job.MAX_PENDING_WRITE_S
+        await world.read()
+        assert world.store.calls["list"]
+
+    job_world.run(scenario)
+
+
+def test_start_of_a_write_is_recorded_until_its_answer() -> None:
+    """Guards against a worker that does not know of its own open write."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        job = world.worker.jobs["j"]
+        seen: list[float | None] = []
+        transact = world.store.transact
+
+        async def record(*args: Any, **kwargs: Any) -> int:
+            seen.append(job.write_started_s)
+            return await transact(*args, **kwargs)
+
+        world.store.transact = record  # type: ignore[method-assign]
+        await world.finish_item(0)
+        assert seen == [world.clock.now()]
+        assert job.write_started_s is None
+
+    job_world.run(scenario)
+
+
 def test_new_process_does_not_answer_before_its_first_write() -> None:
     """Guards against a write of the ended process that takes effect late."""
 
