--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -1,7 +1,8 @@
 """Runs the batch jobs that a worker owns and takes over those of lost workers.
 
-The owner in a job's record only avoids duplicate work. Results stay correct
-because each append is guarded by the record's revision.
+The owner in a job's record avoids duplicate work, and answers reads of the
+job. Results stay correct because each append is guarded by the record's
+revision.
 """
 
 import collections
--- a/src/ibisknot/registration.py
+++ b/src/ibisknot/registration.py
@@ -46,6 +46,8 @@
             includes the time for which the machine was suspended.
         is_written: Whether the entry was written under the lease.
         is_deregistered: Whether the entry must not be written again.
+        is_renewing: Whether a renewal is in progress. Two at a time could
+            write the entry under a lease that is not renewed.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.renewed_s = -math.inf
         self.is_written = False
         self.is_deregistered = False
+        self.is_renewing = False
 
     def start(self, clock: timer.Timer, task_group: abc.TaskGroup) -> None:
         """Writes the entry and starts the renewal of its lease."""
@@ -89,8 +92,15 @@
 
         The entry is written again after a failed write or under a new lease.
         """
-        if self.is_deregistered:
+        if self.is_deregistered or self.is_renewing:
             return
+        self.is_renewing = True
+        try:
+            await self._renew()
+        finally:
+            self.is_renewing = False
+
+    async def _renew(self) -> None:
         asked_s = self.boot_time()
         try:
             if not self.lease_id or not await self.store.keep_alive(
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -18,6 +18,7 @@
         self.failures_left = 0
 
     async def grant(self, _ttl_s: float) -> int:
+        await anyio.sleep(0)
         self.lease_count += 1
         self.live_leases.add(self.lease_count)
         return self.lease_count
@@ -101,3 +102,21 @@
     assert registered.is_certain()
     boot_time_s[0] += registered.lease_ttl_s
     assert not registered.is_certain()
+
+
+def test_renewals_at_the_same_time_use_one_lease() -> None:
+    """Guards against an entry under a lease that nobody renews.
+
+    A process renews out of turn when it is missing in a list of members.
+    """
+    store = _FakeStore()
+    registered = _make_registration(store)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(registered.renew, 0.0)
+            task_group.start_soon(registered.renew, 0.0)
+
+    anyio.run(main)
+    assert store.lease_count == 1
+    assert store.entries["members/g0"].lease_id == registered.lease_id
