--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -22,16 +22,10 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import serving
-from ibisknot.gen.fleet import ttypes
 
 SUBMIT_RETRY_PAUSE_S = 0.1
 STORE_RETRY_AFTER_S = 0.8
 OVER_LIMIT_RETRY_AFTER_S = 1.0
-NOTIFY_TIMEOUT_S = 0.3
-NOTIFY_ATTEMPTS = 5
-NOTIFY_RETRY_PAUSE_S = 0.2
-MAX_NOTIFIED_BYTES = 256 * 1024
-"""The owner reads the items of a larger job from the store."""
 VALUE_FRACTION = 0.7
 """Fraction of the store's maximum value size that one value may fill."""
 MAX_COUNTED_JOBS = 64
@@ -229,7 +223,12 @@
             revision=revision,
         )
         self.task_group.start_soon(
-            self._notify_owner, meta.id, progress.owner, parts
+            job_owners.notify,
+            self.view,
+            self.peers,
+            meta.id,
+            progress.owner,
+            parts,
         )
         return True
 
@@ -246,37 +245,6 @@
             job.meta.id, job.meta.organisation, organisation
         )
 
-    async def _notify_owner(
-        self, job_id: str, owner: str, parts: list[bytes] | None = None
-    ) -> None:
-        """Notifies a job's owner, in some attempts.
-
-        If all are lost, the job is delayed until the owner's next listing.
-
-        Args:
-            job_id: Id of the job.
-            owner: Name of the worker that runs it.
-            parts: The items of a new job, as they are stored.
-        """
-        if parts and sum(map(len, parts)) > MAX_NOTIFIED_BYTES:
-            parts = None
-        for _ in range(NOTIFY_ATTEMPTS):
-            member = self.view.members.get(owner)
-            if member is None:
-                return
-            try:
-                await self.peers.call(
-                    member.address,
-                    "job_changed",
-                    ttypes.JobChanged(job=job_id, parts=parts),
-                    timeout_s=NOTIFY_TIMEOUT_S,
-                )
-            except errors.IbisknotError as error:
-                logs.event("owner_silent", job=job_id, cause=error.message)
-                await anyio.sleep(NOTIFY_RETRY_PAUSE_S)
-            else:
-                return
-
     async def cancel(
         self, job_id: str, organisation: str, deadline_s: float
     ) -> None:
@@ -314,7 +282,11 @@
         if revision:
             logs.event("job_ended", job=job_id, revision=revision)
             self.task_group.start_soon(
-                self._notify_owner, job_id, progress.owner
+                job_owners.notify,
+                self.view,
+                self.peers,
+                job_id,
+                progress.owner,
             )
         return bool(revision)
 
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -15,7 +15,6 @@
 
 from ibisknot import batch_item
 from ibisknot import batch_job
-from ibisknot import batch_jobs
 from ibisknot import batch_record_writer
 from ibisknot import batch_records
 from ibisknot import deployment
@@ -437,20 +436,9 @@
         job.changed.set()
 
     async def notify_owner(self, progress: batch_records.Progress) -> None:
-        """Notifies a job's owner; a lost notification only delays it."""
-        member = self.view.members.get(progress.owner)
-        if member is None:
-            return
-        try:
-            await self.peers.call(
-                member.address,
-                "job_changed",
-                ttypes.JobChanged(job=progress.meta.id),
-                timeout_s=batch_jobs.NOTIFY_TIMEOUT_S,
-            )
-        except errors.IbisknotError as error:
-            job_id = progress.meta.id
-            logs.event("owner_silent", job=job_id, cause=error.message)
+        """Notifies a job's owner of its record."""
+        job_id = progress.meta.id
+        await job_owners.notify(self.view, self.peers, job_id, progress.owner)
 
 
 def poll_period_s(workers: int) -> float:
--- a/src/ibisknot/job_owners.py
+++ b/src/ibisknot/job_owners.py
@@ -1,10 +1,20 @@
-"""Chooses the worker that runs a batch job."""
+"""Chooses the worker that runs a batch job, and notifies it."""
 
+import anyio
 import xxhash
 
 from ibisknot import deployment
+from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import logs
+from ibisknot import peer
+from ibisknot.gen.fleet import ttypes
 
+NOTIFY_TIMEOUT_S = 0.3
+NOTIFY_ATTEMPTS = 5
+NOTIFY_RETRY_PAUSE_S = 0.2
+MAX_NOTIFIED_BYTES = 256 * 1024
+"""The owner reads the items of a larger job from the store."""
 MIN_WORKERS_BESIDE_SCHEDULER = 5
 """Number of workers from which the active scheduler runs no batch jobs."""
 
@@ -48,3 +58,41 @@
         key=lambda name: xxhash.xxh3_64_intdigest(f"{job_id}/{name}".encode()),
         default="",
     )
+
+
+async def notify(
+    view: fleetview.View,
+    peers: peer.Client,
+    job_id: str,
+    owner: str,
+    parts: list[bytes] | None = None,
+) -> None:
+    """Notifies a job's owner that the job is new or has changed.
+
+    If all attempts are lost, the owner finds the job in its next listing.
+
+    Args:
+        view: Has the owner's address.
+        peers: Sends the notification.
+        job_id: Id of the job.
+        owner: Name of the worker that runs it.
+        parts: The items of a new job, as they are stored.
+    """
+    if parts and sum(map(len, parts)) > MAX_NOTIFIED_BYTES:
+        parts = None
+    for _ in range(NOTIFY_ATTEMPTS):
+        member = view.members.get(owner)
+        if member is None:
+            return
+        try:
+            await peers.call(
+                member.address,
+                "job_changed",
+                ttypes.JobChanged(job=job_id, parts=parts),
+                timeout_s=NOTIFY_TIMEOUT_S,
+            )
+        except errors.IbisknotError as error:
+            logs.event("owner_silent", job=job_id, cause=error.message)
+            await anyio.sleep(NOTIFY_RETRY_PAUSE_S)
+        else:
+            return
