Name the prompt's parts of failed attempts in the log, with a failing test

Cause: requests that are never the same crash endpoints one after another; the log said nothing of what they have in common, so it could not tell a fault of the endpoints from one that requests share. Change: metadata has a hash for each part of the prompt but the last; attempt_failed names the first eight, and whether the response had started.

--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -30,6 +30,8 @@
 """A request is not sent with less time than this until its deadline."""
 MAX_ATTEMPTS = 6
 """Limit on the attempts of one request, those that did not run included."""
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -288,7 +290,9 @@
             ran=error.ran,
             tries=task.attempts,
             runs=task.runs,
+            started=task.exchange.started,
             last_event=task.last_event_id,
+            parts=log_parts(task.metadata.prompt_parts),
             cause=error.message,
         )
 
@@ -393,6 +397,15 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
+def log_parts(parts: tuple[int, ...]) -> list[str]:
+    """Returns the hashes of a prompt's first parts as they are logged.
+
+    >>> log_parts((255, -1))
+    ['00000000000000ff', 'ffffffffffffffff']
+    """
+    return [f"{part % (1 << 64):016x}" for part in parts[:MAX_LOGGED_PARTS]]
+
+
 def _fingerprint(task: Task) -> str:
     """Returns a hash that a request and its resends have in common."""
     request = task.exchange.request
--- a/src/ibisknot/platform/headers.py
+++ b/src/ibisknot/platform/headers.py
@@ -32,6 +32,7 @@
     prompt_tokens, output_tokens = _decode_token_usage(
         _get(headers, TOKEN_USAGE)
     )
+    part_ids = _decode_part_ids(_get(headers, PROMPT_PREFIX))
     return request_metadata.CallerMetadata(
         id=_get(headers, REQUEST_ID) or "",
         timeout_s=_decode_seconds(_get(headers, DEADLINE_MS)),
@@ -39,7 +40,8 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         expected_tokens=_decode_integer(_get(headers, LENGTH_HINT)),
-        prompt_blocks=_decode_prompt_blocks(_get(headers, PROMPT_PREFIX)),
+        prompt_blocks=_chained_hashes(part_ids),
+        prompt_parts=tuple(_hash(part_id) for part_id in part_ids),
         last_event_id=_decode_integer(_get(headers, LAST_EVENT_ID)),
     )
 
@@ -143,14 +145,28 @@
     return _decode_integer(prompt) or 0, _decode_integer(output) or 0
 
 
-def _decode_prompt_blocks(text: str | None) -> tuple[int, ...]:
-    """Returns chained hashes of a prompt's parts except the last one.
+def _decode_part_ids(text: str | None) -> list[str]:
+    """Returns the ids of a prompt's parts except the last one.
 
     The last part is specific to the request and is left out.
+
+    >>> _decode_part_ids("5c1e:800, 91bd:410,e440:250")
+    ['5c1e', '91bd']
     """
+    parts = (text or "").split(",")[:-1]
+    return [part.partition(":")[0].strip().lower() for part in parts]
+
+
+def _chained_hashes(part_ids: list[str]) -> tuple[int, ...]:
+    """Returns a hash for each part that covers the parts before it, too."""
     path = ""
     hashes = []
-    for part in (text or "").split(",")[:-1]:
-        path = f"{path}/{part.partition(':')[0].strip()}"
-        hashes.append(xxhash.xxh3_64_intdigest(path.encode()) - (1 << 63))
+    for part_id in part_ids:
+        path = f"{path}/{part_id}"
+        hashes.append(_hash(path))
     return tuple(hashes)
+
+
+def _hash(text: str) -> int:
+    """Returns a hash that fits into a signed integer of 64 bits."""
+    return xxhash.xxh3_64_intdigest(text.encode()) - (1 << 63)
--- a/src/ibisknot/request_metadata.py
+++ b/src/ibisknot/request_metadata.py
@@ -15,7 +15,10 @@
         output_tokens: Maximum number of tokens to generate.
         expected_tokens: The caller's estimate of the tokens to be generated,
             or None.
-        prompt_blocks: Hashes of the prompt's leading parts, in order.
+        prompt_blocks: Hashes of the prompt's leading parts, in order; each
+            covers the parts before it.
+        prompt_parts: Hashes of single parts of the prompt, without the last
+            one, which belongs to the request or its session alone.
         last_event_id: Id of the last event that the caller has received, or
             None.
     """
@@ -27,6 +30,7 @@
     output_tokens: int = 0
     expected_tokens: int | None = None
     prompt_blocks: tuple[int, ...] = ()
+    prompt_parts: tuple[int, ...] = ()
     last_event_id: int | None = None
 
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -14,6 +14,7 @@
 from ibisknot import errors
 from ibisknot import fleet_endpoint
 from ibisknot import forward
+from ibisknot import http11
 from ibisknot import http_client
 from ibisknot import http_server
 from ibisknot import peer
@@ -54,12 +55,21 @@
             the request's head, and writes the response.
         address: Host and port on which it serves.
         received_heads: Heads of the received requests.
+        listener: Accepts its connections.
     """
 
     name: str
     scripts: list[Script]
     address: str = ""
     received_heads: list[bytes] = dataclasses.field(default_factory=list)
+    listener: abc.Listener[abc.SocketStream] | None = None
+
+    async def crash(self, stream: abc.SocketStream, _head: bytes) -> None:
+        """Script: starts the response, then ends the endpoint."""
+        await stream.send(STREAM_HEAD)
+        assert self.listener is not None
+        await self.listener.aclose()
+        await anyio.aclose_forcefully(stream)
 
     async def serve(self, stream: abc.SocketStream) -> None:
         """Handles the requests of one connection."""
@@ -91,6 +101,16 @@
         )
 
 
+async def _serve_until_closed(
+    listener: abc.Listener[abc.SocketStream], endpoint: ScriptedEndpoint
+) -> None:
+    try:
+        await listener.serve(endpoint.serve)
+    except* anyio.ClosedResourceError:
+        # The endpoint has crashed.
+        pass
+
+
 @contextlib.asynccontextmanager
 async def serving_endpoints(
     *endpoints: ScriptedEndpoint,
@@ -101,7 +121,8 @@
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             endpoint.address = f"127.0.0.1:{port}"
-            task_group.start_soon(listener.serve, endpoint.serve)
+            endpoint.listener = listener
+            task_group.start_soon(_serve_until_closed, listener, endpoint)
         yield
         task_group.cancel_scope.cancel()
 
@@ -205,9 +226,19 @@
     return f"127.0.0.1:{port}"
 
 
-async def send_request(address: str, body: bytes = b"x") -> tuple[int, bytes]:
+async def send_request(
+    address: str,
+    body: bytes = b"x",
+    *,
+    headers: http11.Headers | None = None,
+) -> tuple[int, bytes]:
     """Sends one request and returns the status and body of the response.
 
+    Args:
+        address: Address of the forwarder.
+        body: Body of the request.
+        headers: Headers to add.
+
     Raises:
         EndpointError: The response is incomplete.
     """
@@ -215,7 +246,11 @@
         address=address,
         method=b"POST",
         target=b"/a/1",
-        headers=[(b"Host", b"h"), (b"X-Ibisknot-Request-Id", b"r1")],
+        headers=[
+            (b"Host", b"h"),
+            (b"X-Ibisknot-Request-Id", b"r1"),
+            *(headers or []),
+        ],
         body=body,
     )
     return await http_client.Client().fetch(request)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -152,6 +152,49 @@
     _run(endpoints, scripted.make_route(resumable=False), check)
 
 
+def _crashing_endpoints(count: int) -> list[scripted.ScriptedEndpoint]:
+    endpoints = []
+    for index in range(count):
+        endpoint = scripted.ScriptedEndpoint(f"e{index}", [])
+        endpoint.scripts.append(endpoint.crash)
+        endpoints.append(endpoint)
+    return endpoints
+
+
+def test_prompt_part_that_crashes_endpoints_is_refused() -> None:
+    """Guards against new requests that crash one endpoint after another."""
+    endpoints = _crashing_endpoints(9)
+    sound = scripted.ScriptedEndpoint(
+        "sound", [_script_stream(scripted.encode_event(1, "a"))]
+    )
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        for index in range(8):
+            prompt = f"a:9,b{index}:9,bad:9,own{index}:9".encode()
+            try:
+                await scripted.send_request(
+                    address,
+                    f"body {index}".encode(),
+                    headers=[(b"X-Ibisknot-Prompt-Prefix", prompt)],
+                )
+            except errors.EndpointError:
+                pass
+        assert sum(len(e.received_heads) for e in endpoints) <= 5
+        tickets.remaining = [sound]
+        status, _ = await scripted.send_request(
+            address,
+            b"another",
+            headers=[(b"X-Ibisknot-Prompt-Prefix", b"a:9,b1:9,own:9")],
+        )
+        assert status == 200
+
+    _run(
+        [*endpoints, sound],
+        scripted.make_route(resumable=False, max_attempts=1),
+        check,
+    )
+
+
 def test_late_response_to_an_earlier_request_is_skipped() -> None:
     """Guards against relaying a response that belongs to another request."""
     stale = (
