Keep refusals of prompt parts in the store

Change: the process that concludes a refusal, narrows it or withdraws it writes that under a lease, and each process reads the records when it starts (one reading call, a stale one). A write that fails is tried again while it holds. Test: test_refusal_outlasts_a_restart_of_all_processes; without the records the process that starts again admits the part.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -229,3 +229,10 @@
 
 /** Asks for all that the receiver knows, if its digest is another one. */
 struct PromptCrashAsk { 1: required i64 digest }
+
+/** A refusal as it is written to the store. */
+struct RefusalRecord {
+  1: required PartRefusal refusal,
+  /** Unix milliseconds at which it was written. */
+  2: required i64 written_ms,
+}
--- a/src/ibisknot/_prompt_crash_messages.py
+++ b/src/ibisknot/_prompt_crash_messages.py
@@ -36,7 +36,7 @@
             for part, completed_s in (completions or {}).items()
         ],
         refusals=[
-            _refusal(parts, history.refusals[parts], now) for parts in refusals
+            refusal(parts, history.refusals[parts], now) for parts in refusals
         ],
     )
 
@@ -67,15 +67,22 @@
     )
 
 
-def _refusal(
-    parts: prompt_crashes.Parts, refusal: prompt_crashes.Refusal, now: float
+def refusal(
+    parts: prompt_crashes.Parts, found: prompt_crashes.Refusal, now: float
 ) -> ttypes.PartRefusal:
+    """Returns a refusal as it is sent to peers.
+
+    Args:
+        parts: The refused parts.
+        found: Their refusal.
+        now: Monotonic time in seconds.
+    """
     return ttypes.PartRefusal(
         parts=sorted(parts),
-        crash_count=refusal.crash_count,
-        age_s=now - refusal.crashed_s,
-        remaining_s=refusal.until_s - now,
-        duration_s=refusal.duration_s,
+        crash_count=found.crash_count,
+        age_s=now - found.crashed_s,
+        remaining_s=found.until_s - now,
+        duration_s=found.duration_s,
     )
 
 
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -3014,6 +3014,93 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RefusalRecord(object):
+    """
+    A refusal as it is written to the store.
+
+    Attributes:
+     - refusal
+     - written_ms: Unix milliseconds at which it was written.
+
+    """
+
+    __slots__ = (
+        'refusal',
+        'written_ms',
+    )
+
+
+    def __init__(self, refusal=None, written_ms=None,):
+        self.refusal = refusal
+        self.written_ms = written_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PartRefusal()
+                    self.refusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.written_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RefusalRecord')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.written_ms is not None:
+            oprot.writeFieldBegin('written_ms', TType.I64, 2)
+            oprot.writeI64(self.written_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.refusal is None:
+            raise TProtocolException(message='Required field refusal is unset!')
+        if self.written_ms is None:
+            raise TProtocolException(message='Required field written_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ListedEntry)
 ListedEntry.thrift_spec = (
     None,  # 0
@@ -3220,5 +3307,11 @@
     None,  # 0
     (1, TType.I64, 'digest', None, None, ),  # 1
 )
+all_structs.append(RefusalRecord)
+RefusalRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PartRefusal, None], None, ),  # 1
+    (2, TType.I64, 'written_ms', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -21,6 +21,7 @@
 from ibisknot import peer
 from ibisknot import placement
 from ibisknot import prompt_crash_notices
+from ibisknot import prompt_crash_records
 from ibisknot import store_relay
 from ibisknot import timer
 from ibisknot import view_runner
@@ -141,6 +142,7 @@
                 clock,
                 task_group,
                 lambda: [m.address for m in runner.other_members()],
+                prompt_crash_records.Records(store, clock.now),
             ),
             stop_requested=anyio.Event(),
         )
--- a/src/ibisknot/prompt_crash_notices.py
+++ b/src/ibisknot/prompt_crash_notices.py
@@ -19,6 +19,7 @@
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
+from ibisknot import prompt_crash_records
 from ibisknot import prompt_crashes
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
@@ -48,6 +49,8 @@
         collected: Candidates of crashes that are being confirmed, by the name
             and start of the endpoint.
         clearing: Completions that the peers are not told yet, by part.
+        records: Keeps refusals over a restart of all processes.
+        is_loaded: Whether the records were read.
         is_settled: Whether a peer that knows more than its own start has
             answered since this process started.
         started_s: Monotonic time of this process's start.
@@ -59,6 +62,7 @@
         clock: timer.Timer,
         task_group: abc.TaskGroup,
         peer_addresses: Callable[[], list[str]],
+        records: prompt_crash_records.Records,
     ) -> None:
         """Creates notices of an empty history.
 
@@ -67,6 +71,7 @@
             clock: Gives the monotonic time.
             task_group: Runs what nobody waits for.
             peer_addresses: Returns the addresses of the other processes.
+            records: Keeps refusals over a restart of all processes.
         """
         self.peers = peers
         self.clock = clock
@@ -76,14 +81,17 @@
         self.history = prompt_crashes.History()
         self.collected: dict[str, dict[int, tuple[int, ...]]] = {}
         self.clearing: dict[int, float] = {}
+        self.records = records
+        self.is_loaded = False
         self.is_settled = False
         self.started_s = clock.now()
 
     def start(self, server: peer.Server) -> None:
-        """Registers the peer methods and the periodic comparison."""
+        """Registers the peer methods, reads the records, and compares."""
         server.on("prompt_crash_news", ttypes.PromptCrashNews, self.on_news)
         server.on("prompt_crash_ask", ttypes.PromptCrashAsk, self.on_request)
         self.clock.subscribe("prompt_crashes", COMPARE_PERIOD_S, self.compare)
+        self.task_group.start_soon(self._load)
 
     def refused_parts(
         self, parts: tuple[int, ...]
@@ -125,9 +133,11 @@
         if not crashed:
             return
         now = self.clock.now()
+        before = set(self.history.refusals)
         refused = prompt_crashes.record_crash(
             self.history, now, key, occurred_s, dict(candidates)
         )
+        self._write_changes(before)
         crash = self.history.crashes.get(key)
         logs.event(
             "endpoint_crashed",
@@ -146,6 +156,21 @@
             )
         )
 
+    def _write_changes(self, before: set[prompt_crashes.Parts]) -> None:
+        """Writes what this process has changed to the store.
+
+        Args:
+            before: The refused parts before the change.
+        """
+        after = set(self.history.refusals)
+        if after != before:
+            self.task_group.start_soon(
+                self.records.replace,
+                self.history,
+                before - after,
+                after - before,
+            )
+
     def _log_refused(
         self, refused: list[prompt_crashes.Parts], cause: str
     ) -> None:
@@ -164,9 +189,11 @@
     def record_completion(self, parts: tuple[int, ...]) -> None:
         """Records that a request with these parts was answered."""
         now = self.clock.now()
+        before = set(self.history.refusals)
         cleared = prompt_crashes.record_completion(self.history, now, parts)
         if not cleared:
             return
+        self._write_changes(before)
         if not self.clearing:
             self.task_group.start_soon(self._tell_cleared)
         self.clearing.update(dict.fromkeys(cleared, now))
@@ -200,7 +227,9 @@
         if objections:
             # All objections are about the same parts.
             objection = objections[0]
+            before = set(self.history.refusals)
             self._adopt(objection, "objection")
+            self._write_changes(before)
             await self._tell_all(objection)
 
     async def _call(
@@ -283,18 +312,39 @@
         prompt_crashes.expire(self.history, now)
         if now - self.started_s >= SETTLING_S:
             self.is_settled = True
-        if self.is_settled and not (
-            self.history.crashes or self.history.refusals
-        ):
-            return
-        addresses = self.peer_addresses()
-        count = 1 if self.is_settled else START_PEERS
         async with anyio.create_task_group() as task_group:
-            for address in self.rng.sample(
-                addresses, min(count, len(addresses))
-            ):
+            if not self.is_loaded:
+                task_group.start_soon(self._load)
+            for address in self._peers_to_ask():
                 task_group.start_soon(self._ask, address)
 
+    def _peers_to_ask(self) -> list[str]:
+        """Returns random peers, or none while there is nothing to compare."""
+        has_news = self.history.crashes or self.history.refusals
+        if self.is_settled and not has_news:
+            return []
+        addresses = self.peer_addresses()
+        count = 1 if self.is_settled else START_PEERS
+        return self.rng.sample(addresses, min(count, len(addresses)))
+
+    async def _load(self) -> None:
+        """Adopts the refusals in the store; tries again until it answers."""
+        known = set(self.history.refusals)
+        try:
+            found = await self.records.load()
+        except errors.KeyValueError as error:
+            # The next comparison tries again.
+            logs.event(
+                "refusals_not_read", level="warning", cause=error.message
+            )
+            return
+        self.is_loaded = True
+        now = self.clock.now()
+        for parts, refusal in found:
+            prompt_crashes.adopt_refusal(self.history, now, parts, refusal)
+        refused = [p for p in self.history.refusals if p not in known]
+        self._log_refused(refused, "store")
+
     async def _ask(self, address: str) -> None:
         """Adopts a peer's history if it differs."""
         digest = prompt_crashes.digest(self.history)
--- a/src/ibisknot/prompt_crashes.py
+++ b/src/ibisknot/prompt_crashes.py
@@ -240,6 +240,11 @@
     return xxhash.xxh3_64_intdigest(repr(state).encode()) - (1 << 63)
 
 
+def hash_parts(parts: Parts) -> int:
+    """Returns a hash of refused parts, the same in all processes."""
+    return xxhash.xxh3_64_intdigest(repr(sorted(parts)).encode())
+
+
 def expire(history: History, now: float) -> None:
     """Removes what is too old."""
     start_s = now - RETENTION_S
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -9,6 +9,7 @@
 
 import anyio
 from anyio import abc
+import fake_pairs_store
 
 from ibisknot import crash_notices
 from ibisknot import errors
@@ -20,6 +21,7 @@
 from ibisknot import http_server
 from ibisknot import peer
 from ibisknot import prompt_crash_notices
+from ibisknot import prompt_crash_records
 from ibisknot import request_metadata
 from ibisknot import serving
 from ibisknot import ticket_types
@@ -202,7 +204,13 @@
             lambda: [],
         ),
         prompt_crash_notices.Notices(
-            peer.Client(task_group), clock, task_group, lambda: []
+            peer.Client(task_group),
+            clock,
+            task_group,
+            lambda: [],
+            prompt_crash_records.Records(
+                fake_pairs_store.FakeStore(), clock.now
+            ),
         ),
     )
 
--- a/tests/test_prompt_crash_notices.py
+++ b/tests/test_prompt_crash_notices.py
@@ -7,11 +7,14 @@
 import anyio
 from anyio import abc
 import fake_fleet
+import fake_pairs_store
+import pytest
 
 from ibisknot import errors
 from ibisknot import fleet_endpoint
 from ibisknot import peer
 from ibisknot import prompt_crash_notices
+from ibisknot import prompt_crash_records
 from ibisknot.gen.fleet import ttypes
 
 SHARED, BAD = 1, 2
@@ -25,6 +28,7 @@
         cut_off: Addresses that cannot be reached.
         calls: Number of calls.
         clock: The clock of all processes.
+        store: The key-value service of all processes.
     """
 
     def __init__(self, task_group: abc.TaskGroup) -> None:
@@ -33,6 +37,7 @@
         self.cut_off: set[str] = set()
         self.calls = 0
         self.clock = fake_fleet.Clock()
+        self.store = fake_pairs_store.FakeStore()
 
     def start(self, address: str) -> prompt_crash_notices.Notices:
         """Starts a process, or starts it anew without what it knew."""
@@ -41,6 +46,9 @@
             self.clock,  # type: ignore[arg-type]
             self.task_group,
             lambda: [a for a in self.processes if a != address],
+            prompt_crash_records.Records(
+                self.store, self.clock.now, unix_time=self.clock.now
+            ),
         )
         process.start(peer.Server())
         self.processes[address] = process
@@ -205,6 +213,50 @@
     _run(check)
 
 
+def test_refusal_outlasts_a_restart_of_all_processes() -> None:
+    """Guards against crashes that a restart of the whole fleet costs."""
+
+    async def check(network: Network) -> None:
+        for address in ("a", "b"):
+            network.start(address)
+        await _crash_endpoints(network, ["a", "b", "a"])
+        network.processes["b"].record_completion((SHARED,))
+        await anyio.sleep(0.1)
+        network.processes.clear()
+        network.clock.time_s += 5.0
+        network.start("a")
+        await anyio.sleep(0.05)
+        assert _is_refused(network, "a", BAD)
+        assert not _is_refused(network, "a", SHARED)
+        network.clock.time_s += 60.0
+        assert not _is_refused(network, "a", BAD)
+
+    _run(check)
+
+
+def test_refusal_is_written_when_the_store_comes_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a refusal that only the processes' memory has."""
+    monkeypatch.setattr(prompt_crash_records, "WRITE_PAUSE_S", 0.1)
+
+    async def check(network: Network) -> None:
+        network.start("a")
+        network.store.is_down = True
+        await _crash_endpoints(network, ["a", "a", "a"])
+        network.processes.clear()
+        started = network.start("a")
+        await started.compare(network.clock.now())
+        assert not _is_refused(network, "a", SHARED, BAD)
+        network.store.is_down = False
+        await anyio.sleep(0.2)
+        await started.compare(network.clock.now())
+        await anyio.sleep(0.05)
+        assert _is_refused(network, "a", SHARED, BAD)
+
+    _run(check)
+
+
 def test_calm_fleet_exchanges_nothing() -> None:
     """Guards against messages that a fleet without crashes pays for."""
 
