Abort a stream that ends within an event

What callers saw: on routes that are not resumable, a stream whose endpoint broke off within an event, at the end of a connection or of a stated length, reached them as a complete answer. Cause: only resumable streams were split into events; for the others the end of the connection, or of the length, counted as the end of the answer. Change: every stream of events is followed to the last blank line, and one that ends elsewhere is aborted. The length of a stream is not passed on, as an abort would not show after it. Tests: test_stream_that_ends_within_an_event_does_not_look_complete, with and without a length, failed before; a stream without a length that ends with a whole event is still complete.

--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -365,7 +365,7 @@
         if not exchange.started:
             await self._start_response(task, response)
         resumable = task.route.resumable and response.status == 200
-        is_stream = response.get_header(b"content-type") == EVENT_STREAM
+        is_stream = resumable or _is_event_stream(response)
         async for chunk in response.chunks():
             if is_stream:
                 event_stream.follow(task.boundary, chunk)
@@ -374,7 +374,7 @@
                     response.record_progress()
             elif chunk:
                 await exchange.send(chunk)
-        if resumable and task.splitter.incomplete:
+        if event_stream.is_within_event(task.boundary):
             raise errors.TruncatedStreamError("the stream ends within an event")
         await exchange.finish()
         if response.status < 300:
@@ -385,12 +385,15 @@
     ) -> None:
         """Sends the head of the response to the caller.
 
-        A resumable stream may continue at another endpoint, so its length is
-        not that of the first response.
+        The length of a stream is not passed on: a resumable one may continue
+        at another endpoint, and one that ends within an event must not look
+        complete.
         """
         headers = http11.end_to_end_headers(response.headers)
         length = response.get_header(b"content-length")
-        if length is not None and not task.route.resumable:
+        if length is not None and not (
+            task.route.resumable or _is_event_stream(response)
+        ):
             headers.append((b"Content-Length", length.encode()))
         await task.exchange.start(response.status, headers)
 
@@ -435,6 +438,12 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
+def _is_event_stream(response: http_client.Response) -> bool:
+    content_type = response.get_header(b"content-type") or ""
+    media_type = content_type.partition(";")[0].strip().lower()
+    return response.status == 200 and media_type == EVENT_STREAM
+
+
 def _fingerprint(task: Task) -> str:
     """Returns a hash that a request and its resends have in common."""
     request = task.exchange.request
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -287,6 +287,48 @@
     _run([first], scripted.make_route(resumable=False), check)
 
 
+CLOSING_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r1\r\n"
+    b"Content-Type: text/event-stream; charset=utf-8\r\n"
+)
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+def test_stream_without_length_is_complete_at_the_end_of_an_event(
+    resumable: bool,
+) -> None:
+    """Guards against failing a stream that ends with its connection."""
+    event = scripted.encode_event(1, "a")
+    endpoint = scripted.ScriptedEndpoint(
+        "e1", [_script_bytes(CLOSING_HEAD + b"\r\n" + event, closes=True)]
+    )
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert (status, body) == (200, event)
+
+    _run([endpoint], scripted.make_route(resumable=resumable), check)
+
+
+@pytest.mark.parametrize("has_length", [False, True])
+def test_stream_that_ends_within_an_event_does_not_look_complete(
+    has_length: bool,
+) -> None:
+    """Guards against half an event that reaches the caller as success."""
+    data = scripted.encode_event(1, "a") + b"id: 2\ndat"
+    length = f"Content-Length: {len(data)}\r\n".encode() * has_length
+    endpoint = scripted.ScriptedEndpoint(
+        "e1",
+        [_script_bytes(CLOSING_HEAD + length + b"\r\n" + data, closes=True)],
+    )
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        with pytest.raises(errors.EndpointError):
+            await scripted.send_request(address)
+
+    _run([endpoint], scripted.make_route(resumable=False), check)
+
+
 def test_response_shorter_than_its_stated_length_is_incomplete() -> None:
     """Guards against relaying a truncated body as complete."""
     head = (
