Log the limits that endpoints name, with a failing test

Cause: an endpoint in need names in its answers how many requests a second it takes of all processes. Nothing read that, so the log could not tell whether the limit is unknown, kept by each process for itself, or lost with the active scheduler. Change: the adapter reads the limit; a table in each process has the last one that an endpoint named, and logs each change as endpoint_limit_changed. Nothing uses it yet. The stand-in engine can name a limit and records when requests arrive.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -51,6 +51,19 @@
 
 struct ViewAsk { 1: required string sender }
 
+/** The limit that an endpoint has named in an answer. */
+struct EndpointLimit {
+  1: required string endpoint,
+  /** Unix milliseconds of the endpoint's start. */
+  2: required i64 born_ms,
+  /** Requests a second; negative if the answer named no limit. */
+  3: required double rate_per_s,
+  /** Seconds since the answer. */
+  4: required double age_s,
+}
+
+struct EndpointLimits { 1: required list<EndpointLimit> limits }
+
 /** Asks the scheduler for a place at an endpoint. */
 struct PlaceAsk {
   /** Unique over the fleet; a repeated ask is the same request. */
@@ -85,6 +98,8 @@
   20: required i64 fingerprint,
   /** Data centre of the process that asks. */
   21: optional string data_centre,
+  /** What the asker knows, for a scheduler that has not had its report yet. */
+  22: optional list<EndpointLimit> limits,
 }
 
 enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
@@ -128,7 +143,12 @@
 }
 
 /** All places that a process holds. */
-struct PlacesHeld { 1: required string holder, 2: required list<Place> places }
+struct PlacesHeld {
+  1: required string holder,
+  2: required list<Place> places,
+  /** The limits of endpoints that the process knows. */
+  3: optional list<EndpointLimit> limits,
+}
 
 /** A place that its holder gives back at once. */
 struct PlaceRevoked {
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -276,6 +276,9 @@
         task.attempts += 1
         async with self.client.send(self._make_call(task, ticket)) as answer:
             endpoint = ticket.endpoint.name
+            self.tickets.record_limit(
+                ticket.endpoint, self.dialect.request_limit(answer.headers)
+            )
             if self.dialect.says_not_run(answer.status, answer.headers):
                 message = f"{endpoint} responded {answer.status}"
                 raise errors.EndpointRefusedError(message)
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -50,6 +50,9 @@
             headers states that the endpoint has not run the request.
         error_headers: Returns the headers of an error response from the
             seconds after which the caller may retry, or None.
+        request_limit: Returns the requests a second that the endpoint of a
+            response takes of all processes together; infinite without a
+            limit, None if it is malformed.
     """
 
     decode_metadata: Callable[[http11.Headers], request_metadata.CallerMetadata]
@@ -59,6 +62,7 @@
     is_response_to: Callable[[str, http11.Headers], bool]
     says_not_run: Callable[[int, http11.Headers], bool]
     error_headers: Callable[[float | None], http11.Headers]
+    request_limit: Callable[[http11.Headers], float | None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -255,6 +259,10 @@
             call.needs_useful_data = task.route.resumable
         try:
             async with self.client.send(call) as response:
+                self.tickets.record_limit(
+                    ticket.endpoint,
+                    self.dialect.request_limit(response.headers),
+                )
                 if self.dialect.says_not_run(response.status, response.headers):
                     message = (
                         f"{ticket.endpoint.name}: status {response.status}"
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -670,6 +670,199 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    The limit that an endpoint has named in an answer.
+
+    Attributes:
+     - endpoint
+     - born_ms: Unix milliseconds of the endpoint's start.
+     - rate_per_s: Requests a second; negative if the answer named no limit.
+     - age_s: Seconds since the answer.
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'born_ms',
+        'rate_per_s',
+        'age_s',
+    )
+
+
+    def __init__(self, endpoint=None, born_ms=None, rate_per_s=None, age_s=None,):
+        self.endpoint = endpoint
+        self.born_ms = born_ms
+        self.rate_per_s = rate_per_s
+        self.age_s = age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.rate_per_s is None:
+            raise TProtocolException(message='Required field rate_per_s is unset!')
+        if self.age_s is None:
+            raise TProtocolException(message='Required field age_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointLimits(object):
+    """
+    Attributes:
+     - limits
+
+    """
+
+    __slots__ = (
+        'limits',
+    )
+
+
+    def __init__(self, limits=None,):
+        self.limits = limits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointLimit()
+                        _elem19.read(iprot)
+                        self.limits.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimits')
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter20 in self.limits:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.limits is None:
+            raise TProtocolException(message='Required field limits is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceAsk(object):
     """
     Asks the scheduler for a place at an endpoint.
@@ -694,6 +887,7 @@
      - objective_s: Seconds until a waiting request is better refused.
      - fingerprint: What a request and its resends have in common.
      - data_centre: Data centre of the process that asks.
+     - limits: What the asker knows, for a scheduler that has not had its report yet.
 
     """
 
@@ -717,10 +911,11 @@
         'objective_s',
         'fingerprint',
         'data_centre',
+        'limits',
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None, data_centre=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None, data_centre=None, limits=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -740,6 +935,7 @@
         self.objective_s = objective_s
         self.fingerprint = fingerprint
         self.data_centre = data_centre
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -783,10 +979,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.blocks = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readI64()
-                        self.blocks.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI64()
+                        self.blocks.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -813,10 +1009,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -855,6 +1051,17 @@
                     self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = EndpointLimit()
+                        _elem38.read(iprot)
+                        self.limits.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -892,8 +1099,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter26 in self.blocks:
-                oprot.writeI64(iter26)
+            for iter39 in self.blocks:
+                oprot.writeI64(iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -915,8 +1122,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter27 in self.avoid:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter40 in self.avoid:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_per_s is not None:
@@ -947,6 +1154,13 @@
             oprot.writeFieldBegin('data_centre', TType.STRING, 21)
             oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter41 in self.limits:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1534,18 +1748,21 @@
     Attributes:
      - holder
      - places
+     - limits: The limits of endpoints that the process knows.
 
     """
 
     __slots__ = (
         'holder',
         'places',
+        'limits',
     )
 
 
-    def __init__(self, holder=None, places=None,):
+    def __init__(self, holder=None, places=None, limits=None,):
         self.holder = holder
         self.places = places
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1564,11 +1781,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Place()
-                        _elem33.read(iprot)
-                        self.places.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Place()
+                        _elem47.read(iprot)
+                        self.places.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = EndpointLimit()
+                        _elem53.read(iprot)
+                        self.limits.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1589,8 +1817,15 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter34 in self.places:
-                iter34.write(oprot)
+            for iter54 in self.places:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter55 in self.limits:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1745,10 +1980,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readBinary()
-                        self.parts.append(_elem40)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readBinary()
+                        self.parts.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1769,8 +2004,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter41 in self.parts:
-                oprot.writeBinary(iter41)
+            for iter62 in self.parts:
+                oprot.writeBinary(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2417,10 +2652,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.parts.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readI64()
+                        self.parts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2441,8 +2676,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter48 in self.parts:
-                oprot.writeI64(iter48)
+            for iter69 in self.parts:
+                oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2519,11 +2754,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = CrashCandidate()
-                        _elem54.read(iprot)
-                        self.candidates.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = CrashCandidate()
+                        _elem75.read(iprot)
+                        self.candidates.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2548,8 +2783,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter55 in self.candidates:
-                iter55.write(oprot)
+            for iter76 in self.candidates:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2710,10 +2945,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readI64()
-                        self.parts.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI64()
+                        self.parts.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2750,8 +2985,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter62 in self.parts:
-                oprot.writeI64(iter62)
+            for iter83 in self.parts:
+                oprot.writeI64(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -2843,33 +3078,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = EndpointCrash()
-                        _elem68.read(iprot)
-                        self.crashes.append(_elem68)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = EndpointCrash()
+                        _elem89.read(iprot)
+                        self.crashes.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = PartCompletion()
-                        _elem74.read(iprot)
-                        self.completions.append(_elem74)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = PartCompletion()
+                        _elem95.read(iprot)
+                        self.completions.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = PartRefusal()
-                        _elem80.read(iprot)
-                        self.refusals.append(_elem80)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = PartRefusal()
+                        _elem101.read(iprot)
+                        self.refusals.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2891,22 +3126,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter81 in self.crashes:
-                iter81.write(oprot)
+            for iter102 in self.crashes:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter82 in self.completions:
-                iter82.write(oprot)
+            for iter103 in self.completions:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter83 in self.refusals:
-                iter83.write(oprot)
+            for iter104 in self.refusals:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -3145,6 +3380,19 @@
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
+    (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
+)
+all_structs.append(EndpointLimits)
+EndpointLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 1
+)
 all_structs.append(PlaceAsk)
 PlaceAsk.thrift_spec = (
     None,  # 0
@@ -3169,6 +3417,7 @@
     (19, TType.DOUBLE, 'objective_s', None, None, ),  # 19
     (20, TType.I64, 'fingerprint', None, None, ),  # 20
     (21, TType.STRING, 'data_centre', 'UTF8', None, ),  # 21
+    (22, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 22
 )
 all_structs.append(PlaceAnswer)
 PlaceAnswer.thrift_spec = (
@@ -3212,6 +3461,7 @@
     None,  # 0
     (1, TType.STRING, 'holder', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'places', (TType.STRUCT, [Place, None], False), None, ),  # 2
+    (3, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 3
 )
 all_structs.append(PlaceRevoked)
 PlaceRevoked.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -18,8 +18,10 @@
 from ibisknot import _placement_messages
 from ibisknot import admission
 from ibisknot import deployment
+from ibisknot import endpoint_limits
 from ibisknot import errors
 from ibisknot import fallback
+from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import logs
 from ibisknot import metrics
@@ -72,6 +74,7 @@
         pending: The requests that wait for a decision, by ticket id.
         unresponsive: Names of the schedulers that did not answer. Requests
             skip a scheduler until it accepts a periodic report.
+        limits: The limits of endpoints that this process knows.
         is_retrying: Whether `_retry_pending` is running.
     """
 
@@ -92,6 +95,7 @@
         self.pending: dict[str, _PendingRequest] = {}
         self.unresponsive: set[str] = set()
         self.rng = random.Random()
+        self.limits = endpoint_limits.Table(view)
         self.fallback = fallback.Fallback(view, self.rng)
         self.id_prefix = f"{process.name}/{time.time_ns():x}"
         self.id_counter = itertools.count(1)
@@ -301,6 +305,18 @@
         )
         self._notify_released(ticket.id, ticket.request, name, outcome)
 
+    def record_limit(
+        self, endpoint: fleet_endpoint.Endpoint, rate_per_s: float | None
+    ) -> None:
+        """Records what an answer of an endpoint says of its limit.
+
+        Args:
+            endpoint: The endpoint.
+            rate_per_s: Requests a second; infinite if it names no limit, None
+                if that could not be read.
+        """
+        self.limits.record_answer(endpoint, rate_per_s, self.clock.now())
+
     def _notify_released(
         self,
         ticket_id: str,
--- a/src/ibisknot/platform/headers.py
+++ b/src/ibisknot/platform/headers.py
@@ -18,6 +18,7 @@
 WAIT_MS = b"X-Ibisknot-Wait-Ms"
 LAST_EVENT_ID = b"Last-Event-Id"
 RETRY_AFTER = b"Retry-After"
+REQUEST_LIMIT = b"Server-Limit"
 AUTHORIZATION = b"Authorization"
 AUTHORIZATION_SCHEME = "token"
 _NOT_FORWARDED = frozenset(
@@ -102,6 +103,26 @@
     return status == 421 or _get(headers, NOT_RUN) is not None
 
 
+def request_limit(headers: http11.Headers) -> float | None:
+    """Returns the requests a second that an endpoint takes of all processes.
+
+    Infinite if the response names no limit, None if the limit is malformed.
+
+    >>> request_limit([(b"Server-Limit", b"2.5")]), request_limit([])
+    (2.5, inf)
+    >>> request_limit([(b"Server-Limit", b"few")]) is None
+    True
+    """
+    text = _get(headers, REQUEST_LIMIT)
+    if text is None:
+        return math.inf
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return None
+    return rate_per_s if 0.0 <= rate_per_s < math.inf else None
+
+
 def error_headers(retry_after_s: float | None) -> http11.Headers:
     """Returns the headers of an error response."""
     if retry_after_s is None:
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -31,6 +31,7 @@
     is_response_to=headers.is_response_to,
     says_not_run=headers.says_not_run,
     error_headers=headers.error_headers,
+    request_limit=headers.request_limit,
 )
 BATCH_DIALECT = batch_api.Dialect(
     decode_call=jobs.decode_call,
--- a/src/ibisknot/standins/standin_platform_engine.py
+++ b/src/ibisknot/standins/standin_platform_engine.py
@@ -35,12 +35,15 @@
         half_event: Whether they end in the middle of an event.
         status: Status of all responses.
         silent: Whether the engine stops writing its entry.
+        request_limit: Requests a second that the engine names as its limit;
+            -1 means none.
     """
 
     cut_after: int = -1
     half_event: bool = False
     status: int = 200
     silent: bool = False
+    request_limit: float = -1.0
 
 
 @dataclasses.dataclass
@@ -95,6 +98,8 @@
             REQUEST_ID_HEADER: request_id,
             "X-Ibisknot-Response-Stamp": f"s-{request_id}",
         }
+        if self.faults.request_limit >= 0.0:
+            headers["Server-Limit"] = str(self.faults.request_limit)
         expected = request.headers.get("X-Ibisknot-Expect-Instance")
         if expected not in (None, self.arguments.name):
             return responses.Response(status_code=421, headers=headers)
@@ -106,6 +111,7 @@
                 "authorization": request.headers.get("Authorization", ""),
                 "target": str(request.url.path),
                 "body": body.decode("latin-1"),
+                "received_s": str(time.monotonic()),
             }
         )
         if self.faults.status != 200:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -137,6 +137,7 @@
     Attributes:
         remaining: Endpoints for which no ticket was granted yet.
         outcomes: Outcomes of the released tickets.
+        limits: The limits that endpoints have named, by their names.
         delays_s: Seconds that the next tickets take to be granted.
         rng: Chooses among the services of a route.
     """
@@ -146,6 +147,7 @@
         self.remaining = list(endpoints)
         self.outcomes: list[str] = []
         self.delays_s: list[float] = []
+        self.limits: dict[str, float | None] = {}
 
     async def acquire(
         self, request: ticket_types.TicketRequest
@@ -165,6 +167,12 @@
             "p", request, self.remaining.pop(0).endpoint()
         )
 
+    def record_limit(
+        self, endpoint: fleet_endpoint.Endpoint, rate_per_s: float | None
+    ) -> None:
+        """Records the limit of an endpoint, by its name."""
+        self.limits[endpoint.name] = rate_per_s
+
     def release(self, ticket: ticket_types.Ticket, outcome: str) -> None:
         """Records the outcome."""
         self.outcomes.append(outcome)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -110,6 +110,37 @@
     assert len(fleet.runs(0)) == run_count
 
 
+def test_endpoint_gets_no_more_requests_than_the_limit_that_it_names(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against an endpoint in need that gets more than it can take.
+
+    The scheduler that knows the limit is killed meanwhile.
+    """
+    rate_per_s = 2.0
+    fleet.set_engine_faults(0, request_limit=rate_per_s)
+    start_s = time.monotonic()
+
+    def send(gateway: int) -> None:
+        while time.monotonic() < start_s + 11.0:
+            fleet.chat(gateway)
+            time.sleep(0.05)
+
+    with futures.ThreadPoolExecutor(4) as executor:
+        sent = [executor.submit(send, n % 2) for n in range(4)]
+        time.sleep(5.0)
+        fleet.programs["store-0"].stop()
+        for future in sent:
+            future.result()
+    received = [float(run["received_s"]) for run in fleet.runs(0)]
+    named_s = min(time_s for time_s in received if time_s >= start_s)
+    received = [time_s for time_s in received if time_s >= named_s + 3.0]
+    for first_s in received:
+        in_window = [t for t in received if first_s <= t < first_s + 4.0]
+        assert len(in_window) <= 1.5 * rate_per_s * 4.0 + 5.0
+    assert len(fleet.runs(1)) > 2 * len(fleet.runs(0))
+
+
 def test_job_is_accepted_once_and_readable_at_any_gateway(
     fleet: platform_fleet.Fleet,
 ) -> None:
