Keep to the limits that endpoints name, over all processes

The class of fault: a load signal of a back end that is not fed back to where its load is decided. Evidence: with the limits in the log, endpoints with and without one get the same tickets a second, without a step when a process learns a limit. Change: each process tells the schedulers at once when an answer names another limit or none, and repeats what it knows in its report, or with its request to a scheduler that has had no report yet. The schedulers keep a token bucket for each such endpoint, which counts the tickets of others too, so that a standby goes on where another stopped. Requests that the limits would make late are refused at once. Without a scheduler a process keeps to an equal share and prefers endpoints without a limit. A limit ends with an answer that names none, and with the endpoint; one of zero lets a request through now and then. Endpoints with a limit run batch first, since a limit counts requests, and keep a burst of two seconds for online waves. The scheduler's state of a service is a module of its own now. Ruled out: equal shares for all, which waste what a process does not use.

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -6,6 +6,7 @@
 from ibisknot import _capacity
 from ibisknot import _fair_queue
 from ibisknot import breaker
+from ibisknot import request_limits
 from ibisknot import routing
 
 ONLINE = "online"
@@ -94,6 +95,7 @@
         data_centre: Name of its data centre; empty if it is not known.
         capacity: Estimated capacity of its engine.
         circuit: Its circuit breaker.
+        bucket: Requests that it takes, or None if it names no limit.
         view: Its cache and load as this process has them.
         tickets: Tickets in flight by id; changed only by this module's
             functions, which count them.
@@ -114,6 +116,7 @@
     circuit: breaker.Breaker = dataclasses.field(
         default_factory=breaker.Breaker
     )
+    bucket: request_limits.Bucket | None = None
     view: routing.EndpointView = dataclasses.field(
         default_factory=routing.EndpointView
     )
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -6,6 +6,7 @@
 from ibisknot import _endpoint_choice
 from ibisknot import _fair_queue
 from ibisknot import breaker
+from ibisknot import request_limits
 from ibisknot import routing
 from ibisknot import urgency
 
@@ -81,12 +82,15 @@
     now: float,
     request: _fair_queue.QueuedRequest | None = None,
 ) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints whose breaker allows a request.
+    """Returns the endpoints whose breaker and limit allow a request.
 
     Those that the request avoids are left out if there are others.
     """
     allowed = [
-        e for e in group.endpoints.values() if breaker.allows(e.circuit, now)
+        e
+        for e in group.endpoints.values()
+        if breaker.allows(e.circuit, now)
+        and request_limits.allows(e.bucket, now)
     ]
     if request is None:
         return allowed
@@ -171,6 +175,20 @@
     return [e for e in endpoints if not e.reserved and not e.has_exclusive()]
 
 
+def _unlimited_endpoints(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that name no limit on requests."""
+    return [e for e in endpoints if e.bucket is None]
+
+
+def _limited_endpoints(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that name a limit on requests."""
+    return [e for e in endpoints if e.bucket is not None]
+
+
 def _has_free_slot(endpoint: _admission_state.Endpoint) -> bool:
     return endpoint.unrevoked_count() < int(endpoint.capacity.limit)
 
@@ -193,6 +211,8 @@
             continue
         shared = _shareable_endpoints(usable)
         free = [e for e in shared if _has_free_slot(e)]
+        # Requests that limits allow are kept for the next wave.
+        free = _unlimited_endpoints(free) or free
         free = _online_first_endpoints(free) or free
         if not free and group.policy.revokes_batch:
             free = _revoke_one_batch(shared, now, actions)
@@ -386,6 +406,9 @@
                 for e in _shareable_endpoints(usable)
                 if e.batch_count() < _batch_limit(e, now, group.policy)
             ]
+            # A limit counts requests, and a batch item runs for as long as
+            # many online requests.
+            free = _limited_endpoints(free) or free
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
@@ -419,6 +442,7 @@
     if request.crash_suspect:
         endpoint.reserved = False
     breaker.record_sent(endpoint.circuit)
+    request_limits.consume(endpoint.bucket, now)
     routing.record_prompt(endpoint.view, request.prompt_blocks)
     _admission_state.add_ticket(endpoint, now, ticket)
     actions.append(_admission_state.Grant(ticket))
--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -12,6 +12,7 @@
     data_centre: str,
     waited_s: float,
     now: float,
+    limits: list[ttypes.EndpointLimit] | None = None,
 ) -> ttypes.PlaceAsk:
     """Returns the message that asks a scheduler for a ticket.
 
@@ -22,6 +23,7 @@
         data_centre: Data centre of this process.
         waited_s: Seconds for which the request has waited.
         now: Monotonic time in seconds.
+        limits: The limits of endpoints, for a scheduler that knows none yet.
     """
     organisation = request.organisation
     allowance = None
@@ -47,6 +49,7 @@
         objective_s=request.objective_s - waited_s,
         fingerprint=request.fingerprint,
         data_centre=data_centre,
+        limits=limits,
     )
 
 
--- a/src/ibisknot/_scheduler_messages.py
+++ b/src/ibisknot/_scheduler_messages.py
@@ -27,7 +27,7 @@
 
 
 def answer(
-    request: ttypes.PlaceAsk,
+    ticket_id: str,
     state: int,
     endpoint: str = "",
     *,
@@ -37,14 +37,14 @@
     """Returns the answer to a request for a ticket.
 
     Args:
-        request: The request.
+        ticket_id: Id of the ticket and of its request.
         state: The decision.
         endpoint: Name of the endpoint of a granted ticket.
         retry_s: Seconds after which a refused caller may retry.
         alone: Whether nothing else may run on the endpoint.
     """
     return ttypes.PlaceAnswer(
-        id=request.id,
+        id=ticket_id,
         state=state,
         endpoint=endpoint,
         retry_after_s=retry_s,
--- /dev/null
+++ b/src/ibisknot/_service.py
@@ -0,0 +1,59 @@
+"""A scheduler's state of one service."""
+
+import dataclasses
+import math
+
+from ibisknot import admission
+from ibisknot import overload
+from ibisknot import request_limits
+
+
+@dataclasses.dataclass(slots=True)
+class Service:
+    """Endpoints, tickets and queued requests of one service.
+
+    Attributes:
+        queued_holders: Peer address of the requester, by queued request id.
+        granted_s: Monotonic time of each grant or adoption, by ticket id.
+        last_request_s: Monotonic time of the last request received here.
+    """
+
+    name: str
+    group: admission.Group = dataclasses.field(default_factory=admission.Group)
+    hold_time: overload.HoldTime = dataclasses.field(
+        default_factory=overload.HoldTime
+    )
+    queued_holders: dict[str, str] = dataclasses.field(default_factory=dict)
+    granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    last_request_s: float = -math.inf
+
+    def online_slots(self) -> float:
+        """Returns the slots that online requests can use.
+
+        An endpoint that names a limit fills only the slots for which it takes
+        requests.
+        """
+        hold_s = self.hold_time.mean_s
+        return sum(
+            _usable_slots(e, hold_s) for e in self.group.endpoints.values()
+        )
+
+    def has_online_slot(self, now: float) -> bool:
+        """Returns whether a slot is free or held by batch that can be revoked.
+
+        Slots of endpoints that take no request now are not counted.
+        """
+        return any(
+            e.unrevoked_count() < int(e.capacity.limit)
+            or e.unrevoked_batch_count()
+            for e in self.group.endpoints.values()
+            if request_limits.allows(e.bucket, now)
+        )
+
+
+def _usable_slots(endpoint: admission.Endpoint, hold_s: float) -> float:
+    """Returns the slots of an endpoint that online requests can fill."""
+    slots = float(int(endpoint.capacity.limit))
+    if endpoint.bucket is None:
+        return slots
+    return min(slots, endpoint.bucket.rate_per_s * hold_s)
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -7,12 +7,14 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import itertools
+import math
 
 from ibisknot import _admission_state
 from ibisknot import _capacity
 from ibisknot import _decisions
 from ibisknot import _fair_queue
 from ibisknot import breaker
+from ibisknot import request_limits
 from ibisknot import routing
 
 ONLINE = _admission_state.ONLINE
@@ -172,8 +174,27 @@
 def adopt_ticket(
     group: _admission_state.Group, now: float, ticket: _admission_state.Ticket
 ) -> list[_admission_state.Action]:
-    """Adds a ticket that another VM or the holder itself granted."""
-    return _decisions.decide(group, now) if _adopt(group, now, ticket) else []
+    """Adds a ticket that another VM or the holder itself granted.
+
+    Its request counts against the limit of the endpoint.
+    """
+    if not _adopt(group, now, ticket):
+        return []
+    endpoint = _admission_state.find_endpoint(group, ticket.endpoint)
+    if endpoint is not None:
+        request_limits.consume(endpoint.bucket, now)
+    return _decisions.decide(group, now)
+
+
+def set_request_limit(
+    group: _admission_state.Group, now: float, name: str, rate_per_s: float
+) -> list[_admission_state.Action]:
+    """Sets the requests a second that an endpoint takes, or infinity."""
+    endpoint = _admission_state.find_endpoint(group, name)
+    if endpoint is None or (endpoint.bucket is None and rate_per_s == math.inf):
+        return []
+    endpoint.bucket = request_limits.set_rate(endpoint.bucket, rate_per_s, now)
+    return _decisions.decide(group, now)
 
 
 def _adopt(
--- a/src/ibisknot/fallback.py
+++ b/src/ibisknot/fallback.py
@@ -10,6 +10,7 @@
 from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import rates
+from ibisknot import request_limits
 from ibisknot import serving
 
 NO_ENDPOINT_RETRY_AFTER_S = 0.5
@@ -23,6 +24,8 @@
         rng: Breaks ties between endpoints.
         circuits: Circuit breaker of each endpoint, by endpoint name.
         shares: This process's share of each rate, by organisation name.
+        buckets: This process's share of the requests that an endpoint takes,
+            by endpoint name.
     """
 
     def __init__(
@@ -32,6 +35,7 @@
         self.rng = rng or random.Random()
         self.circuits: dict[str, breaker.Breaker] = {}
         self.shares: dict[str, rates.Share] = {}
+        self.buckets: dict[str, request_limits.Bucket] = {}
 
     def record_outcome(self, endpoint: str, outcome: str, now: float) -> None:
         """Records how a request to an endpoint ended."""
@@ -43,6 +47,36 @@
         elif outcome == admission.FAILED:
             breaker.record_failure(circuit, now)
 
+    def set_request_limit(
+        self, endpoint: str, rate_per_s: float, now: float
+    ) -> None:
+        """Sets the requests a second that an endpoint takes of all processes.
+
+        Args:
+            endpoint: Name of the endpoint.
+            rate_per_s: Requests a second; infinite without a limit.
+            now: Monotonic time in seconds.
+        """
+        bucket = request_limits.set_share(
+            self.buckets.pop(endpoint, None),
+            rate_per_s,
+            now,
+            processes=len(self.view.members),
+        )
+        if bucket is not None:
+            self.buckets[endpoint] = bucket
+
+    def count_request(self, endpoint: str, now: float) -> None:
+        """Counts a request that this process sends to an endpoint."""
+        request_limits.consume(self.buckets.get(endpoint), now)
+
+    def _allows(self, endpoint: str, now: float) -> bool:
+        """Returns whether circuit and limit of an endpoint allow a request."""
+        bucket = self.buckets.get(endpoint)
+        return breaker.allows(
+            self._circuit(endpoint), now
+        ) and request_limits.allows(bucket, now)
+
     def _circuit(self, name: str) -> breaker.Breaker:
         """Returns the circuit breaker of an endpoint."""
         return self.circuits.setdefault(name, breaker.Breaker())
@@ -66,19 +100,22 @@
             in_flight: Count of this process's requests, by endpoint name.
 
         Raises:
-            OverloadedError: Every circuit breaker of the service is open, or
-                the service has no endpoint.
+            OverloadedError: No endpoint of the service takes a request now.
         """
         candidates = [
             endpoint
             for endpoint in fleetview.active_endpoints(self.view, service)
-            if breaker.allows(self._circuit(endpoint.name), now)
+            if self._allows(endpoint.name, now)
         ]
+        # Other processes may not know of a limit yet.
+        candidates = [
+            e for e in candidates if e.name not in self.buckets
+        ] or candidates
         candidates = [
             e for e in candidates if e.name not in avoid
         ] or candidates
         if not candidates:
-            message = f"no endpoint of {service} is known to be up"
+            message = f"no endpoint of {service} takes a request now"
             raise errors.OverloadedError(
                 message, retry_after_s=NO_ENDPOINT_RETRY_AFTER_S
             )
--- a/src/ibisknot/overload.py
+++ b/src/ibisknot/overload.py
@@ -10,6 +10,8 @@
 import dataclasses
 import random
 
+MIN_SLOTS = 0.1
+"""Least slots that are assumed, while endpoints take hardly any requests."""
 HOLD_TIME_WEIGHT = 0.05
 """Weight of the newest hold time in the mean."""
 INITIAL_HOLD_TIME_S = 0.7
@@ -85,7 +87,7 @@
     hold_time.mean_s += HOLD_TIME_WEIGHT * (held_s - hold_time.mean_s)
 
 
-def expected_wait_s(hold_time: HoldTime, *, queued: int, slots: int) -> float:
+def expected_wait_s(hold_time: HoldTime, *, queued: int, slots: float) -> float:
     """Returns the seconds until a slot is free for a request.
 
     Args:
@@ -96,14 +98,14 @@
     >>> expected_wait_s(HoldTime(0.8), queued=3, slots=40)
     0.08
     """
-    return hold_time.mean_s * (queued + 1) / max(1, slots)
+    return hold_time.mean_s * (queued + 1) / max(MIN_SLOTS, slots)
 
 
 def would_miss_objective(
     hold_time: HoldTime,
     *,
     queued: int,
-    slots: int,
+    slots: float,
     remaining_objective_s: float,
 ) -> bool:
     """Returns whether the first token is expected after its objective.
@@ -135,7 +137,7 @@
     hold_time: HoldTime,
     *,
     queued: int,
-    slots: int,
+    slots: float,
     remaining_s: float,
     rng: random.Random,
 ) -> float:
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 import time
 
@@ -75,6 +76,8 @@
         unresponsive: Names of the schedulers that did not answer. Requests
             skip a scheduler until it accepts a periodic report.
         limits: The limits of endpoints that this process knows.
+        reported_to: Schedulers that have accepted a periodic report since they
+            started.
         is_retrying: Whether `_retry_pending` is running.
     """
 
@@ -96,6 +99,7 @@
         self.unresponsive: set[str] = set()
         self.rng = random.Random()
         self.limits = endpoint_limits.Table(view)
+        self.reported_to: set[fleetview.Member] = set()
         self.fallback = fallback.Fallback(view, self.rng)
         self.id_prefix = f"{process.name}/{time.time_ns():x}"
         self.id_counter = itertools.count(1)
@@ -215,6 +219,7 @@
             data_centre=self.process.data_centre,
             waited_s=waited_s,
             now=self.clock.now(),
+            limits=self._limits_for(member),
         )
         try:
             return await self.peers.call(
@@ -256,6 +261,7 @@
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
+        self.fallback.count_request(ticket.endpoint.name, ticket.acquired_s)
         message = ttypes.PlaceTaken(
             holder=self.process.peer_address,
             place=self._to_wire(ticket),
@@ -315,7 +321,23 @@
             rate_per_s: Requests a second; infinite if it names no limit, None
                 if that could not be read.
         """
-        self.limits.record_answer(endpoint, rate_per_s, self.clock.now())
+        now = self.clock.now()
+        if not self.limits.record_answer(endpoint, rate_per_s, now):
+            return
+        self.fallback.set_request_limit(
+            endpoint.name, self.limits.rate_per_s(endpoint.name), now
+        )
+        message = ttypes.EndpointLimits(limits=self.limits.to_wire(now))
+        for member in self.schedulers():
+            self._notify(member, "endpoint_limits", message)
+
+    def _limits_for(
+        self, member: fleetview.Member
+    ) -> list[ttypes.EndpointLimit] | None:
+        """Returns the limits if a scheduler has had no report of them yet."""
+        if not self.limits.limits or member in self.reported_to:
+            return None
+        return self.limits.to_wire(self.clock.now())
 
     def _notify_released(
         self,
@@ -345,6 +367,7 @@
             )
         except errors.IbisknotError as error:
             # The next periodic report carries what this message said.
+            self.reported_to.discard(member)
             if member.name not in self.unresponsive:
                 self.unresponsive.add(member.name)
                 self._start_retry()
@@ -355,6 +378,8 @@
                     cause=error.message,
                 )
             return
+        if method == "places_held":
+            self.reported_to.add(member)
         if member.name in self.unresponsive:
             self.unresponsive.discard(member.name)
             self._start_retry()
@@ -375,13 +400,17 @@
         finally:
             self.is_retrying = False
 
-    async def _report(self, _now: float) -> None:
+    async def _report(self, now: float) -> None:
         """Timer callback: reports all tickets to the schedulers."""
+        for name in self.limits.forget_gone():
+            self.fallback.set_request_limit(name, math.inf, now)
         message = ttypes.PlacesHeld(
             holder=self.process.peer_address,
             places=[self._to_wire(ticket) for ticket in self.tickets.values()],
+            limits=self.limits.to_wire(now) or None,
         )
         schedulers = self.schedulers()
+        self.reported_to &= set(schedulers)
         self.unresponsive &= {member.name for member in schedulers}
         for member in schedulers:
             self.task_group.start_soon(
--- a/src/ibisknot/request_limits.py
+++ b/src/ibisknot/request_limits.py
@@ -7,10 +7,13 @@
 import dataclasses
 import math
 
-BURST_S = 1.0
-"""Requests of this time that may be sent at once."""
+BURST_S = 2.0
+"""Requests of this time may be sent at once after a pause.
+
+Online requests come in waves; without a burst, the requests that an endpoint
+would have taken between two waves are lost.
+"""
 MIN_BURST = 2.0
-"""One of these requests is left to online requests."""
 MIN_RATE_PER_S = 0.2
 """An endpoint that names less gets a request now and then.
 
@@ -40,46 +43,73 @@
 
     Attributes:
         rate_per_s: Requests a second.
+        capacity: Largest level, the requests that may be sent at once.
         level: Number of requests that may be sent now; below zero after
             requests that nobody asked for here.
         updated_s: Monotonic time of `level`.
     """
 
     rate_per_s: float
+    capacity: float
     level: float
     updated_s: float
 
 
-def make_bucket(rate_per_s: float, now: float) -> Bucket | None:
-    """Returns the bucket of a new limit, or None for an infinite one."""
+def set_rate(
+    bucket: Bucket | None, rate_per_s: float, now: float
+) -> Bucket | None:
+    """Returns the bucket after an endpoint has named a rate.
+
+    Args:
+        bucket: The bucket before, or None if there was no limit.
+        rate_per_s: Requests a second; infinite without a limit.
+        now: Monotonic time in seconds.
+    """
     if rate_per_s == math.inf:
         return None
-    return Bucket(max(MIN_RATE_PER_S, rate_per_s), INITIAL_LEVEL, now)
+    if bucket is None:
+        bucket = Bucket(0.0, MIN_BURST, INITIAL_LEVEL, now)
+    _refill(bucket, now)
+    bucket.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
+    bucket.capacity = max(MIN_BURST, bucket.rate_per_s * BURST_S)
+    bucket.level = min(bucket.level, bucket.capacity)
+    return bucket
 
 
-def set_rate(
-    bucket: Bucket | None, rate_per_s: float, now: float
+def set_share(
+    bucket: Bucket | None, rate_per_s: float, now: float, *, processes: int
 ) -> Bucket | None:
-    """Returns the bucket after an endpoint has named another rate."""
-    if bucket is None or rate_per_s == math.inf:
-        return make_bucket(rate_per_s, now)
+    """Returns one process's bucket where each keeps to an equal share.
+
+    Args:
+        bucket: The bucket before, or None if there was no limit.
+        rate_per_s: Requests a second of all; infinite without a limit.
+        now: Monotonic time in seconds.
+        processes: Number of the processes.
+
+    >>> bucket = set_share(None, 2.0, 10.0, processes=4)
+    >>> allows(bucket, 11.9), allows(bucket, 12.0)
+    (False, True)
+    """
+    if rate_per_s == math.inf:
+        return None
+    if bucket is None:
+        bucket = Bucket(0.0, 1.0, 0.0, now)
     _refill(bucket, now)
-    bucket.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
-    bucket.level = min(bucket.level, _capacity(bucket))
+    bucket.rate_per_s = max(MIN_RATE_PER_S, rate_per_s) / max(1, processes)
     return bucket
 
 
-def allows(bucket: Bucket | None, now: float, *, reserved: float = 0.0) -> bool:
+def allows(bucket: Bucket | None, now: float) -> bool:
     """Returns whether a request may be sent.
 
     Args:
         bucket: The endpoint's bucket, or None without a limit.
         now: Monotonic time in seconds.
-        reserved: Number of requests that are left to others.
 
-    >>> bucket = make_bucket(2.0, 10.0)
-    >>> allows(bucket, 10.0), allows(bucket, 10.0, reserved=1.0)
-    (True, False)
+    >>> bucket = set_rate(None, 2.0, 10.0)
+    >>> allows(None, 10.0), allows(bucket, 10.0)
+    (True, True)
     >>> consume(bucket, 10.0)
     >>> allows(bucket, 10.4), allows(bucket, 10.5)
     (False, True)
@@ -87,14 +117,14 @@
     if bucket is None:
         return True
     _refill(bucket, now)
-    return bucket.level >= 1.0 + reserved
+    return bucket.level >= 1.0
 
 
 def consume(bucket: Bucket | None, now: float) -> None:
     """Counts a request that is sent to the endpoint."""
     if bucket is not None:
         _refill(bucket, now)
-        bucket.level = max(-_capacity(bucket), bucket.level - 1.0)
+        bucket.level = max(-bucket.capacity, bucket.level - 1.0)
 
 
 def is_newer(known: NamedLimit | None, named: NamedLimit) -> bool:
@@ -108,10 +138,5 @@
     elapsed_s = max(0.0, now - bucket.updated_s)
     bucket.updated_s = now
     bucket.level = min(
-        _capacity(bucket), bucket.level + elapsed_s * bucket.rate_per_s
+        bucket.capacity, bucket.level + elapsed_s * bucket.rate_per_s
     )
-
-
-def _capacity(bucket: Bucket) -> float:
-    """Returns the largest level, the requests that may be sent at once."""
-    return max(MIN_BURST, bucket.rate_per_s * BURST_S)
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -11,6 +11,7 @@
 from anyio import abc
 
 from ibisknot import _scheduler_messages
+from ibisknot import _service
 from ibisknot import admission
 from ibisknot import deployment
 from ibisknot import errors
@@ -20,6 +21,7 @@
 from ibisknot import overload
 from ibisknot import peer
 from ibisknot import rates
+from ibisknot import scheduler_limits
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
@@ -50,26 +52,6 @@
 State = ttypes.PlaceState
 
 
-@dataclasses.dataclass(slots=True)
-class Service:
-    """Endpoints, tickets and queued requests of one service.
-
-    Attributes:
-        queued_holders: Peer address of the requester, by queued request id.
-        granted_s: Monotonic time of each grant or adoption, by ticket id.
-        last_request_s: Monotonic time of the last request received here.
-    """
-
-    name: str
-    group: admission.Group = dataclasses.field(default_factory=admission.Group)
-    hold_time: overload.HoldTime = dataclasses.field(
-        default_factory=overload.HoldTime
-    )
-    queued_holders: dict[str, str] = dataclasses.field(default_factory=dict)
-    granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    last_request_s: float = -math.inf
-
-
 class Scheduler:
     """Grants, queues or refuses requests for tickets.
 
@@ -80,6 +62,7 @@
         unreported_since_s: Monotonic time of the first message about each
             holder that has not reported yet, by address.
         refusals: The callers that were refused lately.
+        limits: The limits that endpoints have named.
         started_s: Monotonic time of this process's start.
     """
 
@@ -99,11 +82,14 @@
         self.clock = clock
         self.task_group = task_group
         self.rng = rng or random.Random()
-        self.services: dict[str, Service] = {}
+        self.services: dict[str, _service.Service] = {}
         self.shares: dict[str, rates.Share] = {}
         self.last_report_s: dict[str, float] = {}
         self.unreported_since_s: dict[str, float] = {}
         self.refusals = overload.Refusals()
+        self.limits = scheduler_limits.Limits(
+            view, clock, self._set_request_limit
+        )
         self.started_s = clock.now()
 
     def start(self, server: peer.Server) -> None:
@@ -112,13 +98,14 @@
         server.on("place_taken", ttypes.PlaceTaken, self.on_acquired)
         server.on("place_returned", ttypes.PlaceReturned, self.on_released)
         server.on("places_held", ttypes.PlacesHeld, self.on_report)
+        self.limits.start(server)
         self.clock.subscribe("scheduler", TICK_PERIOD_S, self.tick)
 
-    def service(self, name: str) -> Service:
+    def service(self, name: str) -> _service.Service:
         """Returns the state of a service, created if it is new."""
         service = self.services.get(name)
         if service is None:
-            service = Service(name)
+            service = _service.Service(name)
             service.group.policy = STANDBY_POLICY
             self.services[name] = service
         return service
@@ -128,7 +115,7 @@
         for service in self.services.values():
             self._update_endpoints(service)
 
-    def _update_endpoints(self, service: Service) -> None:
+    def _update_endpoints(self, service: _service.Service) -> None:
         found = fleetview.active_endpoints(self.view, service.name)
         names = {endpoint.name for endpoint in found}
         if names == service.group.endpoints.keys():
@@ -145,6 +132,20 @@
                 data_centres={e.name: e.data_centre for e in found},
             ),
         )
+        # A limit may have arrived before its endpoint.
+        self.limits.apply(names)
+
+    def _set_request_limit(
+        self, service_name: str, name: str, rate_per_s: float
+    ) -> None:
+        """Sets the requests a second that an endpoint takes."""
+        service = self.service(service_name)
+        self._update_endpoints(service)
+        now = self.clock.now()
+        actions = admission.set_request_limit(
+            service.group, now, name, rate_per_s
+        )
+        self._apply(service, actions)
 
     async def on_request(self, request: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
         """Peer method: grants, queues or refuses a request for a ticket."""
@@ -153,6 +154,7 @@
         self._await_first_report(request.holder)
         service.group.policy = ACTIVE_POLICY
         self._update_endpoints(service)
+        self.limits.adopt(request.limits)
         was_queued = admission.is_queued(service.group, request.id)
         answer = self._decide(service, request)
         if answer.state != State.GRANTED and not was_queued:
@@ -160,14 +162,14 @@
         return answer
 
     def _decide(
-        self, service: Service, request: ttypes.PlaceAsk
+        self, service: _service.Service, request: ttypes.PlaceAsk
     ) -> ttypes.PlaceAnswer:
         now = self.clock.now()
         if admission.is_queued(service.group, request.id):
-            return _scheduler_messages.answer(request, State.QUEUED)
+            return _scheduler_messages.answer(request.id, State.QUEUED)
         if not service.group.endpoints:
             return _scheduler_messages.answer(
-                request, State.UNSERVED, retry_s=UNSERVED_RETRY_S
+                request.id, State.UNSERVED, retry_s=UNSERVED_RETRY_S
             )
         granted = request.id in service.granted_s
         first_s = overload.first_seen_s(self.refusals, now, request.fingerprint)
@@ -176,7 +178,7 @@
             allowance = rates.Allowance(request.rate_per_s, request.burst)
             retry_s = rates.next_token_s(share, allowance)
             return _scheduler_messages.answer(
-                request, State.OVER_RATE, retry_s=retry_s
+                request.id, State.OVER_RATE, retry_s=retry_s
             )
         if not granted and first_s is None and self._is_late(service, request):
             self._refund_token(request)
@@ -184,17 +186,17 @@
         return self._admit(service, request, now, first_s)
 
     def _refuse(
-        self, service: Service, request: ttypes.PlaceAsk, now: float
+        self, service: _service.Service, request: ttypes.PlaceAsk, now: float
     ) -> ttypes.PlaceAnswer:
         overload.record_refusal(self.refusals, now, request.fingerprint)
         retry_s = self._retry_after_s(service, request.wait_s)
         return _scheduler_messages.answer(
-            request, State.OVERLOADED, retry_s=retry_s
+            request.id, State.OVERLOADED, retry_s=retry_s
         )
 
     def _admit(
         self,
-        service: Service,
+        service: _service.Service,
         request: ttypes.PlaceAsk,
         now: float,
         first_s: float | None,
@@ -231,10 +233,13 @@
         if granted:
             ticket = granted[0]
             return _scheduler_messages.answer(
-                request, State.GRANTED, ticket.endpoint, alone=ticket.exclusive
+                request.id,
+                State.GRANTED,
+                ticket.endpoint,
+                alone=ticket.exclusive,
             )
         if request.id in service.queued_holders:
-            return _scheduler_messages.answer(request, State.QUEUED)
+            return _scheduler_messages.answer(request.id, State.QUEUED)
         return self._refuse(service, request, now)
 
     def _queue_timeout_s(self, request: ttypes.PlaceAsk) -> float:
@@ -288,28 +293,33 @@
         if request.rate_per_s > 0.0:
             self.shares[request.organisation].level += rates.ONE_TOKEN
 
-    def _is_late(self, service: Service, request: ttypes.PlaceAsk) -> bool:
-        if request.kind != admission.ONLINE or _has_online_slot(service.group):
+    def _is_late(
+        self, service: _service.Service, request: ttypes.PlaceAsk
+    ) -> bool:
+        now = self.clock.now()
+        if request.kind != admission.ONLINE or service.has_online_slot(now):
             return False
         return overload.would_miss_objective(
             service.hold_time,
             queued=service.group.online_queue.size,
-            slots=_total_slots(service.group),
+            slots=service.online_slots(),
             remaining_objective_s=request.objective_s,
         )
 
-    def _retry_after_s(self, service: Service, remaining_s: float) -> float:
+    def _retry_after_s(
+        self, service: _service.Service, remaining_s: float
+    ) -> float:
         return overload.retry_after_s(
             service.hold_time,
             queued=service.group.online_queue.size,
-            slots=_total_slots(service.group),
+            slots=service.online_slots(),
             remaining_s=remaining_s,
             rng=self.rng,
         )
 
     def _log_answer(
         self,
-        service: Service,
+        service: _service.Service,
         request: ttypes.PlaceAsk,
         answer: ttypes.PlaceAnswer,
     ) -> None:
@@ -319,7 +329,7 @@
             kind=request.kind,
             organisation=request.organisation,
             ahead=service.group.online_queue.size,
-            slots=_total_slots(service.group),
+            slots=round(service.online_slots(), 1),
             hold_s=round(service.hold_time.mean_s, 3),
             retry_after_s=answer.retry_after_s,
             units=self._local_units(self.clock.now()),
@@ -345,7 +355,9 @@
         if holder not in self.last_report_s:
             self.unreported_since_s.setdefault(holder, self.clock.now())
 
-    def _adopt(self, service: Service, holder: str, wire: ttypes.Place) -> None:
+    def _adopt(
+        self, service: _service.Service, holder: str, wire: ttypes.Place
+    ) -> None:
         now = self.clock.now()
         self._await_first_report(holder)
         service.granted_s.setdefault(wire.id, now)
@@ -377,6 +389,7 @@
         now = self.clock.now()
         self.last_report_s[message.holder] = now
         self.unreported_since_s.pop(message.holder, None)
+        self.limits.adopt(message.limits)
         tickets_by_service: dict[str, list[admission.Ticket]] = {
             name: [] for name in self.services
         }
@@ -410,6 +423,7 @@
                 self._apply(
                     service, admission.reconcile(service.group, now, holder, [])
                 )
+        self.limits.forget_gone()
         for service in self.services.values():
             if now - service.last_request_s > ACTIVE_TIMEOUT_S:
                 service.group.policy = STANDBY_POLICY
@@ -417,7 +431,7 @@
 
     def _apply(
         self,
-        service: Service,
+        service: _service.Service,
         actions: list[admission.Action],
         requested_id: str = "",
         granted: list[admission.Ticket] | None = None,
@@ -445,24 +459,20 @@
                 )
 
     def _notify_granted(self, ticket: admission.Ticket) -> None:
-        answer = ttypes.PlaceAnswer(
-            id=ticket.id,
-            state=State.GRANTED,
-            endpoint=ticket.endpoint,
-            retry_after_s=0.0,
+        answer = _scheduler_messages.answer(
+            ticket.id,
+            State.GRANTED,
+            ticket.endpoint,
             alone=ticket.exclusive,
         )
         self._notify(ticket.holder, "place_answer", answer)
 
     def _notify_refused(
-        self, service: Service, ticket_id: str, holder: str
+        self, service: _service.Service, ticket_id: str, holder: str
     ) -> None:
-        answer = ttypes.PlaceAnswer(
-            id=ticket_id,
-            state=State.OVERLOADED,
-            endpoint="",
-            retry_after_s=self._retry_after_s(service, EXPIRED_REMAINING_S),
-            alone=False,
+        retry_s = self._retry_after_s(service, EXPIRED_REMAINING_S)
+        answer = _scheduler_messages.answer(
+            ticket_id, State.OVERLOADED, retry_s=retry_s
         )
         self._notify(holder, "place_answer", answer)
 
@@ -478,15 +488,3 @@
             logs.event(
                 "push_failed", peer=address, method=method, cause=error.message
             )
-
-
-def _total_slots(group: admission.Group) -> int:
-    return sum(int(e.capacity.limit) for e in group.endpoints.values())
-
-
-def _has_online_slot(group: admission.Group) -> bool:
-    """Returns whether a slot is free or held by batch that can be revoked."""
-    return any(
-        e.unrevoked_count() < int(e.capacity.limit) or e.unrevoked_batch_count()
-        for e in group.endpoints.values()
-    )
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -1,5 +1,7 @@
 """Endpoint choice and rate limit within one process, without a scheduler."""
 
+import math
+
 import fake_fleet
 import pytest
 
@@ -52,3 +54,38 @@
     with pytest.raises(errors.RateLimitError) as raised:
         local_fallback.consume_token(organisation, NOW_S)
     assert raised.value.retry_after_s == pytest.approx(0.5, abs=0.01)
+
+
+def test_process_keeps_to_its_share_of_an_endpoint_s_limit() -> None:
+    """Guards against processes that each use the whole limit."""
+    view = fake_fleet.view(endpoints=1, gateways=3, workers=1)
+    local_fallback = fallback.Fallback(view)
+    local_fallback.set_request_limit("e0", 2.0, NOW_S)
+
+    def choose(now: float) -> None:
+        name = local_fallback.choose_endpoint(
+            "s", now, avoid=frozenset(), in_flight={}
+        ).name
+        local_fallback.count_request(name, now)
+
+    with pytest.raises(errors.OverloadedError):
+        choose(NOW_S)
+    sent = 0
+    for step in range(1, 81):
+        try:
+            choose(NOW_S + step / 10)
+            sent += 1
+        except errors.OverloadedError:
+            pass
+    assert 3 <= sent <= 5
+    local_fallback.set_request_limit("e0", math.inf, NOW_S + 8)
+    choose(NOW_S + 8)
+    choose(NOW_S + 8)
+
+
+def test_endpoint_without_a_limit_is_preferred() -> None:
+    """Guards against shares that add up to more than a limit."""
+    local_fallback = fallback.Fallback(fake_fleet.view(endpoints=2))
+    local_fallback.set_request_limit("e0", 100.0, NOW_S - 9.0)
+    for _ in range(5):
+        assert _chosen_name(local_fallback, e1=9) == "e1"
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Acquiring tickets from schedulers, and without any that responds."""
 
+import math
 from typing import Any
 
 import anyio
@@ -180,3 +181,53 @@
             )
 
     anyio.run(main)
+
+
+def _name_limit(client: placement.Client, rate_per_s: float | None) -> None:
+    client.record_limit(client.view.endpoints["e0"], rate_per_s)
+
+
+def test_schedulers_hear_of_a_limit_at_once_and_in_each_report() -> None:
+    """Guards against a limit that only one process knows."""
+
+    async def main() -> None:
+        client, peers, clock, task_group = _make_client(workers=2)
+        for _ in range(3):
+            _name_limit(client, 2.5)
+        await task_group.run()
+        assert peers.count("endpoint_limits") == 2
+        clock.time_s += 1.0
+        await client._report(clock.now())
+        await task_group.run()
+        limits = [m.limits for _, k, m in peers.calls if k == "places_held"]
+        assert [(n.rate_per_s, n.age_s) for n in limits[0]] == [(2.5, 1.0)]
+        _name_limit(client, math.inf)
+        await task_group.run()
+        assert peers.count("endpoint_limits") == 4
+
+    anyio.run(main)
+
+
+def test_scheduler_without_a_report_gets_the_limits_with_a_request() -> None:
+    """Guards against grants over a limit by a scheduler that is new."""
+
+    async def main() -> None:
+        client, peers, clock, task_group = _make_client()
+        peers.answers["place_ask"] = _grant
+        _name_limit(client, 2.5)
+        await client.acquire(_request())
+        await client._report(clock.now())
+        await task_group.run()
+        await client.acquire(_request())
+        asked = [m.limits for _, k, m in peers.calls if k == "place_ask"]
+        assert [bool(limits) for limits in asked] == [True, False]
+
+    anyio.run(main)
+
+
+def test_unreadable_limit_changes_nothing() -> None:
+    """Guards against a limit that malformed bytes end."""
+    client, _, _, _ = _make_client()
+    _name_limit(client, 2.5)
+    _name_limit(client, None)
+    assert client.limits.rate_per_s("e0") == 2.5
