Use an endpoint again after the request that probed it was lost

What callers would see: after a burst of crashes an endpoint whose circuit is half open gets one request to probe it. If the process that holds its ticket is killed, or the news of its end is lost, the probe counted as in flight for ever: the endpoint got nothing more from this scheduler, with all its slots free, and with all endpoints in that state items were never placed again. Cause: the mark of the probe was cleared by a measurement only, and a ticket that is reclaimed brings none. Change: removing a ticket, for whatever cause, ends the probe. Test: test_endpoint_is_used_again_after_its_probe_was_lost, for both causes; it failed before.

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -304,10 +304,15 @@
 
 
 def remove_ticket(group: Group, now: float, ticket: Ticket) -> None:
-    """Removes a ticket from its endpoint."""
+    """Removes a ticket from its endpoint.
+
+    If it was the probe of a half-open circuit, another one may follow, also
+    when nobody says how this one ended.
+    """
     endpoint = find_endpoint(group, ticket.endpoint)
     if endpoint is None:
         return
+    endpoint.circuit.probing = False
     endpoint.online_peak = decayed_online_peak(endpoint, now)
     endpoint.online_peak_s = now
     removed = endpoint.tickets.pop(ticket.id, None)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies
@@ -374,3 +375,43 @@
     assert _peak_load(_endpoint_choice.least_expected_first_token) < _peak_load(
         choose_at_random
     )
+
+
+def _request(ticket_id: str, **changed: Any) -> admission.QueuedRequest:
+    fields: dict[str, Any] = {
+        "id": ticket_id,
+        "kind": admission.BATCH,
+        "organisation": "o",
+        "arrived_s": 0.0,
+        "expires_s": 1000.0,
+    }
+    return admission.QueuedRequest(**(fields | changed))
+
+
+def _granted(actions: list[admission.Action]) -> list[str]:
+    return [a.ticket.id for a in actions if isinstance(a, admission.Grant)]
+
+
+@pytest.mark.parametrize("is_reported", [False, True])
+def test_endpoint_is_used_again_after_its_probe_was_lost(
+    is_reported: bool,
+) -> None:
+    """Guards against an endpoint that no item reaches after crashes.
+
+    The process that probes it is killed, or its news of the end is lost.
+    """
+    group = admission.Group()
+    admission.set_endpoints(group, 0.0, ["e1"], slots={"e1": 4})
+    for n in range(2):
+        admission.request_ticket(group, 0.0, _request(f"a{n}", holder="h"))
+    for n in range(2):
+        failure = admission.Measurement(outcome=admission.FAILED)
+        admission.release_ticket(group, 0.0, f"a{n}", failure)
+    probe = admission.request_ticket(group, 1.0, _request("p", holder="h"))
+    assert _granted(probe) == ["p"]
+    if is_reported:
+        admission.reconcile(group, 10.0, "h", [])
+    else:
+        admission.reclaim_tickets(group, 10.0, "h")
+    later = admission.request_ticket(group, 10.0, _request("b", holder="i"))
+    assert _granted(later) == ["b"]
