Place a crash suspect where only one endpoint is left for it

What callers would see: with two endpoints, one of which has crashed under an item, the item waited until the other was empty by chance, which under steady online load is never. Cause: an endpoint was emptied for a suspect only if the suspect could choose between two; the one that it avoids was not counted as left for the others. Change: one endpoint is enough to choose, as at least one other always remains. Test: test_crash_suspect_is_placed_where_only_one_endpoint_is_left_for_it; it failed before.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -114,7 +114,7 @@
         for e in group.endpoints.values()
         if e.name not in suspects[0].avoid and not e.has_exclusive()
     ]
-    if len(choices) > 1:
+    if choices:
         chosen = min(
             choices, key=lambda e: (e.online_count(), len(e.tickets), e.name)
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -415,3 +415,35 @@
         admission.reclaim_tickets(group, 10.0, "h")
     later = admission.request_ticket(group, 10.0, _request("b", holder="i"))
     assert _granted(later) == ["b"]
+
+
+def test_crash_suspect_is_placed_where_only_one_endpoint_is_left_for_it() -> (
+    None
+):
+    """Guards against a suspect that waits until an endpoint is empty by chance.
+
+    Of two endpoints one has already failed it, and the other is never empty.
+    """
+    group = admission.Group()
+    admission.set_endpoints(group, 0.0, ["e1", "e2"], slots={"e1": 8, "e2": 8})
+    for n in range(7):
+        admission.request_ticket(
+            group, 0.0, _request(f"o{n}", kind=admission.ONLINE)
+        )
+    suspect = _request("s", crash_suspect=True, avoid=frozenset(["e1"]))
+    granted = _granted(admission.request_ticket(group, 0.0, suspect))
+    for n in range(40):
+        now = 1.0 + n
+        fresh = _request(f"n{n}", kind=admission.ONLINE, arrived_s=now)
+        granted += _granted(admission.request_ticket(group, now, fresh))
+        oldest = min(
+            admission.all_tickets(group), key=lambda t: (t.granted_s, t.id)
+        )
+        granted += _granted(
+            admission.release_ticket(
+                group, now + 0.5, oldest.id, admission.Measurement()
+            )
+        )
+        if "s" in granted:
+            return
+    raise AssertionError("the suspect was never placed")
