Owe a batch item whatever number of endpoints crash under it

What callers would see: on the product's own interface an item was given up, with an error as its result, after two crashes of endpoints that ran nothing else, or eight broken answers. After a first crash it waited for an endpoint of its own, and each process runs one such item at a time. Cause: items were judged like online requests, which may crash endpoints by themselves. Items that are handed in for later never do; an endpoint that dies under one died of something else. Change: an attempt whose endpoint does not answer any more counts as nothing against the item, which is tried again after 0.2 s, doubled with each crash up to 5 s, beside others, until its job ends. Answers that an endpoint breaks off while it goes on answering are bounded by eight as before. The scenario batch-deadline has an item that the engine always answers with an error in place of one that crashes it: all of its items must end, and an item that crashes engines would rightly not.

--- a/src/ibisknot/bench/_batch_jobs.py
+++ b/src/ibisknot/bench/_batch_jobs.py
@@ -65,21 +65,21 @@
     """Returns one item of each kind that always fails.
 
     The kinds are a model that does not exist, a malformed request, and a
-    request that crashes the engine.
+    request that the engine answers with an error.
     """
     malformed = msgspec.json.decode(
         input_line(f"{prefix}-bad", max_tokens=max_tokens)
     )
     malformed["body"]["messages"] = 7
-    crash = msgspec.json.decode(
-        input_line(f"{prefix}-crash", max_tokens=max_tokens)
+    failing = msgspec.json.decode(
+        input_line(f"{prefix}-failing", max_tokens=max_tokens)
     )
-    content = f"{prefix} {standin_engine.CRASH_MARKER}"
-    crash["body"]["messages"][0]["content"] = content
+    content = f"{prefix} {standin_engine.FAILURE_MARKER}"
+    failing["body"]["messages"][0]["content"] = content
     return [
         input_line(f"{prefix}-absent", max_tokens=max_tokens, model="absent"),
         msgspec.json.encode(malformed),
-        msgspec.json.encode(crash),
+        msgspec.json.encode(failing),
     ]
 
 
--- a/src/ibisknot/items.py
+++ b/src/ibisknot/items.py
@@ -27,13 +27,14 @@
 
 Another attempt would get the same status.
 """
-MAX_EXCLUSIVE_CRASHES = 2
-"""Exclusive attempts without a complete response after which an item fails.
+MAX_INCOMPLETE_ATTEMPTS = 8
+"""Attempts without a complete response after which an item fails.
 
-This bounds the number of endpoints that an item can crash.
+Attempts whose endpoint crashed are not counted.
 """
-MAX_INCOMPLETE_ATTEMPTS = 8
-"""All attempts without a complete response after which an item fails."""
+CRASH_PAUSE_S = 0.2
+"""Pause after the first crash; it doubles with each further one."""
+MAX_CRASH_PAUSE_S = 5.0
 NON_STREAMING_FIELDS = (
     "tools",
     "functions",
@@ -53,11 +54,12 @@
         item: The parsed line of the input file.
         token_texts: Texts of the tokens generated so far.
         refused_attempts: Number of attempts that got an error status.
-        incomplete_attempts: Number of attempts without a complete response.
-        exclusive_crashes: Number of those attempts in which no other item ran
-            on the endpoint.
+        incomplete_attempts: Number of attempts without a complete response
+            from an endpoint that goes on answering.
+        crashes: Number of attempts whose endpoint crashed.
         crash_suspect: Whether the item has to run with no other item on the
-            endpoint, because an attempt had no complete response.
+            endpoint, because an endpoint that goes on answering gave no
+            complete response.
         not_before_s: Monotonic time from which the next attempt may start; 0
             allows it at once.
         response_fields: Fields of the response that the first event has.
@@ -71,7 +73,7 @@
     token_texts: list[str] = dataclasses.field(default_factory=list)
     refused_attempts: int = 0
     incomplete_attempts: int = 0
-    exclusive_crashes: int = 0
+    crashes: int = 0
     crash_suspect: bool = False
     not_before_s: float = 0.0
     response_fields: dict[str, Any] = dataclasses.field(default_factory=dict)
@@ -284,12 +286,11 @@
     )
 
 
-def record_failure(task: Task, status: int, *, exclusive: bool) -> bool:
+def record_failure(task: Task, status: int) -> bool:
     """Counts a failed attempt; returns whether the item has failed for good.
 
-    A status of 0 means that the response was not complete. Such an item is a
-    crash suspect from then on. Only an attempt in which no other item ran on
-    the endpoint counts as a crash caused by the item.
+    A status of 0 means that the response was not complete. Such an item runs
+    with no other item on the endpoint from then on.
     """
     if status:
         task.refused_attempts += 1
@@ -299,9 +300,18 @@
         )
     task.incomplete_attempts += 1
     task.crash_suspect = True
-    if exclusive:
-        task.exclusive_crashes += 1
-    return (
-        task.exclusive_crashes >= MAX_EXCLUSIVE_CRASHES
-        or task.incomplete_attempts >= MAX_INCOMPLETE_ATTEMPTS
-    )
+    return task.incomplete_attempts >= MAX_INCOMPLETE_ATTEMPTS
+
+
+def record_crash(task: Task) -> float:
+    """Counts an attempt whose endpoint crashed.
+
+    The item never fails for that, and needs no endpoint of its own: it is no
+    cause of crashes, and is owed until its job ends.
+
+    Returns:
+        The seconds to wait before the next attempt.
+    """
+    task.crashes += 1
+    doublings = min(task.crashes - 1, 10)
+    return min(MAX_CRASH_PAUSE_S, CRASH_PAUSE_S * 2.0**doublings)
--- a/src/ibisknot/job_runner.py
+++ b/src/ibisknot/job_runner.py
@@ -206,9 +206,7 @@
                 await self._attempt(run, task)
         except Exception as error:
             logs.event("item_error", level="error", error=repr(error))
-            self._record_failure(
-                run, task, 500, repr(error).encode(), exclusive=False
-            )
+            self._record_failure(run, task, 500, repr(error).encode())
         finally:
             self.running_item_count -= 1
             self.exclusive_item_count -= exclusive
@@ -226,9 +224,7 @@
                     self._retry(run, task, RETRY_PAUSE_S)
                 elif not ticket.endpoint:
                     error_body = b"no active endpoint serves this model"
-                    self._record_failure(
-                        run, task, 503, error_body, exclusive=False
-                    )
+                    self._record_failure(run, task, 503, error_body)
                 else:
                     await self._run_at_endpoint(
                         run, task, ticket, request.request_id
@@ -288,13 +284,7 @@
     ) -> None:
         """Records an endpoint's response, which may report an error."""
         if response.status != 200:
-            self._record_failure(
-                run,
-                task,
-                response.status,
-                response.body,
-                exclusive=ticket.exclusive,
-            )
+            self._record_failure(run, task, response.status, response.body)
             return
         line = items.result_line(task, 200, response.body)
         job_run.record_result(run, task, line, failed=False)
@@ -328,12 +318,10 @@
         if error.ran == errors.NOT_RUN:
             self._retry(run, task, UNREACHABLE_PAUSE_S)
             return admission.UNREACHABLE
-        error_body = error.message.encode()
-        self._record_failure(
-            run, task, 0, error_body, exclusive=ticket.exclusive
-        )
         if await self.endpoint_client.is_answering(ticket.url):
+            self._record_failure(run, task, 0, error.message.encode())
             return admission.FAILED
+        self._retry(run, task, items.record_crash(task))
         return admission.CRASHED
 
     def _record_failure(
@@ -342,8 +330,6 @@
         task: items.Task,
         status: int,
         body: bytes,
-        *,
-        exclusive: bool,
     ) -> None:
         """Records a failed attempt; queues the item again or fails it.
 
@@ -353,9 +339,8 @@
             status: HTTP status of the response, or 0 if the response was not
                 complete.
             body: Body of the response, or the error message.
-            exclusive: Whether no other item ran on the endpoint.
         """
-        if not items.record_failure(task, status, exclusive=exclusive):
+        if not items.record_failure(task, status):
             self._retry(run, task, RETRY_PAUSE_S)
             return
         error_message = body.decode(errors="replace") or "the item failed"
--- a/src/ibisknot/standins/standin_engine.py
+++ b/src/ibisknot/standins/standin_engine.py
@@ -25,6 +25,7 @@
 from ibisknot.standins import standin
 
 CRASH_MARKER = "crash-this-engine"
+FAILURE_MARKER = "fail-this-request"
 """The process exits when a prompt contains this text."""
 CRASH_EXIT_STATUS = 70
 DEFAULT_MAX_TOKENS = 16
@@ -283,6 +284,8 @@
         prompt = model_request.prompt_text()
         if CRASH_MARKER in prompt:
             os._exit(CRASH_EXIT_STATUS)
+        if FAILURE_MARKER in prompt:
+            raise errors.IbisknotError("the request always fails")
         request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
         self.served_ids.append(request_id)
         sequence = _engine_batching.Sequence(
