Test that items are placed again after crashes on the platform's path

Change: a test with ten endpoints that crash under an item. Figure: 11 attempts, no failure counted.

--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -154,3 +154,16 @@
             return
 
     return script
+
+
+def test_item_under_which_many_endpoints_crash_is_placed_again() -> None:
+    """Guards against an item that is taken for the cause of crashes."""
+
+    async def crash(stream: abc.SocketStream, _head: bytes) -> None:
+        await stream.send(scripted.STREAM_HEAD)
+        await anyio.aclose_forcefully(stream)
+
+    result, task = _run(*[crash] * 10, _complete)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert (task.attempts, task.failures) == (11, 0)
