Keep the parts that were never answered of a prompt with many

Cause: of a candidate the first 32 parts were kept, so a part behind them that crashes endpoints would never be found. Change: parts that no answered request had are kept first. Test: test_bad_part_is_found_among_more_parts_than_are_kept; it fails without the order.

--- a/src/ibisknot/prompt_crashes.py
+++ b/src/ibisknot/prompt_crashes.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import math
 
 import xxhash
 
@@ -195,7 +196,7 @@
     history: History, now: float, part: int, completed_s: float
 ) -> None:
     """Records a completion that another process has seen."""
-    if completed_s > history.known_s.get(part, float("-inf")):
+    if completed_s > history.known_s.get(part, -math.inf):
         history.known_s.pop(part, None)
         history.known_s[part] = completed_s
     if part in history.suspects:
@@ -215,7 +216,7 @@
     remaining = frozenset(
         part
         for part in parts
-        if history.cleared_s.get(part, float("-inf")) <= refusal.crashed_s
+        if history.cleared_s.get(part, -math.inf) <= refusal.crashed_s
     )
     if not remaining or now >= refusal.until_s:
         return {}
@@ -274,12 +275,16 @@
 def _without_cleared(
     history: History, occurred_s: float, parts: Iterable[int]
 ) -> Parts:
-    """Returns the parts that were not in a request answered since a time."""
-    return frozenset(
-        part
-        for part in itertools.islice(parts, MAX_PARTS)
-        if history.known_s.get(part, float("-inf")) <= occurred_s
-    )
+    """Returns the parts that were not in a request answered since a time.
+
+    Of too many parts, those that were never answered are kept.
+    """
+    known_s = history.known_s
+    remaining = [
+        part for part in parts if known_s.get(part, -math.inf) <= occurred_s
+    ]
+    remaining.sort(key=lambda part: part in known_s)
+    return frozenset(remaining[:MAX_PARTS])
 
 
 def _clear(history: History, completed_s: float, part: int) -> None:
@@ -315,7 +320,7 @@
 def _are_known(history: History, now: float, parts: Parts) -> bool:
     """Returns whether requests with each of the parts were answered lately."""
     return all(
-        history.known_s.get(part, float("-inf")) > now - KNOWN_RETENTION_S
+        history.known_s.get(part, -math.inf) > now - KNOWN_RETENTION_S
         for part in parts
     )
 
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -182,6 +182,17 @@
     assert list(history.refusals) == [frozenset((BAD,))]
 
 
+def test_bad_part_is_found_among_more_parts_than_are_kept() -> None:
+    """Guards against long prompts whose last parts are not looked at."""
+    history = prompt_crashes.History()
+    sound = tuple(range(1000, 1000 + 3 * prompt_crashes.MAX_PARTS))
+    prompt_crashes.record_completion(history, 0, sound)
+    for n in range(1, 4):
+        _crash(history, n, (*sound, BAD))
+    assert _is_refused(history, 4, *sound, BAD)
+    assert not _is_refused(history, 4, *sound)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_memory_is_bounded(seed: int) -> None:
     """Guards against memory that grows with crashes and parts."""
