--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 from typing import Any
 
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleet_endpoint
 from ibisknot import fleetview
+from ibisknot.gen.fleet import ttypes
 
 
 def endpoint(name: str, *, slots: int = 2) -> fleet_endpoint.Endpoint:
@@ -41,6 +43,46 @@
     return fleet_view
 
 
+def place_ask(index: int, **changed: Any) -> ttypes.PlaceAsk:
+    """Returns an online request for a ticket, with some fields changed."""
+    fields: dict[str, Any] = {
+        "id": f"r{index}",
+        "group": "s",
+        "kind": "online",
+        "organisation": "o",
+        "tokens": 10,
+        "prompt_tokens": 5,
+        "blocks": [],
+        "holder": "g0:1",
+        "wait_s": 5.0,
+        "waited_s": 0.0,
+        "suspect": False,
+        "avoid": [],
+        "rate_per_s": 0.0,
+        "burst": 0.0,
+        "due_s": math.inf,
+        "needs_s": 0.0,
+        "objective_s": 5.0,
+        "fingerprint": index,
+    }
+    return ttypes.PlaceAsk(**(fields | changed))
+
+
+def place(ticket_id: str) -> ttypes.Place:
+    """Returns an online ticket at endpoint `e0` as its holder reports it."""
+    return ttypes.Place(
+        id=ticket_id,
+        group="s",
+        endpoint="e0",
+        kind="online",
+        organisation="o",
+        tokens=1,
+        suspect=False,
+        due_s=math.inf,
+        needs_s=0.0,
+    )
+
+
 def process(name: str = "g0") -> deployment.Process:
     """Returns the settings of a process."""
     return deployment.Process(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,7 +1,6 @@
 """The scheduler: slot counts, refusals, rates, and lost processes."""
 
 import dataclasses
-import math
 from typing import Any
 
 import anyio
@@ -26,44 +25,6 @@
     return worker, peers, clock, task_group
 
 
-def _request(index: int, **changed: Any) -> ttypes.PlaceAsk:
-    fields: dict[str, Any] = {
-        "id": f"r{index}",
-        "group": "s",
-        "kind": "online",
-        "organisation": "o",
-        "tokens": 10,
-        "prompt_tokens": 5,
-        "blocks": [],
-        "holder": "g0:1",
-        "wait_s": 5.0,
-        "waited_s": 0.0,
-        "suspect": False,
-        "avoid": [],
-        "rate_per_s": 0.0,
-        "burst": 0.0,
-        "due_s": math.inf,
-        "needs_s": 0.0,
-        "objective_s": 5.0,
-        "fingerprint": index,
-    }
-    return ttypes.PlaceAsk(**(fields | changed))
-
-
-def _wire_ticket(ticket_id: str) -> ttypes.Place:
-    return ttypes.Place(
-        id=ticket_id,
-        group="s",
-        endpoint="e0",
-        kind="online",
-        organisation="o",
-        tokens=1,
-        suspect=False,
-        due_s=math.inf,
-        needs_s=0.0,
-    )
-
-
 def test_grants_no_more_tickets_than_slots_and_sends_the_next() -> None:
     """Guards against requests that wait in an endpoint's own queue."""
 
@@ -72,10 +33,11 @@
             fake_fleet.view(endpoints=1)
         )
         states = [
-            (await worker.on_request(_request(i))).state for i in range(3)
+            (await worker.on_request(fake_fleet.place_ask(i))).state
+            for i in range(3)
         ]
         assert states == [State.GRANTED, State.GRANTED, State.QUEUED]
-        repeated = await worker.on_request(_request(2))
+        repeated = await worker.on_request(fake_fleet.place_ask(2))
         assert repeated.state == State.QUEUED
         await worker.on_released(
             ttypes.PlaceReturned(
@@ -96,8 +58,10 @@
     async def main() -> None:
         worker, _, _, _ = _make_scheduler(fake_fleet.view(endpoints=1))
         for index in range(2):
-            await worker.on_request(_request(index))
-        answer = await worker.on_request(_request(9, objective_s=0.3))
+            await worker.on_request(fake_fleet.place_ask(index))
+        answer = await worker.on_request(
+            fake_fleet.place_ask(9, objective_s=0.3)
+        )
         assert answer.state == State.OVERLOADED
         assert answer.retry_after_s > 0.0
 
@@ -110,11 +74,11 @@
     async def main() -> None:
         worker, _, _, _ = _make_scheduler(fake_fleet.view(endpoints=1))
         for index in range(2):
-            ticket = _wire_ticket(f"old{index}")
+            ticket = fake_fleet.place(f"old{index}")
             await worker.on_acquired(
                 ttypes.PlaceTaken(holder="g1:1", place=ticket)
             )
-        answer = await worker.on_request(_request(1))
+        answer = await worker.on_request(fake_fleet.place_ask(1))
         assert answer.state == State.QUEUED
 
     anyio.run(main)
@@ -129,16 +93,18 @@
         )
         fields = {"kind": "batch", "needs_s": 4.0}
         for index in range(2):
-            request = _request(index, due_s=20.0, holder="w0:1", **fields)
+            request = fake_fleet.place_ask(
+                index, due_s=20.0, holder="w0:1", **fields
+            )
             assert (await worker.on_request(request)).state == State.GRANTED
         clock.time_s += scheduler.ACTIVE_TIMEOUT_S + 0.1
         await worker.tick(clock.now())
         await worker.on_acquired(
-            ttypes.PlaceTaken(holder="g1:1", place=_wire_ticket("online"))
+            ttypes.PlaceTaken(holder="g1:1", place=fake_fleet.place("online"))
         )
         await task_group.run()
         assert peers.count("place_revoked") == 0
-        await worker.on_request(_request(9))
+        await worker.on_request(fake_fleet.place_ask(9))
         await task_group.run()
         revoked = [m for _, name, m in peers.calls if name == "place_revoked"]
         assert revoked
@@ -161,10 +127,14 @@
             fake_fleet.view(endpoints=1)
         )
         for index in range(2):
-            request = _request(index, kind="batch", due_s=20.0, holder="w0:1")
+            request = fake_fleet.place_ask(
+                index, kind="batch", due_s=20.0, holder="w0:1"
+            )
             assert (await worker.on_request(request)).state == State.GRANTED
         message = ttypes.PlaceTaken(
-            holder="g1:1", place=_wire_ticket("online"), granted_by=granted_by
+            holder="g1:1",
+            place=fake_fleet.place("online"),
+            granted_by=granted_by,
         )
         await worker.on_acquired(message)
         await task_group.run()
@@ -182,15 +152,21 @@
         )
         batch = {"kind": "batch", "holder": "w0:1"}
         for index in range(2):
-            late_request = _request(index, due_s=1.0, needs_s=4.0, **batch)
+            late_request = fake_fleet.place_ask(
+                index, due_s=1.0, needs_s=4.0, **batch
+            )
             assert (
                 await worker.on_request(late_request)
             ).state == State.GRANTED
-        urgent_request = _request(2, due_s=20.0, needs_s=4.0, **batch)
+        urgent_request = fake_fleet.place_ask(
+            2, due_s=20.0, needs_s=4.0, **batch
+        )
         assert (await worker.on_request(urgent_request)).state == State.QUEUED
         await task_group.run()
         assert peers.count("place_revoked") == 1
-        acquired = ttypes.PlaceTaken(holder="w0:1", place=_wire_ticket("r2"))
+        acquired = ttypes.PlaceTaken(
+            holder="w0:1", place=fake_fleet.place("r2")
+        )
         await worker.on_acquired(acquired)
         await worker.on_released(
             ttypes.PlaceReturned(
@@ -213,15 +189,22 @@
 
     async def main() -> None:
         worker, _, clock, _ = _make_scheduler(fake_fleet.view(endpoints=1))
-        acquired = ttypes.PlaceTaken(holder="w1:1", place=_wire_ticket("t0"))
+        acquired = ttypes.PlaceTaken(
+            holder="w1:1", place=fake_fleet.place("t0")
+        )
         await worker.on_acquired(acquired)
-        granted = await worker.on_request(_request(0, holder="w2:1"))
+        granted = await worker.on_request(
+            fake_fleet.place_ask(0, holder="w2:1")
+        )
         assert granted.state == State.GRANTED
-        assert (await worker.on_request(_request(1))).state == State.QUEUED
+        assert (
+            await worker.on_request(fake_fleet.place_ask(1))
+        ).state == State.QUEUED
         clock.time_s += scheduler.HOLDER_REPORT_TIMEOUT_S + 0.1
         await worker.tick(clock.now())
         states = [
-            (await worker.on_request(_request(i))).state for i in (2, 3, 4)
+            (await worker.on_request(fake_fleet.place_ask(i))).state
+            for i in (2, 3, 4)
         ]
         assert states == [State.GRANTED, State.GRANTED, State.QUEUED]
 
@@ -235,7 +218,9 @@
         view = fake_fleet.view(endpoints=50)
         worker, _, _, _ = _make_scheduler(view)
         requests = [
-            _request(i, rate_per_s=10.0, burst=10.0, holder=f"g{i % 2}:1")
+            fake_fleet.place_ask(
+                i, rate_per_s=10.0, burst=10.0, holder=f"g{i % 2}:1"
+            )
             for i in range(20)
         ]
         states = [
@@ -254,7 +239,10 @@
     async def main() -> None:
         worker, _, clock, _ = _make_scheduler(fake_fleet.view(endpoints=50))
         clock.time_s += 30.0
-        requests = [_request(i, rate_per_s=10.0, burst=10.0) for i in range(20)]
+        requests = [
+            fake_fleet.place_ask(i, rate_per_s=10.0, burst=10.0)
+            for i in range(20)
+        ]
         states = [
             (await worker.on_request(request)).state for request in requests
         ]
@@ -287,12 +275,12 @@
         worker, _, clock, _ = _make_scheduler(fake_fleet.view(endpoints=1))
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=[]))
         for index in range(2):
-            await worker.on_request(_request(index))
+            await worker.on_request(fake_fleet.place_ask(index))
         clock.time_s += scheduler.HOLDER_REPORT_TIMEOUT_S + 0.1
         await worker.tick(clock.now())
-        tickets = [_wire_ticket(f"r{index}") for index in range(2)]
+        tickets = [fake_fleet.place(f"r{index}") for index in range(2)]
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=tickets))
-        answer = await worker.on_request(_request(5, holder="g1:1"))
+        answer = await worker.on_request(fake_fleet.place_ask(5, holder="g1:1"))
         assert answer.state == State.QUEUED
 
     anyio.run(main)
@@ -320,10 +308,10 @@
         worker, _, clock, _ = _make_scheduler(fake_fleet.view(endpoints=1))
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=[]))
         for index in range(2):
-            await worker.on_request(_request(index))
+            await worker.on_request(fake_fleet.place_ask(index))
         clock.time_s += scheduler.HOLDER_REPORT_TIMEOUT_S + 0.1
         await worker.tick(clock.now())
-        answer = await worker.on_request(_request(5, holder="g1:1"))
+        answer = await worker.on_request(fake_fleet.place_ask(5, holder="g1:1"))
         assert answer.state == State.GRANTED
 
     anyio.run(main)
@@ -337,14 +325,18 @@
             fake_fleet.view(endpoints=1)
         )
         for index in range(2):
-            await worker.on_request(_request(index))
-        refused = await worker.on_request(_request(9, objective_s=0.3))
+            await worker.on_request(fake_fleet.place_ask(index))
+        refused = await worker.on_request(
+            fake_fleet.place_ask(9, objective_s=0.3)
+        )
         assert refused.state == State.OVERLOADED
         clock.time_s += 1.0
-        queued = await worker.on_request(_request(10, objective_s=5.0))
+        queued = await worker.on_request(
+            fake_fleet.place_ask(10, objective_s=5.0)
+        )
         assert queued.state == State.QUEUED
         retried = await worker.on_request(
-            _request(11, objective_s=0.3, fingerprint=9)
+            fake_fleet.place_ask(11, objective_s=0.3, fingerprint=9)
         )
         assert retried.state == State.QUEUED
         await worker.on_released(
@@ -369,7 +361,7 @@
             )
         worker, _, _, _ = _make_scheduler(view)
         for index, name in enumerate(sorted(view.endpoints)):
-            request = _request(index, data_centre=f"d{index}")
+            request = fake_fleet.place_ask(index, data_centre=f"d{index}")
             assert (await worker.on_request(request)).endpoint == name
 
     anyio.run(main)
--- a/tests/test_scheduler_limits.py
+++ b/tests/test_scheduler_limits.py
@@ -43,27 +43,7 @@
     async def ask(self, **changed: Any) -> ttypes.PlaceAnswer:
         """Requests a ticket."""
         self.count += 1
-        fields: dict[str, Any] = {
-            "id": f"r{self.count}",
-            "group": "s",
-            "kind": "online",
-            "organisation": "o",
-            "tokens": 10,
-            "prompt_tokens": 5,
-            "blocks": [],
-            "holder": "g0:1",
-            "wait_s": 5.0,
-            "waited_s": 0.0,
-            "suspect": False,
-            "avoid": [],
-            "rate_per_s": 0.0,
-            "burst": 0.0,
-            "due_s": math.inf,
-            "needs_s": 0.0,
-            "objective_s": 5.0,
-            "fingerprint": self.count,
-        }
-        request = ttypes.PlaceAsk(**(fields | changed))
+        request = fake_fleet.place_ask(self.count, **changed)
         answer = await self.worker.on_request(request)
         if answer.state == State.GRANTED:
             self.granted.append((self.clock.time_s, answer.endpoint))
@@ -209,17 +189,7 @@
         for _ in range(4):
             answer = await world.ask()
             assert answer.state == State.GRANTED
-            ticket = ttypes.Place(
-                id=answer.id,
-                group="s",
-                endpoint="e0",
-                kind="online",
-                organisation="o",
-                tokens=1,
-                suspect=False,
-                due_s=math.inf,
-                needs_s=0.0,
-            )
+            ticket = fake_fleet.place(answer.id)
             await standby.on_acquired(
                 ttypes.PlaceTaken(holder="g0:1", place=ticket, granted_by="w0")
             )
