End the run of a job whose record was deleted

Cause: after an error a run reads its record again. A record that is not there raised an error that nothing caught, which ended the batch process and with it the runs of all other jobs. Found by reading, in the list of docs/design.md. Change: without a record the run ends. Test: test_run_of_a_deleted_job_ends; it failed before (NotFoundError).

--- a/src/ibisknot/job_run.py
+++ b/src/ibisknot/job_run.py
@@ -201,7 +201,8 @@
                     error=repr(error),
                 )
             await anyio.sleep(RETRY_PAUSE_S)
-            await _refresh_record(run, key_value)
+            if not await _refresh_record(run, key_value):
+                return
 
 
 async def _is_still_owned(run: JobRun) -> bool:
@@ -215,14 +216,22 @@
     return True
 
 
-async def _refresh_record(run: JobRun, key_value: keyvalue.KeyValue) -> None:
-    """Reads the record again, because a change may have been missed."""
+async def _refresh_record(run: JobRun, key_value: keyvalue.KeyValue) -> bool:
+    """Reads the record again, because a change may have been missed.
+
+    Returns:
+        False if the record was deleted, so that there is nothing to run.
+    """
     try:
         run.job, _ = await jobs.read_job(key_value, run.job.id)
+    except errors.NotFoundError as error:
+        _log_interruption(run, error)
+        return False
     except errors.KeyValueError as error:
         _log_interruption(run, error)
     if run.job.state == jobs.CANCELLING:
         run.cancelled = True
+    return True
 
 
 def _log_interruption(run: JobRun, error: errors.IbisknotError) -> None:
--- a/tests/test_job_run.py
+++ b/tests/test_job_run.py
@@ -218,6 +218,22 @@
     assert world.job_record().state == jobs.EXPIRED
 
 
+async def test_run_of_a_deleted_job_ends(tmp_path: pathlib.Path) -> None:
+    """Guards against a deleted record that ends the batch process."""
+    world = batch_world.World(tmp_path)
+    job = await batch_world.accept_job(world, [2])
+    batch_world.set_owner(world, "x", 1)
+    run, client = batch_world.make_run(world, "x", 1, batch_world.open_gate)
+    del world.key_value.pairs[jobs.job_key(job.id)]
+    with anyio.fail_after(60.0):
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(batch_world.answer_items, run, "x")
+            replica_client = world.replica_client("x", batch_world.open_gate)
+            await job_run.execute(run, replica_client, client)
+            task_group.cancel_scope.cancel()
+    assert jobs.job_key(job.id) not in world.key_value.pairs
+
+
 async def test_former_owner_cannot_finish(tmp_path: pathlib.Path) -> None:
     """Guards against a final record by an owner paused beyond its lease."""
     world = batch_world.World(tmp_path)
