Release the orders' shard when its records cannot be read

Cause: a VM that had acquired the shard and could then not read its records kept the lease without acting as the owner, so no VM sent orders until the lease ended. Change: the lease is ended, and the next tick acquires the shard again. Test: test_shard_whose_records_could_not_be_read_is_released; it failed before.

--- a/src/ibisknot/orders_runner.py
+++ b/src/ibisknot/orders_runner.py
@@ -150,7 +150,13 @@
         self.last_poll_s.clear()
         self.refusals.clear()
         guard = keyvalue.Guard(pair.key, pair.revision)
-        await self.records.read_all(guard)
+        try:
+            await self.records.read_all(guard)
+        except errors.KeyValueError:
+            # Without its records nobody could send the shard's orders.
+            lease_module.record_loss(self.lease)
+            await self.key_value.revoke(lease_id)
+            raise
         self.epoch = epoch
         self.next_renewal_s = requested_s + self.order_settings.lease_s / 3
         logs.event(
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,6 +11,7 @@
 from ibisknot import configuration
 from ibisknot import distribution
 from ibisknot import errors
+from ibisknot import keyvalue
 from ibisknot import load_pacing
 from ibisknot import order_records
 from ibisknot import orders
@@ -264,6 +265,28 @@
     assert world.loaded_versions() == {"2"}
 
 
+@pytest.mark.anyio
+async def test_shard_whose_records_could_not_be_read_is_released(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a shard that is owned while nobody sends its orders."""
+    world = World(monkeypatch, 1)
+    async with anyio.create_task_group() as task_group:
+        runner = world.make_runner("vm-1", task_group)
+        world.set_configuration(runner, world.make_configuration(1, "1"))
+        read_all = runner.records.read_all
+
+        async def fail(_guard: keyvalue.Guard) -> None:
+            raise errors.KeyValueError("the service did not answer")
+
+        monkeypatch.setattr(runner.records, "read_all", fail)
+        await world.run([runner], 0.5)
+        assert not runner.owns_shard()
+        monkeypatch.setattr(runner.records, "read_all", read_all)
+        await world.run([runner], 1.0)
+        assert runner.owns_shard()
+
+
 @pytest.mark.anyio
 async def test_order_of_a_lost_owner_is_sent_again(
     monkeypatch: pytest.MonkeyPatch,
