Remove names that nothing uses

Change: six of the eight never used names in the list of docs/design.md are gone, with a parameter of the batch API's handler. The two priorities stay on the list: the platform states them, and whether they should order requests is open.

--- a/src/ibisknot/_attempt.py
+++ b/src/ibisknot/_attempt.py
@@ -35,7 +35,6 @@
         event_count: Number of complete events received, except `DONE_LINE`.
         last_event: The last of these events, without `EVENT_END`.
         is_complete: Whether the whole response was received.
-        released: Whether the ticket was released.
     """
 
     endpoint: str
@@ -49,7 +48,6 @@
     event_count: int = 0
     last_event: bytes = b""
     is_complete: bool = False
-    released: bool = False
 
     def token_count(self) -> int:
         """Returns the number of tokens received."""
--- a/src/ibisknot/batch_api.py
+++ b/src/ibisknot/batch_api.py
@@ -11,7 +11,6 @@
 from ibisknot import http_server
 from ibisknot import request_metadata
 from ibisknot import serving
-from ibisknot import timer
 
 RESPONSE_MARGIN_S = 0.3
 """Time before the caller's deadline that is left to send the response."""
@@ -74,15 +73,9 @@
 class Handler:
     """Handles the batch calls that reach one gateway."""
 
-    def __init__(
-        self,
-        jobs: batch_jobs.Jobs,
-        dialect: Dialect,
-        clock: timer.Timer,
-    ) -> None:
+    def __init__(self, jobs: batch_jobs.Jobs, dialect: Dialect) -> None:
         self.jobs = jobs
         self.dialect = dialect
-        self.clock = clock
 
     async def handle(
         self,
--- a/src/ibisknot/configuration_records.py
+++ b/src/ibisknot/configuration_records.py
@@ -5,7 +5,6 @@
 """
 
 import time
-from typing import Any
 
 import anyio
 import msgspec
@@ -423,9 +422,3 @@
             )
         last = first - 1
     return content
-
-
-def describe(record: ChangeRecord) -> dict[str, Any]:
-    """Returns the fields of a record as the operators' interface shows them."""
-    fields: dict[str, Any] = msgspec.json.decode(msgspec.json.encode(record))
-    return fields
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -66,9 +66,7 @@
             gateway_node.clock.now,
             gateway_node.task_group,
         )
-        batch_handler = batch_api.Handler(
-            jobs, batch_dialect, gateway_node.clock
-        )
+        batch_handler = batch_api.Handler(jobs, batch_dialect)
         caller_gateway = gateway.Gateway(
             view,
             forwarder,
--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -29,7 +29,6 @@
 The first one, two that fail because another request crashes two endpoints, and
 two for other failures.
 """
-JSON = "application/json"
 DONE_EVENT = _attempt.DONE_LINE + _attempt.EVENT_END
 
 
--- a/src/ibisknot/operator_api.py
+++ b/src/ibisknot/operator_api.py
@@ -258,14 +258,6 @@
             {"version": self.local.current.version, "current": is_fresh}
         )
 
-    async def _read_orders(self) -> list[order_records.OrderStatus] | None:
-        try:
-            return await order_records.read_order_statuses(
-                self.key_value, self.local.current
-            )
-        except errors.KeyValueError:
-            return None
-
     async def show_history(
         self, request: requests.Request
     ) -> responses.Response:
--- a/src/ibisknot/settings.py
+++ b/src/ibisknot/settings.py
@@ -14,8 +14,7 @@
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Bytes = Annotated[int, msgspec.Meta(ge=1)]
 NAIVE_POLICY = "naive"
-FLEET_POLICY = "fleet"
-"""Values of `policy`; `naive` has static rates and random endpoints."""
+"""Value of `policy` with static rates and random endpoints."""
 
 
 class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
