Use a request that a limit allows and that cannot be kept

What callers and endpoints would see: online requests went to endpoints with a limit only when all others were full. While the others had room and there was no batch work, nothing asked such an endpoint, so nobody heard that its limit had ended. Found by the run of all tests beside load: the test of named limits got no request at its endpoint at all, as four callers fill no slots of the other one. Change: an endpoint whose bucket is full counts like one without a limit, since its next request would be lost otherwise. The test has eight callers with longer requests, so that it does not pass for want of requests. Test: test_endpoint_with_a_limit_is_used_while_others_have_room; it failed before (0 requests in 10 s at 2 a second).

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -175,11 +175,11 @@
     return [e for e in endpoints if not e.reserved and not e.has_exclusive()]
 
 
-def _unlimited_endpoints(
-    endpoints: list[_admission_state.Endpoint],
+def _spare_endpoints(
+    endpoints: list[_admission_state.Endpoint], now: float
 ) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints that name no limit on requests."""
-    return [e for e in endpoints if e.bucket is None]
+    """Returns the endpoints at which a request costs no later one."""
+    return [e for e in endpoints if request_limits.is_spare(e.bucket, now)]
 
 
 def _limited_endpoints(
@@ -211,8 +211,9 @@
             continue
         shared = _shareable_endpoints(usable)
         free = [e for e in shared if _has_free_slot(e)]
-        # Requests that limits allow are kept for the next wave.
-        free = _unlimited_endpoints(free) or free
+        # Requests that limits allow are kept for the next wave. Those that
+        # cannot be kept are used, so that an endpoint can end its limit.
+        free = _spare_endpoints(free, now) or free
         free = _online_first_endpoints(free) or free
         if not free and group.policy.revokes_batch:
             free = _revoke_one_batch(shared, now, actions)
--- a/src/ibisknot/request_limits.py
+++ b/src/ibisknot/request_limits.py
@@ -120,6 +120,19 @@
     return bucket.level >= 1.0
 
 
+def is_spare(bucket: Bucket | None, now: float) -> bool:
+    """Returns whether a request now would leave nothing less for later.
+
+    >>> bucket = set_rate(None, 2.0, 10.0)
+    >>> is_spare(None, 10.0), is_spare(bucket, 10.0), is_spare(bucket, 12.0)
+    (True, False, True)
+    """
+    if bucket is None:
+        return True
+    _refill(bucket, now)
+    return bucket.level >= bucket.capacity
+
+
 def consume(bucket: Bucket | None, now: float) -> None:
     """Counts a request that is sent to the endpoint."""
     if bucket is not None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -123,11 +123,10 @@
 
     def send(gateway: int) -> None:
         while time.monotonic() < start_s + 11.0:
-            fleet.chat(gateway)
-            time.sleep(0.05)
+            fleet.chat(gateway, events=20)
 
-    with futures.ThreadPoolExecutor(4) as executor:
-        sent = [executor.submit(send, n % 2) for n in range(4)]
+    with futures.ThreadPoolExecutor(8) as executor:
+        sent = [executor.submit(send, n % 2) for n in range(8)]
         time.sleep(5.0)
         fleet.programs["store-0"].stop()
         for future in sent:
--- a/tests/test_scheduler_limits.py
+++ b/tests/test_scheduler_limits.py
@@ -271,6 +271,21 @@
     anyio.run(main)
 
 
+def test_endpoint_with_a_limit_is_used_while_others_have_room() -> None:
+    """Guards against an endpoint that nobody asks whether its limit ended."""
+
+    async def main() -> None:
+        world = World(endpoints=2, slots=100)
+        await world.worker.on_report(_report("g0:1", [_limit()]))
+        for _ in range(100):
+            await world.ask()
+            await world.pass_time(0.1)
+        used = [name for _, name in world.granted if name == "e0"]
+        assert 0.5 * RATE_PER_S * 10.0 <= len(used) <= RATE_PER_S * 10.0 + 5.0
+
+    anyio.run(main)
+
+
 def test_limit_of_an_endpoint_that_is_not_listed_yet_is_kept_out() -> None:
     """Guards against memory for endpoints that never existed."""
 
