Log the software of endpoints and where streams go on, and reproduce the joined streams

Callers saw streams whose events came from engines of two software versions, in one answer or over their requests. The logs had no version, so they could not tell whether one answer, a caller's next request or a batch item was joined. Endpoints now carry the version of their software, and two log events say where a stream or item goes on.

The digest of endpoints stays the one of other builds: software changes only with the start time, which the digest covers.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -318,6 +318,16 @@
             remaining_s=None,
             last_event_id=task.last_event_id,
         )
+        if task.last_event_id is not None:
+            logs.event(
+                "item_continued",
+                job=task.job_id,
+                request=item.id,
+                endpoint=ticket.endpoint.name,
+                software=ticket.endpoint.software_version,
+                failed=sorted(task.failed_endpoints),
+                last_event=task.last_event_id,
+            )
         return http_client.Call(
             address=ticket.endpoint.address,
             method=b"POST",
--- a/src/ibisknot/fleet_endpoint.py
+++ b/src/ibisknot/fleet_endpoint.py
@@ -9,7 +9,7 @@
 
     The class's repr, which holds the class name and the field names, is part
     of a digest that processes send each other: `fleetview.endpoints_digest`.
-    The names and the order of the fields therefore stay as they are.
+    The names and the order of the fields in it therefore stay as they are.
 
     Attributes:
         name: Unique name of the entry.
@@ -18,6 +18,9 @@
         slots: Count of the requests that it runs at the same time.
         leaving: Whether it is shutting down and gets no new requests.
         born_ms: Start time in Unix milliseconds, 0 if unknown.
+        software_version: Version of the engine's software, empty if unknown.
+            It is not part of the digest, because it changes only with
+            `born_ms`.
     """
 
     name: str
@@ -27,3 +30,4 @@
     slots: int
     leaving: bool
     born_ms: int = 0
+    software_version: str = dataclasses.field(default="", repr=False)
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -227,6 +227,8 @@
             remaining_s=remaining_s,
             last_event_id=task.last_event_id,
         )
+        if _continues_stream(task):
+            _log_continued(task, ticket)
         request_id = task.metadata.id
         return http_client.Call(
             address=ticket.endpoint.address,
@@ -446,6 +448,25 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
+def _continues_stream(task: Task) -> bool:
+    """Returns whether the next attempt continues a stream that has begun."""
+    received = task.last_event_id or task.metadata.last_event_id
+    return bool(received) and task.route.resumable
+
+
+def _log_continued(task: Task, ticket: ticket_types.Ticket) -> None:
+    """Logs where a stream goes on, and who began it as far as that is known."""
+    logs.event(
+        "stream_continued",
+        request=task.metadata.id,
+        resumes=task.metadata.resumed_id,
+        endpoint=ticket.endpoint.name,
+        software=ticket.endpoint.software_version,
+        failed=sorted(task.failed_endpoints),
+        last_event=task.last_event_id or task.metadata.last_event_id,
+    )
+
+
 def _is_event_stream(response: http_client.Response) -> bool:
     content_type = response.get_header(b"content-type") or ""
     media_type = content_type.partition(";")[0].strip().lower()
--- a/src/ibisknot/platform/entries.py
+++ b/src/ibisknot/platform/entries.py
@@ -15,6 +15,7 @@
     Zone: str
     State: str
     Slots: int
+    # Version of the engine's software, not of its weights.
     Version: str = ""
     # Remaining time in which the engine runs slowly after its start.
     ColdRemainingMs: float = 0
@@ -44,4 +45,5 @@
         slots=entry.Slots,
         leaving=is_draining,
         born_ms=entry.born,
+        software_version=entry.Version,
     )
--- a/src/ibisknot/platform/headers.py
+++ b/src/ibisknot/platform/headers.py
@@ -17,6 +17,8 @@
 NOT_RUN = b"X-Ibisknot-Not-Run"
 WAIT_MS = b"X-Ibisknot-Wait-Ms"
 LAST_EVENT_ID = b"Last-Event-Id"
+# Id of the caller's earlier request that brought the first event.
+RESUMES = b"Resumes"
 RETRY_AFTER = b"Retry-After"
 REQUEST_LIMIT = b"Server-Limit"
 AUTHORIZATION = b"Authorization"
@@ -44,6 +46,7 @@
         prompt_blocks=_chained_hashes(part_ids),
         prompt_parts=tuple(_hash(part_id) for part_id in part_ids),
         last_event_id=_decode_integer(_get(headers, LAST_EVENT_ID)),
+        resumed_id=_get(headers, RESUMES) or "",
     )
 
 
--- a/src/ibisknot/request_metadata.py
+++ b/src/ibisknot/request_metadata.py
@@ -21,6 +21,8 @@
             one, which belongs to the request or its session alone.
         last_event_id: Id of the last event that the caller has received, or
             None.
+        resumed_id: Id of the caller's earlier request that brought the first
+            event of the stream; empty if it names none.
     """
 
     id: str = ""
@@ -32,6 +34,7 @@
     prompt_blocks: tuple[int, ...] = ()
     prompt_parts: tuple[int, ...] = ()
     last_event_id: int | None = None
+    resumed_id: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -350,9 +350,12 @@
         state = "gone"
         if new is not None:
             state = "leaving" if new.leaving else "active"
+        shown = new or old
+        assert shown is not None
         logs.event(
             "endpoint_" + state,
             endpoint=name,
+            software=shown.software_version,
             revision=revision,
             age_s=round(age_s, 3),
         )
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -199,3 +199,16 @@
 ) -> None:
     """Guards against a call that is decoded as another one."""
     assert jobs.decode_call(http11.Request(method, target, [])) == call
+
+
+def test_software_and_resumed_request_are_decoded() -> None:
+    """Guards against streams that go on without knowing what began them."""
+    value = (
+        b'{"Service":"s","Address":"h:1","Zone":"z","State":"ready",'
+        b'"Slots":1,"Version":"4.2"}'
+    )
+    endpoint = entries.decode(pairs.Pair("servers/e", value, 1))
+    assert endpoint is not None
+    assert endpoint.software_version == "4.2"
+    metadata = headers.decode_metadata([(b"Resumes", b"r0")])
+    assert metadata.resumed_id == "r0"
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,139 @@
+"""Streams go on only at the version of the software that began them."""
+
+import pathlib
+import signal
+import threading
+
+import httpx
+import platform_fleet
+
+STREAM_EVENTS = 60
+EVENT_S = 0.05
+OLD_ENGINES = (0,)
+NEW_ENGINES = (1,)
+
+
+def _start(fleet: platform_fleet.Fleet, *, gateways: int, workers: int) -> None:
+    """Starts a fleet, then an engine of newer software."""
+    fleet.start(engines=1, gateways=gateways, workers=workers)
+    fleet.start_engine(NEW_ENGINES[0], "--software=v2")
+    fleet.wait_for_endpoint("e-1")
+
+
+def _engines_of(fleet: platform_fleet.Fleet, request_id: str) -> set[int]:
+    """Returns the engines that ran a request."""
+    return {
+        engine
+        for engine in (*OLD_ENGINES, *NEW_ENGINES)
+        for run in fleet.runs(engine)
+        if run["id"] == request_id
+    }
+
+
+def test_broken_stream_goes_on_at_the_software_that_began_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an answer that is joined from two software versions."""
+    fleet = platform_fleet.Fleet(tmp_path)
+    try:
+        _start(fleet, gateways=1, workers=1)
+        fleet.set_engine_faults(0, cut_after=2)
+        ids = [platform_fleet.new_id() for _ in range(12)]
+        answers = [fleet.chat(request_id=i, events=4) for i in ids]
+        engines = [_engines_of(fleet, i) for i in ids]
+        assert {0} in engines
+        assert {0, 1} not in engines
+        assert [a.text.count("data: ") for a in answers] == [4] * len(ids)
+    finally:
+        fleet.stop()
+
+
+class _Caller:
+    """Reads one stream until its connection breaks.
+
+    Attributes:
+        request_id: Id of the request.
+        text: What was received.
+    """
+
+    def __init__(self, fleet: platform_fleet.Fleet, gateway: int) -> None:
+        self.fleet = fleet
+        self.gateway = gateway
+        self.request_id = platform_fleet.new_id()
+        self.text = ""
+        self.thread = threading.Thread(target=self._read)
+        self.thread.start()
+
+    def _read(self) -> None:
+        url = (
+            f"http://{self.fleet.ip(20 + self.gateway)}"
+            f":{platform_fleet.CALLER_PORT}/chat/a"
+        )
+        headers = {
+            "Host": platform_fleet.HOST,
+            "Authorization": f"Token {platform_fleet.KEY}",
+            "X-Ibisknot-Request-Id": self.request_id,
+            "X-Ibisknot-Deadline-Ms": "20000",
+            "X-Ibisknot-Token-Usage": f"9,{STREAM_EVENTS}",
+        }
+        try:
+            with httpx.stream(
+                "POST", url, headers=headers, content=b"x", timeout=20.0
+            ) as answer:
+                for piece in answer.iter_text():
+                    self.text += piece
+        except httpx.HTTPError:
+            # The gateway was killed.
+            pass
+
+    def last_event_id(self) -> int:
+        """Returns the id of the last whole event received."""
+        return self.text.count("\n\n")
+
+    def take_up(self, gateway: int) -> httpx.Response:
+        """Resumes the stream in a new request."""
+        self.thread.join()
+        return self.fleet.chat(
+            gateway,
+            events=STREAM_EVENTS,
+            headers={
+                "Last-Event-Id": str(self.last_event_id()),
+                "Resumes": self.request_id,
+            },
+        )
+
+
+def _kill_gateways(fleet: platform_fleet.Fleet, count: int) -> None:
+    """Kills all gateways and starts them again."""
+    for index in range(count):
+        fleet.programs[f"front-{index}"].stop(signal.SIGKILL)
+    for index in range(count):
+        fleet.programs[f"front-{index}"].start()
+    for index in range(count):
+        platform_fleet.wait_for(lambda n=index: fleet.is_ready(n))
+
+
+def test_stream_taken_up_after_all_gateways_died_keeps_its_software(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a stream that goes on at a process that knows no more."""
+    fleet = platform_fleet.Fleet(tmp_path)
+    try:
+        _start(fleet, gateways=2, workers=2)
+        for engine in (0, 1):
+            fleet.set_engine_faults(engine, event_s=EVENT_S)
+        callers = [_Caller(fleet, n % 2) for n in range(6)]
+        platform_fleet.wait_for(
+            lambda: all(c.last_event_id() >= 3 for c in callers)
+        )
+        _kill_gateways(fleet, 2)
+        answers = [c.take_up(1 - n % 2) for n, c in enumerate(callers)]
+        for caller, answer in zip(callers, answers, strict=True):
+            began = _engines_of(fleet, caller.request_id)
+            went_on = _engines_of(
+                fleet, answer.request.headers["X-Ibisknot-Request-Id"]
+            )
+            assert answer.status_code == 200
+            assert went_on == began
+    finally:
+        fleet.stop()
