--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -64,6 +64,39 @@
 
 struct EndpointLimits { 1: required list<EndpointLimit> limits }
 
+/** An attempt to serve a stream that may be resumed later. */
+struct StreamAttempt {
+  /** Id of the caller's request that brings the first event. */
+  1: required string stream,
+  /** Number of this attempt; it replaces what earlier ones say. */
+  2: required i32 number,
+}
+
+/** A service, and versions of the software of its endpoints. */
+struct ServiceSoftware {
+  1: required string name,
+  2: required list<string> versions,
+}
+
+/** Record of the software that has served lately. */
+struct SoftwareRecord { 1: required list<ServiceSoftware> services }
+
+/** Asks which software began a stream. */
+struct StreamOriginAsk { 1: required string stream }
+
+struct StreamOrigin {
+  /** Whether the process knows the stream; if not, only 5 and 6 say anything. */
+  1: required bool known,
+  /** Name of the service. */
+  2: optional string group,
+  3: optional string software,
+  4: optional i32 attempt,
+  /** The software that has served lately, by service. */
+  5: required list<ServiceSoftware> recent,
+  /** Whether that covers the whole time of a stream. */
+  6: required bool complete,
+}
+
 /** Asks the scheduler for a place at an endpoint. */
 struct PlaceAsk {
   /** Unique over the fleet; a repeated ask is the same request. */
@@ -100,9 +133,21 @@
   21: optional string data_centre,
   /** What the asker knows, for a scheduler that has not had its report yet. */
   22: optional list<EndpointLimit> limits,
+  /** Software version that the endpoint must have; absent if any may serve. */
+  23: optional string software,
+  /** Stream that the request begins or continues, if it is resumable. */
+  24: optional StreamAttempt stream,
 }
 
-enum PlaceState { GRANTED = 1, QUEUED = 2, OVERLOADED = 3, OVER_RATE = 4, UNSERVED = 5 }
+enum PlaceState {
+  GRANTED = 1,
+  QUEUED = 2,
+  OVERLOADED = 3,
+  OVER_RATE = 4,
+  UNSERVED = 5,
+  /** No endpoint has the software that the request needs. */
+  SOFTWARE_GONE = 6,
+}
 
 struct PlaceAnswer {
   1: required string id,
@@ -110,6 +155,8 @@
   3: required string endpoint,
   4: required double retry_after_s,
   5: required bool alone,
+  /** Software version of the endpoint, as the scheduler has it. */
+  6: optional string software,
 }
 
 /** A place that is taken, told to every scheduler. */
@@ -125,6 +172,9 @@
   8: required double due_s,
   /** Seconds that the request will hold its place from now on. */
   9: required double needs_s,
+  /** Software version of the endpoint, as the holder has it. */
+  10: optional string software,
+  11: optional StreamAttempt stream,
 }
 
 struct PlaceTaken {
--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -93,6 +93,7 @@
     Attributes:
         name: Name of the endpoint in the configuration.
         data_centre: Name of its data centre; empty if it is not known.
+        software_version: Version of its software; empty if it is not known.
         capacity: Estimated capacity of its engine.
         circuit: Its circuit breaker.
         bucket: Requests that it takes, or None if it names no limit.
@@ -110,6 +111,7 @@
 
     name: str
     data_centre: str = ""
+    software_version: str = ""
     capacity: _capacity.Capacity = dataclasses.field(
         default_factory=_capacity.Capacity
     )
@@ -202,10 +204,12 @@
     Attributes:
         id: Id of the request.
         cause: The cause, as text for the caller.
+        is_software_gone: Whether no endpoint has the software that it needs.
     """
 
     id: str
     cause: str
+    is_software_gone: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -1,5 +1,7 @@
 """Decides which tickets of an admission group to grant, refuse or revoke."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import math
 
 from ibisknot import _admission_state
@@ -63,6 +65,7 @@
                     request.id, "no endpoint was free in time"
                 )
             )
+    _refuse_unservable(group, actions)
     _reserve_for_crash_suspect(group)
     _consolidate_online(group, now)
     while _grant_online(group, now, choose_for_online, actions):
@@ -77,6 +80,32 @@
     return actions
 
 
+def _refuse_unservable(
+    group: _admission_state.Group, actions: list[_admission_state.Action]
+) -> None:
+    """Refuses requests that need software which no endpoint has any more."""
+    versions = {e.software_version for e in group.endpoints.values()}
+    for queue in (group.online_queue, group.batch_queue):
+        for request in queue.all_requests():
+            needed = request.software_version
+            if needed is not None and needed not in versions:
+                queue.remove(request.id)
+                actions.append(
+                    _admission_state.Refuse(
+                        request.id,
+                        "no endpoint has the software",
+                        is_software_gone=True,
+                    )
+                )
+
+
+def _has_software(
+    endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
+) -> bool:
+    """Returns whether an endpoint has the software that a request needs."""
+    return request.software_version in (None, endpoint.software_version)
+
+
 def _usable_endpoints(
     group: _admission_state.Group,
     now: float,
@@ -84,12 +113,14 @@
 ) -> list[_admission_state.Endpoint]:
     """Returns the endpoints whose breaker and limit allow a request.
 
-    Those that the request avoids are left out if there are others.
+    Those without the software that it needs are left out, and those that it
+    avoids if there are others.
     """
     allowed = [
         e
         for e in group.endpoints.values()
-        if breaker.allows(e.circuit, now)
+        if (request is None or _has_software(e, request))
+        and breaker.allows(e.circuit, now)
         and request_limits.allows(e.bucket, now)
     ]
     if request is None:
@@ -112,7 +143,9 @@
     choices = [
         e
         for e in group.endpoints.values()
-        if e.name not in suspects[0].avoid and not e.has_exclusive()
+        if e.name not in suspects[0].avoid
+        and _has_software(e, suspects[0])
+        and not e.has_exclusive()
     ]
     if choices:
         chosen = min(
@@ -231,10 +264,41 @@
         return _fair_order(group.online_queue, now)
     oldest = group.online_queue.oldest()
     if oldest is None or not oldest.crash_suspect:
-        return [] if oldest is None else [oldest]
+        return _with_alternatives(
+            oldest, group.online_queue, _fair_queue.oldest
+        )
     return _fair_order(group.online_queue, now)
 
 
+def _with_alternatives(
+    first: _fair_queue.QueuedRequest | None,
+    queue: _fair_queue.FairQueue,
+    choose: Callable[
+        [Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest
+    ],
+) -> list[_fair_queue.QueuedRequest]:
+    """Returns a request and those that need not wait for the same endpoints.
+
+    A request that needs certain software must not delay those that other
+    endpoints can serve.
+
+    Args:
+        first: The request whose turn it is, or None if there is none.
+        queue: The queue that has it.
+        choose: Chooses the next one of several requests.
+    """
+    order = [] if first is None else [first]
+    while order and order[-1].software_version is not None:
+        waiting = {r.software_version for r in order}
+        others = [
+            r for r in queue.all_requests() if r.software_version not in waiting
+        ]
+        if not others:
+            break
+        order.append(choose(others))
+    return order
+
+
 def _batch_order(
     group: _admission_state.Group, now: float
 ) -> list[_fair_queue.QueuedRequest]:
@@ -245,7 +309,11 @@
     order = _fair_order(group.batch_queue, now)
     if not order or order[0].crash_suspect or order[0].due_s == math.inf:
         return order
-    return [urgency.next_request(group.batch_queue.all_requests(), now)]
+    return _with_alternatives(
+        urgency.next_request(group.batch_queue.all_requests(), now),
+        group.batch_queue,
+        lambda requests: urgency.next_request(requests, now),
+    )
 
 
 def _fair_order(
@@ -258,17 +326,28 @@
     first = queue.next_request(now)
     if first is None:
         return []
+
+    def least_served(
+        requests: Iterable[_fair_queue.QueuedRequest],
+    ) -> _fair_queue.QueuedRequest:
+        return min(
+            requests,
+            key=lambda r: (
+                queue.service_received(r.organisation, now),
+                r.arrived_s,
+                r.id,
+            ),
+        )
+
     if not first.crash_suspect:
-        return [first]
+        return _with_alternatives(first, queue, least_served)
     others = [r for r in queue.all_requests() if not r.crash_suspect]
-    others.sort(
-        key=lambda r: (
-            queue.service_received(r.organisation, now),
-            r.arrived_s,
-            r.id,
-        )
-    )
-    return [first, *others[:1]]
+    if not others:
+        return [first]
+    return [
+        first,
+        *_with_alternatives(least_served(others), queue, least_served),
+    ]
 
 
 def _revoke_one_batch(
--- a/src/ibisknot/_fair_queue.py
+++ b/src/ibisknot/_fair_queue.py
@@ -1,6 +1,7 @@
 """Queue of requests that is fair among organisations."""
 
 import bisect
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -31,6 +32,8 @@
             only if no other endpoint is usable.
         due_s: Monotonic time at which its result is due.
         expected_duration_s: Expected seconds for which it occupies a slot.
+        software_version: Version of the software that the endpoint must have;
+            None if any version may serve.
     """
 
     id: str
@@ -47,6 +50,7 @@
     avoid: frozenset[str] = frozenset()
     due_s: float = math.inf
     expected_duration_s: float = 0.0
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +71,11 @@
         return float(self.amount * 0.5 ** (elapsed_s / SERVICE_HALF_LIFE_S))
 
 
+def oldest(requests: Iterable[QueuedRequest]) -> QueuedRequest:
+    """Returns the request that arrived first of several."""
+    return min(requests, key=lambda r: (r.arrived_s, r.id))
+
+
 class FairQueue:
     """Queued requests; the organisation with the least service goes first.
 
@@ -124,7 +133,7 @@
     def oldest(self) -> QueuedRequest | None:
         """Returns the request that arrived first."""
         heads = [queue[0] for queue in self.queues.values()]
-        return min(heads, key=lambda r: (r.arrived_s, r.id), default=None)
+        return oldest(heads) if heads else None
 
     def service_received(self, organisation: str, now: float) -> float:
         """Returns the decayed service that an organisation received."""
--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -50,9 +50,19 @@
         fingerprint=request.fingerprint,
         data_centre=data_centre,
         limits=limits,
+        software=request.software_version,
+        stream=_stream_attempt(request),
     )
 
 
+def _stream_attempt(
+    request: ticket_types.TicketRequest,
+) -> ttypes.StreamAttempt | None:
+    if not request.stream_id:
+        return None
+    return ttypes.StreamAttempt(request.stream_id, request.attempt)
+
+
 def place(ticket: ticket_types.Ticket, now: float) -> ttypes.Place:
     """Returns a ticket as schedulers are told of it.
 
@@ -72,4 +82,6 @@
         suspect=request.crash_suspect,
         due_s=request.due_s - now,
         needs_s=max(0.0, end_s - now),
+        software=ticket.endpoint.software_version,
+        stream=_stream_attempt(request),
     )
--- a/src/ibisknot/_scheduler_messages.py
+++ b/src/ibisknot/_scheduler_messages.py
@@ -33,6 +33,7 @@
     *,
     retry_s: float = 0.0,
     alone: bool = False,
+    software: str | None = None,
 ) -> ttypes.PlaceAnswer:
     """Returns the answer to a request for a ticket.
 
@@ -42,6 +43,7 @@
         endpoint: Name of the endpoint of a granted ticket.
         retry_s: Seconds after which a refused caller may retry.
         alone: Whether nothing else may run on the endpoint.
+        software: Version of the endpoint's software.
     """
     return ttypes.PlaceAnswer(
         id=ticket_id,
@@ -49,4 +51,5 @@
         endpoint=endpoint,
         retry_after_s=retry_s,
         alone=alone,
+        software=software,
     )
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -8,12 +8,27 @@
 from ibisknot import request_limits
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Requester:
+    """Who has asked for a ticket, and for which stream.
+
+    Attributes:
+        holder: Peer address of the process.
+        stream_id: Id of the stream; empty if it cannot be resumed.
+        attempt: Number of the attempt to serve the stream.
+    """
+
+    holder: str
+    stream_id: str = ""
+    attempt: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Service:
     """Endpoints, tickets and queued requests of one service.
 
     Attributes:
-        queued_holders: Peer address of the requester, by queued request id.
+        requesters: Requester of each queued request, by its id.
         granted_s: Monotonic time of each grant or adoption, by ticket id.
         last_request_s: Monotonic time of the last request received here.
     """
@@ -23,10 +38,22 @@
     hold_time: overload.HoldTime = dataclasses.field(
         default_factory=overload.HoldTime
     )
-    queued_holders: dict[str, str] = dataclasses.field(default_factory=dict)
+    requesters: dict[str, Requester] = dataclasses.field(default_factory=dict)
     granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
     last_request_s: float = -math.inf
 
+    def software_versions(self) -> dict[str, str]:
+        """Returns the version of each active endpoint's software."""
+        return {
+            name: endpoint.software_version
+            for name, endpoint in self.group.endpoints.items()
+        }
+
+    def software_version(self, name: str) -> str:
+        """Returns the version of an endpoint's software."""
+        endpoint = admission.find_endpoint(self.group, name)
+        return "" if endpoint is None else endpoint.software_version
+
     def online_slots(self) -> float:
         """Returns the slots that online requests can use.
 
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -37,6 +37,7 @@
 Capacity = _capacity.Capacity
 all_tickets = _admission_state.all_tickets
 find_ticket = _admission_state.find_ticket
+find_endpoint = _admission_state.find_endpoint
 
 ENDED_RETENTION_S = 10.0
 MAX_EXPIRED_IDS = 200
@@ -56,6 +57,7 @@
     *,
     slots: Mapping[str, int] | None = None,
     data_centres: Mapping[str, str] | None = None,
+    software_versions: Mapping[str, str] | None = None,
 ) -> list[_admission_state.Action]:
     """Sets the active endpoints; other endpoints drain.
 
@@ -66,6 +68,8 @@
         slots: Slots of each endpoint for which they are configured and need
             not be estimated.
         data_centres: Data centre of each endpoint for which it is known.
+        software_versions: Version of the software of each endpoint for which
+            it is known.
     """
     active = set(names)
     for name in list(group.endpoints):
@@ -85,6 +89,9 @@
     for name, data_centre in (data_centres or {}).items():
         if name in group.endpoints:
             group.endpoints[name].data_centre = data_centre
+    for name, version in (software_versions or {}).items():
+        if name in group.endpoints:
+            group.endpoints[name].software_version = version
     return _decisions.decide(group, now)
 
 
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -187,6 +187,12 @@
     ran = NOT_RUN
 
 
+class SoftwareGoneError(UnavailableError):
+    """No endpoint has the software that began a stream."""
+
+    code = "software_gone"
+
+
 class MovedError(UnavailableError):
     """Another VM is the admitter of this admission group now."""
 
--- a/src/ibisknot/fallback.py
+++ b/src/ibisknot/fallback.py
@@ -88,6 +88,7 @@
         *,
         avoid: frozenset[str],
         in_flight: Mapping[str, int],
+        software_version: str | None = None,
     ) -> fleet_endpoint.Endpoint:
         """Returns the endpoint with the fewest requests of this process.
 
@@ -98,6 +99,8 @@
             now: Monotonic time in seconds.
             avoid: Names of the endpoints that have already failed the request.
             in_flight: Count of this process's requests, by endpoint name.
+            software_version: Version of the software that the endpoint must
+                have; None if any version may serve.
 
         Raises:
             OverloadedError: No endpoint of the service takes a request now.
@@ -105,7 +108,8 @@
         candidates = [
             endpoint
             for endpoint in fleetview.active_endpoints(self.view, service)
-            if self._allows(endpoint.name, now)
+            if software_version in (None, endpoint.software_version)
+            and self._allows(endpoint.name, now)
         ]
         # Other processes may not know of a limit yet.
         candidates = [
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -3,7 +3,9 @@
 A failed attempt is repeated at another endpoint if the route permits it.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import math
 
@@ -12,6 +14,7 @@
 from ibisknot import crashes
 from ibisknot import errors
 from ibisknot import event_stream
+from ibisknot import fleet_endpoint
 from ibisknot import http11
 from ibisknot import http_client
 from ibisknot import http_server
@@ -20,6 +23,7 @@
 from ibisknot import prompt_crash_notices
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot import stream_origins
 from ibisknot import ticket_types
 from ibisknot import timer
 
@@ -81,7 +85,10 @@
         runs: Number of attempts that ran or may have run.
         attempts: Number of all attempts.
         failed_endpoints: Names of the endpoints at which an attempt failed.
-        last_event_id: Id of the last event that was relayed, or None.
+        last_event_id: Id of the last event that the caller has, or None.
+        has_relayed_event: Whether an event was relayed to the caller.
+        software_version: Version of the software that began the stream; None
+            before an event of a resumable stream has reached the caller.
         splitter: Splits the current attempt's response into events if the
             stream is resumable.
         boundary: Says where the current attempt's stream stands.
@@ -98,6 +105,8 @@
     attempts: int = 0
     failed_endpoints: set[str] = dataclasses.field(default_factory=set)
     last_event_id: int | None = None
+    has_relayed_event: bool = False
+    software_version: str | None = None
     splitter: event_stream.Splitter = dataclasses.field(
         default_factory=event_stream.Splitter
     )
@@ -106,6 +115,11 @@
     )
 
 
+FindOrigin = Callable[[str, Collection[str]], Awaitable[stream_origins.Origin]]
+"""Finds the software that began a stream, by the stream's id and the services
+that may have begun it; raises UnavailableError if it cannot be told."""
+
+
 class Forwarder:
     """Forwards the requests of one gateway process.
 
@@ -116,6 +130,7 @@
         client: Sends requests to endpoints.
         dialect: Encoding of the metadata in headers.
         clock: The timer service.
+        find_origin: Finds the software that began a stream.
     """
 
     def __init__(
@@ -126,7 +141,9 @@
         clock: timer.Timer,
         notices: crash_notices.CrashNotices,
         prompt_crashes: prompt_crash_notices.Notices,
+        find_origin: FindOrigin,
     ) -> None:
+        self.find_origin = find_origin
         self.notices = notices
         self.prompt_crashes = prompt_crashes
         self.tickets = tickets
@@ -142,6 +159,9 @@
                 the request may have run.
         """
         fingerprint = _fingerprint(task)
+        self._refuse_if_it_crashes(task, fingerprint)
+        if _is_resumed_by_caller(task):
+            await self._adopt_origin(task)
         while True:
             self._refuse_if_it_crashes(task, fingerprint)
             ticket = await self._acquire_ticket(task)
@@ -181,37 +201,64 @@
                 f"parts {names} of its prompt have crashed endpoints", ran=ran
             )
 
+    async def _adopt_origin(self, task: Task) -> None:
+        """Binds a stream that its caller resumes to the software it began at.
+
+        Raises:
+            UnavailableError: That software is not known or not allowed.
+        """
+        services = {target.service for target in task.route.targets}
+        origin = await self.find_origin(task.metadata.resumed_id, services)
+        if origin.service not in services:
+            raise errors.SoftwareGoneError(
+                f"the route leads no longer to {origin.service}"
+            )
+        task.service = origin.service
+        task.software_version = origin.software_version
+        task.last_event_id = task.metadata.last_event_id
+
     async def _acquire_ticket(self, task: Task) -> ticket_types.Ticket:
         """Acquires a ticket for the next attempt.
 
         Only before the first run may the request be refused because it is
         expected to miss its objective, and only the first attempt consumes a
         token of the organisation's rate.
+
+        Raises:
+            IbisknotError: There is none; `ran` tells whether an earlier
+                attempt may have run.
         """
         now = self.clock.now()
         max_wait_s = task.deadline_s - now - MIN_REMAINING_S
         request = task.exchange.request
         objective_s = math.inf
-        if task.runs == 0:
+        if task.runs == 0 and task.software_version is None:
             waited_s = now - request.received_s
             objective_s = max(0.0, task.route.objective_s - waited_s)
         metadata = task.metadata
-        return await self.tickets.acquire(
-            ticket_types.TicketRequest(
-                service=task.service,
-                kind=admission.ONLINE,
-                request_id=metadata.id,
-                organisation=task.organisation,
-                max_wait_s=max_wait_s,
-                objective_s=objective_s,
-                fingerprint=int(_fingerprint(task)[:15], 16),
-                max_tokens=metadata.prompt_tokens + metadata.output_tokens,
-                prompt_tokens=metadata.prompt_tokens,
-                prompt_blocks=metadata.prompt_blocks,
-                avoid=frozenset(task.failed_endpoints),
-                is_rate_limited=task.attempts == 0,
-            )
+        ticket_request = ticket_types.TicketRequest(
+            service=task.service,
+            kind=admission.ONLINE,
+            request_id=metadata.id,
+            organisation=task.organisation,
+            max_wait_s=max_wait_s,
+            objective_s=objective_s,
+            fingerprint=int(_fingerprint(task)[:FINGERPRINT_DIGITS], 16),
+            max_tokens=metadata.prompt_tokens + metadata.output_tokens,
+            prompt_tokens=metadata.prompt_tokens,
+            prompt_blocks=metadata.prompt_blocks,
+            avoid=frozenset(task.failed_endpoints),
+            is_rate_limited=task.attempts == 0,
+            software_version=task.software_version,
+            stream_id=_stream_id(task),
+            attempt=task.attempts,
         )
+        try:
+            return await self.tickets.acquire(ticket_request)
+        except errors.IbisknotError as error:
+            if task.runs:
+                error.ran = errors.UNKNOWN
+            raise
 
     def _make_call(
         self, task: Task, ticket: ticket_types.Ticket
@@ -227,7 +274,7 @@
             remaining_s=remaining_s,
             last_event_id=task.last_event_id,
         )
-        if _continues_stream(task):
+        if task.last_event_id is not None:
             _log_continued(task, ticket)
         request_id = task.metadata.id
         return http_client.Call(
@@ -276,7 +323,7 @@
                         f"{ticket.endpoint.name}: status {response.status}"
                     )
                     raise errors.EndpointError(message, ran=errors.RAN)
-                await self._relay_response(task, response)
+                await self._relay_response(task, ticket, response)
         except errors.EndpointError as error:
             if error.ran == errors.UNKNOWN:
                 task.runs += 1
@@ -345,7 +392,7 @@
         All gateways are notified, so that a request that crashes one endpoint
         after another is refused.
         """
-        if error.ran == errors.NOT_RUN or task.last_event_id is not None:
+        if error.ran == errors.NOT_RUN or task.has_relayed_event:
             return
         if not task.boundary.has_event:
             self.prompt_crashes.report_broken(
@@ -364,7 +411,10 @@
         )
 
     async def _relay_response(
-        self, task: Task, response: http_client.Response
+        self,
+        task: Task,
+        ticket: ticket_types.Ticket,
+        response: http_client.Response,
     ) -> None:
         """Relays a response to its end.
 
@@ -380,7 +430,7 @@
             if is_stream:
                 event_stream.follow(task.boundary, chunk)
             if resumable:
-                if await self._relay_events(task, chunk):
+                if await self._relay_events(task, ticket.endpoint, chunk):
                     response.record_progress()
             elif chunk:
                 await exchange.send(chunk)
@@ -407,7 +457,9 @@
             headers.append((b"Content-Length", length.encode()))
         await task.exchange.start(response.status, headers)
 
-    async def _relay_events(self, task: Task, chunk: bytes) -> bool:
+    async def _relay_events(
+        self, task: Task, endpoint: fleet_endpoint.Endpoint, chunk: bytes
+    ) -> bool:
         """Relays the events that are complete with this chunk.
 
         Only complete events are relayed, so that another endpoint can continue
@@ -432,6 +484,8 @@
                 task.last_event_id = event.id
             relayed.append(event.raw)
         if relayed:
+            task.has_relayed_event = True
+            task.software_version = endpoint.software_version
             await task.exchange.send(b"".join(relayed))
         return bool(relayed)
 
@@ -448,14 +502,22 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
-def _continues_stream(task: Task) -> bool:
-    """Returns whether the next attempt continues a stream that has begun."""
-    received = task.last_event_id or task.metadata.last_event_id
-    return bool(received) and task.route.resumable
+def _is_resumed_by_caller(task: Task) -> bool:
+    """Returns whether the caller has had events of the stream before."""
+    return task.route.resumable and bool(task.metadata.last_event_id)
+
+
+def _stream_id(task: Task) -> str:
+    """Returns the id by which the stream may be resumed later, or nothing."""
+    if not task.route.resumable:
+        return ""
+    if _is_resumed_by_caller(task):
+        return task.metadata.resumed_id
+    return task.metadata.id
 
 
 def _log_continued(task: Task, ticket: ticket_types.Ticket) -> None:
-    """Logs where a stream goes on, and who began it as far as that is known."""
+    """Logs where a stream goes on, and what it has failed at before."""
     logs.event(
         "stream_continued",
         request=task.metadata.id,
@@ -463,7 +525,7 @@
         endpoint=ticket.endpoint.name,
         software=ticket.endpoint.software_version,
         failed=sorted(task.failed_endpoints),
-        last_event=task.last_event_id or task.metadata.last_event_id,
+        last_event=task.last_event_id,
     )
 
 
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -57,6 +57,7 @@
                 other_gateways,
             ),
             gateway_node.prompt_crashes,
+            gateway_node.streams.find,
         )
         jobs = batch_jobs.Jobs(
             gateway_node.process,
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -22,6 +22,7 @@
     OVERLOADED = 3
     OVER_RATE = 4
     UNSERVED = 5
+    SOFTWARE_GONE = 6
 
     _VALUES_TO_NAMES = {
         1: "GRANTED",
@@ -29,6 +30,7 @@
         3: "OVERLOADED",
         4: "OVER_RATE",
         5: "UNSERVED",
+        6: "SOFTWARE_GONE",
     }
 
     _NAMES_TO_VALUES = {
@@ -37,6 +39,7 @@
         "OVERLOADED": 3,
         "OVER_RATE": 4,
         "UNSERVED": 5,
+        "SOFTWARE_GONE": 6,
     }
 
 
@@ -863,6 +866,482 @@
         return not (self == other)
 
 
+class StreamAttempt(object):
+    """
+    An attempt to serve a stream that may be resumed later.
+
+    Attributes:
+     - stream: Id of the caller's request that brings the first event.
+     - number: Number of this attempt; it replaces what earlier ones say.
+
+    """
+
+    __slots__ = (
+        'stream',
+        'number',
+    )
+
+
+    def __init__(self, stream=None, number=None,):
+        self.stream = stream
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamAttempt')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeString(self.stream.encode('utf-8') if sys.version_info[0] == 2 else self.stream)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.stream is None:
+            raise TProtocolException(message='Required field stream is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceSoftware(object):
+    """
+    A service, and versions of the software of its endpoints.
+
+    Attributes:
+     - name
+     - versions
+
+    """
+
+    __slots__ = (
+        'name',
+        'versions',
+    )
+
+
+    def __init__(self, name=None, versions=None,):
+        self.name = name
+        self.versions = versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceSoftware')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.versions))
+            for iter27 in self.versions:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.versions is None:
+            raise TProtocolException(message='Required field versions is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoftwareRecord(object):
+    """
+    Record of the software that has served lately.
+
+    Attributes:
+     - services
+
+    """
+
+    __slots__ = (
+        'services',
+    )
+
+
+    def __init__(self, services=None,):
+        self.services = services
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ServiceSoftware()
+                        _elem33.read(iprot)
+                        self.services.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoftwareRecord')
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter34 in self.services:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.services is None:
+            raise TProtocolException(message='Required field services is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOriginAsk(object):
+    """
+    Asks which software began a stream.
+
+    Attributes:
+     - stream
+
+    """
+
+    __slots__ = (
+        'stream',
+    )
+
+
+    def __init__(self, stream=None,):
+        self.stream = stream
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOriginAsk')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeString(self.stream.encode('utf-8') if sys.version_info[0] == 2 else self.stream)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.stream is None:
+            raise TProtocolException(message='Required field stream is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOrigin(object):
+    """
+    Attributes:
+     - known: Whether the process knows the stream; if not, only 5 and 6 say anything.
+     - group: Name of the service.
+     - software
+     - attempt
+     - recent: The software that has served lately, by service.
+     - complete: Whether that covers the whole time of a stream.
+
+    """
+
+    __slots__ = (
+        'known',
+        'group',
+        'software',
+        'attempt',
+        'recent',
+        'complete',
+    )
+
+
+    def __init__(self, known=None, group=None, software=None, attempt=None, recent=None, complete=None,):
+        self.known = known
+        self.group = group
+        self.software = software
+        self.attempt = attempt
+        self.recent = recent
+        self.complete = complete
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.recent = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = ServiceSoftware()
+                        _elem40.read(iprot)
+                        self.recent.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 1)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 2)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 3)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.recent is not None:
+            oprot.writeFieldBegin('recent', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.recent))
+            for iter41 in self.recent:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 6)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
+        if self.recent is None:
+            raise TProtocolException(message='Required field recent is unset!')
+        if self.complete is None:
+            raise TProtocolException(message='Required field complete is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceAsk(object):
     """
     Asks the scheduler for a place at an endpoint.
@@ -888,6 +1367,8 @@
      - fingerprint: What a request and its resends have in common.
      - data_centre: Data centre of the process that asks.
      - limits: What the asker knows, for a scheduler that has not had its report yet.
+     - software: Software version that the endpoint must have; absent if any may serve.
+     - stream: Stream that the request begins or continues, if it is resumable.
 
     """
 
@@ -912,10 +1393,12 @@
         'fingerprint',
         'data_centre',
         'limits',
+        'software',
+        'stream',
     )
 
 
-    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None, data_centre=None, limits=None,):
+    def __init__(self, id=None, group=None, kind=None, organisation=None, tokens=None, prompt_tokens=None, blocks=None, holder=None, wait_s=None, waited_s=None, suspect=None, avoid=None, rate_per_s=None, burst=None, due_s=None, needs_s=None, objective_s=None, fingerprint=None, data_centre=None, limits=None, software=None, stream=None,):
         self.id = id
         self.group = group
         self.kind = kind
@@ -936,6 +1419,8 @@
         self.fingerprint = fingerprint
         self.data_centre = data_centre
         self.limits = limits
+        self.software = software
+        self.stream = stream
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -979,10 +1464,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.blocks = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readI64()
-                        self.blocks.append(_elem26)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.blocks.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1009,10 +1494,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem32)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1054,14 +1539,25 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = EndpointLimit()
-                        _elem38.read(iprot)
-                        self.limits.append(_elem38)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = EndpointLimit()
+                        _elem59.read(iprot)
+                        self.limits.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.stream = StreamAttempt()
+                    self.stream.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1099,8 +1595,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter39 in self.blocks:
-                oprot.writeI64(iter39)
+            for iter60 in self.blocks:
+                oprot.writeI64(iter60)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -1122,8 +1618,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter40 in self.avoid:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter61 in self.avoid:
+                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_per_s is not None:
@@ -1157,10 +1653,18 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter41 in self.limits:
-                iter41.write(oprot)
+            for iter62 in self.limits:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 23)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRUCT, 24)
+            self.stream.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1230,6 +1734,7 @@
      - endpoint
      - retry_after_s
      - alone
+     - software: Software version of the endpoint, as the scheduler has it.
 
     """
 
@@ -1239,15 +1744,17 @@
         'endpoint',
         'retry_after_s',
         'alone',
+        'software',
     )
 
 
-    def __init__(self, id=None, state=None, endpoint=None, retry_after_s=None, alone=None,):
+    def __init__(self, id=None, state=None, endpoint=None, retry_after_s=None, alone=None, software=None,):
         self.id = id
         self.state = state
         self.endpoint = endpoint
         self.retry_after_s = retry_after_s
         self.alone = alone
+        self.software = software
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1283,6 +1790,11 @@
                     self.alone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1313,6 +1825,10 @@
             oprot.writeFieldBegin('alone', TType.BOOL, 5)
             oprot.writeBool(self.alone)
             oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 6)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1362,6 +1878,8 @@
      - suspect
      - due_s: Seconds until the result is due.
      - needs_s: Seconds that the request will hold its place from now on.
+     - software: Software version of the endpoint, as the holder has it.
+     - stream
 
     """
 
@@ -1375,10 +1893,12 @@
         'suspect',
         'due_s',
         'needs_s',
+        'software',
+        'stream',
     )
 
 
-    def __init__(self, id=None, group=None, endpoint=None, kind=None, organisation=None, tokens=None, suspect=None, due_s=None, needs_s=None,):
+    def __init__(self, id=None, group=None, endpoint=None, kind=None, organisation=None, tokens=None, suspect=None, due_s=None, needs_s=None, software=None, stream=None,):
         self.id = id
         self.group = group
         self.endpoint = endpoint
@@ -1388,6 +1908,8 @@
         self.suspect = suspect
         self.due_s = due_s
         self.needs_s = needs_s
+        self.software = software
+        self.stream = stream
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1443,6 +1965,17 @@
                     self.needs_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.stream = StreamAttempt()
+                    self.stream.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1489,6 +2022,14 @@
             oprot.writeFieldBegin('needs_s', TType.DOUBLE, 9)
             oprot.writeDouble(self.needs_s)
             oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 10)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRUCT, 11)
+            self.stream.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1781,22 +2322,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Place()
-                        _elem47.read(iprot)
-                        self.places.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Place()
+                        _elem68.read(iprot)
+                        self.places.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = EndpointLimit()
-                        _elem53.read(iprot)
-                        self.limits.append(_elem53)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = EndpointLimit()
+                        _elem74.read(iprot)
+                        self.limits.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1817,15 +2358,15 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter54 in self.places:
-                iter54.write(oprot)
+            for iter75 in self.places:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter55 in self.limits:
-                iter55.write(oprot)
+            for iter76 in self.limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1980,10 +2521,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readBinary()
-                        self.parts.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readBinary()
+                        self.parts.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2004,8 +2545,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter62 in self.parts:
-                oprot.writeBinary(iter62)
+            for iter83 in self.parts:
+                oprot.writeBinary(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2652,10 +3193,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI64()
-                        self.parts.append(_elem68)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.parts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2676,8 +3217,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter69 in self.parts:
-                oprot.writeI64(iter69)
+            for iter90 in self.parts:
+                oprot.writeI64(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2754,11 +3295,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = CrashCandidate()
-                        _elem75.read(iprot)
-                        self.candidates.append(_elem75)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = CrashCandidate()
+                        _elem96.read(iprot)
+                        self.candidates.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2783,8 +3324,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter76 in self.candidates:
-                iter76.write(oprot)
+            for iter97 in self.candidates:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2945,10 +3486,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.parts.append(_elem82)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI64()
+                        self.parts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2985,8 +3526,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter83 in self.parts:
-                oprot.writeI64(iter83)
+            for iter104 in self.parts:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -3078,33 +3619,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = EndpointCrash()
-                        _elem89.read(iprot)
-                        self.crashes.append(_elem89)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = EndpointCrash()
+                        _elem110.read(iprot)
+                        self.crashes.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = PartCompletion()
-                        _elem95.read(iprot)
-                        self.completions.append(_elem95)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = PartCompletion()
+                        _elem116.read(iprot)
+                        self.completions.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = PartRefusal()
-                        _elem101.read(iprot)
-                        self.refusals.append(_elem101)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PartRefusal()
+                        _elem122.read(iprot)
+                        self.refusals.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3126,22 +3667,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter102 in self.crashes:
-                iter102.write(oprot)
+            for iter123 in self.crashes:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter103 in self.completions:
-                iter103.write(oprot)
+            for iter124 in self.completions:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter104 in self.refusals:
-                iter104.write(oprot)
+            for iter125 in self.refusals:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -3393,6 +3934,38 @@
     None,  # 0
     (1, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 1
 )
+all_structs.append(StreamAttempt)
+StreamAttempt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+)
+all_structs.append(ServiceSoftware)
+ServiceSoftware.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(SoftwareRecord)
+SoftwareRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'services', (TType.STRUCT, [ServiceSoftware, None], False), None, ),  # 1
+)
+all_structs.append(StreamOriginAsk)
+StreamOriginAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+)
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'known', None, None, ),  # 1
+    (2, TType.STRING, 'group', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'software', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'attempt', None, None, ),  # 4
+    (5, TType.LIST, 'recent', (TType.STRUCT, [ServiceSoftware, None], False), None, ),  # 5
+    (6, TType.BOOL, 'complete', None, None, ),  # 6
+)
 all_structs.append(PlaceAsk)
 PlaceAsk.thrift_spec = (
     None,  # 0
@@ -3418,6 +3991,8 @@
     (20, TType.I64, 'fingerprint', None, None, ),  # 20
     (21, TType.STRING, 'data_centre', 'UTF8', None, ),  # 21
     (22, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 22
+    (23, TType.STRING, 'software', 'UTF8', None, ),  # 23
+    (24, TType.STRUCT, 'stream', [StreamAttempt, None], None, ),  # 24
 )
 all_structs.append(PlaceAnswer)
 PlaceAnswer.thrift_spec = (
@@ -3427,6 +4002,7 @@
     (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
     (5, TType.BOOL, 'alone', None, None, ),  # 5
+    (6, TType.STRING, 'software', 'UTF8', None, ),  # 6
 )
 all_structs.append(Place)
 Place.thrift_spec = (
@@ -3440,6 +4016,8 @@
     (7, TType.BOOL, 'suspect', None, None, ),  # 7
     (8, TType.DOUBLE, 'due_s', None, None, ),  # 8
     (9, TType.DOUBLE, 'needs_s', None, None, ),  # 9
+    (10, TType.STRING, 'software', 'UTF8', None, ),  # 10
+    (11, TType.STRUCT, 'stream', [StreamAttempt, None], None, ),  # 11
 )
 all_structs.append(PlaceTaken)
 PlaceTaken.thrift_spec = (
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -22,7 +22,11 @@
 from ibisknot import placement
 from ibisknot import prompt_crash_notices
 from ibisknot import prompt_crash_records
+from ibisknot import software_history
+from ibisknot import software_records
 from ibisknot import store_relay
+from ibisknot import stream_lookup
+from ibisknot import stream_origins
 from ibisknot import timer
 from ibisknot import view_runner
 
@@ -65,6 +69,7 @@
         runner: Keeps the process's view of the fleet up to date.
         tickets: Client that requests tickets from the schedulers.
         prompt_crashes: Parts of prompts that have crashed endpoints.
+        streams: Finds out which software began a stream.
         stop_requested: Set when shutdown was requested.
     """
 
@@ -78,6 +83,7 @@
     runner: view_runner.Runner
     tickets: placement.Client
     prompt_crashes: prompt_crash_notices.Notices
+    streams: stream_lookup.Lookup
     stop_requested: anyio.Event
 
 
@@ -124,8 +130,13 @@
             clock,
             task_group,
         )
+        origins = stream_origins.Table()
         tickets = placement.Client(
-            process, runner.view, peers, clock, task_group
+            process, view, peers, clock, task_group, origins=origins
+        )
+        history = software_history.History()
+        software = software_records.Keeper(
+            process.name, store, view, history, clock.now
         )
         started = Node(
             process=process,
@@ -144,8 +155,20 @@
                 lambda: [m.address for m in runner.other_members()],
                 prompt_crash_records.Records(store, clock.now),
             ),
+            streams=stream_lookup.Lookup(
+                origins,
+                history,
+                view,
+                peers,
+                clock.now,
+                schedulers=tickets.schedulers,
+                others=runner.other_members,
+            ),
             stop_requested=anyio.Event(),
         )
+        runner.change_callbacks.append(software.observe)
+        software.start(clock)
+        started.streams.start(server)
         runner.start(server)
         tickets.start(server)
         started.prompt_crashes.start(server)
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -27,6 +27,7 @@
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
+from ibisknot import stream_origins
 from ibisknot import ticket_types
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
@@ -76,6 +77,7 @@
         unresponsive: Names of the schedulers that did not answer. Requests
             skip a scheduler until it accepts a periodic report.
         limits: The limits of endpoints that this process knows.
+        origins: The software that began the streams.
         reported_to: Schedulers that have accepted a periodic report since they
             started.
         is_retrying: Whether `_retry_pending` is running.
@@ -88,7 +90,10 @@
         peers: peer.Client,
         clock: timer.Timer,
         task_group: abc.TaskGroup,
+        *,
+        origins: stream_origins.Table | None = None,
     ) -> None:
+        self.origins = origins or stream_origins.Table()
         self.process = process
         self.view = view
         self.peers = peers
@@ -125,6 +130,8 @@
         Raises:
             OverloadedError: No slot will be free in time.
             RateLimitError: The organisation is over its rate.
+            SoftwareGoneError: No endpoint has the software that the request
+                needs.
         """
         started_s = self.clock.now()
         while True:
@@ -252,6 +259,12 @@
         if endpoint is None or endpoint.leaving:
             # The scheduler's view is older than this process's.
             return None
+        version = endpoint.software_version
+        if request.software_version not in (None, version):
+            return None
+        if answer.software not in (None, version):
+            # One of the views is from before the endpoint's restart.
+            return None
         ticket = ticket_types.Ticket(
             ticket_id, request, endpoint, answer.alone, scheduler
         )
@@ -261,6 +274,15 @@
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
+        self.origins.record(
+            ticket.request.stream_id,
+            stream_origins.Origin(
+                ticket.endpoint.service,
+                ticket.endpoint.software_version,
+                ticket.request.attempt,
+            ),
+            ticket.acquired_s,
+        )
         self.fallback.count_request(ticket.endpoint.name, ticket.acquired_s)
         message = ttypes.PlaceTaken(
             holder=self.process.peer_address,
@@ -282,7 +304,11 @@
             ticket.endpoint.name for ticket in self.tickets.values()
         )
         endpoint = self.fallback.choose_endpoint(
-            request.service, now, avoid=request.avoid, in_flight=in_flight
+            request.service,
+            now,
+            avoid=request.avoid,
+            in_flight=in_flight,
+            software_version=request.software_version,
         )
         ticket = ticket_types.Ticket(ticket_id, request, endpoint)
         logs.event(
@@ -461,6 +487,12 @@
         name = request.organisation.name if request.organisation else ""
         message = f"{name} is over its rate"
         return errors.RateLimitError(message, retry_after_s=retry_s)
+    if answer.state == State.SOFTWARE_GONE:
+        message = (
+            f"no endpoint of {request.service} has software "
+            f"{request.software_version!r} any more"
+        )
+        return errors.SoftwareGoneError(message)
     if answer.state == State.UNSERVED:
         message = f"no endpoint serves {request.service}"
         return errors.OverloadedError(message, retry_after_s=retry_s)
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -22,6 +22,7 @@
 from ibisknot import peer
 from ibisknot import rates
 from ibisknot import scheduler_limits
+from ibisknot import stream_origins
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
@@ -63,6 +64,7 @@
             holder that has not reported yet, by address.
         refusals: The callers that were refused lately.
         limits: The limits that endpoints have named.
+        origins: The software that began the streams.
         started_s: Monotonic time of this process's start.
     """
 
@@ -75,7 +77,9 @@
         task_group: abc.TaskGroup,
         *,
         rng: random.Random | None = None,
+        origins: stream_origins.Table | None = None,
     ) -> None:
+        self.origins = origins or stream_origins.Table()
         self.name = name
         self.view = view
         self.peers = peers
@@ -118,7 +122,8 @@
     def _update_endpoints(self, service: _service.Service) -> None:
         found = fleetview.active_endpoints(self.view, service.name)
         names = {endpoint.name for endpoint in found}
-        if names == service.group.endpoints.keys():
+        versions = {e.name: e.software_version for e in found}
+        if versions == service.software_versions():
             return
         slots = {endpoint.name: endpoint.slots for endpoint in found}
         now = self.clock.now()
@@ -130,6 +135,7 @@
                 names,
                 slots=slots,
                 data_centres={e.name: e.data_centre for e in found},
+                software_versions=versions,
             ),
         )
         # A limit may have arrived before its endpoint.
@@ -171,6 +177,11 @@
             return _scheduler_messages.answer(
                 request.id, State.UNSERVED, retry_s=UNSERVED_RETRY_S
             )
+        if request.software not in (
+            None,
+            *service.software_versions().values(),
+        ):
+            return _scheduler_messages.answer(request.id, State.SOFTWARE_GONE)
         granted = request.id in service.granted_s
         first_s = overload.first_seen_s(self.refusals, now, request.fingerprint)
         if not granted and not self._consume_token(request, now):
@@ -206,7 +217,10 @@
         A caller that was refused before is queued as if it had arrived at its
         first attempt, `first_s`.
         """
-        service.queued_holders[request.id] = request.holder
+        stream = request.stream or ttypes.StreamAttempt("", 0)
+        service.requesters[request.id] = _service.Requester(
+            request.holder, stream.stream, stream.number
+        )
         queued_request = admission.QueuedRequest(
             id=request.id,
             kind=request.kind,
@@ -222,6 +236,7 @@
             avoid=frozenset(request.avoid),
             due_s=now + request.due_s,
             expected_duration_s=request.needs_s,
+            software_version=request.software,
         )
         granted: list[admission.Ticket] = []
         self._apply(
@@ -231,14 +246,8 @@
             granted,
         )
         if granted:
-            ticket = granted[0]
-            return _scheduler_messages.answer(
-                request.id,
-                State.GRANTED,
-                ticket.endpoint,
-                alone=ticket.exclusive,
-            )
-        if request.id in service.queued_holders:
+            return _grant_message(service, granted[0])
+        if request.id in service.requesters:
             return _scheduler_messages.answer(request.id, State.QUEUED)
         return self._refuse(service, request, now)
 
@@ -360,6 +369,7 @@
     ) -> None:
         now = self.clock.now()
         self._await_first_report(holder)
+        self._record_origin(wire)
         service.granted_s.setdefault(wire.id, now)
         ticket = _scheduler_messages.to_ticket(wire, holder, now)
         self._apply(service, admission.adopt_ticket(service.group, now, ticket))
@@ -368,7 +378,7 @@
         """Peer method: releases a ticket or cancels a queued request."""
         service = self.service(message.group)
         now = self.clock.now()
-        service.queued_holders.pop(message.id, None)
+        service.requesters.pop(message.id, None)
         granted_s = service.granted_s.pop(message.id, None)
         ticket = admission.find_ticket(service.group, message.id)
         if (
@@ -394,6 +404,7 @@
             name: [] for name in self.services
         }
         for wire in message.places:
+            self._record_origin(wire)
             self._update_endpoints(self.service(wire.group))
             reported = tickets_by_service.setdefault(wire.group, [])
             reported.append(
@@ -440,16 +451,17 @@
         for action in actions:
             if isinstance(action, admission.Grant):
                 ticket = action.ticket
-                service.queued_holders.pop(ticket.id, None)
+                requester = service.requesters.pop(ticket.id, None)
                 service.granted_s[ticket.id] = self.clock.now()
+                self._record_grant(service, ticket, requester)
                 if ticket.id == requested_id and granted is not None:
                     granted.append(ticket)
                 else:
-                    self._notify_granted(ticket)
+                    self._notify_granted(service, ticket)
             elif isinstance(action, admission.Refuse):
-                holder = service.queued_holders.pop(action.id, "")
-                if action.id != requested_id and holder:
-                    self._notify_refused(service, action.id, holder)
+                requester = service.requesters.pop(action.id, None)
+                if action.id != requested_id and requester is not None:
+                    self._notify_refused(service, action, requester.holder)
             else:
                 metrics.TICKETS_REVOKED.inc({"service": service.name})
                 self._notify(
@@ -458,22 +470,49 @@
                     ttypes.PlaceRevoked(id=action.id, scheduler=self.name),
                 )
 
-    def _notify_granted(self, ticket: admission.Ticket) -> None:
-        answer = _scheduler_messages.answer(
-            ticket.id,
-            State.GRANTED,
-            ticket.endpoint,
-            alone=ticket.exclusive,
+    def _record_grant(
+        self,
+        service: _service.Service,
+        ticket: admission.Ticket,
+        requester: _service.Requester | None,
+    ) -> None:
+        """Records which software may begin a stream, before it does."""
+        if requester is None:
+            return
+        version = service.software_version(ticket.endpoint)
+        self.origins.record(
+            requester.stream_id,
+            stream_origins.Origin(service.name, version, requester.attempt),
+            self.clock.now(),
         )
+
+    def _record_origin(self, wire: ttypes.Place) -> None:
+        """Records which software serves a stream, as its holder says."""
+        if wire.stream is not None and wire.software is not None:
+            self.origins.record(
+                wire.stream.stream,
+                stream_origins.Origin(
+                    wire.group, wire.software, wire.stream.number
+                ),
+                self.clock.now(),
+            )
+
+    def _notify_granted(
+        self, service: _service.Service, ticket: admission.Ticket
+    ) -> None:
+        answer = _grant_message(service, ticket)
         self._notify(ticket.holder, "place_answer", answer)
 
     def _notify_refused(
-        self, service: _service.Service, ticket_id: str, holder: str
+        self, service: _service.Service, refusal: admission.Refuse, holder: str
     ) -> None:
-        retry_s = self._retry_after_s(service, EXPIRED_REMAINING_S)
-        answer = _scheduler_messages.answer(
-            ticket_id, State.OVERLOADED, retry_s=retry_s
-        )
+        if refusal.is_software_gone:
+            answer = _scheduler_messages.answer(refusal.id, State.SOFTWARE_GONE)
+        else:
+            retry_s = self._retry_after_s(service, EXPIRED_REMAINING_S)
+            answer = _scheduler_messages.answer(
+                refusal.id, State.OVERLOADED, retry_s=retry_s
+            )
         self._notify(holder, "place_answer", answer)
 
     def _notify(self, address: str, method: str, message: object) -> None:
@@ -488,3 +527,16 @@
             logs.event(
                 "push_failed", peer=address, method=method, cause=error.message
             )
+
+
+def _grant_message(
+    service: _service.Service, ticket: admission.Ticket
+) -> ttypes.PlaceAnswer:
+    """Returns the message that grants a ticket."""
+    return _scheduler_messages.answer(
+        ticket.id,
+        State.GRANTED,
+        ticket.endpoint,
+        alone=ticket.exclusive,
+        software=service.software_version(ticket.endpoint),
+    )
--- /dev/null
+++ b/src/ibisknot/stream_lookup.py
@@ -0,0 +1,169 @@
+"""Finds out which software began a stream that a caller resumes.
+
+The process that served the stream may have ended. Schedulers hear of each
+attempt before it is made, so they are asked first.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+
+import anyio
+
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import peer
+from ibisknot import software_history
+from ibisknot import software_records
+from ibisknot import stream_origins
+from ibisknot.gen.fleet import ttypes
+
+ASK_TIMEOUT_S = 0.2
+MAX_OTHERS_ASKED = 32
+"""Other processes that are asked if no scheduler knows the stream."""
+MAX_VIEW_AGE_S = 1.0
+"""Age of the endpoints above which a process that is cut off cannot tell."""
+UNANSWERED_RETRY_AFTER_S = 0.5
+
+
+class Lookup:
+    """Answers and asks for the origins of streams.
+
+    Attributes:
+        table: The streams that this process knows.
+        history: The software that this process has seen.
+        view: Has the endpoints and the members.
+        peers: Sends messages to other processes.
+        clock: Returns the monotonic time.
+        schedulers: Returns the schedulers.
+        others: Returns the other processes of the fleet.
+    """
+
+    def __init__(
+        self,
+        table: stream_origins.Table,
+        history: software_history.History,
+        view: fleetview.View,
+        peers: peer.Client,
+        clock: Callable[[], float],
+        *,
+        schedulers: Callable[[], list[fleetview.Member]],
+        others: Callable[[], list[fleetview.Member]],
+    ) -> None:
+        self.table = table
+        self.history = history
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.schedulers = schedulers
+        self.others = others
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the peer method."""
+        server.on("stream_origin", ttypes.StreamOriginAsk, self.on_ask)
+
+    async def on_ask(
+        self, message: ttypes.StreamOriginAsk
+    ) -> ttypes.StreamOrigin:
+        """Peer method: says what this process knows of a stream."""
+        return self.answer(message)
+
+    def answer(self, message: ttypes.StreamOriginAsk) -> ttypes.StreamOrigin:
+        """Returns what this process knows of a stream."""
+        now = self.clock()
+        origin = self.table.find(message.stream)
+        answer = ttypes.StreamOrigin(
+            known=origin is not None,
+            recent=software_records.to_wire(
+                software_history.recent(self.history, now)
+            ),
+            complete=software_history.is_complete(self.history, now),
+        )
+        if origin is not None:
+            answer.group = origin.service
+            answer.software = origin.software_version
+            answer.attempt = origin.attempt
+        return answer
+
+    async def find(
+        self, stream_id: str, services: Collection[str]
+    ) -> stream_origins.Origin:
+        """Returns the origin of a stream.
+
+        Args:
+            stream_id: Id of the caller's request that brought the first
+                event; empty if the caller does not name it.
+            services: Names of the services that may have begun it.
+
+        Raises:
+            UnavailableError: It cannot be told.
+        """
+        own = self.table.find(stream_id)
+        if own is not None:
+            return own
+        schedulers = self.schedulers()
+        answers = await self._ask(schedulers, stream_id)
+        heard = bool(answers)
+        if stream_id and not any(answer.known for answer in answers):
+            names = {member.name for member in schedulers}
+            others = [m for m in self.others() if m.name not in names]
+            answers += await self._ask(others[:MAX_OTHERS_ASKED], stream_id)
+        known = [answer for answer in answers if answer.known]
+        if known:
+            return _to_origin(max(known, key=lambda answer: answer.attempt))
+        only = self._only_candidate(services, answers)
+        if only is None:
+            raise errors.UnavailableError(
+                "it is not known which software began the stream",
+                retry_after_s=None if heard else UNANSWERED_RETRY_AFTER_S,
+            )
+        return only
+
+    async def _ask(
+        self, members: Iterable[fleetview.Member], stream_id: str
+    ) -> list[ttypes.StreamOrigin]:
+        """Returns the answers of those processes that answer in time."""
+        message = ttypes.StreamOriginAsk(stream_id)
+        answers: list[ttypes.StreamOrigin] = []
+
+        async def ask(member: fleetview.Member) -> None:
+            try:
+                answers.append(
+                    await self.peers.call(
+                        member.address,
+                        "stream_origin",
+                        message,
+                        ttypes.StreamOrigin,
+                        timeout_s=ASK_TIMEOUT_S,
+                    )
+                )
+            except errors.IbisknotError:
+                # A process that is gone knows nothing.
+                return
+
+        async with anyio.create_task_group() as task_group:
+            for member in members:
+                task_group.start_soon(ask, member)
+        return answers
+
+    def _only_candidate(
+        self, services: Collection[str], answers: list[ttypes.StreamOrigin]
+    ) -> stream_origins.Origin | None:
+        """Returns the only software that can have begun a stream, or None."""
+        now = self.clock()
+        candidates = software_history.recent(self.history, now)
+        for answer in answers:
+            candidates |= software_records.from_wire(answer.recent)
+        candidates = {c for c in candidates if c[0] in services}
+        is_fresh = now - self.view.endpoints_read_s <= MAX_VIEW_AGE_S
+        is_certain = any(answer.complete for answer in answers) or (
+            is_fresh and software_history.is_complete(self.history, now)
+        )
+        if len(candidates) != 1 or not is_certain:
+            return None
+        service, version = candidates.pop()
+        return stream_origins.Origin(service, version, attempt=0)
+
+
+def _to_origin(answer: ttypes.StreamOrigin) -> stream_origins.Origin:
+    return stream_origins.Origin(answer.group, answer.software, answer.attempt)
--- a/src/ibisknot/ticket_types.py
+++ b/src/ibisknot/ticket_types.py
@@ -27,6 +27,11 @@
         is_rate_limited: Whether it consumes a token of the organisation's rate.
         due_s: Monotonic time at which the result is due.
         expected_duration_s: Seconds for which it will hold its ticket.
+        software_version: Version of the software that the endpoint must have,
+            because it began the output; None if any version may serve.
+        stream_id: Id of the caller's request that brings the first event of
+            the stream; empty if it cannot be resumed.
+        attempt: Number of the attempt for which the ticket is.
     """
 
     service: str
@@ -44,6 +49,9 @@
     is_rate_limited: bool = True
     due_s: float = math.inf
     expected_duration_s: float = 0.0
+    software_version: str | None = None
+    stream_id: str = ""
+    attempt: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -27,6 +27,7 @@
             worker_node.peers,
             worker_node.clock,
             worker_node.task_group,
+            origins=worker_node.streams.table,
         )
         ticket_scheduler.start(worker_node.server)
         worker_node.runner.change_callbacks.append(
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -12,7 +12,9 @@
 from ibisknot.gen.fleet import ttypes
 
 
-def endpoint(name: str, *, slots: int = 2) -> fleet_endpoint.Endpoint:
+def endpoint(
+    name: str, *, slots: int = 2, software: str = "v1"
+) -> fleet_endpoint.Endpoint:
     """Returns an active endpoint of service `s`."""
     return fleet_endpoint.Endpoint(
         name=name,
@@ -21,6 +23,7 @@
         data_centre="d",
         slots=slots,
         leaving=False,
+        software_version=software,
     )
 
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -185,7 +185,14 @@
         """Returns the address of a host in this fleet's network."""
         return f"{self.subnet}.{host}"
 
-    def start(self, *, engines: int, gateways: int, workers: int) -> None:
+    def start(
+        self,
+        *,
+        engines: int,
+        gateways: int,
+        workers: int,
+        engine_options: tuple[str, ...] = (),
+    ) -> None:
         """Starts all programs and waits until a request succeeds."""
         address, _, port = self.store_url.removeprefix("http://").partition(":")
         self.start_program(
@@ -195,7 +202,7 @@
         wait_for(lambda: self.call_store_admin("/admin/calls") is not None)
         self.write_as_operator({"op/config": configuration()})
         for index in range(engines):
-            self.start_engine(index)
+            self.start_engine(index, *engine_options)
         for index in range(gateways):
             self.start_node(f"front-{index}", "front", 20 + index)
         for index in range(workers):
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import contextlib
 import dataclasses
 import random
@@ -24,6 +25,7 @@
 from ibisknot import prompt_crash_records
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot import stream_origins
 from ibisknot import ticket_types
 from ibisknot import timer
 from ibisknot.platform import programs
@@ -60,6 +62,7 @@
         address: Host and port on which it serves.
         received_heads: Heads of the received requests.
         listener: Accepts its connections.
+        software_version: Version of its software.
     """
 
     name: str
@@ -67,6 +70,7 @@
     address: str = ""
     received_heads: list[bytes] = dataclasses.field(default_factory=list)
     listener: abc.Listener[abc.SocketStream] | None = None
+    software_version: str = "v1"
 
     async def crash(self, stream: abc.SocketStream, _head: bytes) -> None:
         """Script: starts the response, then ends the endpoint."""
@@ -102,6 +106,7 @@
             data_centre="d",
             slots=8,
             leaving=False,
+            software_version=self.software_version,
         )
 
 
@@ -141,10 +146,14 @@
         prompt_crashes: The forwarder's notices of crashes.
         gates: Events that the next tickets wait for.
         rng: Chooses among the services of a route.
+        requests: The requests for tickets.
+        origins: The software that began streams, by the streams' ids.
     """
 
     def __init__(self, endpoints: list[ScriptedEndpoint]) -> None:
         self.rng = random.Random(0)
+        self.requests: list[ticket_types.TicketRequest] = []
+        self.origins: dict[str, stream_origins.Origin] = {}
         self.remaining = list(endpoints)
         self.outcomes: list[str] = []
         self.gates: list[anyio.Event] = []
@@ -154,20 +163,32 @@
     async def acquire(
         self, request: ticket_types.TicketRequest
     ) -> ticket_types.Ticket:
-        """Returns a ticket at the next endpoint.
+        """Returns a ticket at the next endpoint with the needed software.
 
         Raises:
             OverloadedError: No endpoint remains.
         """
+        self.requests.append(request)
         if self.gates:
             await self.gates.pop(0).wait()
-        if not self.remaining:
-            raise errors.OverloadedError(
-                "no endpoint remains", retry_after_s=1.0
-            )
-        return ticket_types.Ticket(
-            "p", request, self.remaining.pop(0).endpoint()
-        )
+        needed = request.software_version
+        for endpoint in self.remaining:
+            if needed in (None, endpoint.software_version):
+                self.remaining.remove(endpoint)
+                return ticket_types.Ticket("p", request, endpoint.endpoint())
+        raise errors.OverloadedError("no endpoint remains", retry_after_s=1.0)
+
+    async def find_origin(
+        self, stream_id: str, _services: Collection[str]
+    ) -> stream_origins.Origin:
+        """Returns what `origins` holds.
+
+        Raises:
+            UnavailableError: It does not hold the stream.
+        """
+        if stream_id not in self.origins:
+            raise errors.UnavailableError("the stream is not known")
+        return self.origins[stream_id]
 
     def record_limit(
         self, endpoint: fleet_endpoint.Endpoint, rate_per_s: float | None
@@ -221,6 +242,7 @@
             lambda: [],
         ),
         tickets.prompt_crashes,
+        tickets.find_origin,
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -12,6 +12,7 @@
 from ibisknot import http_client
 from ibisknot import prompt_crash_notices
 from ibisknot import serving
+from ibisknot import stream_origins
 
 
 @pytest.fixture(autouse=True)
@@ -475,3 +476,86 @@
         assert (status, body) == (200, scripted.encode_event(1, "a"))
 
     _run([first, second], scripted.make_route(), check)
+
+
+RESUMED = [(b"Last-Event-Id", b"1"), (b"Resumes", b"r0")]
+"""Headers of a caller that has had the first event of the stream `r0`."""
+
+
+def _endpoint(
+    name: str, *scripts: scripted.Script, version: str = "v1"
+) -> scripted.ScriptedEndpoint:
+    return scripted.ScriptedEndpoint(
+        name, list(scripts), software_version=version
+    )
+
+
+def test_stream_that_a_caller_resumes_goes_on_at_its_software() -> None:
+    """Guards against text that is joined over a caller's requests."""
+    cut = _script_stream(scripted.encode_event(2, "b"), ends=False)
+    rest = _script_stream(scripted.encode_event(3, "c"))
+    endpoints = [
+        _endpoint("e1", version="v1"),
+        _endpoint("e2", cut, version="v2"),
+        _endpoint("e3", version="v3"),
+        _endpoint("e4", rest, version="v2"),
+    ]
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        tickets.origins["r0"] = stream_origins.Origin("s", "v2", 1)
+        status, body = await scripted.send_request(address, headers=RESUMED)
+        assert status == 200
+        assert body.count(b"data: ") == 2
+        assert [r.stream_id for r in tickets.requests] == ["r0", "r0"]
+        assert [r.software_version for r in tickets.requests] == ["v2", "v2"]
+
+    _run(endpoints, scripted.make_route(), check)
+
+
+def test_stream_of_unknown_software_is_refused_as_not_run() -> None:
+    """Guards against a guess, and against a refusal that comes late."""
+    endpoint = _endpoint("e1")
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        status, _ = await scripted.send_request(address, headers=RESUMED)
+        assert status == 503
+        assert tickets.requests == []
+        assert endpoint.received_heads == []
+
+    _run([endpoint], scripted.make_route(), check)
+
+
+def test_stream_of_a_service_that_the_route_has_left_is_refused() -> None:
+    """Guards against an answer that is joined from two services."""
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        tickets.origins["r0"] = stream_origins.Origin("moved", "v1", 1)
+        status, _ = await scripted.send_request(address, headers=RESUMED)
+        assert status == 503
+        assert tickets.requests == []
+
+    _run([_endpoint("e1")], scripted.make_route(), check)
+
+
+def test_stream_may_begin_at_other_software_before_its_first_event() -> None:
+    """Guards against a caller that waits for software it has nothing of."""
+    second = _endpoint(
+        "e2", _script_stream(scripted.encode_event(1, "a")), version="v2"
+    )
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        status, _ = await scripted.send_request(address)
+        assert status == 200
+        assert [r.attempt for r in tickets.requests] == [0, 1]
+
+    _run([_endpoint("e1", _close), second], scripted.make_route(), check)
+
+
+def test_request_that_has_run_and_finds_no_endpoint_gets_no_503() -> None:
+    """Guards against a refusal as not run after an attempt that ran."""
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, _ = await scripted.send_request(address)
+        assert status == 502
+
+    _run([_endpoint("e1", _close)], scripted.make_route(), check)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -231,3 +231,88 @@
     _name_limit(client, 2.5)
     _name_limit(client, None)
     assert client.limits.rate_per_s("e0") == 2.5
+
+
+def test_grant_at_other_software_is_declined() -> None:
+    """Guards against a stream that goes on at another version.
+
+    A scheduler of an older build ignores the version, and one whose view is
+    old names an endpoint that has restarted with other software.
+    """
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client(endpoints=2)
+        client.view.endpoints["e1"] = fake_fleet.endpoint("e1", software="v2")
+        stale = _grant("", None, endpoint="e1")
+        stale.software = "v1"
+        answers = iter(
+            [
+                _grant("", None, endpoint="e0"),
+                stale,
+                _grant("", None, endpoint="e1"),
+            ]
+        )
+        peers.answers["place_ask"] = lambda _a, _m: next(answers)
+        ticket = await client.acquire(_request(software_version="v2"))
+        assert ticket.endpoint.name == "e1"
+        assert peers.count("place_ask") == 3
+
+    anyio.run(main)
+
+
+def test_fallback_keeps_a_stream_at_its_software() -> None:
+    """Guards against a stream that is joined while no scheduler answers."""
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client(endpoints=3)
+        client.view.endpoints["e2"] = fake_fleet.endpoint("e2", software="v2")
+        peers.unresponsive = {"w0:1", "w1:1"}
+        for _ in range(4):
+            ticket = await client.acquire(_request(software_version="v2"))
+            assert ticket.endpoint.name == "e2"
+        with pytest.raises(errors.OverloadedError):
+            await client.acquire(_request(software_version="v3"))
+
+    anyio.run(main)
+
+
+def test_holder_remembers_and_reports_its_streams() -> None:
+    """Guards against a stream of which only a lost scheduler knew."""
+
+    async def main() -> None:
+        client, peers, clock, task_group = _make_client()
+        peers.answers["place_ask"] = _grant
+        await client.acquire(_request(stream_id="a", attempt=2))
+        found = client.origins.find("a")
+        assert found is not None
+        assert (found.software_version, found.attempt) == ("v1", 2)
+        await client._report(clock.now())
+        await task_group.run()
+        taken = [m.place for _, name, m in peers.calls if name == "place_taken"]
+        held = [
+            place
+            for _, name, m in peers.calls
+            if name == "places_held"
+            for place in m.places
+        ]
+        assert len(taken) == 1
+        assert len(held) == 2
+        for place in (*taken, *held):
+            assert (place.stream.stream, place.software) == ("a", "v1")
+
+    anyio.run(main)
+
+
+def test_gone_software_is_told_apart_from_overload() -> None:
+    """Guards against a caller that is asked to come back in vain."""
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        answer = _grant("", None)
+        answer.state = ttypes.PlaceState.SOFTWARE_GONE
+        peers.answers["place_ask"] = lambda _a, _m: answer
+        with pytest.raises(errors.SoftwareGoneError) as raised:
+            await client.acquire(_request(software_version="v2"))
+        assert raised.value.retry_after_s is None
+
+    anyio.run(main)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,5 +1,6 @@
 """Streams go on only at the version of the software that began them."""
 
+from concurrent import futures
 import pathlib
 import signal
 import threading
@@ -9,14 +10,18 @@
 
 STREAM_EVENTS = 60
 EVENT_S = 0.05
+# Schedulers count the slots of killed gateways for some seconds.
+SLOTS = ("--slots=16",)
 OLD_ENGINES = (0,)
 NEW_ENGINES = (1,)
 
 
 def _start(fleet: platform_fleet.Fleet, *, gateways: int, workers: int) -> None:
     """Starts a fleet, then an engine of newer software."""
-    fleet.start(engines=1, gateways=gateways, workers=workers)
-    fleet.start_engine(NEW_ENGINES[0], "--software=v2")
+    fleet.start(
+        engines=1, gateways=gateways, workers=workers, engine_options=SLOTS
+    )
+    fleet.start_engine(NEW_ENGINES[0], "--software=v2", *SLOTS)
     fleet.wait_for_endpoint("e-1")
 
 
@@ -39,7 +44,11 @@
         _start(fleet, gateways=1, workers=1)
         fleet.set_engine_faults(0, cut_after=2)
         ids = [platform_fleet.new_id() for _ in range(12)]
-        answers = [fleet.chat(request_id=i, events=4) for i in ids]
+        # At once, so that both engines get some.
+        with futures.ThreadPoolExecutor(len(ids)) as pool:
+            answers = list(
+                pool.map(lambda i: fleet.chat(request_id=i, events=4), ids)
+            )
         engines = [_engines_of(fleet, i) for i in ids]
         assert {0} in engines
         assert {0, 1} not in engines
@@ -103,6 +112,12 @@
         )
 
 
+def _take_up_all(callers: list[_Caller]) -> list[httpx.Response]:
+    """Takes all streams up at once, each at the other one of two gateways."""
+    with futures.ThreadPoolExecutor(len(callers)) as pool:
+        return list(pool.map(lambda c: c.take_up(1 - c.gateway), callers))
+
+
 def _kill_gateways(fleet: platform_fleet.Fleet, count: int) -> None:
     """Kills all gateways and starts them again."""
     for index in range(count):
@@ -127,7 +142,7 @@
             lambda: all(c.last_event_id() >= 3 for c in callers)
         )
         _kill_gateways(fleet, 2)
-        answers = [c.take_up(1 - n % 2) for n, c in enumerate(callers)]
+        answers = _take_up_all(callers)
         for caller, answer in zip(callers, answers, strict=True):
             began = _engines_of(fleet, caller.request_id)
             went_on = _engines_of(
--- /dev/null
+++ b/tests/test_stream_lookup.py
@@ -0,0 +1,193 @@
+"""Finding the software that began a stream, with parts of the fleet away."""
+
+import math
+
+import anyio
+import fake_fleet
+import pytest
+
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import placement
+from ibisknot import software_history
+from ibisknot import stream_lookup
+from ibisknot import stream_origins
+from ibisknot.gen.fleet import ttypes
+
+V1 = stream_origins.Origin("s", "v1", 1)
+V2 = stream_origins.Origin("s", "v2", 2)
+
+
+class _Fleet:
+    """Gateways and workers whose lookups ask each other.
+
+    Attributes:
+        lookups: The lookup of each process, by its name.
+        asked: Addresses of the processes that were asked.
+    """
+
+    def __init__(self, **sizes: int) -> None:
+        self.clock = fake_fleet.Clock()
+        self.peers = fake_fleet.Peers()
+        self.view = fake_fleet.view(**sizes)
+        self.view.endpoints_read_s = self.clock.now()
+        self.peers.answers["stream_origin"] = lambda address, message: (
+            self.lookups[address.partition(":")[0]].answer(message)
+        )
+        self.lookups = {name: self._lookup(name) for name in self.view.members}
+
+    def _lookup(self, name: str) -> stream_lookup.Lookup:
+        members = self.view.members.values()
+        workers = [m for m in members if m.kind == "worker"]
+        return stream_lookup.Lookup(
+            stream_origins.Table(),
+            software_history.History(has_record=True),
+            self.view,
+            self.peers,  # type: ignore[arg-type]
+            self.clock.now,
+            schedulers=lambda: workers[: placement.MAX_SCHEDULERS],
+            others=lambda: [m for m in members if m.name != name],
+        )
+
+    def see(self, *software: tuple[str, str]) -> None:
+        """Lets all processes see software of services."""
+        for lookup in self.lookups.values():
+            lookup.history.gone_s = dict.fromkeys(software, math.inf)
+
+    def remember(
+        self, name: str, origin: stream_origins.Origin, stream: str = "a"
+    ) -> None:
+        """Lets a process know the origin of a stream."""
+        self.lookups[name].table.record(stream, origin, self.clock.now())
+
+    def asked(self) -> list[str]:
+        """Returns the names of the processes that were asked."""
+        return [address.partition(":")[0] for address, _, _ in self.peers.calls]
+
+    def find(
+        self,
+        stream: str = "a",
+        *,
+        at: str = "g0",
+        services: tuple[str, ...] = ("s",),
+    ) -> stream_origins.Origin | None:
+        """Returns what a process finds, or None if it cannot tell."""
+        try:
+            return anyio.run(self.lookups[at].find, stream, services)
+        except errors.UnavailableError as error:
+            assert error.ran == errors.NOT_RUN
+            self.retry_after_s = error.retry_after_s
+            return None
+
+
+def test_process_that_heard_nothing_asks_the_schedulers() -> None:
+    """Guards against a stream that goes on at the wrong software."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("s", "v2"))
+    fleet.remember("w1", V1)
+    assert fleet.find() == V1
+    assert sorted(fleet.asked()) == ["w0", "w1"]
+
+
+def test_scheduler_that_heard_of_the_later_attempt_is_believed() -> None:
+    """Guards against a standby scheduler that has missed a message."""
+    fleet = _Fleet()
+    fleet.remember("w0", V1)
+    fleet.remember("w1", V2)
+    assert fleet.find() == V2
+
+
+def test_gateways_are_asked_if_all_schedulers_have_restarted() -> None:
+    """Guards against refusing a stream that another gateway remembers."""
+    fleet = _Fleet(gateways=3)
+    fleet.see(("s", "v1"), ("s", "v2"))
+    fleet.remember("g2", V2)
+    assert fleet.find() == V2
+
+
+def test_unknown_stream_is_refused_if_two_versions_may_have_begun_it() -> None:
+    """Guards against guessing after a restart of all processes."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("s", "v2"))
+    assert fleet.find() is None
+    assert fleet.retry_after_s is None
+
+
+def test_versions_that_only_another_process_has_seen_count() -> None:
+    """Guards against a process that does not know the new version yet."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"))
+    fleet.lookups["w1"].history.gone_s[("s", "v2")] = math.inf
+    assert fleet.find() is None
+
+
+@pytest.mark.parametrize("stream", ["a", ""])
+def test_unknown_stream_goes_on_if_one_version_has_served(stream: str) -> None:
+    """Guards against refusals in a fleet that has one version.
+
+    All processes have restarted, or the caller names no request.
+    """
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("other", "v9"))
+    found = fleet.find(stream)
+    assert found is not None
+    assert (found.service, found.software_version) == ("s", "v1")
+
+
+def test_stream_of_a_route_with_two_services_is_not_guessed() -> None:
+    """Guards against an answer that is joined from two services."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("t", "v1"))
+    assert fleet.find(services=("s", "t")) is None
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_found"),
+    [(0.5, True), (2 * stream_lookup.MAX_VIEW_AGE_S, False)],
+)
+def test_gateway_that_is_cut_off_trusts_only_a_fresh_view(
+    age_s: float, *, is_found: bool
+) -> None:
+    """Guards against a version that came after the cut."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"))
+    fleet.peers.unresponsive = {m.address for m in fleet.view.members.values()}
+    fleet.clock.time_s += age_s
+    assert (fleet.find() is not None) == is_found
+    if not is_found:
+        # Another gateway may know more.
+        assert fleet.retry_after_s is not None
+
+
+def test_own_stream_is_found_without_a_message() -> None:
+    """Guards against refusals by a gateway that is cut off."""
+    fleet = _Fleet()
+    fleet.remember("g0", V1)
+    assert fleet.find() == V1
+    assert fleet.asked() == []
+
+
+def test_process_without_the_record_does_not_guess() -> None:
+    """Guards against a start that takes what it sees for all there was."""
+    fleet = _Fleet()
+    fleet.see(("s", "v2"))
+    for lookup in fleet.lookups.values():
+        lookup.history.has_record = False
+    assert fleet.find() is None
+
+
+def test_few_other_processes_are_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a question to every process of a large fleet."""
+    monkeypatch.setattr(stream_lookup, "MAX_OTHERS_ASKED", 5)
+    fleet = _Fleet(gateways=40, workers=20)
+    assert isinstance(fleet.view, fleetview.View)
+    assert fleet.find() is None
+    assert len(fleet.asked()) == placement.MAX_SCHEDULERS + 5
+
+
+def test_answer_of_a_peer_says_what_it_knows() -> None:
+    """Guards against an answer without the number of its attempt."""
+    fleet = _Fleet()
+    fleet.remember("w0", V2)
+    answer = anyio.run(fleet.lookups["w0"].on_ask, ttypes.StreamOriginAsk("a"))
+    assert (answer.known, answer.software, answer.attempt) == (True, "v2", 2)
