Let a batch item go on only at the software that began it

An item keeps its service and version while it has output. If no endpoint has the software in time, it drops the output and begins anew, which items may. Output never travels to another worker, so nothing is joined over workers.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -10,6 +10,7 @@
 from ibisknot import batch_records
 from ibisknot import errors
 from ibisknot import event_stream
+from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import forward
 from ibisknot import http11
@@ -58,6 +59,10 @@
         submitted_s: Monotonic time at which the job was accepted.
         event_data: Data of the events received so far, in order.
         last_event_id: Id of the last of these events.
+        service: Service at which the item runs; empty before the first
+            attempt.
+        software_version: Version of the software that `event_data` is from;
+            None without data.
         stalls: Number of attempts that ended without progress.
         output_bytes: Size of `event_data`.
         failures: Number of responses that report a failure of the item.
@@ -77,6 +82,8 @@
     submitted_s: float
     event_data: list[str] = dataclasses.field(default_factory=list)
     last_event_id: int | None = None
+    service: str = ""
+    software_version: str | None = None
     stalls: int = 0
     output_bytes: int = 0
     failures: int = 0
@@ -180,6 +187,9 @@
             try:
                 ticket = await self._acquire_ticket(task, route)
             except errors.IbisknotError as error:
+                if task.software_version is not None:
+                    _start_again(task, error.message)
+                    continue
                 await anyio.sleep(error.retry_after_s or RETRY_PAUSE_S)
                 continue
             task.is_at_endpoint = True
@@ -208,12 +218,10 @@
         item = task.item
         metadata = self.dialect.decode_metadata(_encode_headers(item.headers))
         expected_tokens = metadata.expected_tokens or metadata.output_tokens
-        service = route.choose_service(self.tickets.rng)
-        if service is None:
-            raise errors.OverloadedError(f"{route.name} has no service")
+        self._choose_service(task, route)
         return await self.tickets.acquire(
             ticket_types.TicketRequest(
-                service=service,
+                service=task.service,
                 kind=admission.BATCH,
                 request_id=item.id,
                 organisation=task.organisation,
@@ -228,9 +236,26 @@
                 expected_duration_s=self.run_time.remaining_s(
                     expected_tokens, len(task.event_data)
                 ),
+                software_version=task.software_version,
             )
         )
 
+    def _choose_service(self, task: Task, route: serving.Route) -> None:
+        """Chooses the service of the next attempt, the same one if it may be.
+
+        Raises:
+            OverloadedError: The route has no service.
+        """
+        services = {target.service for target in route.targets}
+        if task.software_version is not None:
+            if task.service in services:
+                return
+            _start_again(task, f"the route leads no longer to {task.service}")
+        service = route.choose_service(self.tickets.rng)
+        if service is None:
+            raise errors.OverloadedError(f"{route.name} has no service")
+        task.service = service
+
     async def _attempt(
         self, task: Task, ticket: ticket_types.Ticket
     ) -> batch_records.ItemResult | None:
@@ -291,7 +316,7 @@
                 )
             started_s = self.clock()
             is_from_start = not task.event_data
-            await self._receive_events(task, answer)
+            await self._receive_events(task, ticket.endpoint, answer)
             if is_from_start:
                 run_s = self.clock() - started_s
                 self._record_run_time(task, run_s)
@@ -342,7 +367,10 @@
         )
 
     async def _receive_events(
-        self, task: Task, answer: http_client.Response
+        self,
+        task: Task,
+        source: fleet_endpoint.Endpoint,
+        answer: http_client.Response,
     ) -> None:
         """Appends a response's events to the task; skips repeated ones.
 
@@ -364,6 +392,7 @@
                 if task.output_bytes > MAX_OUTPUT_BYTES:
                     self._discard_output(task)
                 task.event_data.append(event.data)
+                task.software_version = source.software_version
                 task.last_event_id = event.id
                 answer.record_progress()
         if splitter.incomplete:
@@ -376,9 +405,7 @@
             ItemFailedError: Always. It counts as a failure of the item, which
                 is given up if every endpoint sends so much.
         """
-        task.event_data.clear()
-        task.output_bytes = 0
-        task.last_event_id = None
+        _clear_output(task)
         task.failures += 1
         raise errors.ItemFailedError(
             f"the output is over {MAX_OUTPUT_BYTES} bytes"
@@ -424,6 +451,27 @@
         return batch_records.ItemResult(task.item.id, batch_records.FAILED, "")
 
 
+def _clear_output(task: Task) -> None:
+    """Drops the output received so far; the next attempt begins anew."""
+    task.event_data.clear()
+    task.output_bytes = 0
+    task.last_event_id = None
+    task.software_version = None
+
+
+def _start_again(task: Task, cause: str) -> None:
+    """Drops output that no endpoint can continue in time."""
+    logs.event(
+        "item_started_again",
+        job=task.job_id,
+        request=task.item.id,
+        software=task.software_version,
+        last_event=task.last_event_id,
+        cause=cause,
+    )
+    _clear_output(task)
+
+
 def stall_timeout_s(stalls: int) -> float:
     """Returns the seconds without a new event after which an attempt fails.
 
--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -27,13 +27,21 @@
 
 def _run(
     *scripts: scripted.Script,
+    versions: tuple[str, ...] = (),
 ) -> tuple[batch_records.ItemResult | None, batch_item.Task]:
-    """Runs an item at one endpoint after another."""
+    """Runs an item at one endpoint after another.
+
+    Args:
+        *scripts: What the endpoints do.
+        versions: Versions of their software; all `v1` if left out.
+    """
     route = scripted.make_route(kind=serving.BATCH, max_attempts=3)
     endpoints = [
         scripted.ScriptedEndpoint(f"e{n}", [script])
         for n, script in enumerate(scripts)
     ]
+    for endpoint, version in zip(endpoints, versions, strict=False):
+        endpoint.software_version = version
     clock = timer.Timer()
     item = batch_records.Item("r1", "/a/x", [], b"", 10)
     outcome: list[tuple[batch_records.ItemResult | None, batch_item.Task]] = []
@@ -167,3 +175,32 @@
     assert result is not None
     assert (result.state, result.output) == (batch_records.DONE, "a\nb")
     assert (task.attempts, task.failures) == (11, 0)
+
+
+def _script_cut(*events: bytes) -> scripted.Script:
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        await stream.send(scripted.STREAM_HEAD)
+        for event in events:
+            await stream.send(scripted.encode_chunk(event))
+        await stream.aclose()
+
+    return script
+
+
+def test_item_goes_on_only_at_the_software_that_began_it() -> None:
+    """Guards against a result that is joined from two software versions."""
+    cut = _script_cut(scripted.encode_event(1, "old a"))
+    rest = _script_cut(scripted.encode_event(2, "never asked"))
+    result, task = _run(cut, rest, _complete, versions=("v1", "v2", "v1"))
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "old a\nb")
+    assert task.attempts == 2
+
+
+def test_item_begins_anew_when_its_software_is_gone() -> None:
+    """Guards against an item that waits for endpoints that have left."""
+    cut = _script_cut(scripted.encode_event(1, "old a"))
+    result, task = _run(cut, _complete, versions=("v1", "v2"))
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert task.software_version == "v2"
