End an attempt whose answer cannot continue the stream

Callers saw an error's text, or its head, in the middle of a stream, or a stream that ended as if it were complete.

An answer that is not 200 cannot continue a stream any more, nor can one that leaves out an event. Data that has other lines than fields and comments ends the attempt; what came before it is relayed, and another endpoint continues.

Ten tests in test_forward and one in test_batch_item failed before. The late copy of a refusal cannot be taken for a later attempt: a connection on which a request was refused is closed, so no two attempts of a request share one. The test of that passed before; it guards the reason.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -484,10 +484,18 @@
 def _parse_events(
     splitter: event_stream.Splitter, chunk: bytes
 ) -> list[event_stream.Event]:
+    """Returns the events that are complete with a chunk.
+
+    Raises:
+        TruncatedStreamError: They are too large, or no events.
+    """
     try:
-        return event_stream.feed(splitter, chunk)
+        events = event_stream.feed(splitter, chunk)
     except ValueError as error:
         raise errors.TruncatedStreamError(str(error)) from None
+    if all(event_stream.is_well_formed(event.raw) for event in events):
+        return events
+    raise errors.TruncatedStreamError("data that is no event")
 
 
 async def _cancel_on_revoke(
--- a/src/ibisknot/event_stream.py
+++ b/src/ibisknot/event_stream.py
@@ -1,11 +1,15 @@
 """Splits a stream of server-sent events into its events."""
 
 import dataclasses
+import re
 
 MAX_EVENT_BYTES = 128 * 1024
 """Limit on the data of each stream that waits for the end of an event."""
 
 
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+_LINE = re.compile(rb"(data|id|event|retry|[a-z][a-z0-9-]*:.*|:.*)?", re.DOTALL)
+"""A line of an event: a field, a comment, or nothing."""
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 MAX_EVENT_END_BYTES = max(len(end) for end in EVENT_ENDS)
 
@@ -106,6 +110,22 @@
     return min(ends, default=None)
 
 
+def is_well_formed(raw: bytes) -> bool:
+    r"""Returns whether a complete event has only fields and comments.
+
+    Names of fields are in lower case, so that the head of a response is none.
+
+    >>> is_well_formed(b": note\nid: 7\nx-version: 2\ndata\n\n")
+    True
+    >>> is_well_formed(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    False
+    >>> is_well_formed(b"try again\n\n")
+    False
+    """
+    lines = raw.removeprefix(BYTE_ORDER_MARK).split(b"\n")
+    return all(_LINE.fullmatch(line.removesuffix(b"\r")) for line in lines)
+
+
 def parse(raw: bytes) -> Event:
     r"""Parses one complete event.
 
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -312,16 +312,11 @@
                     ticket.endpoint,
                     self.dialect.request_limit(response.headers),
                 )
+                message = f"{ticket.endpoint.name}: status {response.status}"
                 if self.dialect.says_not_run(response.status, response.headers):
-                    message = (
-                        f"{ticket.endpoint.name}: status {response.status}"
-                    )
                     raise errors.EndpointRefusedError(message)
                 task.runs += 1
-                if response.status >= 500 and self._may_run_again(task):
-                    message = (
-                        f"{ticket.endpoint.name}: status {response.status}"
-                    )
+                if self._is_to_be_repeated(task, response.status):
                     raise errors.EndpointError(message, ran=errors.RAN)
                 await self._relay_response(task, ticket, response)
         except errors.EndpointError as error:
@@ -331,6 +326,15 @@
         failed = response.status >= 500
         return admission.FAILED if failed else admission.OK
 
+    def _is_to_be_repeated(self, task: Task, status: int) -> bool:
+        """Returns whether a response is not relayed because of its status.
+
+        Only a successful one can continue a stream that has begun.
+        """
+        if task.exchange.started:
+            return status != 200
+        return status >= 500 and self._may_run_again(task)
+
     def _may_run_again(self, task: Task, *, pending_runs: int = 0) -> bool:
         """Returns whether the route permits another run of a request.
 
@@ -468,25 +472,35 @@
 
         Returns:
             Whether an event was relayed.
+
+        Raises:
+            TruncatedStreamError: An event is missing, or the data is none.
         """
         try:
             received = event_stream.feed(task.splitter, chunk)
         except ValueError as error:
             raise errors.TruncatedStreamError(str(error)) from None
         relayed = []
+        malformed: str | None = None
         for event in received:
+            if not event_stream.is_well_formed(event.raw):
+                malformed = "data that is no event"
+                break
             if event.id is not None:
-                if (
-                    task.last_event_id is not None
-                    and event.id <= task.last_event_id
-                ):
+                last_id = task.last_event_id
+                if last_id is not None and event.id <= last_id:
                     continue
+                if last_id is not None and event.id > last_id + 1:
+                    malformed = f"event {last_id + 1} is missing"
+                    break
                 task.last_event_id = event.id
             relayed.append(event.raw)
         if relayed:
             task.has_relayed_event = True
             task.software_version = endpoint.software_version
             await task.exchange.send(b"".join(relayed))
+        if malformed is not None:
+            raise errors.TruncatedStreamError(malformed)
         return bool(relayed)
 
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -63,6 +63,7 @@
         received_heads: Heads of the received requests.
         listener: Accepts its connections.
         software_version: Version of its software.
+        connections: The connections that were opened to it.
     """
 
     name: str
@@ -71,6 +72,9 @@
     received_heads: list[bytes] = dataclasses.field(default_factory=list)
     listener: abc.Listener[abc.SocketStream] | None = None
     software_version: str = "v1"
+    connections: list[abc.SocketStream] = dataclasses.field(
+        default_factory=list
+    )
 
     async def crash(self, stream: abc.SocketStream, _head: bytes) -> None:
         """Script: starts the response, then ends the endpoint."""
@@ -81,6 +85,7 @@
 
     async def serve(self, stream: abc.SocketStream) -> None:
         """Handles the requests of one connection."""
+        self.connections.append(stream)
         async with stream:
             while True:
                 try:
--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -204,3 +204,18 @@
     assert result is not None
     assert (result.state, result.output) == (batch_records.DONE, "a\nb")
     assert task.software_version == "v2"
+
+
+def test_error_head_within_an_item_does_not_end_it() -> None:
+    """Guards against an item that is done without its last events."""
+    head = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+    async def spoiled(stream: abc.SocketStream, _head: bytes) -> None:
+        await stream.send(scripted.STREAM_HEAD)
+        body = scripted.encode_event(1, "a") + head
+        await stream.send(scripted.encode_chunk(body) + scripted.STREAM_END)
+
+    result, task = _run(spoiled, _complete)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert task.attempts == 2
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -559,3 +559,106 @@
         assert status == 502
 
     _run([_endpoint("e1", _close)], scripted.make_route(), check)
+
+
+ERROR_HEAD = (
+    b"HTTP/1.1 %s Late\r\nX-Ibisknot-Request-Id: r1\r\n"
+    b"Content-Type: text/plain\r\nContent-Length: 10\r\n\r\ntext here\n"
+)
+
+
+@pytest.mark.parametrize("status", [b"400", b"404", b"422", b"500", b"206"])
+def test_error_of_a_later_attempt_is_not_joined_to_the_stream(
+    status: bytes,
+) -> None:
+    """Guards against an error's text in a stream that then looks complete."""
+    cut = _script_stream(scripted.encode_event(1, "a"), ends=False)
+    endpoints = [
+        _endpoint("e1", cut),
+        _endpoint("e2", _script_bytes(ERROR_HEAD % status)),
+    ]
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        with pytest.raises(errors.EndpointError):
+            await scripted.send_request(address)
+
+    _run(endpoints, scripted.make_route(), check)
+
+
+def test_stream_goes_on_elsewhere_after_the_error_of_an_attempt() -> None:
+    """Guards against a stream that is given up with attempts left."""
+    cut = _script_stream(scripted.encode_event(1, "a"), ends=False)
+    rest = _script_stream(scripted.encode_event(2, "b"))
+    endpoints = [
+        _endpoint("e1", cut),
+        _endpoint("e2", _script_bytes(ERROR_HEAD % b"404")),
+        _endpoint("e3", rest),
+    ]
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        _, body = await scripted.send_request(address)
+        assert body.count(b"data: ") == 2
+
+    _run(endpoints, scripted.make_route(max_attempts=3), check)
+
+
+@pytest.mark.parametrize(
+    "noise",
+    [
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        b"overloaded, try again\n\n",
+        b'{"error": "overloaded"}\n\n',
+        scripted.encode_event(4, "a gap before it"),
+    ],
+    ids=["head", "text", "json", "gap"],
+)
+def test_bytes_that_are_no_event_end_the_attempt(noise: bytes) -> None:
+    """Guards against an error's head or text in the middle of a stream."""
+    spoiled = _script_stream(scripted.encode_event(1, "a"), noise)
+    rest = _script_stream(scripted.encode_event(2, "b"))
+    endpoints = [_endpoint("e1", spoiled), _endpoint("e2", rest)]
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        _, body = await scripted.send_request(address)
+        assert body == scripted.encode_event(1, "a") + scripted.encode_event(
+            2, "b"
+        )
+
+    _run(endpoints, scripted.make_route(), check)
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nX-Ibisknot-Request-Id: r1\r\n"
+    b"X-Ibisknot-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+def test_late_copy_of_a_refusal_is_not_taken_for_a_later_attempt() -> None:
+    """Guards against a refusal as not run of a request that runs.
+
+    Both attempts are made at one endpoint. It writes the first refusal once
+    more while it runs the request.
+    """
+    ran: list[bytes] = []
+
+    async def run_after_late_copy(
+        stream: abc.SocketStream, head: bytes
+    ) -> None:
+        ran.append(head)
+        if len(endpoint.connections) == 1:
+            await stream.send(REFUSAL)
+        await stream.send(scripted.STREAM_HEAD)
+        await stream.send(
+            scripted.encode_chunk(scripted.encode_event(1, "a"))
+            + scripted.STREAM_END
+        )
+
+    endpoint = _endpoint("e1", _script_bytes(REFUSAL), run_after_late_copy)
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        tickets.remaining.append(endpoint)
+        status, body = await scripted.send_request(address)
+        assert len(ran) == 1
+        assert (status, body) == (200, scripted.encode_event(1, "a"))
+
+    _run([endpoint], scripted.make_route(resumable=False), check)
