--- /dev/null
+++ b/src/ibisknot/_forward_task.py
@@ -0,0 +1,115 @@
+"""What a gateway keeps of one request while it forwards it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
+
+from ibisknot import crashes
+from ibisknot import event_stream
+from ibisknot import http11
+from ibisknot import http_server
+from ibisknot import request_metadata
+from ibisknot import serving
+from ibisknot import stream_origins
+
+FindOrigin = Callable[[str, Collection[str]], Awaitable[stream_origins.Origin]]
+"""Finds the software that began a stream, by the stream's id and the services
+that may have begun it; raises UnavailableError if it cannot be told."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dialect:
+    """How a platform's headers encode metadata; an adapter defines it.
+
+    Attributes:
+        decode_metadata: Decodes the metadata in a caller's headers.
+        encode_headers: Returns the headers of the request to an endpoint from
+            the caller's headers and the metadata to set.
+        is_response_to: Returns whether a response with these headers belongs
+            to the request with this id.
+        says_not_run: Returns whether a response with this status and these
+            headers states that the endpoint has not run the request.
+        error_headers: Returns the headers of an error response from the
+            seconds after which the caller may retry, or None.
+        request_limit: Returns the requests a second that the endpoint of a
+            response takes of all processes together; infinite without a
+            limit, None if it is malformed.
+    """
+
+    decode_metadata: Callable[[http11.Headers], request_metadata.CallerMetadata]
+    encode_headers: Callable[
+        [http11.Headers, request_metadata.EndpointMetadata], http11.Headers
+    ]
+    is_response_to: Callable[[str, http11.Headers], bool]
+    says_not_run: Callable[[int, http11.Headers], bool]
+    error_headers: Callable[[float | None], http11.Headers]
+    request_limit: Callable[[http11.Headers], float | None]
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """One request to forward and its progress.
+
+    Attributes:
+        exchange: The request, and the means to respond to its caller.
+        metadata: Metadata that the caller sent.
+        route: Route of the request, which limits its time and attempts.
+        organisation: Organisation whose rate applies, or None.
+        service: Name of the service whose endpoints may run it.
+        deadline_s: Monotonic time at which the complete response is due.
+        caller_deadline_s: Monotonic time of the deadline that the caller
+            stated, or None.
+        runs: Number of attempts that ran or may have run.
+        attempts: Number of all attempts.
+        failed_endpoints: Names of the endpoints at which an attempt failed.
+        last_event_id: Id of the last event that the caller has, or None.
+        has_relayed_event: Whether an event was relayed to the caller.
+        software_version: Version of the software that began the stream; None
+            before an event of a resumable stream has reached the caller.
+        splitter: Splits the current attempt's response into events if the
+            stream is resumable.
+        boundary: Says where the current attempt's stream stands.
+    """
+
+    exchange: http_server.Exchange
+    metadata: request_metadata.CallerMetadata
+    route: serving.Route
+    organisation: serving.Organisation | None
+    service: str
+    deadline_s: float
+    caller_deadline_s: float | None
+    runs: int = 0
+    attempts: int = 0
+    failed_endpoints: set[str] = dataclasses.field(default_factory=set)
+    last_event_id: int | None = None
+    has_relayed_event: bool = False
+    software_version: str | None = None
+    splitter: event_stream.Splitter = dataclasses.field(
+        default_factory=event_stream.Splitter
+    )
+    boundary: event_stream.Boundary = dataclasses.field(
+        default_factory=event_stream.Boundary
+    )
+
+
+def is_resumed_by_caller(task: Task) -> bool:
+    """Returns whether the caller has had events of the stream before."""
+    return task.route.resumable and bool(task.metadata.last_event_id)
+
+
+def stream_id(task: Task) -> str:
+    """Returns the id by which the stream may be resumed later, or nothing."""
+    if not task.route.resumable:
+        return ""
+    if is_resumed_by_caller(task):
+        return task.metadata.resumed_id
+    return task.metadata.id
+
+
+def fingerprint(task: Task) -> str:
+    """Returns a hash that a request and its resends have in common."""
+    request = task.exchange.request
+    organisation_name = task.organisation.name if task.organisation else ""
+    content = request.target + b"\n" + request.body
+    return crashes.request_fingerprint("online", organisation_name, content)
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -3,12 +3,9 @@
 A failed attempt is repeated at another endpoint if the route permits it.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Collection
-import dataclasses
 import math
 
+from ibisknot import _forward_task
 from ibisknot import admission
 from ibisknot import crash_notices
 from ibisknot import crashes
@@ -17,13 +14,11 @@
 from ibisknot import fleet_endpoint
 from ibisknot import http11
 from ibisknot import http_client
-from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import placement
 from ibisknot import prompt_crash_notices
 from ibisknot import request_metadata
 from ibisknot import serving
-from ibisknot import stream_origins
 from ibisknot import ticket_types
 from ibisknot import timer
 
@@ -40,84 +35,8 @@
 EVENT_STREAM = "text/event-stream"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Dialect:
-    """How a platform's headers encode metadata; an adapter defines it.
-
-    Attributes:
-        decode_metadata: Decodes the metadata in a caller's headers.
-        encode_headers: Returns the headers of the request to an endpoint from
-            the caller's headers and the metadata to set.
-        is_response_to: Returns whether a response with these headers belongs
-            to the request with this id.
-        says_not_run: Returns whether a response with this status and these
-            headers states that the endpoint has not run the request.
-        error_headers: Returns the headers of an error response from the
-            seconds after which the caller may retry, or None.
-        request_limit: Returns the requests a second that the endpoint of a
-            response takes of all processes together; infinite without a
-            limit, None if it is malformed.
-    """
-
-    decode_metadata: Callable[[http11.Headers], request_metadata.CallerMetadata]
-    encode_headers: Callable[
-        [http11.Headers, request_metadata.EndpointMetadata], http11.Headers
-    ]
-    is_response_to: Callable[[str, http11.Headers], bool]
-    says_not_run: Callable[[int, http11.Headers], bool]
-    error_headers: Callable[[float | None], http11.Headers]
-    request_limit: Callable[[http11.Headers], float | None]
-
-
-@dataclasses.dataclass(slots=True)
-class Task:
-    """One request to forward and its progress.
-
-    Attributes:
-        exchange: The request, and the means to respond to its caller.
-        metadata: Metadata that the caller sent.
-        route: Route of the request, which limits its time and attempts.
-        organisation: Organisation whose rate applies, or None.
-        service: Name of the service whose endpoints may run it.
-        deadline_s: Monotonic time at which the complete response is due.
-        caller_deadline_s: Monotonic time of the deadline that the caller
-            stated, or None.
-        runs: Number of attempts that ran or may have run.
-        attempts: Number of all attempts.
-        failed_endpoints: Names of the endpoints at which an attempt failed.
-        last_event_id: Id of the last event that the caller has, or None.
-        has_relayed_event: Whether an event was relayed to the caller.
-        software_version: Version of the software that began the stream; None
-            before an event of a resumable stream has reached the caller.
-        splitter: Splits the current attempt's response into events if the
-            stream is resumable.
-        boundary: Says where the current attempt's stream stands.
-    """
-
-    exchange: http_server.Exchange
-    metadata: request_metadata.CallerMetadata
-    route: serving.Route
-    organisation: serving.Organisation | None
-    service: str
-    deadline_s: float
-    caller_deadline_s: float | None
-    runs: int = 0
-    attempts: int = 0
-    failed_endpoints: set[str] = dataclasses.field(default_factory=set)
-    last_event_id: int | None = None
-    has_relayed_event: bool = False
-    software_version: str | None = None
-    splitter: event_stream.Splitter = dataclasses.field(
-        default_factory=event_stream.Splitter
-    )
-    boundary: event_stream.Boundary = dataclasses.field(
-        default_factory=event_stream.Boundary
-    )
-
-
-FindOrigin = Callable[[str, Collection[str]], Awaitable[stream_origins.Origin]]
-"""Finds the software that began a stream, by the stream's id and the services
-that may have begun it; raises UnavailableError if it cannot be told."""
+Dialect = _forward_task.Dialect
+Task = _forward_task.Task
 
 
 class Forwarder:
@@ -141,7 +60,7 @@
         clock: timer.Timer,
         notices: crash_notices.CrashNotices,
         prompt_crashes: prompt_crash_notices.Notices,
-        find_origin: FindOrigin,
+        find_origin: _forward_task.FindOrigin,
     ) -> None:
         self.find_origin = find_origin
         self.notices = notices
@@ -158,9 +77,9 @@
             IbisknotError: There is no complete response; `ran` tells whether
                 the request may have run.
         """
-        fingerprint = _fingerprint(task)
+        fingerprint = _forward_task.fingerprint(task)
         self._refuse_if_it_crashes(task, fingerprint)
-        if _is_resumed_by_caller(task):
+        if _forward_task.is_resumed_by_caller(task):
             await self._adopt_origin(task)
         while True:
             self._refuse_if_it_crashes(task, fingerprint)
@@ -243,14 +162,16 @@
             organisation=task.organisation,
             max_wait_s=max_wait_s,
             objective_s=objective_s,
-            fingerprint=int(_fingerprint(task)[:FINGERPRINT_DIGITS], 16),
+            fingerprint=int(
+                _forward_task.fingerprint(task)[:FINGERPRINT_DIGITS], 16
+            ),
             max_tokens=metadata.prompt_tokens + metadata.output_tokens,
             prompt_tokens=metadata.prompt_tokens,
             prompt_blocks=metadata.prompt_blocks,
             avoid=frozenset(task.failed_endpoints),
             is_rate_limited=task.attempts == 0,
             software_version=task.software_version,
-            stream_id=_stream_id(task),
+            stream_id=_forward_task.stream_id(task),
             attempt=task.attempts,
         )
         try:
@@ -401,7 +322,7 @@
         if not task.boundary.has_event:
             self.prompt_crashes.report_broken(
                 ticket.endpoint,
-                int(fingerprint[:FINGERPRINT_DIGITS], 16),
+                _number(fingerprint),
                 task.metadata.prompt_parts,
             )
         crash = crashes.Crash(
@@ -504,6 +425,11 @@
         return bool(relayed)
 
 
+def _number(fingerprint: str) -> int:
+    """Returns a fingerprint as a number for messages."""
+    return int(fingerprint[:FINGERPRINT_DIGITS], 16)
+
+
 def stall_timeout_s(route: serving.Route) -> float:
     """Returns the seconds without progress after which a stream is stalled.
 
@@ -516,20 +442,6 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
-def _is_resumed_by_caller(task: Task) -> bool:
-    """Returns whether the caller has had events of the stream before."""
-    return task.route.resumable and bool(task.metadata.last_event_id)
-
-
-def _stream_id(task: Task) -> str:
-    """Returns the id by which the stream may be resumed later, or nothing."""
-    if not task.route.resumable:
-        return ""
-    if _is_resumed_by_caller(task):
-        return task.metadata.resumed_id
-    return task.metadata.id
-
-
 def _log_continued(task: Task, ticket: ticket_types.Ticket) -> None:
     """Logs where a stream goes on, and what it has failed at before."""
     logs.event(
@@ -549,14 +461,6 @@
     return response.status == 200 and media_type == EVENT_STREAM
 
 
-def _fingerprint(task: Task) -> str:
-    """Returns a hash that a request and its resends have in common."""
-    request = task.exchange.request
-    organisation_name = task.organisation.name if task.organisation else ""
-    content = request.target + b"\n" + request.body
-    return crashes.request_fingerprint("online", organisation_name, content)
-
-
 def attempt_outcome(error: errors.EndpointError) -> str:
     """Returns the outcome, for the ticket, of an attempt that failed.
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -13,27 +13,22 @@
 from ibisknot import _scheduler_messages
 from ibisknot import _service
 from ibisknot import admission
-from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import overload
 from ibisknot import peer
-from ibisknot import rates
 from ibisknot import scheduler_limits
+from ibisknot import scheduler_rates
 from ibisknot import stream_origins
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
 TICK_PERIOD_S = 0.05
 NOTIFY_TIMEOUT_S = 0.3
-GATEWAY_REPORT_TIMEOUT_S = 2.0
-"""A gateway without a report for this time counts as using its own share."""
 HOLDER_REPORT_TIMEOUT_S = 3.5
 """After this time without a report, a holder's tickets are reclaimed."""
-INITIAL_FILL = 0.5
-"""Initial fraction of a burst; another scheduler may have used the rest."""
 UNSERVED_RETRY_S = 1.0
 EXPIRED_REMAINING_S = 3.0
 """Time that usually remains to a caller whose request expired in the queue."""
@@ -58,14 +53,13 @@
 
     Attributes:
         services: State of each service by name.
-        shares: This scheduler's share of each rate, by organisation.
         last_report_s: Monotonic time of each holder's last report, by address.
         unreported_since_s: Monotonic time of the first message about each
             holder that has not reported yet, by address.
         refusals: The callers that were refused lately.
         limits: The limits that endpoints have named.
         origins: The software that began the streams.
-        started_s: Monotonic time of this process's start.
+        rates: This scheduler's part of the organisations' rates.
     """
 
     def __init__(
@@ -87,14 +81,13 @@
         self.task_group = task_group
         self.rng = rng or random.Random()
         self.services: dict[str, _service.Service] = {}
-        self.shares: dict[str, rates.Share] = {}
         self.last_report_s: dict[str, float] = {}
         self.unreported_since_s: dict[str, float] = {}
         self.refusals = overload.Refusals()
         self.limits = scheduler_limits.Limits(
             view, clock, self._set_request_limit
         )
-        self.started_s = clock.now()
+        self.rates = scheduler_rates.Rates(view, clock, self.last_report_s)
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and the periodic work."""
@@ -184,15 +177,13 @@
             return _scheduler_messages.answer(request.id, State.SOFTWARE_GONE)
         granted = request.id in service.granted_s
         first_s = overload.first_seen_s(self.refusals, now, request.fingerprint)
-        if not granted and not self._consume_token(request, now):
-            share = self.shares[request.organisation]
-            allowance = rates.Allowance(request.rate_per_s, request.burst)
-            retry_s = rates.next_token_s(share, allowance)
+        if not granted and not self.rates.consume_token(request, now):
+            retry_s = self.rates.next_token_s(request)
             return _scheduler_messages.answer(
                 request.id, State.OVER_RATE, retry_s=retry_s
             )
         if not granted and first_s is None and self._is_late(service, request):
-            self._refund_token(request)
+            self.rates.refund_token(request)
             return self._refuse(service, request, now)
         return self._admit(service, request, now, first_s)
 
@@ -261,47 +252,6 @@
             return request.wait_s
         return min(request.wait_s, overload.QUEUE_TIMEOUT_S)
 
-    def _consume_token(self, request: ttypes.PlaceAsk, now: float) -> bool:
-        if request.rate_per_s <= 0.0:
-            return True
-        allowance = rates.Allowance(request.rate_per_s, request.burst)
-        share = self.shares.get(request.organisation)
-        units = self._local_units(now)
-        if share is not None:
-            rates.refill(share, now, allowance)
-            share.units = units
-        else:
-            # `consume` adds what has accrued since this process's start.
-            share = rates.Share(units=units, updated_s=self.started_s)
-            share.level = int(rates.token_cap(units, allowance) * INITIAL_FILL)
-            self.shares[request.organisation] = share
-        return rates.consume(share, now, allowance)
-
-    def _local_units(self, now: float) -> int:
-        """Returns the share units of a rate that this scheduler may use.
-
-        A gateway that does not report uses the units of its own share. They
-        are left out here, so that the organisation's rate is not exceeded.
-        """
-        gateways = {
-            m.address
-            for m in self.view.members.values()
-            if m.kind == deployment.GATEWAY
-        }
-        # Gateways had no time to report to a scheduler that has just started.
-        reporting_count = sum(
-            now - self.last_report_s.get(address, self.started_s)
-            <= GATEWAY_REPORT_TIMEOUT_S
-            for address in gateways
-        )
-        if not reporting_count:
-            return rates.ORGANISATION_UNITS
-        return rates.ORGANISATION_UNITS * reporting_count // len(gateways)
-
-    def _refund_token(self, request: ttypes.PlaceAsk) -> None:
-        if request.rate_per_s > 0.0:
-            self.shares[request.organisation].level += rates.ONE_TOKEN
-
     def _is_late(
         self, service: _service.Service, request: ttypes.PlaceAsk
     ) -> bool:
@@ -341,7 +291,7 @@
             slots=round(service.online_slots(), 1),
             hold_s=round(service.hold_time.mean_s, 3),
             retry_after_s=answer.retry_after_s,
-            units=self._local_units(self.clock.now()),
+            units=self.rates.local_units(self.clock.now()),
             view_age_s=round(self.clock.now() - self.view.endpoints_read_s, 3),
         )
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 from ibisknot import fleetview
 from ibisknot import rates
 from ibisknot import scheduler
+from ibisknot import scheduler_rates
 from ibisknot.gen.fleet import ttypes
 
 State = ttypes.PlaceState
@@ -227,7 +228,7 @@
             (await worker.on_request(request)).state for request in requests
         ]
         granted = states.count(State.GRANTED)
-        assert granted == 10 * scheduler.INITIAL_FILL
+        assert granted == 10 * scheduler_rates.INITIAL_FILL
         assert states.count(State.OVER_RATE) == 20 - granted
 
     anyio.run(main)
@@ -260,10 +261,13 @@
             await worker.on_report(
                 ttypes.PlacesHeld(holder=f"{name}:1", places=[])
             )
-        assert worker._local_units(clock.now()) == rates.ORGANISATION_UNITS
-        clock.time_s += scheduler.GATEWAY_REPORT_TIMEOUT_S + 0.1
+        assert worker.rates.local_units(clock.now()) == rates.ORGANISATION_UNITS
+        clock.time_s += scheduler_rates.GATEWAY_REPORT_TIMEOUT_S + 0.1
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=[]))
-        assert worker._local_units(clock.now()) == rates.ORGANISATION_UNITS // 4
+        assert (
+            worker.rates.local_units(clock.now())
+            == rates.ORGANISATION_UNITS // 4
+        )
 
     anyio.run(main)
 
@@ -293,10 +297,13 @@
         worker, _, clock, _ = _make_scheduler(fake_fleet.view(gateways=4))
         clock.time_s += 0.5
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=[]))
-        assert worker._local_units(clock.now()) == rates.ORGANISATION_UNITS
-        clock.time_s += scheduler.GATEWAY_REPORT_TIMEOUT_S
+        assert worker.rates.local_units(clock.now()) == rates.ORGANISATION_UNITS
+        clock.time_s += scheduler_rates.GATEWAY_REPORT_TIMEOUT_S
         await worker.on_report(ttypes.PlacesHeld(holder="g0:1", places=[]))
-        assert worker._local_units(clock.now()) == rates.ORGANISATION_UNITS // 4
+        assert (
+            worker.rates.local_units(clock.now())
+            == rates.ORGANISATION_UNITS // 4
+        )
 
     anyio.run(main)
 
