Join no streams of two software versions on the product's own interface

By reading: resume_from went to any engine that serves the model, for callers' streams and for items of batch jobs. Engines name their software in each event (system_fingerprint). The first event of a continued stream is compared with those before: a stream is then tried at another engine, and an item begins anew at once, without counting a failure. Engines that name none are treated as one version, as before.

--- a/src/ibisknot/_attempt.py
+++ b/src/ibisknot/_attempt.py
@@ -35,6 +35,10 @@
         event_count: Number of complete events received, except `DONE_LINE`.
         last_event: The last of these events, without `EVENT_END`.
         is_complete: Whether the whole response was received.
+        needed_software: System fingerprint of the events that were relayed
+            before, or None if there are none.
+        software: System fingerprint of this attempt's events; empty if they
+            name none.
     """
 
     endpoint: str
@@ -48,6 +52,8 @@
     event_count: int = 0
     last_event: bytes = b""
     is_complete: bool = False
+    needed_software: str | None = None
+    software: str = ""
 
     def token_count(self) -> int:
         """Returns the number of tokens received."""
@@ -85,6 +91,8 @@
 
     Raises:
         EndpointError: The response belongs to another request.
+        OtherSoftwareError: The engine has other software than the one that
+            began the stream.
         TruncatedStreamError: The stream was truncated.
     """
     incomplete_event = b""
@@ -101,6 +109,7 @@
             )
             if not attempt.event_count:
                 check_request_id(complete_events, request_id)
+                _check_software(attempt, complete_events)
             _record_events(attempt, complete_events)
             yield complete_events
             if attempt.is_complete:
@@ -125,6 +134,42 @@
         attempt.last_event_s = now
 
 
+def _check_software(attempt: Attempt, events: bytes) -> None:
+    """Checks that the engine may continue the stream.
+
+    Engines do not check it, and what two versions write does not fit together.
+
+    Raises:
+        OtherSoftwareError: It has other software than the one before.
+    """
+    attempt.software = system_fingerprint(events)
+    if attempt.needed_software not in (None, attempt.software):
+        raise errors.OtherSoftwareError(
+            f"{attempt.endpoint} has software {attempt.software!r}, "
+            f"not {attempt.needed_software!r}"
+        )
+
+
+class _Event(msgspec.Struct):
+    system_fingerprint: str | None = None
+
+
+def system_fingerprint(events: bytes) -> str:
+    r"""Returns the system fingerprint of the first event, empty without one.
+
+    >>> system_fingerprint(b'data: {"system_fingerprint":"fp_1"}\n\n')
+    'fp_1'
+    >>> system_fingerprint(b"data: [DONE]\n\n")
+    ''
+    """
+    data = events.partition(EVENT_END)[0].removeprefix(b"data:").strip()
+    try:
+        event = msgspec.json.decode(data, type=_Event)
+    except msgspec.MsgspecError:
+        return ""
+    return event.system_fingerprint or ""
+
+
 def check_request_id(response: bytes, request_id: str) -> None:
     """Checks that a response contains the id of its request.
 
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -241,6 +241,13 @@
     ran = RAN
 
 
+class OtherSoftwareError(EndpointError):
+    """An endpoint of other software continues what another one began."""
+
+    code = "other_software"
+    ran = RAN
+
+
 class StalledError(EndpointError):
     """The endpoint sent nothing useful for too long."""
 
--- a/src/ibisknot/items.py
+++ b/src/ibisknot/items.py
@@ -14,6 +14,7 @@
 import httpx
 import msgspec
 
+from ibisknot import _attempt
 from ibisknot import admission
 from ibisknot import endpoint_http
 from ibisknot import errors
@@ -162,9 +163,39 @@
 ) -> Response:
     """Makes one attempt of an item; adds the generated tokens to `task`.
 
+    If the endpoint has other software than the one that generated the tokens
+    so far, these are dropped and it generates all of them.
+
     Raises:
         EndpointError: The endpoint failed or its response is not complete.
     """
+    try:
+        return await _send(endpoint_client, task, url, request_id, meter)
+    except errors.OtherSoftwareError:
+        _drop_tokens(task)
+        return await _send(endpoint_client, task, url, request_id, meter)
+
+
+def _drop_tokens(task: Task) -> None:
+    """Drops what was generated, so that the next attempt begins anew."""
+    task.token_texts.clear()
+    task.response_fields.clear()
+    task.usage = None
+
+
+async def _send(
+    endpoint_client: endpoint_http.EndpointClient,
+    task: Task,
+    url: str,
+    request_id: str,
+    meter: Meter,
+) -> Response:
+    """Sends an item's request once.
+
+    Raises:
+        EndpointError: The endpoint failed or its response is not complete.
+        OtherSoftwareError: It has other software than the one before.
+    """
     headers = {
         "content-type": "application/json",
         "x-request-id": request_id,
@@ -194,17 +225,23 @@
     """Receives a stream's events; returns the reason why it finished.
 
     Raises:
+        OtherSoftwareError: The first event is from other software than the
+            tokens before.
         TruncatedStreamError: The stream ended before the response was
             complete.
     """
     finish_reason: str | None = None
     earlier_count = len(task.token_texts)
+    has_event = False
     async for line in lines:
         if not line.startswith("data:"):
             continue
         data = line.removeprefix("data:").strip()
         if data == "[DONE]":
             break
+        if earlier_count and not has_event:
+            _check_software(task, line)
+        has_event = True
         finish_reason = record_event(task, data) or finish_reason
         meter.record_tokens(len(task.token_texts) - earlier_count)
     if finish_reason is None:
@@ -213,6 +250,17 @@
     return finish_reason
 
 
+def _check_software(task: Task, line: str) -> None:
+    """Checks the event with which an endpoint continues an item.
+
+    Raises:
+        OtherSoftwareError: It is from other software than the tokens before.
+    """
+    before = task.response_fields.get("system_fingerprint") or ""
+    if _attempt.system_fingerprint(line.encode()) != before:
+        raise errors.OtherSoftwareError("the endpoint has other software")
+
+
 def record_event(task: Task, data: str) -> str | None:
     """Records one event of a stream; returns the finish reason, if it has one.
 
@@ -222,11 +270,14 @@
     try:
         event = msgspec.json.decode(data, type=dict[str, Any])
         choices = event.get("choices") or []
-        task.usage = event.get("usage") or task.usage
+        software = event.get("system_fingerprint")
         if not task.response_fields:
             task.response_fields = {
                 key: event.get(key) for key in ("id", "created", "model")
             }
+            if software is not None:
+                task.response_fields["system_fingerprint"] = software
+        task.usage = event.get("usage") or task.usage
         if not choices:
             if "error" in event:
                 raise errors.TruncatedStreamError(f"engine error: {data}")
--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -122,6 +122,8 @@
                 return
             except errors.EndpointError as error:
                 has_finished = attempt.has_finish_reason()
+                if attempt.event_count:
+                    request.software = attempt.software
                 request.relayed_tokens += attempt.token_count()
                 await request.handle_failure(error)
             if has_finished:
@@ -139,6 +141,8 @@
         relayed_tokens: Tokens relayed to the caller from earlier attempts.
         attempt_count: Attempts so far.
         failed_endpoints: Names of the endpoints that failed this request.
+        software: System fingerprint of the relayed events, or None before the
+            first one.
     """
 
     def __init__(
@@ -151,6 +155,7 @@
         self.relayed_tokens = 0
         self.attempt_count = 0
         self.failed_endpoints: set[str] = set()
+        self.software: str | None = None
 
     def current_attempt(self) -> _attempt.Attempt:
         """Returns the attempt in progress."""
@@ -247,6 +252,7 @@
             response=response,
             stack=stack,
             started_s=started_s,
+            needed_software=self.software,
         )
 
     async def _check_answering(self, endpoint: str, url: str) -> None:
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -1,5 +1,13 @@
 """Tests of batch items: responses from streams, and bounded attempts."""
 
+from collections.abc import AsyncIterator
+import contextlib
+import time
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
 import pytest
 
 from ibisknot import errors
@@ -68,3 +76,64 @@
     assert not task.crash_suspect
     for _ in range(items.MAX_INCOMPLETE_ATTEMPTS - 1):
         assert not items.record_failure(task, 0)
+
+
+class _Endpoint:
+    """Generates two tokens, or what is left of them, with certain software."""
+
+    def __init__(self, software: str) -> None:
+        self.software = software
+        self.resumed_from: list[int] = []
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, _method: str, _url: str, *, body: bytes, **_: Any
+    ) -> AsyncIterator[httpx.Response]:
+        """Returns a stream."""
+        first = msgspec.json.decode(body).get("resume_from", 0)
+        self.resumed_from.append(first)
+        lines = [
+            msgspec.json.encode(
+                {
+                    "system_fingerprint": self.software,
+                    "choices": [{"text": f"{self.software}.{n} "}],
+                }
+            ).decode()
+            for n in range(first, 2)
+        ]
+        last = msgspec.json.encode(
+            {
+                "system_fingerprint": self.software,
+                "choices": [{"finish_reason": "length"}],
+            }
+        ).decode()
+        text = "".join(f"data: {line}\n\n" for line in [*lines, last])
+        yield httpx.Response(200, content=f"{text}data: [DONE]\n\n".encode())
+
+
+@pytest.mark.parametrize(
+    ("software", "expected"), [("v1", "v1.0 v1.1 "), ("v2", "v2.0 v2.1 ")]
+)
+def test_item_is_not_joined_from_two_software_versions(
+    software: str, expected: str
+) -> None:
+    """Guards against tokens that other software continues."""
+    task = make_task("/v1/completions")
+    items.record_event(
+        task, '{"system_fingerprint":"v1","choices":[{"text":"v1.0 "}]}'
+    )
+    endpoint = _Endpoint(software)
+
+    async def main() -> items.Response:
+        return await items.run_attempt(
+            endpoint,  # type: ignore[arg-type]
+            task,
+            "http://e",
+            "r",
+            items.Meter(time.monotonic()),
+        )
+
+    body = msgspec.json.decode(anyio.run(main).body)
+    assert body["choices"][0]["text"] == expected
+    assert body["system_fingerprint"] == software
+    assert task.incomplete_attempts == 0
