Ask few processes for a stream's origin, and look at queues once less

A resumed stream that no scheduler remembers was asked of up to 32 more processes even if one version alone has served, so a caller with made-up ids could cause 35 messages for each request. They are asked now only if several versions may have begun it; test_stream_lookup counts the messages and failed before. Requests bound to a version are sought before the versions are collected, since the scheduler decides after every message.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -83,11 +83,15 @@
     group: _admission_state.Group, actions: list[_admission_state.Action]
 ) -> None:
     """Refuses requests that need software which no endpoint has any more."""
-    versions = {e.software_version for e in group.endpoints.values()}
     for queue in (group.online_queue, group.batch_queue):
-        for request in queue.all_requests():
-            needed = request.software_version
-            if needed is not None and needed not in versions:
+        bound = [
+            r for r in queue.all_requests() if r.software_version is not None
+        ]
+        if not bound:
+            continue
+        versions = {e.software_version for e in group.endpoints.values()}
+        for request in bound:
+            if request.software_version not in versions:
                 queue.remove(request.id)
                 actions.append(
                     _admission_state.Refuse(
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -49,6 +49,13 @@
             for name, endpoint in self.group.endpoints.items()
         }
 
+    def has_software(self, version: str | None) -> bool:
+        """Returns whether an endpoint has a version; any has None."""
+        return version is None or any(
+            endpoint.software_version == version
+            for endpoint in self.group.endpoints.values()
+        )
+
     def software_version(self, name: str) -> str:
         """Returns the version of an endpoint's software."""
         endpoint = admission.find_endpoint(self.group, name)
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -170,10 +170,7 @@
             return _scheduler_messages.answer(
                 request.id, State.UNSERVED, retry_s=UNSERVED_RETRY_S
             )
-        if request.software not in (
-            None,
-            *service.software_versions().values(),
-        ):
+        if not service.has_software(request.software):
             return _scheduler_messages.answer(request.id, State.SOFTWARE_GONE)
         granted = request.id in service.granted_s
         first_s = overload.first_seen_s(self.refusals, now, request.fingerprint)
--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -1,7 +1,8 @@
 """Finds out which software began a stream that a caller resumes.
 
 The process that served the stream may have ended. Schedulers hear of each
-attempt before it is made, so they are asked first.
+attempt before it is made, so they are asked first, and others only if several
+versions may have begun the stream.
 """
 
 from collections.abc import Callable
@@ -103,21 +104,19 @@
             return own
         schedulers = self.schedulers()
         answers = await self._ask(schedulers, stream_id)
-        heard = bool(answers)
-        if stream_id and not any(answer.known for answer in answers):
+        found = _latest(answers) or self._only_candidate(services, answers)
+        if found is None and stream_id:
             names = {member.name for member in schedulers}
             others = [m for m in self.others() if m.name not in names]
-            answers += await self._ask(others[:MAX_OTHERS_ASKED], stream_id)
-        known = [answer for answer in answers if answer.known]
-        if known:
-            return _to_origin(max(known, key=lambda answer: answer.attempt))
-        only = self._only_candidate(services, answers)
-        if only is None:
+            found = _latest(
+                await self._ask(others[:MAX_OTHERS_ASKED], stream_id)
+            )
+        if found is None:
             raise errors.UnavailableError(
                 "it is not known which software began the stream",
-                retry_after_s=None if heard else UNANSWERED_RETRY_AFTER_S,
+                retry_after_s=None if answers else UNANSWERED_RETRY_AFTER_S,
             )
-        return only
+        return found
 
     async def _ask(
         self, members: Iterable[fleetview.Member], stream_id: str
@@ -165,5 +164,13 @@
         return stream_origins.Origin(service, version, attempt=0)
 
 
-def _to_origin(answer: ttypes.StreamOrigin) -> stream_origins.Origin:
-    return stream_origins.Origin(answer.group, answer.software, answer.attempt)
+def _latest(
+    answers: Iterable[ttypes.StreamOrigin],
+) -> stream_origins.Origin | None:
+    """Returns what those who know a stream say of its latest attempt."""
+    known = [
+        stream_origins.Origin(answer.group, answer.software, answer.attempt)
+        for answer in answers
+        if answer.known
+    ]
+    return max(known, key=lambda origin: origin.attempt, default=None)
--- a/tests/test_stream_lookup.py
+++ b/tests/test_stream_lookup.py
@@ -127,11 +127,12 @@
 
     All processes have restarted, or the caller names no request.
     """
-    fleet = _Fleet()
+    fleet = _Fleet(gateways=9)
     fleet.see(("s", "v1"), ("other", "v9"))
     found = fleet.find(stream)
     assert found is not None
     assert (found.service, found.software_version) == ("s", "v1")
+    assert sorted(fleet.asked()) == ["w0", "w1"]
 
 
 def test_stream_of_a_route_with_two_services_is_not_guessed() -> None:
