--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -162,9 +162,7 @@
             organisation=task.organisation,
             max_wait_s=max_wait_s,
             objective_s=objective_s,
-            fingerprint=int(
-                _forward_task.fingerprint(task)[:FINGERPRINT_DIGITS], 16
-            ),
+            fingerprint=_number(_forward_task.fingerprint(task)),
             max_tokens=metadata.prompt_tokens + metadata.output_tokens,
             prompt_tokens=metadata.prompt_tokens,
             prompt_blocks=metadata.prompt_blocks,
