--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -309,3 +309,53 @@
     )
     client = http_client.Client(connect_timeout_s=CONNECT_TIMEOUT_S)
     return await client.fetch(request)
+
+
+def script_stream(*pieces: bytes, ends: bool = True) -> Script:
+    """Returns a script that sends a stream in pieces."""
+
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        await stream.send(STREAM_HEAD)
+        for piece in pieces:
+            await stream.send(encode_chunk(piece))
+            await anyio.sleep(0.01)
+        if ends:
+            await stream.send(STREAM_END)
+        else:
+            await stream.aclose()
+
+    return script
+
+
+def script_bytes(data: bytes, *, closes: bool = False) -> Script:
+    """Returns a script that sends bytes."""
+
+    async def script(stream: abc.SocketStream, _head: bytes) -> None:
+        await stream.send(data)
+        if closes:
+            await stream.aclose()
+
+    return script
+
+
+async def close_connection(stream: abc.SocketStream, _head: bytes) -> None:
+    """Script: closes the connection without an answer."""
+    await stream.aclose()
+
+
+def run_forwarder(
+    endpoints: list[ScriptedEndpoint],
+    route: serving.Route,
+    check: Callable[[str, ScriptedTickets], Awaitable[None]],
+) -> None:
+    """Runs a check of a forwarder before endpoints, by its address."""
+
+    async def main() -> None:
+        async with serving_endpoints(*endpoints):
+            async with anyio.create_task_group() as task_group:
+                tickets = ScriptedTickets(endpoints)
+                address = await serve_forwarder(tickets, route, task_group)
+                await check(address, tickets)
+                task_group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,8 +1,5 @@
 """Forwarding: retries, resumed streams and statuses of failed requests."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-
 import anyio
 from anyio import abc
 import pytest
@@ -11,8 +8,6 @@
 from ibisknot import errors
 from ibisknot import http_client
 from ibisknot import prompt_crash_notices
-from ibisknot import serving
-from ibisknot import stream_origins
 
 
 @pytest.fixture(autouse=True)
@@ -21,51 +16,6 @@
     monkeypatch.setattr(prompt_crash_notices, "CONNECT_TIMEOUT_S", 30.0)
 
 
-def _script_stream(*pieces: bytes, ends: bool = True) -> scripted.Script:
-    async def script(stream: abc.SocketStream, _head: bytes) -> None:
-        await stream.send(scripted.STREAM_HEAD)
-        for piece in pieces:
-            await stream.send(scripted.encode_chunk(piece))
-            await anyio.sleep(0.01)
-        if ends:
-            await stream.send(scripted.STREAM_END)
-        else:
-            await stream.aclose()
-
-    return script
-
-
-def _script_bytes(data: bytes, *, closes: bool = False) -> scripted.Script:
-    async def script(stream: abc.SocketStream, _head: bytes) -> None:
-        await stream.send(data)
-        if closes:
-            await stream.aclose()
-
-    return script
-
-
-async def _close(stream: abc.SocketStream, _head: bytes) -> None:
-    await stream.aclose()
-
-
-def _run(
-    endpoints: list[scripted.ScriptedEndpoint],
-    route: serving.Route,
-    check: Callable[[str, scripted.ScriptedTickets], Awaitable[None]],
-) -> None:
-    async def main() -> None:
-        async with scripted.serving_endpoints(*endpoints):
-            async with anyio.create_task_group() as task_group:
-                tickets = scripted.ScriptedTickets(endpoints)
-                address = await scripted.serve_forwarder(
-                    tickets, route, task_group
-                )
-                await check(address, tickets)
-                task_group.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
 def test_resumed_stream_drops_an_incomplete_event() -> None:
     """Guards against joining data of two endpoints in one event.
 
@@ -74,13 +24,13 @@
     first = scripted.ScriptedEndpoint(
         "e1",
         [
-            _script_stream(
+            scripted.script_stream(
                 scripted.encode_event(1, "a") + b"id: 2\ndat", ends=False
             )
         ],
     )
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(2, "b"))]
+        "e2", [scripted.script_stream(scripted.encode_event(2, "b"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
@@ -91,16 +41,17 @@
         )
         assert b"last-event-id: 1" in second.received_heads[0].lower()
 
-    _run([first, second], scripted.make_route(), check)
+    scripted.run_forwarder([first, second], scripted.make_route(), check)
 
 
 def test_stream_that_is_not_resumable_is_truncated() -> None:
     """Guards against a second run, and truncation that is not visible."""
     first = scripted.ScriptedEndpoint(
-        "e1", [_script_stream(scripted.encode_event(1, "a"), ends=False)]
+        "e1",
+        [scripted.script_stream(scripted.encode_event(1, "a"), ends=False)],
     )
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(2, "b"))]
+        "e2", [scripted.script_stream(scripted.encode_event(2, "b"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
@@ -108,14 +59,16 @@
             await scripted.send_request(address)
         assert second.received_heads == []
 
-    _run([first, second], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder(
+        [first, second], scripted.make_route(resumable=False), check
+    )
 
 
 def test_request_that_may_have_run_gets_no_503() -> None:
     """Guards against a 503, which states that a request has not run."""
-    first = scripted.ScriptedEndpoint("e1", [_close])
+    first = scripted.ScriptedEndpoint("e1", [scripted.close_connection])
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(1, "a"))]
+        "e2", [scripted.script_stream(scripted.encode_event(1, "a"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
@@ -123,7 +76,9 @@
         assert status == 502
         assert second.received_heads == []
 
-    _run([first, second], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder(
+        [first, second], scripted.make_route(resumable=False), check
+    )
 
 
 def test_request_refused_by_an_endpoint_is_sent_to_another() -> None:
@@ -132,16 +87,16 @@
         b"HTTP/1.1 503 Busy\r\nX-Ibisknot-Request-Id: r1\r\n"
         b"X-Ibisknot-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
     )
-    first = scripted.ScriptedEndpoint("e1", [_script_bytes(refusal)])
+    first = scripted.ScriptedEndpoint("e1", [scripted.script_bytes(refusal)])
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(1, "a"))]
+        "e2", [scripted.script_stream(scripted.encode_event(1, "a"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, body = await scripted.send_request(address)
         assert (status, body) == (200, scripted.encode_event(1, "a"))
 
-    _run(
+    scripted.run_forwarder(
         [first, second],
         scripted.make_route(resumable=False, max_attempts=1),
         check,
@@ -150,26 +105,36 @@
 
 def test_request_that_fails_at_several_endpoints_is_refused() -> None:
     """Guards against a request whose resends crash one engine after another."""
-    endpoints = [scripted.ScriptedEndpoint(f"e{n}", [_close]) for n in range(6)]
+    endpoints = [
+        scripted.ScriptedEndpoint(f"e{n}", [scripted.close_connection])
+        for n in range(6)
+    ]
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         statuses = [(await scripted.send_request(address))[0] for _ in range(4)]
         assert statuses == [502, 502, 502, 503]
         assert sum(len(e.received_heads) for e in endpoints) == 3
 
-    _run(endpoints, scripted.make_route(resumable=False), check)
+    scripted.run_forwarder(
+        endpoints, scripted.make_route(resumable=False), check
+    )
 
 
 def test_request_that_ran_before_its_refusal_gets_no_503() -> None:
     """Guards against a refusal that denies the runs of the same request."""
-    endpoints = [scripted.ScriptedEndpoint(f"e{n}", [_close]) for n in range(6)]
+    endpoints = [
+        scripted.ScriptedEndpoint(f"e{n}", [scripted.close_connection])
+        for n in range(6)
+    ]
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, _ = await scripted.send_request(address)
         assert status == 502
         assert sum(len(e.received_heads) for e in endpoints) == 3
 
-    _run(endpoints, scripted.make_route(max_attempts=5), check)
+    scripted.run_forwarder(
+        endpoints, scripted.make_route(max_attempts=5), check
+    )
 
 
 async def _confirm_crashes(tickets: scripted.ScriptedTickets) -> None:
@@ -192,7 +157,7 @@
     """Guards against new requests that crash one endpoint after another."""
     endpoints = _crashing_endpoints(9)
     sound = scripted.ScriptedEndpoint(
-        "sound", [_script_stream(scripted.encode_event(1, "a"))]
+        "sound", [scripted.script_stream(scripted.encode_event(1, "a"))]
     )
 
     async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
@@ -216,7 +181,7 @@
         )
         assert status == 200
 
-    _run(
+    scripted.run_forwarder(
         [*endpoints, sound],
         scripted.make_route(resumable=False, max_attempts=1),
         check,
@@ -226,7 +191,10 @@
 def test_sound_part_is_not_refused_for_lost_answers() -> None:
     """Guards against refusing parts because answers of live endpoints break."""
     endpoints = [
-        scripted.ScriptedEndpoint(f"e{n}", [_close, _close]) for n in range(6)
+        scripted.ScriptedEndpoint(
+            f"e{n}", [scripted.close_connection, scripted.close_connection]
+        )
+        for n in range(6)
     ]
 
     async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
@@ -241,7 +209,9 @@
             await _confirm_crashes(tickets)
         assert statuses == [502] * 6
 
-    _run(endpoints, scripted.make_route(resumable=False, max_attempts=1), check)
+    scripted.run_forwarder(
+        endpoints, scripted.make_route(resumable=False, max_attempts=1), check
+    )
 
 
 def test_request_is_not_sent_when_its_part_is_refused_while_it_waits() -> None:
@@ -272,7 +242,9 @@
             gate.set()
         assert sum(len(e.received_heads) for e in endpoints) == 3
 
-    _run(endpoints, scripted.make_route(resumable=False), check)
+    scripted.run_forwarder(
+        endpoints, scripted.make_route(resumable=False), check
+    )
 
 
 def test_late_response_to_an_earlier_request_is_skipped() -> None:
@@ -285,12 +257,14 @@
         b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r1\r\n"
         b"Content-Length: 3\r\n\r\nown"
     )
-    first = scripted.ScriptedEndpoint("e1", [_script_bytes(stale + own)])
+    first = scripted.ScriptedEndpoint(
+        "e1", [scripted.script_bytes(stale + own)]
+    )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         assert await scripted.send_request(address) == (200, b"own")
 
-    _run([first], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder([first], scripted.make_route(resumable=False), check)
 
 
 def test_error_of_an_endpoint_is_relayed_unchanged() -> None:
@@ -299,13 +273,13 @@
         b"HTTP/1.1 500 Oops\r\nX-Ibisknot-Request-Id: r1\r\n"
         b"X-Ibisknot-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nno"
     )
-    first = scripted.ScriptedEndpoint("e1", [_script_bytes(failure)])
+    first = scripted.ScriptedEndpoint("e1", [scripted.script_bytes(failure)])
 
     async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
         assert await scripted.send_request(address) == (500, b"no")
         assert tickets.outcomes == ["failed"]
 
-    _run([first], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder([first], scripted.make_route(resumable=False), check)
 
 
 CLOSING_HEAD = (
@@ -321,14 +295,17 @@
     """Guards against failing a stream that ends with its connection."""
     event = scripted.encode_event(1, "a")
     endpoint = scripted.ScriptedEndpoint(
-        "e1", [_script_bytes(CLOSING_HEAD + b"\r\n" + event, closes=True)]
+        "e1",
+        [scripted.script_bytes(CLOSING_HEAD + b"\r\n" + event, closes=True)],
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, body = await scripted.send_request(address)
         assert (status, body) == (200, event)
 
-    _run([endpoint], scripted.make_route(resumable=resumable), check)
+    scripted.run_forwarder(
+        [endpoint], scripted.make_route(resumable=resumable), check
+    )
 
 
 @pytest.mark.parametrize("has_length", [False, True])
@@ -340,14 +317,20 @@
     length = f"Content-Length: {len(data)}\r\n".encode() * has_length
     endpoint = scripted.ScriptedEndpoint(
         "e1",
-        [_script_bytes(CLOSING_HEAD + length + b"\r\n" + data, closes=True)],
+        [
+            scripted.script_bytes(
+                CLOSING_HEAD + length + b"\r\n" + data, closes=True
+            )
+        ],
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         with pytest.raises(errors.EndpointError):
             await scripted.send_request(address)
 
-    _run([endpoint], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder(
+        [endpoint], scripted.make_route(resumable=False), check
+    )
 
 
 def test_response_shorter_than_its_stated_length_is_incomplete() -> None:
@@ -356,14 +339,16 @@
         b"HTTP/1.1 200 OK\r\nX-Ibisknot-Request-Id: r1\r\n"
         b"Content-Length: 10\r\n\r\nhalf"
     )
-    first = scripted.ScriptedEndpoint("e1", [_script_bytes(head, closes=True)])
+    first = scripted.ScriptedEndpoint(
+        "e1", [scripted.script_bytes(head, closes=True)]
+    )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         with pytest.raises(errors.EndpointError):
             await scripted.send_request(address)
         assert len(first.received_heads) == 1
 
-    _run([first], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder([first], scripted.make_route(resumable=False), check)
 
 
 def _script_paced(
@@ -391,14 +376,14 @@
         "e1", [_script_paced(*trickle, pause_s=0.05)]
     )
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(2, "b"))]
+        "e2", [scripted.script_stream(scripted.encode_event(2, "b"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, body = await scripted.send_request(address)
         assert (status, body) == (200, event + scripted.encode_event(2, "b"))
 
-    _run([first, second], scripted.make_route(), check)
+    scripted.run_forwarder([first, second], scripted.make_route(), check)
 
 
 def test_slow_stream_within_its_intended_pauses_is_not_cut() -> None:
@@ -407,13 +392,15 @@
     first = scripted.ScriptedEndpoint(
         "e1", [_script_paced(*events, pause_s=1.3)]
     )
-    second = scripted.ScriptedEndpoint("e2", [_close])
+    second = scripted.ScriptedEndpoint("e2", [scripted.close_connection])
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         assert await scripted.send_request(address) == (200, b"".join(events))
         assert second.received_heads == []
 
-    _run([first, second], scripted.make_route(event_gap_target_s=1.5), check)
+    scripted.run_forwarder(
+        [first, second], scripted.make_route(event_gap_target_s=1.5), check
+    )
 
 
 @pytest.mark.parametrize(
@@ -442,7 +429,7 @@
 
     first = scripted.ScriptedEndpoint("e1", [script])
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(1, "a"))]
+        "e2", [scripted.script_stream(scripted.encode_event(1, "a"))]
     )
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
@@ -452,7 +439,7 @@
         limit = http_client.MAX_SKIPPED_BYTES + 16 * 1024 * 1024
         assert sent_bytes[0] <= limit
 
-    _run([first, second], scripted.make_route(), check)
+    scripted.run_forwarder([first, second], scripted.make_route(), check)
 
 
 def test_endless_event_ends_the_attempt() -> None:
@@ -468,197 +455,11 @@
 
     first = scripted.ScriptedEndpoint("e1", [script])
     second = scripted.ScriptedEndpoint(
-        "e2", [_script_stream(scripted.encode_event(1, "a"))]
-    )
-
-    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        status, body = await scripted.send_request(address)
-        assert (status, body) == (200, scripted.encode_event(1, "a"))
-
-    _run([first, second], scripted.make_route(), check)
-
-
-RESUMED = [(b"Last-Event-Id", b"1"), (b"Resumes", b"r0")]
-"""Headers of a caller that has had the first event of the stream `r0`."""
-
-
-def _endpoint(
-    name: str, *scripts: scripted.Script, version: str = "v1"
-) -> scripted.ScriptedEndpoint:
-    return scripted.ScriptedEndpoint(
-        name, list(scripts), software_version=version
-    )
-
-
-def test_stream_that_a_caller_resumes_goes_on_at_its_software() -> None:
-    """Guards against text that is joined over a caller's requests."""
-    cut = _script_stream(scripted.encode_event(2, "b"), ends=False)
-    rest = _script_stream(scripted.encode_event(3, "c"))
-    endpoints = [
-        _endpoint("e1", version="v1"),
-        _endpoint("e2", cut, version="v2"),
-        _endpoint("e3", version="v3"),
-        _endpoint("e4", rest, version="v2"),
-    ]
-
-    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
-        tickets.origins["r0"] = stream_origins.Origin("s", "v2", 1)
-        status, body = await scripted.send_request(address, headers=RESUMED)
-        assert status == 200
-        assert body.count(b"data: ") == 2
-        assert [r.stream_id for r in tickets.requests] == ["r0", "r0"]
-        assert [r.software_version for r in tickets.requests] == ["v2", "v2"]
-
-    _run(endpoints, scripted.make_route(), check)
-
-
-def test_stream_of_unknown_software_is_refused_as_not_run() -> None:
-    """Guards against a guess, and against a refusal that comes late."""
-    endpoint = _endpoint("e1")
-
-    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
-        status, _ = await scripted.send_request(address, headers=RESUMED)
-        assert status == 503
-        assert tickets.requests == []
-        assert endpoint.received_heads == []
-
-    _run([endpoint], scripted.make_route(), check)
-
-
-def test_stream_of_a_service_that_the_route_has_left_is_refused() -> None:
-    """Guards against an answer that is joined from two services."""
-
-    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
-        tickets.origins["r0"] = stream_origins.Origin("moved", "v1", 1)
-        status, _ = await scripted.send_request(address, headers=RESUMED)
-        assert status == 503
-        assert tickets.requests == []
-
-    _run([_endpoint("e1")], scripted.make_route(), check)
-
-
-def test_stream_may_begin_at_other_software_before_its_first_event() -> None:
-    """Guards against a caller that waits for software it has nothing of."""
-    second = _endpoint(
-        "e2", _script_stream(scripted.encode_event(1, "a")), version="v2"
+        "e2", [scripted.script_stream(scripted.encode_event(1, "a"))]
     )
 
-    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
-        status, _ = await scripted.send_request(address)
-        assert status == 200
-        assert [r.attempt for r in tickets.requests] == [0, 1]
-
-    _run([_endpoint("e1", _close), second], scripted.make_route(), check)
-
-
-def test_request_that_has_run_and_finds_no_endpoint_gets_no_503() -> None:
-    """Guards against a refusal as not run after an attempt that ran."""
-
-    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        status, _ = await scripted.send_request(address)
-        assert status == 502
-
-    _run([_endpoint("e1", _close)], scripted.make_route(), check)
-
-
-ERROR_HEAD = (
-    b"HTTP/1.1 %s Late\r\nX-Ibisknot-Request-Id: r1\r\n"
-    b"Content-Type: text/plain\r\nContent-Length: 10\r\n\r\ntext here\n"
-)
-
-
-@pytest.mark.parametrize("status", [b"400", b"404", b"422", b"500", b"206"])
-def test_error_of_a_later_attempt_is_not_joined_to_the_stream(
-    status: bytes,
-) -> None:
-    """Guards against an error's text in a stream that then looks complete."""
-    cut = _script_stream(scripted.encode_event(1, "a"), ends=False)
-    endpoints = [
-        _endpoint("e1", cut),
-        _endpoint("e2", _script_bytes(ERROR_HEAD % status)),
-    ]
-
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        with pytest.raises(errors.EndpointError):
-            await scripted.send_request(address)
-
-    _run(endpoints, scripted.make_route(), check)
-
-
-def test_stream_goes_on_elsewhere_after_the_error_of_an_attempt() -> None:
-    """Guards against a stream that is given up with attempts left."""
-    cut = _script_stream(scripted.encode_event(1, "a"), ends=False)
-    rest = _script_stream(scripted.encode_event(2, "b"))
-    endpoints = [
-        _endpoint("e1", cut),
-        _endpoint("e2", _script_bytes(ERROR_HEAD % b"404")),
-        _endpoint("e3", rest),
-    ]
-
-    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        _, body = await scripted.send_request(address)
-        assert body.count(b"data: ") == 2
-
-    _run(endpoints, scripted.make_route(max_attempts=3), check)
-
-
-@pytest.mark.parametrize(
-    "noise",
-    [
-        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
-        b"overloaded, try again\n\n",
-        b'{"error": "overloaded"}\n\n',
-        scripted.encode_event(4, "a gap before it"),
-    ],
-    ids=["head", "text", "json", "gap"],
-)
-def test_bytes_that_are_no_event_end_the_attempt(noise: bytes) -> None:
-    """Guards against an error's head or text in the middle of a stream."""
-    spoiled = _script_stream(scripted.encode_event(1, "a"), noise)
-    rest = _script_stream(scripted.encode_event(2, "b"))
-    endpoints = [_endpoint("e1", spoiled), _endpoint("e2", rest)]
-
-    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        _, body = await scripted.send_request(address)
-        assert body == scripted.encode_event(1, "a") + scripted.encode_event(
-            2, "b"
-        )
-
-    _run(endpoints, scripted.make_route(), check)
-
-
-REFUSAL = (
-    b"HTTP/1.1 503 Busy\r\nX-Ibisknot-Request-Id: r1\r\n"
-    b"X-Ibisknot-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-)
-
-
-def test_late_copy_of_a_refusal_is_not_taken_for_a_later_attempt() -> None:
-    """Guards against a refusal as not run of a request that runs.
-
-    Both attempts are made at one endpoint. It writes the first refusal once
-    more while it runs the request.
-    """
-    ran: list[bytes] = []
-
-    async def run_after_late_copy(
-        stream: abc.SocketStream, head: bytes
-    ) -> None:
-        ran.append(head)
-        if len(endpoint.connections) == 1:
-            await stream.send(REFUSAL)
-        await stream.send(scripted.STREAM_HEAD)
-        await stream.send(
-            scripted.encode_chunk(scripted.encode_event(1, "a"))
-            + scripted.STREAM_END
-        )
-
-    endpoint = _endpoint("e1", _script_bytes(REFUSAL), run_after_late_copy)
-
-    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
-        tickets.remaining.append(endpoint)
         status, body = await scripted.send_request(address)
-        assert len(ran) == 1
         assert (status, body) == (200, scripted.encode_event(1, "a"))
 
-    _run([endpoint], scripted.make_route(resumable=False), check)
+    scripted.run_forwarder([first, second], scripted.make_route(), check)
