--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -431,6 +431,7 @@
 def stall_timeout_s(route: serving.Route) -> float:
     """Returns the seconds without progress after which a stream is stalled.
 
+    >>> import dataclasses
     >>> route = serving.Route("r", "h", "/", serving.STREAM, ())
     >>> stall_timeout_s(route)
     1.0
