Wait for schedulers that may know who began a stream

Cause, by reading: a gateway is ready as soon as it has a configuration. It may then not know any scheduler yet, or a scheduler may need more than 0.2 s for its first answer; the lookup of the stream's origin was made once, and took silence for an answer that nobody knows.

Ruled out: slots that killed gateways still hold (12 of 16 at most), the organisation's rate (429), crashes of endpoints (none was killed).

Change: while a scheduler is silent, none is known, or nobody has read the record of the software, the gateway asks again for up to 1 s. A stream that cannot be known is still refused at once, and so is one when all answered and several versions may have begun it.

Before: three new tests of test_stream_lookup failed; a fourth, that hopeless ones are refused at once, passed. After: all pass.

--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -13,6 +13,7 @@
 
 from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import logs
 from ibisknot import peer
 from ibisknot import software_history
 from ibisknot import software_records
@@ -20,6 +21,12 @@
 from ibisknot.gen.fleet import ttypes
 
 ASK_TIMEOUT_S = 0.2
+MAX_WAIT_S = 1.0
+"""Time for which a process waits for those that may know.
+
+One that has just started may not know the schedulers yet.
+"""
+RETRY_PAUSE_S = 0.1
 MAX_OTHERS_ASKED = 32
 """Other processes that are asked if no scheduler knows the stream."""
 MAX_VIEW_AGE_S = 1.0
@@ -102,21 +109,42 @@
         own = self.table.find(stream_id)
         if own is not None:
             return own
-        schedulers = self.schedulers()
-        answers = await self._ask(schedulers, stream_id)
-        found = _latest(answers) or self._only_candidate(services, answers)
-        if found is None and stream_id:
-            names = {member.name for member in schedulers}
-            others = [m for m in self.others() if m.name not in names]
-            found = _latest(
-                await self._ask(others[:MAX_OTHERS_ASKED], stream_id)
-            )
-        if found is None:
-            raise errors.UnavailableError(
-                "it is not known which software began the stream",
-                retry_after_s=None if answers else UNANSWERED_RETRY_AFTER_S,
+        end_s = anyio.current_time() + MAX_WAIT_S
+        others_asked = not stream_id
+        while True:
+            schedulers = self.schedulers()
+            answers = await self._ask(schedulers, stream_id)
+            candidates = self._candidates(services, answers)
+            found = _latest(answers) or self._only_one(candidates, answers)
+            if found is None and schedulers and not others_asked:
+                others_asked = True
+                others = self._others_than(schedulers)
+                found = _latest(await self._ask(others, stream_id))
+            if found is not None:
+                return found
+            all_answered = 0 < len(schedulers) == len(answers)
+            is_settled = all_answered and (
+                len(candidates) > 1 or self._is_complete(answers)
             )
-        return found
+            if is_settled or anyio.current_time() >= end_s:
+                logs.event(
+                    "stream_origin_unknown",
+                    resumes=stream_id,
+                    schedulers=len(schedulers),
+                    answered=len(answers),
+                    candidates=sorted(candidates),
+                    complete=self._is_complete(answers),
+                )
+                raise _unknown_error(is_settled=is_settled)
+            await anyio.sleep(RETRY_PAUSE_S)
+
+    def _others_than(
+        self, schedulers: Iterable[fleetview.Member]
+    ) -> list[fleetview.Member]:
+        """Returns the other processes to ask if no scheduler knows."""
+        names = {member.name for member in schedulers}
+        others = [m for m in self.others() if m.name not in names]
+        return others[:MAX_OTHERS_ASKED]
 
     async def _ask(
         self, members: Iterable[fleetview.Member], stream_id: str
@@ -145,23 +173,45 @@
                 task_group.start_soon(ask, member)
         return answers
 
-    def _only_candidate(
+    def _candidates(
         self, services: Collection[str], answers: list[ttypes.StreamOrigin]
-    ) -> stream_origins.Origin | None:
-        """Returns the only software that can have begun a stream, or None."""
-        now = self.clock()
-        candidates = software_history.recent(self.history, now)
+    ) -> set[tuple[str, str]]:
+        """Returns the services and versions that may have begun a stream."""
+        seen = software_history.recent(self.history, self.clock())
         for answer in answers:
-            candidates |= software_records.from_wire(answer.recent)
-        candidates = {c for c in candidates if c[0] in services}
+            seen |= software_records.from_wire(answer.recent)
+        return {(service, v) for service, v in seen if service in services}
+
+    def _is_complete(self, answers: list[ttypes.StreamOrigin]) -> bool:
+        """Returns whether all that may have begun a stream has been seen."""
+        if any(answer.complete for answer in answers):
+            return True
+        now = self.clock()
         is_fresh = now - self.view.endpoints_read_s <= MAX_VIEW_AGE_S
-        is_certain = any(answer.complete for answer in answers) or (
-            is_fresh and software_history.is_complete(self.history, now)
-        )
-        if len(candidates) != 1 or not is_certain:
+        return is_fresh and software_history.is_complete(self.history, now)
+
+    def _only_one(
+        self,
+        candidates: set[tuple[str, str]],
+        answers: list[ttypes.StreamOrigin],
+    ) -> stream_origins.Origin | None:
+        """Returns the software of a stream if there is no other, or None."""
+        if len(candidates) != 1 or not self._is_complete(answers):
             return None
-        service, version = candidates.pop()
-        return stream_origins.Origin(service, version, attempt=0)
+        (candidate,) = candidates
+        return stream_origins.Origin(*candidate, attempt=0)
+
+
+def _unknown_error(*, is_settled: bool) -> errors.UnavailableError:
+    """Returns the error of a stream that cannot go on.
+
+    Args:
+        is_settled: Whether nobody will know more later.
+    """
+    return errors.UnavailableError(
+        "it is not known which software began the stream",
+        retry_after_s=None if is_settled else UNANSWERED_RETRY_AFTER_S,
+    )
 
 
 def _latest(
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -412,6 +412,15 @@
                 return collected
             collected.extend(page["Results"])
 
+    def entries_of(self, request_id: str) -> list[dict[str, Any]]:
+        """Returns the log entries of all processes that name a request."""
+        return [
+            {"program": name} | json.loads(line)
+            for name, program in self.programs.items()
+            for line in program.log.read_text().splitlines()
+            if line.startswith("{") and request_id in line
+        ]
+
     def stop(self) -> None:
         """Kills all processes."""
         for program in self.programs.values():
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -177,11 +177,14 @@
         answers = _take_up_all(callers)
         for caller, answer in zip(callers, answers, strict=True):
             began = _engines_of(fleet, caller.request_id)
-            went_on = _engines_of(
-                fleet, answer.request.headers["X-Ibisknot-Request-Id"]
-            )
-            assert answer.status_code == 200
-            assert went_on == began
+            resuming_id = answer.request.headers["X-Ibisknot-Request-Id"]
+            went_on = _engines_of(fleet, resuming_id)
+            entries = [
+                *fleet.entries_of(caller.request_id),
+                *fleet.entries_of(resuming_id),
+            ]
+            assert answer.status_code == 200, entries
+            assert went_on == began, entries
     finally:
         fleet.stop()
 
--- a/tests/test_stream_lookup.py
+++ b/tests/test_stream_lookup.py
@@ -1,5 +1,6 @@
 """Finding the software that began a stream, with parts of the fleet away."""
 
+from collections.abc import Callable
 import math
 
 import anyio
@@ -7,6 +8,7 @@
 import pytest
 
 from ibisknot import errors
+from ibisknot import fleetview
 from ibisknot import placement
 from ibisknot import software_history
 from ibisknot import stream_lookup
@@ -37,14 +39,18 @@
 
     def _lookup(self, name: str) -> stream_lookup.Lookup:
         members = self.view.members.values()
-        workers = [m for m in members if m.kind == "worker"]
+
+        def schedulers() -> list[fleetview.Member]:
+            workers = [m for m in members if m.kind == "worker"]
+            return workers[: placement.MAX_SCHEDULERS]
+
         return stream_lookup.Lookup(
             stream_origins.Table(),
             software_history.History(has_record=True),
             self.view,
             self.peers,  # type: ignore[arg-type]
             self.clock.now,
-            schedulers=lambda: workers[: placement.MAX_SCHEDULERS],
+            schedulers=schedulers,
             others=lambda: [m for m in members if m.name != name],
         )
 
@@ -69,14 +75,35 @@
         *,
         at: str = "g0",
         services: tuple[str, ...] = ("s",),
+        meanwhile: Callable[[], None] = lambda: None,
     ) -> stream_origins.Origin | None:
-        """Returns what a process finds, or None if it cannot tell."""
+        """Returns what a process finds, or None if it cannot tell.
+
+        Args:
+            stream: Id of the stream.
+            at: Name of the process.
+            services: Names of the services that may have begun the stream.
+            meanwhile: Called once the process has looked for the first time.
+        """
+
+        async def run() -> None:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(change)
+                found.append(await self.lookups[at].find(stream, services))
+
+        async def change() -> None:
+            await anyio.sleep(stream_lookup.RETRY_PAUSE_S / 2)
+            meanwhile()
+
+        found: list[stream_origins.Origin] = []
         try:
-            return anyio.run(self.lookups[at].find, stream, services)
-        except errors.UnavailableError as error:
+            anyio.run(run)
+        except* errors.UnavailableError as group:
+            (error,) = group.exceptions
+            assert isinstance(error, errors.UnavailableError)
             assert error.ran == errors.NOT_RUN
             self.retry_after_s = error.retry_after_s
-            return None
+        return found[0] if found else None
 
 
 def test_process_that_heard_nothing_asks_the_schedulers() -> None:
@@ -176,6 +203,53 @@
     assert fleet.find() is None
 
 
+def test_process_that_has_just_started_waits_for_the_members() -> None:
+    """Guards against refusing before the schedulers are known."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("s", "v2"))
+    fleet.remember("w0", V1)
+    members = dict(fleet.view.members)
+    fleet.view.members.clear()
+    assert fleet.find(meanwhile=lambda: fleet.view.members.update(members))
+
+
+def test_silent_scheduler_is_asked_again() -> None:
+    """Guards against taking a delay for an answer that nobody knows."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("s", "v2"))
+    fleet.remember("w0", V1)
+    fleet.peers.unresponsive = {"w0:1"}
+    assert fleet.find(meanwhile=fleet.peers.unresponsive.clear) == V1
+
+
+def test_process_that_has_just_started_waits_for_the_record() -> None:
+    """Guards against refusing a stream that is sound a moment later."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"))
+    histories = [lookup.history for lookup in fleet.lookups.values()]
+    for history in histories:
+        history.has_record = False
+
+    def read_record() -> None:
+        for history in histories:
+            history.has_record = True
+
+    assert fleet.find(meanwhile=read_record) is not None
+
+
+@pytest.mark.parametrize("complete", [True, False])
+def test_unknown_stream_of_several_versions_is_refused_at_once(
+    *, complete: bool
+) -> None:
+    """Guards against callers that wait for nothing."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"), ("s", "v2"))
+    for lookup in fleet.lookups.values():
+        lookup.history.has_record = complete
+    assert fleet.find() is None
+    assert sorted(fleet.asked()) == ["g1", "w0", "w1"]
+
+
 def test_few_other_processes_are_asked(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a question to every process of a large fleet."""
     monkeypatch.setattr(stream_lookup, "MAX_OTHERS_ASKED", 5)
