Believe only refusals of the request itself on the own interface

What callers could see: an endpoint that writes an earlier refusal once more, on a connection that is in use again, made the product's own interface answer that a request had not run, or send it to a second endpoint, while the first one was running it.

Cause: the connections of httpx are kept after a refusal, and an error was read as one of the request, whatever id it named; only streams, plain answers of 200 and calls of plain services were checked. All attempts of a request have one id, so a copy of the first attempt's refusal could refuse the second one where both go to the same endpoint.

Ruled out: the platform's path, where a connection is closed after a refusal (a test guards it); batch items, whose attempts have ids of their own.

Change: the id in the head of each response is checked where it is received, and its connection is closed if it names another request; repeated requests open a connection each. The check in service_dispatch was the same one and is gone.

Before: test_refusal_of_another_request_is_not_believed failed; the other new test fails if the retry uses the kept connection. After: both pass.

--- a/src/ibisknot/dispatch.py
+++ b/src/ibisknot/dispatch.py
@@ -233,7 +233,6 @@
         response.status_code,
         returned_headers(exchange, response),
         _relay_body(response),
-        endpoint_request_id=response.headers.get("x-request-id", ""),
     )
 
 
--- a/src/ibisknot/endpoint_http.py
+++ b/src/ibisknot/endpoint_http.py
@@ -65,6 +65,9 @@
     Attributes:
         address_overrides: Address to connect to, by the address in the URL.
         http_client: Client of requests and reports; it reuses connections.
+        retry_client: Client of repeated requests, which opens a connection for
+            each: all attempts have one id, which would not tell a second copy
+            of an earlier response from the response to a later attempt.
         probe_client: Client of probes, which opens a connection for each.
     """
 
@@ -72,14 +75,8 @@
         self, *, address_overrides: dict[str, str] | None = None
     ) -> None:
         self.address_overrides = address_overrides or {}
-        self.http_client = httpx.AsyncClient(
-            timeout=httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
-            limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
-            ),
-            trust_env=False,
-        )
+        self.http_client = _make_client(MAX_CONNECTIONS)
+        self.retry_client = _make_client(max_idle_connections=0)
         # A probe on a reused connection could fail only because the engine
         # has closed the idle connection.
         self.probe_client = httpx.AsyncClient(
@@ -158,6 +155,7 @@
     async def aclose(self) -> None:
         """Closes the connections."""
         await self.probe_client.aclose()
+        await self.retry_client.aclose()
         await self.http_client.aclose()
 
     def _dial_url(self, url: str) -> httpx.URL:
@@ -177,17 +175,28 @@
         *,
         headers: dict[str, str],
         body: bytes,
+        is_retry: bool = False,
     ) -> AsyncIterator[httpx.Response]:
         """Sends a request and yields the response with its body unread.
 
+        Args:
+            method: Method of the request.
+            url: URL of the request.
+            headers: Headers of the request.
+            body: Body of the request.
+            is_retry: Whether the same request has been sent before.
+
         Raises:
             EndpointError: The endpoint was not reachable (`not_run`), or the
-                connection broke (`unknown`).
+                connection broke, or it sent a response to another request
+                (`unknown`).
         """
+        client = self.retry_client if is_retry else self.http_client
         try:
-            async with self.http_client.stream(
+            async with client.stream(
                 method, self._dial_url(url), headers=headers, content=body
             ) as response:
+                _check_request_id(headers, response)
                 yield response
         except (
             httpx.ConnectError,
@@ -199,3 +208,28 @@
         except httpx.HTTPError as error:
             message = f"endpoint {url} failed: {error!r}"
             raise errors.EndpointError(message) from None
+
+
+def _make_client(max_idle_connections: int) -> httpx.AsyncClient:
+    """Returns a client of requests."""
+    return httpx.AsyncClient(
+        timeout=httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+        limits=httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=max_idle_connections,
+        ),
+        trust_env=False,
+    )
+
+
+def _check_request_id(
+    headers: dict[str, str], response: httpx.Response
+) -> None:
+    """Checks that a response's headers name no other request.
+
+    Raises:
+        EndpointError: The response belongs to another request.
+    """
+    named_id = response.headers.get("x-request-id")
+    if named_id not in (None, headers.get("x-request-id", named_id)):
+        raise errors.EndpointError("the response belongs to another request")
--- a/src/ibisknot/exchange.py
+++ b/src/ibisknot/exchange.py
@@ -40,14 +40,11 @@
         status: Status code.
         headers: Headers to send to the caller.
         body: Yields the body in chunks.
-        endpoint_request_id: Request id in the endpoint's headers; empty if
-            there is none.
     """
 
     status: int
     headers: dict[str, str]
     body: AsyncIterator[bytes]
-    endpoint_request_id: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ibisknot/model_dispatch.py
+++ b/src/ibisknot/model_dispatch.py
@@ -233,6 +233,7 @@
             dispatch.upstream_url(exchange, endpoint),
             headers=dispatch.upstream_headers(exchange),
             body=body,
+            is_retry=self.attempt_count > 1,
         )
         with traces.span(
             "dispatch", endpoint=ticket.endpoint, request=exchange.id
--- a/src/ibisknot/service_dispatch.py
+++ b/src/ibisknot/service_dispatch.py
@@ -116,7 +116,6 @@
             reply = await dispatch.send(
                 self.source, self.endpoint_client, exchange, name
             )
-            _check_request_id(exchange, reply)
             if not relay.is_event_stream(reply):
                 body = await relay.read_complete(reply.body)
                 reply.body = relay.single_chunk(body)
@@ -137,15 +136,3 @@
     def _add_in_flight(self, name: str, change: int) -> None:
         """Changes the number of calls in flight at an endpoint."""
         self.in_flight[name] = self.in_flight.get(name, 0) + change
-
-
-def _check_request_id(
-    exchange: exchange_module.Exchange, reply: exchange_module.Reply
-) -> None:
-    """Checks that a response's headers name no other request.
-
-    Raises:
-        EndpointError: The response belongs to another request.
-    """
-    if reply.endpoint_request_id not in ("", exchange.id):
-        raise errors.EndpointError("the response belongs to another request")
--- a/tests/test_endpoint_http.py
+++ b/tests/test_endpoint_http.py
@@ -1,4 +1,4 @@
-"""Probes and reports of endpoints whose responses never end."""
+"""Endpoints whose responses never end, or come twice."""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 import pytest
 
 from ibisknot import endpoint_http
+from ibisknot import errors
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 
@@ -56,3 +57,107 @@
         assert await client.is_answering(url)
 
     _run(piece, pause_s, check)
+
+
+def _response(status: bytes, request_id: str) -> bytes:
+    """Returns a response to a request."""
+    return b"HTTP/1.1 %s\r\nContent-Length: 2\r\nX-Request-Id: %s\r\n\r\n{}" % (
+        status,
+        request_id.encode(),
+    )
+
+
+REFUSAL = b"503 Service Unavailable"
+
+
+class _Repeater:
+    """Endpoint that refuses once, and sends the refusal again later.
+
+    Attributes:
+        requests: Requests received on each connection, in order.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[int] = []
+
+    async def serve(self, stream: abc.SocketStream) -> None:
+        """Serves one connection."""
+        index = len(self.requests)
+        self.requests.append(0)
+        async with stream:
+            try:
+                while True:
+                    request = await stream.receive()
+                    self.requests[index] += 1
+                    await stream.send(self._answer(request))
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                return
+
+    def _answer(self, request: bytes) -> bytes:
+        if sum(self.requests) == 1:
+            return _response(REFUSAL, "a")
+        request_id = "a" if b"x-request-id: a" in request.lower() else "b"
+        answer = _response(b"200 OK", request_id)
+        is_kept = self.requests[-1] > 1
+        return (_response(REFUSAL, "a") + answer) if is_kept else answer
+
+
+async def _fetch(
+    client: endpoint_http.EndpointClient, url: str, request_id: str, **how: bool
+) -> int:
+    """Returns the status of the response to a request."""
+    headers = {"x-request-id": request_id}
+    async with client.open(
+        "POST", url, headers=headers, body=b"{}", **how
+    ) as response:
+        await response.aread()
+        return response.status_code
+
+
+async def _with_repeater(
+    check: Callable[
+        [endpoint_http.EndpointClient, str, _Repeater], Awaitable[None]
+    ],
+) -> None:
+    """Runs a check with an endpoint that has refused request `a`."""
+    endpoint = _Repeater()
+    async with anyio.create_task_group() as task_group:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_group.start_soon(listener.serve, endpoint.serve)
+        client = endpoint_http.EndpointClient()
+        url = f"http://127.0.0.1:{port}"
+        assert await _fetch(client, url, "a") == 503
+        await check(client, url, endpoint)
+        await client.aclose()
+        task_group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_refusal_of_another_request_is_not_believed() -> None:
+    """Guards against "not run" for a request that the endpoint is running."""
+
+    async def check(
+        client: endpoint_http.EndpointClient, url: str, endpoint: _Repeater
+    ) -> None:
+        with pytest.raises(errors.EndpointError, match="another") as raised:
+            await _fetch(client, url, "b")
+        assert raised.value.ran == errors.UNKNOWN
+        # Nothing of that connection is read later.
+        assert await _fetch(client, url, "b") == 200
+        assert endpoint.requests == [2, 1]
+
+    await _with_repeater(check)
+
+
+@pytest.mark.anyio
+async def test_second_copy_of_a_refusal_does_not_refuse_the_retry() -> None:
+    """Guards against a retry that takes its first attempt's refusal."""
+
+    async def check(
+        client: endpoint_http.EndpointClient, url: str, endpoint: _Repeater
+    ) -> None:
+        assert await _fetch(client, url, "a", is_retry=True) == 200
+        assert endpoint.requests == [1, 1]
+
+    await _with_repeater(check)
