Count a request once against its rate when a grant is declined

What callers could see: 429 below their limit, right after a gateway's start.

Cause, by reading: a gateway that has not heard of the endpoints yet declines each grant and asks again every 20 ms under a new ticket; each of these requests for a ticket consumed a token of the organisation's rate. A log of restarted gateways shows 150 ms between readiness and the first endpoints.

Change: after a declined grant the rate is not consumed again.

Ruled out: a refund at the scheduler, which does not know whether a released ticket was declined or cancelled.

Before: the new test in test_placement failed (four tokens for one request); after: one.

--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -1,8 +1,11 @@
-"""Messages to schedulers about tickets, which the wire calls places."""
+"""Messages to and from schedulers about tickets, on the wire called places."""
 
+from ibisknot import errors
 from ibisknot import ticket_types
 from ibisknot.gen.fleet import ttypes
 
+State = ttypes.PlaceState
+
 
 def ask(
     request: ticket_types.TicketRequest,
@@ -85,3 +88,25 @@
         software=ticket.endpoint.software_version,
         stream=_stream_attempt(request),
     )
+
+
+def refusal_error(
+    request: ticket_types.TicketRequest, answer: ttypes.PlaceAnswer
+) -> errors.IbisknotError:
+    """Returns the error that tells a caller of a scheduler's refusal."""
+    retry_s = answer.retry_after_s
+    if answer.state == State.OVER_RATE:
+        name = request.organisation.name if request.organisation else ""
+        message = f"{name} is over its rate"
+        return errors.RateLimitError(message, retry_after_s=retry_s)
+    if answer.state == State.SOFTWARE_GONE:
+        message = (
+            f"no endpoint of {request.service} has software "
+            f"{request.software_version!r} any more"
+        )
+        return errors.SoftwareGoneError(message)
+    if answer.state == State.UNSERVED:
+        message = f"no endpoint serves {request.service}"
+        return errors.OverloadedError(message, retry_after_s=retry_s)
+    message = f"no endpoint of {request.service} will be free in time"
+    return errors.OverloadedError(message, retry_after_s=retry_s)
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -138,6 +138,8 @@
             ticket = await self._acquire_once(request, started_s)
             if ticket is not None:
                 return ticket
+            # The declined grant has consumed a token of the rate.
+            request = dataclasses.replace(request, is_rate_limited=False)
             await anyio.sleep(DECLINED_RETRY_DELAY_S)
 
     async def _acquire_once(
@@ -203,7 +205,7 @@
                 state=State._VALUES_TO_NAMES[answer.state].lower(),
                 waited_s=round(self.clock.now() - started_s, 3),
             )
-            raise _refusal_error(request, answer)
+            raise _placement_messages.refusal_error(request, answer)
 
     def _responsive_scheduler(self) -> fleetview.Member | None:
         for member in self.schedulers():
@@ -477,24 +479,3 @@
         granted_by=ticket.granted_by,
         waited_s=round(waited_s, 3),
     )
-
-
-def _refusal_error(
-    request: ticket_types.TicketRequest, answer: ttypes.PlaceAnswer
-) -> errors.IbisknotError:
-    retry_s = answer.retry_after_s
-    if answer.state == State.OVER_RATE:
-        name = request.organisation.name if request.organisation else ""
-        message = f"{name} is over its rate"
-        return errors.RateLimitError(message, retry_after_s=retry_s)
-    if answer.state == State.SOFTWARE_GONE:
-        message = (
-            f"no endpoint of {request.service} has software "
-            f"{request.software_version!r} any more"
-        )
-        return errors.SoftwareGoneError(message)
-    if answer.state == State.UNSERVED:
-        message = f"no endpoint serves {request.service}"
-        return errors.OverloadedError(message, retry_after_s=retry_s)
-    message = f"no endpoint of {request.service} will be free in time"
-    return errors.OverloadedError(message, retry_after_s=retry_s)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -260,6 +260,30 @@
     anyio.run(main)
 
 
+def test_declined_grant_consumes_one_token_of_the_rate() -> None:
+    """Guards against refusals below the limit after a gateway's start.
+
+    It declines grants until it has heard of the endpoints.
+    """
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        organisation = serving.Organisation("o", rate_per_s=5.0, burst=5.0)
+        answers = iter([_grant("", None, endpoint="new")] * 3)
+        peers.answers["place_ask"] = lambda address, message: next(
+            answers, None
+        ) or _grant(address, message)
+        await client.acquire(_request(organisation=organisation))
+        rates = [
+            message.rate_per_s
+            for _, method, message in peers.calls
+            if method == "place_ask"
+        ]
+        assert rates == [5.0, 0.0, 0.0, 0.0]
+
+    anyio.run(main)
+
+
 def test_fallback_keeps_a_stream_at_its_software() -> None:
     """Guards against a stream that is joined while no scheduler answers."""
 
