Keep the origins of streams in the store while several versions serve

What callers saw: when all processes died while two software versions served, every stream that a caller resumed was refused (503), although an endpoint of its version could continue it.

Cause: who began a stream was kept in the memory of processes only; the store had which versions serve, which says nothing once there are two.

Weighed: a write for each stream (as many calls as requests); a log on the workers' disks (wiped disks, and all of them to be asked); a version chosen by a hash of the id (splits the slots between versions).

Change: who grants an attempt writes it, with all others of 0.25 s, under a key of its own with a lease; a repeated attempt is written at once, since it may change the version. A gateway reads the records if no process knows the stream and several versions may have begun it, at most once a second. With one version nothing is written or read. The search for an origin is split into steps of its own.

Before: on the new test of real processes got 503 in place of 200 (and the test that expected a refusal passed; it now deletes the records first). The other new tests need the new module. After: all pass.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -81,6 +81,19 @@
 /** Record of the software that has served lately. */
 struct SoftwareRecord { 1: required list<ServiceSoftware> services }
 
+/** Streams that an attempt with one number is to serve with one software. */
+struct StreamSet {
+  /** Name of the service. */
+  1: required string group,
+  2: required string software,
+  3: required i32 attempt,
+  /** Hashes of the streams' ids. */
+  4: required list<i64> streams,
+}
+
+/** Record of the software that began some streams. */
+struct StreamRecord { 1: required list<StreamSet> sets }
+
 /** Asks which software began a stream. */
 struct StreamOriginAsk { 1: required string stream }
 
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -13,6 +13,7 @@
 from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import node
+from ibisknot import stream_records
 
 BALANCER_NOTICE_S = 3.2
 """Time for which requests are accepted after the VM reports not ready.
@@ -59,6 +60,12 @@
             gateway_node.prompt_crashes,
             gateway_node.streams.find,
         )
+        stream_records.Writer(
+            gateway_node.process.name,
+            gateway_node.store,
+            gateway_node.streams.table,
+            gateway_node.streams.history,
+        ).start(gateway_node.clock, stream_records.GATEWAY_CHECK_PERIOD_S)
         jobs = batch_jobs.Jobs(
             gateway_node.process,
             gateway_node.store,
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -1127,6 +1127,209 @@
         return not (self == other)
 
 
+class StreamSet(object):
+    """
+    Streams that an attempt with one number is to serve with one software.
+
+    Attributes:
+     - group: Name of the service.
+     - software
+     - attempt
+     - streams: Hashes of the streams' ids.
+
+    """
+
+    __slots__ = (
+        'group',
+        'software',
+        'attempt',
+        'streams',
+    )
+
+
+    def __init__(self, group=None, software=None, attempt=None, streams=None,):
+        self.group = group
+        self.software = software
+        self.attempt = attempt
+        self.streams = streams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.streams = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI64()
+                        self.streams.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamSet')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 2)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 3)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.streams))
+            for iter41 in self.streams:
+                oprot.writeI64(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.software is None:
+            raise TProtocolException(message='Required field software is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.streams is None:
+            raise TProtocolException(message='Required field streams is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamRecord(object):
+    """
+    Record of the software that began some streams.
+
+    Attributes:
+     - sets
+
+    """
+
+    __slots__ = (
+        'sets',
+    )
+
+
+    def __init__(self, sets=None,):
+        self.sets = sets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.sets = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = StreamSet()
+                        _elem47.read(iprot)
+                        self.sets.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamRecord')
+        if self.sets is not None:
+            oprot.writeFieldBegin('sets', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.sets))
+            for iter48 in self.sets:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sets is None:
+            raise TProtocolException(message='Required field sets is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StreamOriginAsk(object):
     """
     Asks which software began a stream.
@@ -1261,11 +1464,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = ServiceSoftware()
-                        _elem40.read(iprot)
-                        self.recent.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = ServiceSoftware()
+                        _elem54.read(iprot)
+                        self.recent.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1303,8 +1506,8 @@
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter41 in self.recent:
-                iter41.write(oprot)
+            for iter55 in self.recent:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -1464,10 +1667,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.blocks = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.blocks.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI64()
+                        self.blocks.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1494,10 +1697,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1539,11 +1742,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = EndpointLimit()
-                        _elem59.read(iprot)
-                        self.limits.append(_elem59)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = EndpointLimit()
+                        _elem73.read(iprot)
+                        self.limits.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1595,8 +1798,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter60 in self.blocks:
-                oprot.writeI64(iter60)
+            for iter74 in self.blocks:
+                oprot.writeI64(iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -1618,8 +1821,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter61 in self.avoid:
-                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
+            for iter75 in self.avoid:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_per_s is not None:
@@ -1653,8 +1856,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter62 in self.limits:
-                iter62.write(oprot)
+            for iter76 in self.limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.software is not None:
@@ -2322,22 +2525,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Place()
-                        _elem68.read(iprot)
-                        self.places.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Place()
+                        _elem82.read(iprot)
+                        self.places.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = EndpointLimit()
-                        _elem74.read(iprot)
-                        self.limits.append(_elem74)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = EndpointLimit()
+                        _elem88.read(iprot)
+                        self.limits.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2358,15 +2561,15 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter75 in self.places:
-                iter75.write(oprot)
+            for iter89 in self.places:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter76 in self.limits:
-                iter76.write(oprot)
+            for iter90 in self.limits:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2521,10 +2724,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readBinary()
-                        self.parts.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readBinary()
+                        self.parts.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2545,8 +2748,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter83 in self.parts:
-                oprot.writeBinary(iter83)
+            for iter97 in self.parts:
+                oprot.writeBinary(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3193,10 +3396,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readI64()
-                        self.parts.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI64()
+                        self.parts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3217,8 +3420,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter90 in self.parts:
-                oprot.writeI64(iter90)
+            for iter104 in self.parts:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3295,11 +3498,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = CrashCandidate()
-                        _elem96.read(iprot)
-                        self.candidates.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = CrashCandidate()
+                        _elem110.read(iprot)
+                        self.candidates.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3324,8 +3527,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter97 in self.candidates:
-                iter97.write(oprot)
+            for iter111 in self.candidates:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3486,10 +3689,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.parts.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.parts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3526,8 +3729,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter104 in self.parts:
-                oprot.writeI64(iter104)
+            for iter118 in self.parts:
+                oprot.writeI64(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -3619,33 +3822,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = EndpointCrash()
-                        _elem110.read(iprot)
-                        self.crashes.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = EndpointCrash()
+                        _elem124.read(iprot)
+                        self.crashes.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = PartCompletion()
-                        _elem116.read(iprot)
-                        self.completions.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = PartCompletion()
+                        _elem130.read(iprot)
+                        self.completions.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = PartRefusal()
-                        _elem122.read(iprot)
-                        self.refusals.append(_elem122)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = PartRefusal()
+                        _elem136.read(iprot)
+                        self.refusals.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3667,22 +3870,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter123 in self.crashes:
-                iter123.write(oprot)
+            for iter137 in self.crashes:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter124 in self.completions:
-                iter124.write(oprot)
+            for iter138 in self.completions:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter125 in self.refusals:
-                iter125.write(oprot)
+            for iter139 in self.refusals:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -3951,6 +4154,19 @@
     None,  # 0
     (1, TType.LIST, 'services', (TType.STRUCT, [ServiceSoftware, None], False), None, ),  # 1
 )
+all_structs.append(StreamSet)
+StreamSet.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'software', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'attempt', None, None, ),  # 3
+    (4, TType.LIST, 'streams', (TType.I64, None, False), None, ),  # 4
+)
+all_structs.append(StreamRecord)
+StreamRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'sets', (TType.STRUCT, [StreamSet, None], False), None, ),  # 1
+)
 all_structs.append(StreamOriginAsk)
 StreamOriginAsk.thrift_spec = (
     None,  # 0
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -27,6 +27,7 @@
 from ibisknot import store_relay
 from ibisknot import stream_lookup
 from ibisknot import stream_origins
+from ibisknot import stream_records
 from ibisknot import timer
 from ibisknot import view_runner
 
@@ -158,6 +159,7 @@
             streams=stream_lookup.Lookup(
                 origins,
                 history,
+                stream_records.Reader(store, origins, clock.now),
                 view,
                 peers,
                 clock.now,
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -276,7 +276,12 @@
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
-        self.origins.record(
+        record = (
+            self.origins.record
+            if ticket.granted_by
+            else self.origins.record_grant
+        )
+        record(
             ticket.request.stream_id,
             stream_origins.Origin(
                 ticket.endpoint.service,
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -430,7 +430,7 @@
         if requester is None:
             return
         version = service.software_version(ticket.endpoint)
-        self.origins.record(
+        self.origins.record_grant(
             requester.stream_id,
             stream_origins.Origin(service.name, version, requester.attempt),
             self.clock.now(),
--- a/src/ibisknot/software_history.py
+++ b/src/ibisknot/software_history.py
@@ -4,6 +4,7 @@
 stream of it was begun by that version, also one that nobody remembers.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -76,6 +77,18 @@
     }
 
 
+def services_with_several(history: History, now: float) -> set[str]:
+    """Returns the services of which several versions may have live streams.
+
+    >>> history = History()
+    >>> adopt(history, [("s", "v1"), ("s", "v2"), ("t", "v1")], now=0.0)
+    >>> services_with_several(history, 1.0)
+    {'s'}
+    """
+    counts = collections.Counter(service for service, _ in recent(history, now))
+    return {service for service, count in counts.items() if count > 1}
+
+
 def is_complete(history: History, now: float) -> bool:
     """Returns whether the history covers the whole time of a stream."""
     return history.has_record or now - history.first_seen_s > RETENTION_S
--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -1,13 +1,15 @@
 """Finds out which software began a stream that a caller resumes.
 
 The process that served the stream may have ended. Schedulers hear of each
-attempt before it is made, so they are asked first, and others only if several
-versions may have begun the stream.
+attempt before it is made, so they are asked first. Other processes are asked,
+and the records in the store are read, only if several versions may have begun
+the stream.
 """
 
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import dataclasses
 
 import anyio
 
@@ -18,6 +20,7 @@
 from ibisknot import software_history
 from ibisknot import software_records
 from ibisknot import stream_origins
+from ibisknot import stream_records
 from ibisknot.gen.fleet import ttypes
 
 ASK_TIMEOUT_S = 0.2
@@ -34,12 +37,53 @@
 UNANSWERED_RETRY_AFTER_S = 0.5
 
 
+@dataclasses.dataclass(slots=True)
+class _Search:
+    """The search for the origin of one stream.
+
+    Attributes:
+        stream_id: Id of the stream; empty if the caller does not name it.
+        services: Names of the services that may have begun it.
+        end_s: Time at which the search ends.
+        others_asked: Whether processes other than schedulers were asked.
+        schedulers: Number of schedulers that were asked last.
+        answered: Number of those that answered.
+        candidates: The services and versions that may have begun it.
+        is_complete: Whether there are no other candidates.
+        are_records_read: Whether the records in the store were read.
+    """
+
+    stream_id: str
+    services: Collection[str]
+    end_s: float
+    others_asked: bool = False
+    schedulers: int = 0
+    answered: int = 0
+    candidates: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    is_complete: bool = False
+    are_records_read: bool = False
+
+    def may_ask_others(self) -> bool:
+        """Returns whether others are still to be asked for the stream."""
+        return bool(self.stream_id) and not self.others_asked
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nobody will know more later."""
+        if not 0 < self.schedulers == self.answered:
+            return False
+        if len(self.candidates) > 1:
+            return self.are_records_read or not self.stream_id
+        return self.is_complete
+
+
 class Lookup:
     """Answers and asks for the origins of streams.
 
     Attributes:
         table: The streams that this process knows.
         history: The software that this process has seen.
+        records: Reads the records of streams in the store into the table.
         view: Has the endpoints and the members.
         peers: Sends messages to other processes.
         clock: Returns the monotonic time.
@@ -51,6 +95,7 @@
         self,
         table: stream_origins.Table,
         history: software_history.History,
+        records: stream_records.Reader,
         view: fleetview.View,
         peers: peer.Client,
         clock: Callable[[], float],
@@ -60,6 +105,7 @@
     ) -> None:
         self.table = table
         self.history = history
+        self.records = records
         self.view = view
         self.peers = peers
         self.clock = clock
@@ -109,35 +155,52 @@
         own = self.table.find(stream_id)
         if own is not None:
             return own
-        end_s = anyio.current_time() + MAX_WAIT_S
-        others_asked = not stream_id
+        search = _Search(stream_id, services, anyio.current_time() + MAX_WAIT_S)
         while True:
-            schedulers = self.schedulers()
-            answers = await self._ask(schedulers, stream_id)
-            candidates = self._candidates(services, answers)
-            found = _latest(answers) or self._only_one(candidates, answers)
-            if found is None and schedulers and not others_asked:
-                others_asked = True
-                others = self._others_than(schedulers)
-                found = _latest(await self._ask(others, stream_id))
+            found = await self._search(search)
             if found is not None:
                 return found
-            all_answered = 0 < len(schedulers) == len(answers)
-            is_settled = all_answered and (
-                len(candidates) > 1 or self._is_complete(answers)
-            )
-            if is_settled or anyio.current_time() >= end_s:
+            if search.is_settled or anyio.current_time() >= search.end_s:
                 logs.event(
                     "stream_origin_unknown",
                     resumes=stream_id,
-                    schedulers=len(schedulers),
-                    answered=len(answers),
-                    candidates=sorted(candidates),
-                    complete=self._is_complete(answers),
+                    schedulers=search.schedulers,
+                    answered=search.answered,
+                    candidates=search.candidates,
+                    complete=search.is_complete,
+                    records_read=search.are_records_read,
                 )
-                raise _unknown_error(is_settled=is_settled)
+                raise _unknown_error(is_settled=search.is_settled)
             await anyio.sleep(RETRY_PAUSE_S)
 
+    async def _search(self, search: _Search) -> stream_origins.Origin | None:
+        """Asks once all that may know; returns what they know, or None."""
+        schedulers = self.schedulers()
+        answers = await self._ask(schedulers, search.stream_id)
+        candidates = self._candidates(search.services, answers)
+        found = _latest(answers) or self._only_one(candidates, answers)
+        if found is None and schedulers and search.may_ask_others():
+            search.others_asked = True
+            others = self._others_than(schedulers)
+            found = _latest(await self._ask(others, search.stream_id))
+        if found is None and len(candidates) > 1:
+            found = await self._find_in_records(search)
+        search.schedulers = len(schedulers)
+        search.answered = len(answers)
+        search.candidates = sorted(candidates)
+        search.is_complete = self._is_complete(answers)
+        return found
+
+    async def _find_in_records(
+        self, search: _Search
+    ) -> stream_origins.Origin | None:
+        """Returns what the records in the store say of a stream, or None."""
+        if search.stream_id:
+            search.are_records_read = False
+            with anyio.move_on_at(search.end_s):
+                search.are_records_read = await self.records.read()
+        return self.table.find(search.stream_id)
+
     def _others_than(
         self, schedulers: Iterable[fleetview.Member]
     ) -> list[fleetview.Member]:
--- a/src/ibisknot/stream_origins.py
+++ b/src/ibisknot/stream_origins.py
@@ -32,18 +32,50 @@
     attempt: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Grant:
+    """An attempt that this process has granted.
+
+    Attributes:
+        key: Hash of the stream's id.
+        origin: Where the attempt runs.
+        granted_s: Monotonic time of the grant.
+    """
+
+    key: int
+    origin: Origin
+    granted_s: float
+
+
 class Table:
     """The origins that one process knows.
 
     Attributes:
         origins: Origin of each stream and the monotonic time at which it was
             recorded, by a hash of the stream's id, the latest last.
+        grants: The grants that nobody has taken to write them down, the latest
+            last.
     """
 
     def __init__(self) -> None:
         self.origins: collections.OrderedDict[int, tuple[Origin, float]] = (
             collections.OrderedDict()
         )
+        self.grants: collections.deque[Grant] = collections.deque(
+            maxlen=MAX_STREAMS
+        )
+
+    def record_grant(self, stream_id: str, origin: Origin, now: float) -> None:
+        """Records an attempt that this process has granted.
+
+        Args:
+            stream_id: Id of the stream; nothing is recorded if it is empty.
+            origin: Where the attempt runs.
+            now: Monotonic time in seconds.
+        """
+        if stream_id:
+            self.record(stream_id, origin, now)
+            self.grants.append(Grant(hash_id(stream_id), origin, now))
 
     def record(self, stream_id: str, origin: Origin, now: float) -> None:
         """Records an attempt to begin or continue a stream.
@@ -53,9 +85,11 @@
             origin: Where the attempt runs.
             now: Monotonic time in seconds.
         """
-        if not stream_id:
-            return
-        key = _hash(stream_id)
+        if stream_id:
+            self.record_key(hash_id(stream_id), origin, now)
+
+    def record_key(self, key: int, origin: Origin, now: float) -> None:
+        """Records an attempt to serve the stream whose id has a hash."""
         known = self.origins.pop(key, None)
         if known is not None and known[0].attempt > origin.attempt:
             origin = known[0]
@@ -77,7 +111,7 @@
         Origin(service='s', software_version='v1', attempt=1)
         >>> table.find("b")
         """
-        known = self.origins.get(_hash(stream_id))
+        known = self.origins.get(hash_id(stream_id))
         return None if known is None else known[0]
 
     def _forget_old(self, now: float) -> None:
@@ -90,5 +124,6 @@
             del self.origins[key]
 
 
-def _hash(stream_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(stream_id.encode())
+def hash_id(stream_id: str) -> int:
+    """Returns the hash of a stream's id, which fits into a signed integer."""
+    return xxhash.xxh3_64_intdigest(stream_id.encode()) >> 1
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -7,6 +7,7 @@
 from ibisknot import job_answers
 from ibisknot import node
 from ibisknot import scheduler
+from ibisknot import stream_records
 from ibisknot import worker_retirement
 
 EXIT_MARGIN_S = 1.0
@@ -30,6 +31,12 @@
             origins=worker_node.streams.table,
         )
         ticket_scheduler.start(worker_node.server)
+        stream_records.Writer(
+            worker_node.process.name,
+            worker_node.store,
+            worker_node.streams.table,
+            worker_node.streams.history,
+        ).start(worker_node.clock, stream_records.SCHEDULER_CHECK_PERIOD_S)
         worker_node.runner.change_callbacks.append(
             ticket_scheduler.update_endpoints
         )
