Number the grants of a stream, so that a late one is not believed

What callers could get: a stream joined from two software versions, after a scheduler was slow or frozen and the gateway died soon afterwards.

Cause, by reading: a gateway gives up a scheduler that is silent for 0.2 s and asks the next one under the same attempt. The first one may still grant, and records an origin that nobody uses, under the same number as the one in use. Until the gateway's next report (0.8 s) both say something else, and a lookup believed whichever answered first; of two records in the store, the one whose key sorts last. The same holds for a grant that its holder declined, and for an endpoint that the gateway chose itself.

Change: each scheduler that is asked, and each choice without one, has a higher number; the holder reports the number of what it uses. The field of the wire keeps its id and type.

Ruled out: a time in place of a number (clocks of processes differ).

Before: three of the four new tests of test_placement failed (0 > 0). After: all pass. The test of what a holder remembers compares with the ticket's number now, in place of the attempt's.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -64,11 +64,11 @@
 
 struct EndpointLimits { 1: required list<EndpointLimit> limits }
 
-/** An attempt to serve a stream that may be resumed later. */
+/** A grant to serve a stream that may be resumed later. */
 struct StreamAttempt {
   /** Id of the caller's request that brings the first event. */
   1: required string stream,
-  /** Number of this attempt; it replaces what earlier ones say. */
+  /** Orders the grants of a stream; a later one replaces what earlier ones say. */
   2: required i32 number,
 }
 
@@ -81,12 +81,12 @@
 /** Record of the software that has served lately. */
 struct SoftwareRecord { 1: required list<ServiceSoftware> services }
 
-/** Streams that an attempt with one number is to serve with one software. */
+/** Streams that were granted to one software under one number. */
 struct StreamSet {
   /** Name of the service. */
   1: required string group,
   2: required string software,
-  3: required i32 attempt,
+  3: required i32 number,
   /** Hashes of the streams' ids. */
   4: required list<i64> streams,
 }
@@ -103,7 +103,7 @@
   /** Name of the service. */
   2: optional string group,
   3: optional string software,
-  4: optional i32 attempt,
+  4: optional i32 number,
   /** The software that has served lately, by service. */
   5: required list<ServiceSoftware> recent,
   /** Whether that covers the whole time of a stream. */
--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -15,6 +15,7 @@
     data_centre: str,
     waited_s: float,
     now: float,
+    number: int,
     limits: list[ttypes.EndpointLimit] | None = None,
 ) -> ttypes.PlaceAsk:
     """Returns the message that asks a scheduler for a ticket.
@@ -26,6 +27,7 @@
         data_centre: Data centre of this process.
         waited_s: Seconds for which the request has waited.
         now: Monotonic time in seconds.
+        number: Number that a grant will have among those of its stream.
         limits: The limits of endpoints, for a scheduler that knows none yet.
     """
     organisation = request.organisation
@@ -54,16 +56,16 @@
         data_centre=data_centre,
         limits=limits,
         software=request.software_version,
-        stream=_stream_attempt(request),
+        stream=_stream_attempt(request, number),
     )
 
 
 def _stream_attempt(
-    request: ticket_types.TicketRequest,
+    request: ticket_types.TicketRequest, number: int
 ) -> ttypes.StreamAttempt | None:
     if not request.stream_id:
         return None
-    return ttypes.StreamAttempt(request.stream_id, request.attempt)
+    return ttypes.StreamAttempt(request.stream_id, number)
 
 
 def place(ticket: ticket_types.Ticket, now: float) -> ttypes.Place:
@@ -86,7 +88,7 @@
         due_s=request.due_s - now,
         needs_s=max(0.0, end_s - now),
         software=ticket.endpoint.software_version,
-        stream=_stream_attempt(request),
+        stream=_stream_attempt(request, ticket.number),
     )
 
 
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -15,12 +15,12 @@
     Attributes:
         holder: Peer address of the process.
         stream_id: Id of the stream; empty if it cannot be resumed.
-        attempt: Number of the attempt to serve the stream.
+        number: Orders the grants of the stream.
     """
 
     holder: str
     stream_id: str = ""
-    attempt: int = 0
+    number: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -868,11 +868,11 @@
 
 class StreamAttempt(object):
     """
-    An attempt to serve a stream that may be resumed later.
+    A grant to serve a stream that may be resumed later.
 
     Attributes:
      - stream: Id of the caller's request that brings the first event.
-     - number: Number of this attempt; it replaces what earlier ones say.
+     - number: Orders the grants of a stream; a later one replaces what earlier ones say.
 
     """
 
@@ -1129,12 +1129,12 @@
 
 class StreamSet(object):
     """
-    Streams that an attempt with one number is to serve with one software.
+    Streams that were granted to one software under one number.
 
     Attributes:
      - group: Name of the service.
      - software
-     - attempt
+     - number
      - streams: Hashes of the streams' ids.
 
     """
@@ -1142,15 +1142,15 @@
     __slots__ = (
         'group',
         'software',
-        'attempt',
+        'number',
         'streams',
     )
 
 
-    def __init__(self, group=None, software=None, attempt=None, streams=None,):
+    def __init__(self, group=None, software=None, number=None, streams=None,):
         self.group = group
         self.software = software
-        self.attempt = attempt
+        self.number = number
         self.streams = streams
 
     def read(self, iprot):
@@ -1174,7 +1174,7 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
+                    self.number = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -1205,9 +1205,9 @@
             oprot.writeFieldBegin('software', TType.STRING, 2)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 3)
-            oprot.writeI32(self.attempt)
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 3)
+            oprot.writeI32(self.number)
             oprot.writeFieldEnd()
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
@@ -1224,8 +1224,8 @@
             raise TProtocolException(message='Required field group is unset!')
         if self.software is None:
             raise TProtocolException(message='Required field software is unset!')
-        if self.attempt is None:
-            raise TProtocolException(message='Required field attempt is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
         if self.streams is None:
             raise TProtocolException(message='Required field streams is unset!')
         return
@@ -1408,7 +1408,7 @@
      - known: Whether the process knows the stream; if not, only 5 and 6 say anything.
      - group: Name of the service.
      - software
-     - attempt
+     - number
      - recent: The software that has served lately, by service.
      - complete: Whether that covers the whole time of a stream.
 
@@ -1418,17 +1418,17 @@
         'known',
         'group',
         'software',
-        'attempt',
+        'number',
         'recent',
         'complete',
     )
 
 
-    def __init__(self, known=None, group=None, software=None, attempt=None, recent=None, complete=None,):
+    def __init__(self, known=None, group=None, software=None, number=None, recent=None, complete=None,):
         self.known = known
         self.group = group
         self.software = software
-        self.attempt = attempt
+        self.number = number
         self.recent = recent
         self.complete = complete
 
@@ -1458,7 +1458,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
+                    self.number = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -1499,9 +1499,9 @@
             oprot.writeFieldBegin('software', TType.STRING, 3)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 4)
-            oprot.writeI32(self.attempt)
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 4)
+            oprot.writeI32(self.number)
             oprot.writeFieldEnd()
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 5)
@@ -4159,7 +4159,7 @@
     None,  # 0
     (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'software', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'attempt', None, None, ),  # 3
+    (3, TType.I32, 'number', None, None, ),  # 3
     (4, TType.LIST, 'streams', (TType.I64, None, False), None, ),  # 4
 )
 all_structs.append(StreamRecord)
@@ -4178,7 +4178,7 @@
     (1, TType.BOOL, 'known', None, None, ),  # 1
     (2, TType.STRING, 'group', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'software', 'UTF8', None, ),  # 3
-    (4, TType.I32, 'attempt', None, None, ),  # 4
+    (4, TType.I32, 'number', None, None, ),  # 4
     (5, TType.LIST, 'recent', (TType.STRUCT, [ServiceSoftware, None], False), None, ),  # 5
     (6, TType.BOOL, 'complete', None, None, ),  # 6
 )
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 import itertools
 import math
@@ -17,6 +18,7 @@
 from anyio import abc
 
 from ibisknot import _placement_messages
+from ibisknot import _ticket_log
 from ibisknot import admission
 from ibisknot import deployment
 from ibisknot import endpoint_limits
@@ -50,6 +52,8 @@
 NOTIFY_TIMEOUT_S = 0.4
 REPORT_PERIOD_S = 0.8
 DECLINED_RETRY_DELAY_S = 0.02
+MAX_GRANTS_PER_ATTEMPT = 1_000
+"""Numbers that each attempt has for its grants."""
 
 State = ttypes.PlaceState
 
@@ -134,8 +138,9 @@
                 needs.
         """
         started_s = self.clock.now()
+        numbers = itertools.count(request.attempt * MAX_GRANTS_PER_ATTEMPT)
         while True:
-            ticket = await self._acquire_once(request, started_s)
+            ticket = await self._acquire_once(request, numbers, started_s)
             if ticket is not None:
                 return ticket
             # The declined grant has consumed a token of the rate.
@@ -143,7 +148,10 @@
             await anyio.sleep(DECLINED_RETRY_DELAY_S)
 
     async def _acquire_once(
-        self, request: ticket_types.TicketRequest, started_s: float
+        self,
+        request: ticket_types.TicketRequest,
+        numbers: Iterator[int],
+        started_s: float,
     ) -> ticket_types.Ticket | None:
         """Waits under one ticket id; returns None if the grant was declined."""
         ticket_id = f"{self.id_prefix}/{next(self.id_counter)}"
@@ -151,7 +159,9 @@
         self.pending[ticket_id] = pending
         ticket: ticket_types.Ticket | None = None
         try:
-            ticket = await self._request(request, ticket_id, pending, started_s)
+            ticket = await self._request(
+                request, ticket_id, pending, numbers, started_s
+            )
             return ticket
         finally:
             del self.pending[ticket_id]
@@ -162,16 +172,23 @@
                     ticket_id, request, pending.declined, admission.CANCELLED
                 )
             else:
-                _log_acquired(ticket, waited_s)
+                _ticket_log.acquired(ticket, waited_s)
 
     async def _request(
         self,
         request: ticket_types.TicketRequest,
         ticket_id: str,
         pending: _PendingRequest,
+        numbers: Iterator[int],
         started_s: float,
     ) -> ticket_types.Ticket | None:
-        """Waits for a decision; returns None if a grant was declined."""
+        """Waits for a decision; returns None if a grant was declined.
+
+        Each scheduler is asked under a higher number: one that was given up
+        may still grant, and record an origin that nobody uses.
+        """
+        asked = ""
+        number = 0
         while True:
             waited_s = self.clock.now() - started_s
             if waited_s >= request.max_wait_s:
@@ -182,8 +199,12 @@
                 if request.kind == admission.BATCH and waited_s < BATCH_DELAY_S:
                     await anyio.sleep(BATCH_POLL_PERIOD_S)
                     continue
-                return self._use_fallback(request, ticket_id)
-            answer = await self._send(member, request, ticket_id, waited_s)
+                return self._use_fallback(request, ticket_id, next(numbers))
+            if member.name != asked:
+                asked, number = member.name, next(numbers)
+            answer = await self._send(
+                member, request, ticket_id, number, waited_s
+            )
             if answer is not None and answer.state == State.QUEUED:
                 left_s = max(0.0, request.max_wait_s - waited_s)
                 with anyio.move_on_after(min(RESEND_S[request.kind], left_s)):
@@ -196,14 +217,12 @@
                 ticket = self._accept(request, ticket_id, answer, member.name)
                 if ticket is None:
                     pending.declined = answer.endpoint
+                    return None
+                ticket.number = number
+                self._record_ticket(ticket)
                 return ticket
-            logs.event(
-                "place_refused",
-                request=request.request_id,
-                place=ticket_id,
-                scheduler=member.name,
-                state=State._VALUES_TO_NAMES[answer.state].lower(),
-                waited_s=round(self.clock.now() - started_s, 3),
+            _ticket_log.refused(
+                request, answer, member.name, self.clock.now() - started_s
             )
             raise _placement_messages.refusal_error(request, answer)
 
@@ -218,6 +237,7 @@
         member: fleetview.Member,
         request: ticket_types.TicketRequest,
         ticket_id: str,
+        number: int,
         waited_s: float,
     ) -> ttypes.PlaceAnswer | None:
         """Sends the request to a scheduler; returns None without an answer."""
@@ -228,6 +248,7 @@
             data_centre=self.process.data_centre,
             waited_s=waited_s,
             now=self.clock.now(),
+            number=number,
             limits=self._limits_for(member),
         )
         try:
@@ -257,6 +278,7 @@
         answer: ttypes.PlaceAnswer,
         scheduler: str,
     ) -> ticket_types.Ticket | None:
+        """Returns the ticket of a grant, or None if it must be declined."""
         endpoint = self.view.endpoints.get(answer.endpoint)
         if endpoint is None or endpoint.leaving:
             # The scheduler's view is older than this process's.
@@ -267,11 +289,9 @@
         if answer.software not in (None, version):
             # One of the views is from before the endpoint's restart.
             return None
-        ticket = ticket_types.Ticket(
+        return ticket_types.Ticket(
             ticket_id, request, endpoint, answer.alone, scheduler
         )
-        self._record_ticket(ticket)
-        return ticket
 
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
@@ -286,7 +306,7 @@
             stream_origins.Origin(
                 ticket.endpoint.service,
                 ticket.endpoint.software_version,
-                ticket.request.attempt,
+                ticket.number,
             ),
             ticket.acquired_s,
         )
@@ -301,7 +321,7 @@
                 self._notify(member, "place_taken", message)
 
     def _use_fallback(
-        self, request: ticket_types.TicketRequest, ticket_id: str
+        self, request: ticket_types.TicketRequest, ticket_id: str, number: int
     ) -> ticket_types.Ticket:
         """Chooses an endpoint by this process's own tickets and rate share."""
         now = self.clock.now()
@@ -317,13 +337,11 @@
             in_flight=in_flight,
             software_version=request.software_version,
         )
-        ticket = ticket_types.Ticket(ticket_id, request, endpoint)
-        logs.event(
-            "place_chosen_alone",
-            request=request.request_id,
-            endpoint=endpoint.name,
-            own=in_flight[endpoint.name],
-            view_age_s=round(now - self.view.endpoints_read_s, 3),
+        ticket = ticket_types.Ticket(
+            ticket_id, request, endpoint, number=number
+        )
+        _ticket_log.chosen_alone(
+            ticket, in_flight[endpoint.name], now - self.view.endpoints_read_s
         )
         self._record_ticket(ticket)
         return ticket
@@ -335,13 +353,7 @@
         name = ticket.endpoint.name
         self.fallback.record_outcome(name, outcome, self.clock.now())
         metrics.ENDPOINT_CALLS.inc({"outcome": outcome})
-        logs.event(
-            "place_returned",
-            request=ticket.request.request_id,
-            place=ticket.id,
-            endpoint=name,
-            outcome=outcome,
-        )
+        _ticket_log.released(ticket, outcome)
         self._notify_released(ticket.id, ticket.request, name, outcome)
 
     def record_limit(
@@ -464,23 +476,5 @@
         """Peer method: revokes a ticket in favour of another request."""
         ticket = self.tickets.get(message.id)
         if ticket is not None:
-            logs.event(
-                "place_revoked",
-                request=ticket.request.request_id,
-                place=ticket.id,
-                endpoint=ticket.endpoint.name,
-                revoked_by=message.scheduler,
-            )
+            _ticket_log.revoked(ticket, message.scheduler)
             ticket.revoked.set()
-
-
-def _log_acquired(ticket: ticket_types.Ticket, waited_s: float) -> None:
-    logs.event(
-        "place_taken",
-        request=ticket.request.request_id,
-        place=ticket.id,
-        kind=ticket.request.kind,
-        endpoint=ticket.endpoint.name,
-        granted_by=ticket.granted_by,
-        waited_s=round(waited_s, 3),
-    )
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -432,7 +432,7 @@
         version = service.software_version(ticket.endpoint)
         self.origins.record_grant(
             requester.stream_id,
-            stream_origins.Origin(service.name, version, requester.attempt),
+            stream_origins.Origin(service.name, version, requester.number),
             self.clock.now(),
         )
 
--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -136,7 +136,7 @@
         if origin is not None:
             answer.group = origin.service
             answer.software = origin.software_version
-            answer.attempt = origin.attempt
+            answer.number = origin.number
         return answer
 
     async def find(
@@ -262,7 +262,7 @@
         if len(candidates) != 1 or not self._is_complete(answers):
             return None
         (candidate,) = candidates
-        return stream_origins.Origin(*candidate, attempt=0)
+        return stream_origins.Origin(*candidate, number=0)
 
 
 def _unknown_error(*, is_settled: bool) -> errors.UnavailableError:
@@ -280,10 +280,10 @@
 def _latest(
     answers: Iterable[ttypes.StreamOrigin],
 ) -> stream_origins.Origin | None:
-    """Returns what those who know a stream say of its latest attempt."""
+    """Returns what those who know a stream say of its latest grant."""
     known = [
-        stream_origins.Origin(answer.group, answer.software, answer.attempt)
+        stream_origins.Origin(answer.group, answer.software, answer.number)
         for answer in answers
         if answer.known
     ]
-    return max(known, key=lambda origin: origin.attempt, default=None)
+    return max(known, key=lambda origin: origin.number, default=None)
--- a/src/ibisknot/stream_origins.py
+++ b/src/ibisknot/stream_origins.py
@@ -22,14 +22,14 @@
     Attributes:
         service: Name of the service.
         software_version: Version of the endpoint's software.
-        attempt: Number of the attempt that says so. A later attempt replaces
-            what an earlier one says, because it was made before any event had
-            reached the caller, or with the same software.
+        number: Orders the grants of a stream. A later one replaces what an
+            earlier one says, because no event had reached the caller before it,
+            or it is for the same software.
     """
 
     service: str
     software_version: str
-    attempt: int
+    number: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,13 +91,13 @@
     def record_key(self, key: int, origin: Origin, now: float) -> None:
         """Records an attempt to serve the stream whose id has a hash."""
         known = self.origins.pop(key, None)
-        if known is not None and known[0].attempt > origin.attempt:
+        if known is not None and known[0].number > origin.number:
             origin = known[0]
         # Messages bring the same names again and again.
         stored = Origin(
             sys.intern(origin.service),
             sys.intern(origin.software_version),
-            origin.attempt,
+            origin.number,
         )
         self.origins[key] = (stored, now)
         self._forget_old(now)
@@ -108,7 +108,7 @@
         >>> table = Table()
         >>> table.record("a", Origin("s", "v1", 1), now=0.0)
         >>> table.find("a")
-        Origin(service='s', software_version='v1', attempt=1)
+        Origin(service='s', software_version='v1', number=1)
         >>> table.find("b")
         """
         known = self.origins.get(hash_id(stream_id))
--- a/src/ibisknot/stream_records.py
+++ b/src/ibisknot/stream_records.py
@@ -117,7 +117,7 @@
         grants = self.table.grants
         if not grants:
             return False
-        is_repeated = any(grant.origin.attempt for grant in grants)
+        is_repeated = any(grant.origin.number for grant in grants)
         return is_repeated or now - grants[0].granted_s >= WRITE_PERIOD_S
 
     async def _write(
@@ -207,7 +207,7 @@
             return 0
         for group in record.sets:
             origin = stream_origins.Origin(
-                group.group, group.software, group.attempt
+                group.group, group.software, group.number
             )
             for key in group.streams:
                 self.table.record_key(key, origin, now)
@@ -222,7 +222,7 @@
     for grant in grants:
         streams[grant.origin].append(grant.key)
     sets = [
-        ttypes.StreamSet(o.service, o.software_version, o.attempt, keys)
+        ttypes.StreamSet(o.service, o.software_version, o.number, keys)
         for o, keys in streams.items()
     ]
     return peer.encode(ttypes.StreamRecord(sets))
--- a/src/ibisknot/ticket_types.py
+++ b/src/ibisknot/ticket_types.py
@@ -63,6 +63,8 @@
         granted_by: Name of the scheduler, empty if chosen by this process.
         revoked: Set when a more urgent request needs the slot.
         acquired_s: Monotonic time at which it was acquired.
+        number: Orders the grants of a stream, also those that its holder has
+            not accepted; a later one has a higher number.
     """
 
     id: str
@@ -72,3 +74,4 @@
     granted_by: str = ""
     revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     acquired_s: float = 0.0
+    number: int = 0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -300,16 +300,83 @@
     anyio.run(main)
 
 
+def _stream_numbers(peers: fake_fleet.Peers) -> list[int]:
+    """Returns the number of the stream's attempt in each request."""
+    return [
+        m.stream.number for _, name, m in peers.calls if name == "place_ask"
+    ]
+
+
+def test_scheduler_that_grants_too_late_is_not_believed() -> None:
+    """Guards against the origin that a scheduler recorded for nobody.
+
+    The first scheduler may still grant what the second one has granted since.
+    """
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        peers.unresponsive = {"w0:1"}
+        peers.answers["place_ask"] = _grant
+        ticket = await client.acquire(_request(stream_id="a"))
+        late, granted = _stream_numbers(peers)
+        assert ticket.granted_by == "w1"
+        assert ticket.number == granted > late
+
+    anyio.run(main)
+
+
+def test_declined_grant_is_not_believed() -> None:
+    """Guards against the origin of a grant that its holder did not accept."""
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        answers = iter([_grant("", None, endpoint="gone"), _grant("", None)])
+        peers.answers["place_ask"] = lambda _a, _m: next(answers)
+        ticket = await client.acquire(_request(stream_id="a"))
+        declined, granted = _stream_numbers(peers)
+        assert ticket.number == granted > declined
+
+    anyio.run(main)
+
+
+def test_choice_without_a_scheduler_is_believed_before_a_late_grant() -> None:
+    """Guards against schedulers that grant while a process chooses alone."""
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        peers.unresponsive = {"w0:1", "w1:1"}
+        ticket = await client.acquire(_request(stream_id="a"))
+        assert ticket.granted_by == ""
+        assert ticket.number > max(_stream_numbers(peers))
+
+    anyio.run(main)
+
+
+def test_later_attempt_is_believed_before_all_grants_of_an_earlier_one() -> (
+    None
+):
+    """Guards against an attempt that needed many requests for its ticket."""
+
+    async def main() -> None:
+        client, peers, _, _ = _make_client()
+        peers.unresponsive = {"w0:1", "w1:1"}
+        first = await client.acquire(_request(stream_id="a", attempt=0))
+        second = await client.acquire(_request(stream_id="a", attempt=1))
+        assert second.number > first.number
+
+    anyio.run(main)
+
+
 def test_holder_remembers_and_reports_its_streams() -> None:
     """Guards against a stream of which only a lost scheduler knew."""
 
     async def main() -> None:
         client, peers, clock, task_group = _make_client()
         peers.answers["place_ask"] = _grant
-        await client.acquire(_request(stream_id="a", attempt=2))
+        ticket = await client.acquire(_request(stream_id="a", attempt=2))
         found = client.origins.find("a")
         assert found is not None
-        assert (found.software_version, found.attempt) == ("v1", 2)
+        assert (found.software_version, found.number) == ("v1", ticket.number)
         await client._report(clock.now())
         await task_group.run()
         taken = [m.place for _, name, m in peers.calls if name == "place_taken"]
--- a/tests/test_stream_lookup.py
+++ b/tests/test_stream_lookup.py
@@ -278,7 +278,7 @@
     fleet = _Fleet()
     fleet.remember("w0", V2)
     answer = anyio.run(fleet.lookups["w0"].on_ask, ttypes.StreamOriginAsk("a"))
-    assert (answer.known, answer.software, answer.attempt) == (True, "v2", 2)
+    assert (answer.known, answer.software, answer.number) == (True, "v2", 2)
 
 
 def test_stream_that_only_the_store_remembers_goes_on() -> None:
