Share the steps of the tests of resumed streams

Three tests of real processes had the same steps to begin streams and to check where they went on; both are functions now. The checks are the same, and the test after a death of all processes prints the entries of both requests too.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -183,6 +183,42 @@
     )
 
 
+def _begin_streams(
+    fleet: platform_fleet.Fleet, count: int, *, events: int
+) -> list[_Caller]:
+    """Begins streams at two gateways; returns once all have some events."""
+    for engine in (*OLD_ENGINES, *NEW_ENGINES):
+        fleet.set_engine_faults(engine, event_s=EVENT_S)
+    callers = [_Caller(fleet, n % 2) for n in range(count)]
+    platform_fleet.wait_for(
+        lambda: all(c.last_event_id() >= events for c in callers)
+    )
+    return callers
+
+
+def _resuming_id(answer: httpx.Response) -> str:
+    """Returns the id of the request that has resumed a stream."""
+    request_id: str = answer.request.headers["X-Ibisknot-Request-Id"]
+    return request_id
+
+
+def _check_software(
+    fleet: platform_fleet.Fleet,
+    callers: list[_Caller],
+    answers: list[httpx.Response],
+) -> None:
+    """Checks that each stream went on, at the engine that began it."""
+    for caller, answer in zip(callers, answers, strict=True):
+        resuming_id = _resuming_id(answer)
+        entries = [
+            *fleet.entries_of(caller.request_id),
+            *fleet.entries_of(resuming_id),
+        ]
+        assert answer.status_code == 200, entries
+        began = _engines_of(fleet, caller.request_id)
+        assert _engines_of(fleet, resuming_id) == began, entries
+
+
 def test_stream_taken_up_after_all_gateways_died_keeps_its_software(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -190,24 +226,9 @@
     fleet = platform_fleet.Fleet(tmp_path)
     try:
         _start(fleet, gateways=2, workers=2)
-        for engine in (0, 1):
-            fleet.set_engine_faults(engine, event_s=EVENT_S)
-        callers = [_Caller(fleet, n % 2) for n in range(6)]
-        platform_fleet.wait_for(
-            lambda: all(c.last_event_id() >= 3 for c in callers)
-        )
+        callers = _begin_streams(fleet, 6, events=3)
         _kill(fleet, "front")
-        answers = _take_up_all(callers)
-        for caller, answer in zip(callers, answers, strict=True):
-            began = _engines_of(fleet, caller.request_id)
-            resuming_id = answer.request.headers["X-Ibisknot-Request-Id"]
-            went_on = _engines_of(fleet, resuming_id)
-            entries = [
-                *fleet.entries_of(caller.request_id),
-                *fleet.entries_of(resuming_id),
-            ]
-            assert answer.status_code == 200, entries
-            assert went_on == began, entries
+        _check_software(fleet, callers, _take_up_all(callers))
     finally:
         fleet.stop()
 
@@ -219,20 +240,9 @@
     fleet = platform_fleet.Fleet(tmp_path)
     try:
         _start(fleet, gateways=2, workers=2)
-        for engine in (0, 1):
-            fleet.set_engine_faults(engine, event_s=EVENT_S)
-        callers = [_Caller(fleet, n % 2) for n in range(6)]
-        platform_fleet.wait_for(
-            lambda: all(c.last_event_id() >= RECORDED_EVENTS for c in callers)
-        )
+        callers = _begin_streams(fleet, 6, events=RECORDED_EVENTS)
         _kill(fleet, "front", "store")
-        answers = _take_up_all(callers)
-        for caller, answer in zip(callers, answers, strict=True):
-            resuming_id = answer.request.headers["X-Ibisknot-Request-Id"]
-            entries = fleet.entries_of(resuming_id)
-            assert answer.status_code == 200, entries
-            began = _engines_of(fleet, caller.request_id)
-            assert _engines_of(fleet, resuming_id) == began, entries
+        _check_software(fleet, callers, _take_up_all(callers))
     finally:
         fleet.stop()
 
@@ -245,17 +255,11 @@
     try:
         _start(fleet, gateways=2, workers=2)
         _wait_for_record(fleet, "v1", "v2")
-        for engine in (0, 1):
-            fleet.set_engine_faults(engine, event_s=EVENT_S)
-        callers = [_Caller(fleet, n % 2) for n in range(4)]
-        platform_fleet.wait_for(
-            lambda: all(c.last_event_id() >= RECORDED_EVENTS for c in callers)
-        )
+        callers = _begin_streams(fleet, 4, events=RECORDED_EVENTS)
         _kill(fleet, "front", "store", meanwhile=_delete_stream_records)
         for answer in _take_up_all(callers):
             assert answer.status_code == 503
-            request_id = answer.request.headers["X-Ibisknot-Request-Id"]
-            assert _engines_of(fleet, request_id) == set()
+            assert _engines_of(fleet, _resuming_id(answer)) == set()
     finally:
         fleet.stop()
 
