Wait for the stores before a local fleet counts as ready

The fleet waited for the entries only.

Ruled out: a lost connection of stores that run, the VM list.

Change: a VM of a local fleet is ready once its entry says so and its other programs listen.

--- a/src/ibisknot/bench/fleet.py
+++ b/src/ibisknot/bench/fleet.py
@@ -256,24 +256,27 @@
         raise errors.UnavailableError(f"{url} did not become ready")
 
     async def wait_ready(self, name: str) -> None:
-        """Waits until a VM's entry is ready.
+        """Waits until a VM's entry is ready and its other programs listen.
 
         Raises:
             UnavailableError: It was not ready within `START_TIMEOUT_S`.
         """
-        url = f"{self.vms[name].direct_url()}/readyz"
+        vm = self.vms[name]
         with anyio.move_on_after(START_TIMEOUT_S):
-            while True:
-                self._check_running(list(self.vms[name].processes.values()))
-                try:
-                    response = await self.client.get(url)
-                    if response.status_code == 200:
-                        return
-                except httpx.HTTPError:
-                    pass
+            while not (await self._is_entry_ready(vm) and await _listens(vm)):
+                self._check_running(list(vm.processes.values()))
                 await anyio.sleep(2 * POLL_PERIOD_S)
+            return
         raise errors.UnavailableError(f"{name} did not become ready")
 
+    async def _is_entry_ready(self, vm: Vm) -> bool:
+        """Returns whether a VM's entry says that it is ready."""
+        try:
+            response = await self.client.get(f"{vm.direct_url()}/readyz")
+        except httpx.HTTPError:
+            return False
+        return response.status_code == 200
+
     def _check_all_running(self) -> None:
         self._check_running(self.processes())
 
@@ -383,6 +386,19 @@
         await self.client.aclose()
 
 
+async def _listens(vm: Vm) -> bool:
+    """Returns whether all programs of a VM accept their peers' connections."""
+    for program in vm.processes:
+        try:
+            stream = await anyio.connect_tcp(
+                vm.address, links.PEER_PORTS[program]
+            )
+        except OSError:
+            return False
+        await stream.aclose()
+    return True
+
+
 @contextlib.asynccontextmanager
 async def running(options: Options) -> AsyncIterator[Fleet]:
     """Starts a fleet and stops it at the end.
--- a/src/ibisknot/bench/links.py
+++ b/src/ibisknot/bench/links.py
@@ -12,7 +12,8 @@
 from ibisknot.bench import topology as topology_module
 from ibisknot.standins import standin_proxy
 
-PEER_PORTS = (7000, 7001, 7002)
+PEER_PORTS = {"entry": 7000, "batch": 7001, "store": 7002}
+"""Port at which each program of a VM receives its peers' messages."""
 FIRST_LINK_PORT = 10_000
 ADMIN_PORT = 9300
 
@@ -113,7 +114,9 @@
     for other in vms:
         if other.name == vm.name:
             continue
-        for port in PEER_PORTS[: 3 if other.has_disk else 2]:
+        for program, port in PEER_PORTS.items():
+            if program == "store" and not other.has_disk:
+                continue
             address = f"{other.address}:{port}"
             builder.network.address_overrides[vm.name][address] = (
                 builder.add_link(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,14 +1,17 @@
 """Faults, VM list and links of the local fleet."""
 
 from collections.abc import Callable
+import signal
 import time
 
+import anyio
 import conftest
 import httpx
 
 from ibisknot import vmlist
 from ibisknot.bench import fleet as fleet_module
 from ibisknot.bench import links
+from ibisknot.bench import scenario_smoke
 from ibisknot.bench import topology
 from ibisknot.standins import standin_engine
 
@@ -26,7 +29,22 @@
 def models_status(small: SmallFleet, vm: str) -> int:
     url = small.fleet.vms[vm].url() + "/v1/models"
     headers = {"authorization": f"Bearer {small.key()}"}
-    return httpx.get(url, headers=headers, trust_env=False).status_code
+    try:
+        return httpx.get(url, headers=headers, trust_env=False).status_code
+    except httpx.HTTPError:
+        return 0
+
+
+def upload_status(small: SmallFleet) -> int:
+    response = httpx.post(
+        small.fleet.vms["vm-1"].direct_url() + "/v1/files",
+        files={
+            "file": ("in.jsonl", scenario_smoke.input_file(1, max_tokens=1))
+        },
+        data={"purpose": "batch"},
+        headers={"authorization": f"Bearer {small.key()}"},
+    )
+    return response.status_code
 
 
 def test_isolated_vm_responds_to_callers_and_recovers(
@@ -69,6 +87,30 @@
     wait_until(lambda: models_status(small_fleet, "vm-2") == 200)
 
 
+def test_vm_is_not_ready_before_its_store_listens(
+    small_fleet: SmallFleet,
+) -> None:
+    """Guards against uploads that are refused since a store has not started."""
+    fleet = small_fleet.fleet
+    small_fleet.portal.call(fleet.kill_vm, "vm-2")
+    small_fleet.portal.call(fleet.start_vm, "vm-2")
+    store = fleet.vms["vm-2"].processes["store"]
+    store.send_signal(signal.SIGSTOP)
+
+    async def is_ready() -> bool:
+        with anyio.move_on_after(1.0):
+            await fleet.wait_ready("vm-2")
+            return True
+        return False
+
+    try:
+        wait_until(lambda: models_status(small_fleet, "vm-2") == 200)
+        assert not small_fleet.portal.call(is_ready)
+    finally:
+        store.send_signal(signal.SIGCONT)
+    small_fleet.portal.call(fleet.wait_ready, "vm-2")
+
+
 def test_list_shows_draining_and_departed_vms(small_fleet: SmallFleet) -> None:
     """Guards against a platform list that differs from the bench's list."""
     fleet = small_fleet.fleet
@@ -83,6 +125,8 @@
     wait_until(lambda: "vm-2" not in listed())
     small_fleet.portal.call(fleet.list_vm, "vm-2")
     wait_until(lambda: listed().get("vm-2") == vmlist.ACTIVE)
+    # An upload needs both stores; entries read the list now and then.
+    wait_until(lambda: upload_status(small_fleet) == 200)
 
 
 def test_links_have_the_delays_of_the_topology() -> None:
