List an organisation's files and jobs also behind those of others

What callers saw: an empty or short list of files or batch jobs, once other organisations have 1,000 records before theirs; and a list cut at 1,000 that says there is no more.

Cause: the first 1,000 records of all organisations were read, then selected.

Change: both listings read page by page, select, and stop at 1,000 of the caller's; has_more says so. One page is in memory. list_prefix loses an argument that nothing uses now.

--- a/src/ibisknot/batches.py
+++ b/src/ibisknot/batches.py
@@ -27,8 +27,6 @@
 SUPPORTED_API_PATHS = ("/v1/chat/completions", "/v1/completions")
 """Values of `endpoint`: paths of the API to which items are requests."""
 UPDATE_ATTEMPTS = 5
-LIST_LIMIT = 1000
-"""Number of jobs of all organisations that a listing reads at most."""
 OWNER_TIMEOUT_S = 1.0
 """Timeout of a call to the owner of a job's shard."""
 
@@ -311,19 +309,18 @@
     ) -> responses.Response:
         """Lists the organisation's jobs."""
         caller = online.key_owner(self.source, request)
-        pairs = await self.key_value.list_prefix(
-            jobs.JOB_KEY_PREFIX, limit=LIST_LIMIT
+        listing = await jobs.list_records(
+            self.key_value,
+            jobs.JOB_KEY_PREFIX,
+            jobs.JobRecord,
+            lambda job: job.organisation == caller.organisation,
         )
-        records = [
-            msgspec.json.decode(p.value, type=jobs.JobRecord) for p in pairs
-        ]
-        data = [
-            batch_object(job)
-            for job in records
-            if job.organisation == caller.organisation
-        ]
         return web.json_response(
-            {"object": "list", "data": data, "has_more": False}
+            {
+                "object": "list",
+                "data": [batch_object(job) for job in listing.records],
+                "has_more": listing.has_more,
+            }
         )
 
     async def cancel_batch(
--- a/src/ibisknot/files.py
+++ b/src/ibisknot/files.py
@@ -31,8 +31,6 @@
 
 OUTPUT_PREFIX = "file-out-"
 ERROR_PREFIX = "file-err-"
-LIST_LIMIT = 1000
-"""Number of files of all organisations that a listing reads at most."""
 RECORD_ATTEMPTS = 5
 CONCURRENT_UPLOADS_LIMIT = 4
 """Bounds the memory: each upload has a segment and its encodings in it."""
@@ -223,19 +221,18 @@
     async def list_files(self, request: requests.Request) -> responses.Response:
         """Lists the organisation's files."""
         owner = online.key_owner(self.source, request)
-        pairs = await self.key_value.list_prefix(
-            jobs.FILE_KEY_PREFIX, limit=LIST_LIMIT
+        listing = await jobs.list_records(
+            self.key_value,
+            jobs.FILE_KEY_PREFIX,
+            jobs.FileRecord,
+            lambda r: r.organisation == owner.organisation and not r.deleting,
         )
-        records = [
-            msgspec.json.decode(p.value, type=jobs.FileRecord) for p in pairs
-        ]
-        data = [
-            file_object(r)
-            for r in records
-            if r.organisation == owner.organisation and not r.deleting
-        ]
         return web.json_response(
-            {"object": "list", "data": data, "has_more": False}
+            {
+                "object": "list",
+                "data": [file_object(record) for record in listing.records],
+                "has_more": listing.has_more,
+            }
         )
 
     async def get_file(self, request: requests.Request) -> responses.Response:
--- a/src/ibisknot/jobs.py
+++ b/src/ibisknot/jobs.py
@@ -3,8 +3,12 @@
 Files and batch jobs are those of the OpenAI-style interface.
 """
 
+from collections.abc import Callable
+import dataclasses
 import hashlib
 from typing import Any
+from typing import Generic
+from typing import TypeVar
 
 import anyio
 import msgspec
@@ -34,6 +38,10 @@
 EXPIRED = "expired"
 FINAL_STATES = (CANCELLED, COMPLETED, EXPIRED)
 
+LIST_LIMIT = 1000
+"""Number of records in one listing."""
+PAGE_SIZE = 1000
+"""Number of records that a listing has in memory besides its own."""
 READ_BACK_PAUSES_S = (0.05, 0.2, 0.5)
 """Pauses between the reads after a write whose response was lost."""
 
@@ -109,6 +117,7 @@
 
 
 Record = FileRecord | JobRecord
+_ListedRecord = TypeVar("_ListedRecord", FileRecord, JobRecord)
 
 
 def record_key(record: Record) -> str:
@@ -273,6 +282,45 @@
     raise errors.KeyValueUnknownError("the outcome of the write is unknown")
 
 
+@dataclasses.dataclass(slots=True)
+class Listing(Generic[_ListedRecord]):
+    """Some records.
+
+    Attributes:
+        records: The records in the order of their keys.
+        has_more: Whether there are others behind them.
+    """
+
+    records: list[_ListedRecord] = dataclasses.field(default_factory=list)
+    has_more: bool = False
+
+
+async def list_records(
+    key_value: keyvalue.KeyValue,
+    prefix: str,
+    record_type: type[_ListedRecord],
+    is_wanted: Callable[[_ListedRecord], bool],
+) -> Listing[_ListedRecord]:
+    """Returns the first wanted records, at most `LIST_LIMIT`.
+
+    All organisations' records have one prefix, so all may have to be read.
+
+    Raises:
+        KeyValueError: The service did not respond.
+    """
+    listing: Listing[_ListedRecord] = Listing()
+    async for page in keyvalue.pages(key_value, prefix, PAGE_SIZE):
+        for pair in page:
+            record = msgspec.json.decode(pair.value, type=record_type)
+            if not is_wanted(record):
+                continue
+            if len(listing.records) == LIST_LIMIT:
+                listing.has_more = True
+                return listing
+            listing.records.append(record)
+    return listing
+
+
 async def read_job(
     key_value: keyvalue.KeyValue, job_id: str
 ) -> tuple[JobRecord, int]:
--- a/src/ibisknot/keyvalue.py
+++ b/src/ibisknot/keyvalue.py
@@ -41,6 +41,28 @@
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
 
 
+async def pages(
+    client: "KeyValue", prefix: str, size: int
+) -> AsyncIterator[list[Pair]]:
+    """Yields the pairs whose key has a prefix in key order, some at a time.
+
+    Args:
+        client: The client.
+        prefix: The prefix.
+        size: Maximum count of pairs in one read.
+
+    Raises:
+        KeyValueError: The service did not answer.
+    """
+    start = prefix
+    while True:
+        page = await client.list_range(start, prefix_end(prefix), limit=size)
+        yield page
+        if len(page) < size:
+            return
+        start = page[-1].key + "\0"
+
+
 class KeyValue:
     """One process's client of the key-value service.
 
@@ -107,18 +129,13 @@
         found = [_decode_pair(raw) for raw in answer.get("kvs", [])]
         return found[0] if found else None
 
-    async def list_prefix(self, prefix: str, *, limit: int = 0) -> list[Pair]:
+    async def list_prefix(self, prefix: str) -> list[Pair]:
         """Returns the pairs whose key has a prefix, in key order.
 
-        Args:
-            prefix: The prefix.
-            limit: Maximum count of pairs; 0 for no limit.
-
         Raises:
             KeyValueError: The service did not answer.
         """
-        end = prefix_end(prefix)
-        return await self.list_range(prefix, end, limit=limit)
+        return await self.list_range(prefix, prefix_end(prefix))
 
     async def list_range(
         self, start: str, end: str, *, limit: int = 0
