Test that processes stop in time while the store is away

Gateways and workers, one of them with a running job, get SIGTERM with calls to the store under way that fail at once or get no answer, and must end by themselves within the grace time.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,6 +26,8 @@
 READY_PORT = 8401
 STORE_PORT = 8688
 WAIT_S = 20.0
+GRACE_S = 8
+"""Seconds from SIGTERM until the platform kills a process."""
 
 SETTINGS = """\
 Node = "{name}"
@@ -43,7 +45,7 @@
 MaxFds = 4100
 [Bounds]
 DrainMs = 2000
-GraceS = 8
+GraceS = {grace_s}
 FinishS = 18
 StatusS = 120
 CancelMs = 3000
@@ -254,6 +256,7 @@
                 peer_port=PEER_PORT,
                 listen=listen,
                 store=self.store_url.removeprefix("http://"),
+                grace_s=GRACE_S,
             )
         )
         program = "ibisknot-gateway" if kind == "front" else "ibisknot-worker"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -321,6 +321,31 @@
         assert long_request.result().text.endswith("420\n\n")
 
 
+@pytest.mark.parametrize("fault", ["down", "silent"])
+def test_processes_stop_in_time_while_the_store_is_away(
+    fleet: platform_fleet.Fleet, fault: str
+) -> None:
+    """Guards against processes that the platform has to kill."""
+    assert fleet.submit("j-9", 8, events=400).status_code == 202
+    _wait_for_owner(fleet)
+    fleet.set_store_faults(**{fault: True})
+    # Calls to the store are under way when the signal arrives.
+    time.sleep(1.0)
+    programs = [
+        program
+        for name, program in fleet.programs.items()
+        if name.startswith(("front-", "store-"))
+    ]
+    for program in programs:
+        program.send_signal(signal.SIGTERM)
+    end_s = time.monotonic() + platform_fleet.GRACE_S
+    for program in programs:
+        assert program.process is not None
+        left_s = max(0.0, end_s - time.monotonic())
+        assert program.process.wait(timeout=left_s) == 0
+        assert program.events("stopped")
+
+
 def test_unreadable_configuration_keeps_the_last_one_in_force(
     fleet: platform_fleet.Fleet,
 ) -> None:
