Keep what was learnt of an endpoint that comes back

What callers could see, on the product's own interface: slow answers from an endpoint that was away, which got up to 16 requests at once until its capacity had been learnt again.

Cause: what was learnt was used only when a group was made, and set after the grants of that moment; endpoints that appear later got the default.

Change: new endpoints of a group get it before anything is granted.

After: they pass, and so do the tests of admission and of the path.

--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -58,6 +58,7 @@
     slots: Mapping[str, int] | None = None,
     data_centres: Mapping[str, str] | None = None,
     software_versions: Mapping[str, str] | None = None,
+    capacities: dict[str, Capacity] | None = None,
 ) -> list[_admission_state.Action]:
     """Sets the active endpoints; other endpoints drain.
 
@@ -70,6 +71,8 @@
         data_centres: Data centre of each endpoint for which it is known.
         software_versions: Version of the software of each endpoint for which
             it is known.
+        capacities: What was learnt of endpoints, by their names; that of new
+            endpoints is added.
     """
     active = set(names)
     for name in list(group.endpoints):
@@ -77,10 +80,14 @@
             group.draining[name] = group.endpoints.pop(name)
     for name in sorted(active):
         if name not in group.endpoints:
-            draining = group.draining.pop(name, None)
-            group.endpoints[name] = draining or _admission_state.Endpoint(
-                name, online_peak_s=now
-            )
+            endpoint = group.draining.pop(
+                name, None
+            ) or _admission_state.Endpoint(name, online_peak_s=now)
+            if capacities is not None:
+                endpoint.capacity = capacities.setdefault(
+                    name, endpoint.capacity
+                )
+            group.endpoints[name] = endpoint
     for name in [n for n, e in group.draining.items() if not e.tickets]:
         del group.draining[name]
     for name, count in (slots or {}).items():
--- a/src/ibisknot/admitter.py
+++ b/src/ibisknot/admitter.py
@@ -237,7 +237,7 @@
                 del self.groups[group.name]
                 continue
             names = self._active_endpoints(group.name)
-            self._apply(group, admission.set_endpoints(group.state, now, names))
+            self._set_endpoints(group, names)
             if not group.synced_endpoints >= set(names):
                 group.synced_endpoints |= frozenset(names)
                 self.daemon.task_group.start_soon(self._sync, group)
@@ -247,13 +247,10 @@
             self._apply(group, admission.tick(group.state, now))
 
     def _set_endpoints(self, group: AdmittedGroup, names: list[str]) -> None:
-        """Sets a new group's endpoints and their retained capacities."""
-        now = self._now()
-        actions = admission.set_endpoints(group.state, now, names)
-        for name, endpoint in group.state.endpoints.items():
-            endpoint.capacity = self.capacities.setdefault(
-                name, endpoint.capacity
-            )
+        """Sets a group's endpoints, with what was learnt of them before."""
+        actions = admission.set_endpoints(
+            group.state, self._now(), names, capacities=self.capacities
+        )
         self._apply(group, actions)
 
     async def log_state(self, _now: float) -> None:
