Ignore the late decision of a scheduler that was given up

What callers could get: a ticket from a scheduler that had been frozen, while the request was queued at the next one. The holder said that the next one had granted it and did not notify that one, which granted it once more: a slot that nobody uses, and an origin that differs from the real one under the same number, both until the holder's next report (0.8 s).

Cause, by reading: the message that decides on a queued request did not say who sends it.

Change: it names the scheduler (an optional field; other builds go on as before), and a decision of another one than the one asked last is ignored. The one that was given up is told of the ticket, as before, and releases its own.

Before: the new test of test_placement failed for the scheduler that was given up and passed for the other one. After: both pass.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -170,6 +170,8 @@
   5: required bool alone,
   /** Software version of the endpoint, as the scheduler has it. */
   6: optional string software,
+  /** Name of the scheduler, if it sends the answer by itself. */
+  7: optional string scheduler,
 }
 
 /** A place that is taken, told to every scheduler. */
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -1938,6 +1938,7 @@
      - retry_after_s
      - alone
      - software: Software version of the endpoint, as the scheduler has it.
+     - scheduler: Name of the scheduler, if it sends the answer by itself.
 
     """
 
@@ -1948,16 +1949,18 @@
         'retry_after_s',
         'alone',
         'software',
+        'scheduler',
     )
 
 
-    def __init__(self, id=None, state=None, endpoint=None, retry_after_s=None, alone=None, software=None,):
+    def __init__(self, id=None, state=None, endpoint=None, retry_after_s=None, alone=None, software=None, scheduler=None,):
         self.id = id
         self.state = state
         self.endpoint = endpoint
         self.retry_after_s = retry_after_s
         self.alone = alone
         self.software = software
+        self.scheduler = scheduler
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1998,6 +2001,11 @@
                     self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.scheduler = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2032,6 +2040,10 @@
             oprot.writeFieldBegin('software', TType.STRING, 6)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
+        if self.scheduler is not None:
+            oprot.writeFieldBegin('scheduler', TType.STRING, 7)
+            oprot.writeString(self.scheduler.encode('utf-8') if sys.version_info[0] == 2 else self.scheduler)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4219,6 +4231,7 @@
     (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
     (5, TType.BOOL, 'alone', None, None, ),  # 5
     (6, TType.STRING, 'software', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'scheduler', 'UTF8', None, ),  # 7
 )
 all_structs.append(Place)
 Place.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -63,10 +63,12 @@
     """A request that waits for a scheduler's decision.
 
     Attributes:
+        scheduler: Name of the scheduler that was asked last.
         answered: Set when an answer has arrived or the request is to be resent.
         declined: Endpoint of a grant that this process did not accept.
     """
 
+    scheduler: str = ""
     answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     answer: ttypes.PlaceAnswer | None = None
     declined: str = ""
@@ -187,7 +189,6 @@
         Each scheduler is asked under a higher number: one that was given up
         may still grant, and record an origin that nobody uses.
         """
-        asked = ""
         number = 0
         while True:
             waited_s = self.clock.now() - started_s
@@ -200,8 +201,9 @@
                     await anyio.sleep(BATCH_POLL_PERIOD_S)
                     continue
                 return self._use_fallback(request, ticket_id, next(numbers))
-            if member.name != asked:
-                asked, number = member.name, next(numbers)
+            if member.name != pending.scheduler:
+                pending.scheduler = member.name
+                number = next(numbers)
             answer = await self._send(
                 member, request, ticket_id, number, waited_s
             )
@@ -466,9 +468,15 @@
         return _placement_messages.place(ticket, self.clock.now())
 
     async def on_answer(self, answer: ttypes.PlaceAnswer) -> None:
-        """Peer method: receives the decision on a queued request."""
+        """Peer method: receives the decision on a queued request.
+
+        A scheduler that was given up may still decide; it is told of the
+        ticket that another one grants, or of the request's end.
+        """
         pending = self.pending.get(answer.id)
-        if pending is not None:
+        if pending is None:
+            return
+        if answer.scheduler in (None, pending.scheduler):
             pending.answer = answer
             pending.answered.set()
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -450,8 +450,7 @@
     def _notify_granted(
         self, service: _service.Service, ticket: admission.Ticket
     ) -> None:
-        answer = _grant_message(service, ticket)
-        self._notify(ticket.holder, "place_answer", answer)
+        self._notify_decided(ticket.holder, _grant_message(service, ticket))
 
     def _notify_refused(
         self, service: _service.Service, refusal: admission.Refuse, holder: str
@@ -463,6 +462,11 @@
             answer = _scheduler_messages.answer(
                 refusal.id, State.OVERLOADED, retry_s=retry_s
             )
+        self._notify_decided(holder, answer)
+
+    def _notify_decided(self, holder: str, answer: ttypes.PlaceAnswer) -> None:
+        """Sends the holder of a queued request the decision on it."""
+        answer.scheduler = self.name
         self._notify(holder, "place_answer", answer)
 
     def _notify(self, address: str, method: str, message: object) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -132,6 +132,40 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("late_scheduler", ["w0", "w1"])
+def test_late_answer_of_a_scheduler_that_was_given_up_is_ignored(
+    late_scheduler: str,
+) -> None:
+    """Guards against a ticket that the wrong scheduler is said to grant.
+
+    The one that is asked now would count the request as queued.
+    """
+
+    async def main() -> None:
+        client, peers, clock, task_group = _make_client()
+        queued = _grant("", None)
+        queued.state = ttypes.PlaceState.QUEUED
+        peers.answers["place_ask"] = lambda _address, _message: queued
+        answer = _grant("", None)
+        answer.scheduler = late_scheduler
+        async with anyio.create_task_group() as tasks:
+            request = _request(kind=admission.BATCH, max_wait_s=10.0)
+            tasks.start_soon(client.acquire, request)
+            await anyio.wait_all_tasks_blocked()
+            (answer.id,) = client.pending
+            peers.unresponsive = {"w0:1"}
+            await client._report(clock.now())
+            await task_group.run()
+            await anyio.wait_all_tasks_blocked()
+            await client.on_answer(answer)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        granted = [ticket.granted_by for ticket in client.tickets.values()]
+        assert granted == (["w1"] if late_scheduler == "w1" else [])
+
+    anyio.run(main)
+
+
 def test_gateway_uses_only_its_share_while_no_scheduler_responds() -> None:
     """Guards against a cut-off gateway that admits the whole rate."""
 
