Reword three names and comments of the stream records

Read as a newcomer: a method had the name of its argument's class, and two attributes were described by what nobody does.

--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -157,7 +157,7 @@
             return own
         search = _Search(stream_id, services, anyio.current_time() + MAX_WAIT_S)
         while True:
-            found = await self._search(search)
+            found = await self._look_once(search)
             if found is not None:
                 return found
             if search.is_settled or anyio.current_time() >= search.end_s:
@@ -173,7 +173,7 @@
                 raise _unknown_error(is_settled=search.is_settled)
             await anyio.sleep(RETRY_PAUSE_S)
 
-    async def _search(self, search: _Search) -> stream_origins.Origin | None:
+    async def _look_once(self, search: _Search) -> stream_origins.Origin | None:
         """Asks once all that may know; returns what they know, or None."""
         schedulers = self.schedulers()
         answers = await self._ask(schedulers, search.stream_id)
--- a/src/ibisknot/stream_origins.py
+++ b/src/ibisknot/stream_origins.py
@@ -53,8 +53,8 @@
     Attributes:
         origins: Origin of each stream and the monotonic time at which it was
             recorded, by a hash of the stream's id, the latest last.
-        grants: The grants that nobody has taken to write them down, the latest
-            last.
+        grants: The grants of this process that are not in the store, the
+            latest last.
     """
 
     def __init__(self) -> None:
--- a/src/ibisknot/stream_records.py
+++ b/src/ibisknot/stream_records.py
@@ -53,7 +53,7 @@
         table: Has the grants.
         history: Says which services have several versions.
         key_prefix: Prefix of the keys of this process.
-        written: Number of records that were tried to be written.
+        written: Number of records that it has tried to write.
         lease_id: The lease of new records.
         lease_since_s: Monotonic time at which it was created.
         next_call_s: Monotonic time before which the store is not called.
