--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -25,6 +25,7 @@
         "peer_port": "7360",
         "listen": 'Front = "10.0.0.1:80"',
         "store": "10.9.9.9:1",
+        "grace_s": str(platform_fleet.GRACE_S),
     }
     return platform_fleet.SETTINGS.format(**(fields | changed))
 
