Log which processes follow the operator's keys

The log of the incident without workers does not tell a process that does not follow the operator's keys from one whose watch waits on a dead connection. Each start and end of following is one line now, with its cause; a process logs it when it changes, not with each call.

--- a/src/ibisknot/operator_watch.py
+++ b/src/ibisknot/operator_watch.py
@@ -6,6 +6,7 @@
 import anyio
 
 from ibisknot import errors
+from ibisknot import logs
 from ibisknot import pairs
 
 WATCH_TIMEOUT_S = 12.0
@@ -27,6 +28,8 @@
         is_needed: Returns whether the keys must be followed now.
         on_reachability: Called with whether the service responds, and with
             the cause if it does not.
+        is_following: Whether all keys were read and their changes are being
+            waited for.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         self.apply = apply
         self.is_needed = is_needed
         self.on_reachability = on_reachability
+        self.is_following = False
         self.rng = random.Random()
 
     async def run(self) -> None:
@@ -55,20 +59,35 @@
         while True:
             if not self.is_needed():
                 after_revision = 0
+                self._set_following(False, "unneeded")
                 await anyio.sleep(UNNEEDED_PAUSE_S)
                 continue
             try:
                 if not after_revision:
                     after_revision = await self._read_all()
                     self.on_reachability(True, "")
+                    self._set_following(True)
                 after_revision = await self._wait_for_changes(after_revision)
             except errors.HistoryGoneError:
                 after_revision = 0
             except errors.KeyValueError as error:
                 self.on_reachability(False, error.message)
+                self._set_following(False, error.message)
                 pause_s = self.rng.uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S)
                 await anyio.sleep(pause_s)
 
+    def _set_following(self, is_following: bool, cause: str = "") -> None:
+        """Records whether the keys are followed, and logs each change."""
+        if is_following == self.is_following:
+            return
+        self.is_following = is_following
+        logs.event(
+            "operator_keys_followed"
+            if is_following
+            else "operator_keys_not_followed",
+            cause=cause,
+        )
+
     async def _read_all(self) -> int:
         """Applies all keys; returns the store's revision."""
         listing = await self.store.list_prefix(self.prefix)
