Judge the configuration by its own age, not by that of the entries

What callers saw: with all workers down, a confirmed change was not in force seconds later; requests for new routes were refused with 404 and those with new keys with 401, by gateways that reached the store.

Cause: a gateway followed the operator's keys only when the endpoints' entries were old. Without workers a gateway reads these entries for all, so they were fresh everywhere, and nobody followed the keys. The same sign stood for the configuration in two more places: a process that had just started took a peer's old configuration for a recent one when its entries were fresh, and gossip slowed down while only the entries were fresh.

Change: updates carry the time at which a process that follows the keys confirmed the configuration, and its name. Gateways follow one after the other when that is overdue, publish what they read, and stop when they hear from a process that comes before them.

Tests that fail before: test_configuration_is_followed_without_workers (real processes), test_fresh_entries_do_not_hide_an_old_configuration, test_started_process_does_not_take_fresh_entries_for_a_fresh_key, and the publishing gateway in test_only_few_processes_publish_a_configuration.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -37,6 +37,11 @@
   10: optional i64 members_digest,
   /** Seconds since the members were read from the store. */
   11: optional double members_age_s,
+  /** Seconds since a process that follows the operator's keys confirmed that
+      the configuration is the newest; absent if that is not known. */
+  12: optional double configuration_age_s,
+  /** Name of that process. */
+  13: optional string configuration_follower,
 }
 
 /** The receiver's revisions after it took the news. */
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -26,6 +26,12 @@
 """Additional age for each position in the order of precedence."""
 MEMBERS_POLL_PERIOD_S = 1.0
 """Age of the members at which the first process reads them again."""
+FOLLOW_AFTER_S = 1.0
+"""Age of the configuration at which the first gateway follows it itself.
+
+The age says when a process that follows the operator's keys last confirmed
+the configuration. Workers always follow them.
+"""
 MAX_STAGGER_STEPS = 8
 """Position from which on the additional age grows only slowly."""
 LATE_STAGGER_S = 0.05
@@ -64,6 +70,10 @@
             first.
         encoded_configuration: That configuration as the operator wrote it.
         configuration_revision: The store's revision of that write.
+        configuration_confirmed_s: Monotonic time at which a process that
+            follows the operator's keys last confirmed that no newer one had
+            been written.
+        configuration_follower: Name of that process.
         entries: The endpoints' stored entries by key.
         endpoints: The endpoints decoded from `entries`, by name.
         endpoints_revision: The store's revision when `entries` were read.
@@ -80,6 +90,8 @@
     configuration: serving.Configuration | None = None
     encoded_configuration: bytes = b""
     configuration_revision: int = 0
+    configuration_confirmed_s: float = -1e9
+    configuration_follower: str = ""
     entries: dict[str, pairs.Pair] = dataclasses.field(default_factory=dict)
     endpoints: dict[str, fleet_endpoint.Endpoint] = dataclasses.field(
         default_factory=dict
@@ -117,6 +129,28 @@
     return True
 
 
+def confirm_configuration(
+    view: View, now: float, *, revision: int, age_s: float, follower: str
+) -> None:
+    """Records that the configuration was the newest one.
+
+    A process that has an older one learns nothing from it.
+
+    Args:
+        view: The view to change.
+        now: Monotonic time in seconds.
+        revision: Revision of the configuration that was confirmed.
+        age_s: Seconds since then.
+        follower: Name of the process that follows the operator's keys.
+    """
+    if view.configuration_revision < revision:
+        return
+    confirmed_s = now - age_s
+    if confirmed_s > view.configuration_confirmed_s:
+        view.configuration_confirmed_s = confirmed_s
+        view.configuration_follower = follower
+
+
 def adopt_endpoints(
     view: View,
     now: float,
@@ -324,6 +358,27 @@
     return view.endpoints_read_s + POLL_PERIOD_S + delay_s
 
 
+def follow_due_s(view: View, own_name: str) -> float:
+    """Returns the monotonic time at which a gateway follows the configuration.
+
+    Gateways that do not hear from a process that follows the operator's keys
+    follow these one after the other, and the first ones inform the others.
+    """
+    gateways = [
+        m.name
+        for m in by_precedence(view.members.values())
+        if m.kind != deployment.WORKER
+    ]
+    index = gateways.index(own_name) if own_name in gateways else len(gateways)
+    delay_s = _position_delay_s(index)
+    return view.configuration_confirmed_s + FOLLOW_AFTER_S + delay_s
+
+
+def is_ahead(view: View, name: str, own_name: str) -> bool:
+    """Returns whether a process comes before this one as a reader."""
+    return reader_position(view, name) < reader_position(view, own_name)
+
+
 def members_poll_due_s(view: View, own_name: str) -> float:
     """Returns the monotonic time at which a process reads the members itself.
 
@@ -342,6 +397,15 @@
     index = reader_position(view, own_name)
     if not index:
         return 0.0
+    return POLL_STAGGER_S + _position_delay_s(index)
+
+
+def _position_delay_s(index: int) -> float:
+    """Returns the seconds by which a position comes after the first one.
+
+    >>> [round(_position_delay_s(index), 2) for index in (0, 1, 8, 10)]
+    [0.0, 0.15, 1.2, 1.3]
+    """
     late_steps = max(0, index - MAX_STAGGER_STEPS)
-    steps = 1 + min(index, MAX_STAGGER_STEPS)
+    steps = min(index, MAX_STAGGER_STEPS)
     return POLL_STAGGER_S * steps + LATE_STAGGER_S * late_steps
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -287,6 +287,9 @@
      - endpoints_digest: Hash of what the entries say, so that they need not be repeated.
      - members_digest: Hash of the members, so that they need not be repeated.
      - members_age_s: Seconds since the members were read from the store.
+     - configuration_age_s: Seconds since a process that follows the operator's keys confirmed that
+    the configuration is the newest; absent if that is not known.
+     - configuration_follower: Name of that process.
 
     """
 
@@ -302,10 +305,12 @@
         'endpoints_digest',
         'members_digest',
         'members_age_s',
+        'configuration_age_s',
+        'configuration_follower',
     )
 
 
-    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None,):
+    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None, configuration_age_s=None, configuration_follower=None,):
         self.sender = sender
         self.configuration_revision = configuration_revision
         self.configuration = configuration
@@ -317,6 +322,8 @@
         self.endpoints_digest = endpoints_digest
         self.members_digest = members_digest
         self.members_age_s = members_age_s
+        self.configuration_age_s = configuration_age_s
+        self.configuration_follower = configuration_follower
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -394,6 +401,16 @@
                     self.members_age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.configuration_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.configuration_follower = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -454,6 +471,14 @@
             oprot.writeFieldBegin('members_age_s', TType.DOUBLE, 11)
             oprot.writeDouble(self.members_age_s)
             oprot.writeFieldEnd()
+        if self.configuration_age_s is not None:
+            oprot.writeFieldBegin('configuration_age_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.configuration_age_s)
+            oprot.writeFieldEnd()
+        if self.configuration_follower is not None:
+            oprot.writeFieldBegin('configuration_follower', TType.STRING, 13)
+            oprot.writeString(self.configuration_follower.encode('utf-8') if sys.version_info[0] == 2 else self.configuration_follower)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4122,6 +4147,8 @@
     (9, TType.I64, 'endpoints_digest', None, None, ),  # 9
     (10, TType.I64, 'members_digest', None, None, ),  # 10
     (11, TType.DOUBLE, 'members_age_s', None, None, ),  # 11
+    (12, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 12
+    (13, TType.STRING, 'configuration_follower', 'UTF8', None, ),  # 13
 )
 all_structs.append(ViewAck)
 ViewAck.thrift_spec = (
--- a/src/ibisknot/operator_watch.py
+++ b/src/ibisknot/operator_watch.py
@@ -28,6 +28,8 @@
         is_needed: Returns whether the keys must be followed now.
         on_reachability: Called with whether the service responds, and with
             the cause if it does not.
+        on_current: Called when all changes up to some moment are known, with
+            the seconds since then.
         is_following: Whether all keys were read and their changes are being
             waited for.
     """
@@ -40,12 +42,14 @@
         *,
         is_needed: Callable[[], bool],
         on_reachability: Callable[[bool, str], None],
+        on_current: Callable[[float], None],
     ) -> None:
         self.store = store
         self.prefix = prefix
         self.apply = apply
         self.is_needed = is_needed
         self.on_reachability = on_reachability
+        self.on_current = on_current
         self.is_following = False
         self.rng = random.Random()
 
@@ -64,9 +68,11 @@
                 continue
             try:
                 if not after_revision:
+                    started_s = anyio.current_time()
                     after_revision = await self._read_all()
                     self.on_reachability(True, "")
                     self._set_following(True)
+                    self.on_current(anyio.current_time() - started_s)
                 after_revision = await self._wait_for_changes(after_revision)
             except errors.HistoryGoneError:
                 after_revision = 0
@@ -102,4 +108,5 @@
         )
         for change in watched.changes:
             self.apply(change)
+        self.on_current(0.0)
         return watched.revision
--- a/src/ibisknot/view_exchange.py
+++ b/src/ibisknot/view_exchange.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
 import anyio
@@ -27,10 +28,10 @@
 CALM_GOSSIP_PERIOD_S = 1.5
 """Pause after an exchange with one peer while updates arrive in time."""
 CALM_AGE_S = 1.0
-"""Age of the entries up to which updates arrive in time."""
+"""Age of the entries and the configuration up to which updates are in time."""
 PEER_TIMEOUT_S = 0.4
 RECENT_READ_S = 3.0
-"""Age of the entries up to which their sender hears from the store."""
+"""Age up to which a part of a peer's view is used by a process that starts."""
 START_WAIT_S = 2.0
 """Time after its start in which a process uses only what is recent.
 
@@ -46,6 +47,9 @@
     Attributes:
         configuration: Adopts a configuration from its revision, its encoding
             and the name of the sender.
+        confirmation: Records that a configuration was the newest one, from
+            its revision, the age in seconds of that knowledge, and the name
+            of the process that follows the operator's keys.
         entries: Adopts the endpoints' entries from the revision and the age
             in seconds of their read.
         members: Adopts the members from the revision of their read, and its
@@ -53,6 +57,7 @@
     """
 
     configuration: Callable[[int, bytes, str], None]
+    confirmation: Callable[[int, float, str], None]
     entries: Callable[[int, float, list[pairs.Pair]], None]
     members: Callable[[int, list[fleetview.Member], float], None]
 
@@ -122,6 +127,8 @@
             members_age_s=min(1e6, now - view.members_read_s),
             endpoints_digest=fleetview.endpoints_digest(view),
             members_digest=fleetview.members_digest(view),
+            configuration_age_s=min(1e6, now - view.configuration_confirmed_s),
+            configuration_follower=view.configuration_follower,
         )
         if configuration:
             update.configuration = view.encoded_configuration
@@ -157,21 +164,9 @@
 
     def _adopt_update(self, update: ttypes.ViewNews) -> None:
         """Adopts the parts of an update that are newer."""
-        if not self._is_usable(update):
-            if update.configuration:
-                logs.event(
-                    "update_too_old",
-                    peer=update.sender,
-                    age_s=round(update.endpoints_age_s, 3),
-                    revision=update.configuration_revision,
-                )
+        self._adopt_configuration(update)
+        if not self._is_recent(update.endpoints_age_s):
             return
-        if update.configuration:
-            self.adoption.configuration(
-                update.configuration_revision,
-                update.configuration,
-                update.sender,
-            )
         if update.endpoints is not None and update.endpoints_revision:
             entries = [
                 pairs.Pair(e.name, e.value, e.revision)
@@ -185,11 +180,39 @@
             age_s = update.members_age_s or 0.0
             self.adoption.members(update.members_revision, members, age_s)
 
-    def _is_usable(self, update: ttypes.ViewNews) -> bool:
-        """Returns whether a process that knows nothing may use an update."""
-        if self.view.configuration is not None:
-            return True
-        if update.endpoints_age_s <= RECENT_READ_S:
+    def _adopt_configuration(self, update: ttypes.ViewNews) -> None:
+        """Adopts the configuration of an update, and what confirms it."""
+        age_s = update.configuration_age_s
+        if age_s is None:
+            age_s = math.inf
+        if not self._is_recent(age_s):
+            if update.configuration:
+                logs.event(
+                    "update_too_old",
+                    peer=update.sender,
+                    age_s=round(age_s, 3),
+                    revision=update.configuration_revision,
+                )
+            return
+        if update.configuration:
+            self.adoption.configuration(
+                update.configuration_revision,
+                update.configuration,
+                update.sender,
+            )
+        self.adoption.confirmation(
+            update.configuration_revision,
+            age_s,
+            update.configuration_follower or "",
+        )
+
+    def _is_recent(self, age_s: float) -> bool:
+        """Returns whether a part of an update with this age may be used.
+
+        Only a process that has just started, and knows no configuration, must
+        not use what is old.
+        """
+        if self.view.configuration is not None or age_s <= RECENT_READ_S:
             return True
         return self.clock.now() - self.started_s >= START_WAIT_S
 
@@ -200,7 +223,7 @@
         """
         if update.endpoints is not None or not update.endpoints_revision:
             return True
-        if not self._is_usable(update):
+        if not self._is_recent(update.endpoints_age_s):
             return True
         return fleetview.confirm_endpoints(
             self.view,
@@ -296,9 +319,11 @@
         peers' views: it may have no access to the store.
         """
         now = self.clock.now()
+        oldest_s = min(
+            self.view.endpoints_read_s, self.view.configuration_confirmed_s
+        )
         is_calm = (
-            self.view.configuration is not None
-            and now - self.view.endpoints_read_s <= CALM_AGE_S
+            self.view.configuration is not None and now - oldest_s <= CALM_AGE_S
         )
         if is_calm and now < self.next_gossip_s:
             return
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -29,8 +29,8 @@
 MAX_RETRY_PAUSE_S = 1.0
 MEMBERS_CHECK_PERIOD_S = 0.25
 """Period at which a process checks whether a read of the members is due."""
-UPDATES_MISSING_S = 1.5
-"""Age of the entries above which a gateway follows the operator's keys."""
+STORE = "store"
+"""Source of a configuration that this process has read from the store."""
 MAX_PUBLISHERS = 3
 """Processes in the order of readers that publish a configuration to all.
 
@@ -120,6 +120,7 @@
             view,
             view_exchange.Adoption(
                 self.adopt_configuration,
+                self._adopt_confirmation,
                 self._adopt_entries,
                 self._adopt_members,
             ),
@@ -132,6 +133,7 @@
             self._apply_operator_change,
             is_needed=self._needs_own_watch,
             on_reachability=self._record_reachability,
+            on_current=self._confirm_configuration,
         )
         self.next_poll_s = 0.0
         self.next_members_poll_s = 0.0
@@ -195,6 +197,7 @@
         self.failed_polls = 0
         self._record_reachability(True)
         age_s = self.clock.now() - started_s
+        self._confirm_configuration(age_s)
         self._adopt_entries(listing.revision, age_s, listing.pairs)
         # The next read does not wait for members that do not answer.
         self.task_group.start_soon(self.exchange.publish)
@@ -283,7 +286,7 @@
         Args:
             revision: The store's revision of the write.
             encoded: The configuration as the operator wrote it.
-            source: `store` or the name of the peer that sent it, for the log.
+            source: `STORE` or the name of the peer that sent it.
         """
         if revision <= self.view.configuration_revision:
             return
@@ -298,6 +301,7 @@
                 cause=error.message,
             )
             return
+        is_first = self.view.configuration is None
         if fleetview.adopt_configuration(self.view, revision, encoded, decoded):
             logs.event(
                 "configuration_adopted",
@@ -306,23 +310,87 @@
                 source=source,
             )
             self._run_callbacks(self.configuration_callbacks)
-            if self._publishes_configuration():
+            if not is_first and self._publishes_configuration(source):
                 self.task_group.start_soon(self.exchange.publish)
 
-    def _publishes_configuration(self) -> bool:
-        """Returns whether this process sends new configurations to all."""
+    def _publishes_configuration(self, source: str) -> bool:
+        """Returns whether this process sends a new configuration to all.
+
+        A gateway that has it from the store follows the operator's keys for
+        others that do not hear from a worker either.
+        """
+        if source == STORE and self.process.kind != deployment.WORKER:
+            return True
         name = self.own_member.name
         return fleetview.reader_position(self.view, name) < MAX_PUBLISHERS
 
     def _needs_own_watch(self) -> bool:
         """Returns whether this process must follow the operator's keys itself.
 
-        A gateway that receives updates gets configurations with them.
+        A gateway does so only while it hears from no process that follows
+        them and comes before it.
         """
         if self.process.kind == deployment.WORKER:
             return True
-        age_s = self.clock.now() - self.view.endpoints_read_s
-        return self.view.configuration is None or age_s > UPDATES_MISSING_S
+        if self.view.configuration is None:
+            return True
+        if self.view.configuration_follower == self.own_member.name:
+            return True
+        return self._is_confirmation_overdue()
+
+    def _is_confirmation_overdue(self) -> bool:
+        """Returns whether nobody has confirmed the configuration for long."""
+        due_s = fleetview.follow_due_s(self.view, self.own_member.name)
+        return self.clock.now() >= due_s
+
+    def _comes_before(self, follower: str) -> bool:
+        """Returns whether a process follows the operator's keys first."""
+        return fleetview.is_ahead(self.view, follower, self.own_member.name)
+
+    def _confirm_configuration(self, age_s: float) -> None:
+        """Records that the configuration was the newest one.
+
+        Called after each answer of the store: while the operator's keys are
+        followed, a newer configuration would have arrived. A process that
+        hears from one that comes before it does not put itself forward.
+
+        Args:
+            age_s: Seconds since the store answered.
+        """
+        if not self.operator_watch.is_following:
+            return
+        if (
+            self._comes_before(self.view.configuration_follower)
+            and not self._is_confirmation_overdue()
+        ):
+            return
+        fleetview.confirm_configuration(
+            self.view,
+            self.clock.now(),
+            revision=self.view.configuration_revision,
+            age_s=age_s,
+            follower=self.own_member.name,
+        )
+
+    def _adopt_confirmation(
+        self, revision: int, age_s: float, follower: str
+    ) -> None:
+        """Adopts what a peer says of the age of the configuration.
+
+        A process that follows the operator's keys goes on until one that
+        comes before it does.
+        """
+        if self.operator_watch.is_following and not self._comes_before(
+            follower
+        ):
+            return
+        fleetview.confirm_configuration(
+            self.view,
+            self.clock.now(),
+            revision=revision,
+            age_s=age_s,
+            follower=follower,
+        )
 
     def _apply_operator_change(self, change: pairs.Change) -> None:
         """Adopts a new configuration; passes other changes to callbacks."""
@@ -330,7 +398,7 @@
             for callback in self.operator_callbacks:
                 callback(change)
         elif change.value is not None:
-            self.adopt_configuration(change.revision, change.value, "store")
+            self.adopt_configuration(change.revision, change.value, STORE)
 
 
 def _log_endpoint_changes(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -80,6 +80,31 @@
     assert fleet.chat(1, key="k-new").status_code == 200
 
 
+def test_configuration_is_followed_without_workers(
+    fleet: platform_fleet.Fleet,
+) -> None:
+    """Guards against changes that wait until the workers are back.
+
+    One gateway cannot read the store, and depends on the other one.
+    """
+    for name in ("store-0", "store-1"):
+        fleet.programs[name].stop()
+    fleet.set_store_faults(refuse=[fleet.ip(21)])
+    for version in range(2, 6):
+        key = f"k-{version}"
+        changed = platform_fleet.configuration(version)
+        changed["Tenants"][0]["ApiKeys"] = [key]
+        fleet.write_as_operator({"op/config": changed})
+
+        def is_in_force(valid: str = key) -> bool:
+            return all(
+                fleet.chat(gateway, key=valid).status_code == 200
+                for gateway in (0, 1)
+            )
+
+        platform_fleet.wait_for(is_in_force)
+
+
 def test_requests_are_served_while_the_store_is_down(
     fleet: platform_fleet.Fleet,
 ) -> None:
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -41,6 +41,8 @@
         self.clock = fake_fleet.Clock()
         self.view.members_read_s = self.clock.now()
         self.view.endpoints_read_s = self.clock.now()
+        self.view.configuration_confirmed_s = self.clock.now()
+        self.view.configuration_follower = "w1"
         self.task_group = fake_fleet.TaskGroup()
         process = fake_fleet.process(name)
         process.kind = self.view.members[name].kind
@@ -112,6 +114,7 @@
         anyio.run(world.exchange.gossip, world.clock.now())
         world.clock.time_s += view_exchange.GOSSIP_PERIOD_S
         world.view.endpoints_read_s = world.clock.now()
+        world.view.configuration_confirmed_s = world.clock.now()
     assert len(_receivers(world)) == 1
 
 
@@ -203,27 +206,106 @@
     It must still learn of a withdrawn key while it reaches the store.
     """
     world = _World("g0")
-    world.clock.time_s += view_runner.UPDATES_MISSING_S + 0.1
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    _follow_briefly(world)
+    assert world.store.calls["changes"] == 1
+
+
+def test_fresh_entries_do_not_hide_an_old_configuration() -> None:
+    """Guards against a fleet without workers that misses all changes.
+
+    Another gateway reads the endpoints' entries for all and publishes them.
+    """
+    world = _World("g0")
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    world.view.endpoints_read_s = world.clock.now()
+    _follow_briefly(world)
+    assert world.store.calls["changes"] == 1
+
+
+def test_gateways_follow_the_operator_one_after_the_other() -> None:
+    """Guards against a whole fleet that reads the store at once."""
+    world = _World("g1")
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    _follow_briefly(world)
+    assert not world.store.calls
+    world.clock.time_s += fleetview.POLL_STAGGER_S
+    _follow_briefly(world)
+    assert world.store.calls["changes"] == 1
+
+
+def _follow_briefly(world: _World) -> None:
+    """Runs the watch of the operator's keys for a moment."""
 
     async def main() -> None:
-        with anyio.move_on_after(operator_watch.UNNEEDED_PAUSE_S):
+        with anyio.move_on_after(operator_watch.UNNEEDED_PAUSE_S / 2):
             await world.runner.operator_watch.run()
 
     anyio.run(main)
-    assert world.store.calls["changes"] == 1
 
 
-@pytest.mark.parametrize(("name", "sends"), [("w0", 3), ("g1", 0)])
-def test_only_the_first_processes_publish_a_configuration(
-    name: str, sends: int
+@pytest.mark.parametrize(
+    ("name", "source", "sends"),
+    [
+        ("w0", view_runner.STORE, 3),
+        ("g1", "w0", 0),
+        ("g1", view_runner.STORE, 3),
+    ],
+)
+def test_only_few_processes_publish_a_configuration(
+    name: str, source: str, sends: int
 ) -> None:
-    """Guards against messages that grow with the square of the fleet."""
+    """Guards against messages that grow with the square of the fleet.
+
+    A gateway that reads the store itself may be the only one that does.
+    """
     world = _World(name)
-    world.runner.adopt_configuration(7, b"new", "store")
+    world.runner.adopt_configuration(7, b"new", source)
     anyio.run(world.task_group.run)
     assert len(_receivers(world)) == sends
 
 
+@pytest.mark.parametrize(
+    ("follower", "is_followed"), [("w1", False), ("g1", True)]
+)
+def test_gateway_follows_until_one_before_it_does(
+    follower: str, is_followed: bool
+) -> None:
+    """Guards against two gateways that stop because of each other."""
+    world = _World("g0")
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    _follow_briefly(world)
+    world.clock.time_s += 1.0
+    update = _World("w0").exchange._compose_update()
+    update.configuration_age_s = 0.0
+    update.configuration_follower = follower
+    anyio.run(world.exchange.on_update, update)
+    assert world.runner._needs_own_watch() == is_followed
+
+
+def test_gateway_that_hears_from_a_worker_stops_following() -> None:
+    """Guards against gateways that follow the store for good."""
+    world = _World("g0")
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    _follow_briefly(world)
+    update = _World("w0").exchange._compose_update()
+    update.configuration_age_s = 0.0
+    anyio.run(world.exchange.on_update, update)
+    world.runner.operator_watch.on_current(0.0)
+    assert not world.runner._needs_own_watch()
+
+
+def test_peer_with_a_newer_configuration_confirms_no_older_one() -> None:
+    """Guards against a gateway that keeps an old configuration for good."""
+    world = _World("g0")
+    world.clock.time_s += fleetview.FOLLOW_AFTER_S + 0.1
+    update = _World("w0").exchange._compose_update()
+    update.configuration_age_s = 0.0
+    update.configuration_revision = 9
+    anyio.run(world.exchange.on_update, update)
+    assert world.runner._needs_own_watch()
+
+
 def test_process_that_is_not_listed_registers_at_once() -> None:
     """Guards against a process that stays unknown until its next renewal."""
     world = _World("g0")
@@ -251,6 +333,8 @@
         endpoints=[ttypes.ListedEntry("e/left", b"", 3)],
         members_revision=9,
         endpoints_digest=0,
+        configuration_age_s=age_s,
+        configuration_follower="w0",
     )
 
 
@@ -269,6 +353,17 @@
     assert world.view.configuration_revision == 4
 
 
+def test_started_process_does_not_take_fresh_entries_for_a_fresh_key() -> None:
+    """Guards against a withdrawn key from a peer that only reads entries."""
+    world = _World()
+    world.view.configuration = None
+    update = _full_update(0.5)
+    update.configuration_age_s = 60.0
+    anyio.run(world.exchange.on_update, update)
+    assert world.view.configuration is None
+    assert world.view.entries
+
+
 def test_started_process_uses_old_state_if_there_is_no_other() -> None:
     """Guards against refusing all callers while the store is away."""
     world = _World()
