Reach endpoints through other processes when the own links are lost

What callers saw: gateways that were partitioned from all endpoints, but not from callers, store and peers, served a fourth of the first tries at them, and sound gateways served worse than usual as well.

Cause: an endpoint that one process did not reach counted as down for all. The gateway reported each one as unreachable, the scheduler opened the one circuit that an endpoint has for the fleet, and the gateway itself had no way but its own links and spent its attempts on them.

Change: an endpoint that is not reached within 0.1 s, or refuses, is tried by another process, which says whether it reaches it, reaches others only, or is cut off as well. The schedulers hear `unreachable` only if a process with links confirms it. Requests that hang on a lost path end after 0.3 s of silence of all endpoints and a failed check; their outcome is neither a failure of the endpoint nor a crash. Ticket, rate, deadline, attempts, version and crash reports stay at the gateway of the request, so that they hold as without a tunnel. The deadline in the headers is computed when the connection is there. A request that finds no path twice is refused at once as not run, and an error after an earlier run is never said not to have run.

Not covered: the product's own interface, whose processes still use their own links only.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -326,3 +326,24 @@
   /** Unix milliseconds at which it was written. */
   2: required i64 written_ms,
 }
+
+/** Asks a process to connect to an endpoint for another process. */
+struct TunnelOpen {
+  /** Address of the endpoint, `host:port`. */
+  1: required string endpoint,
+  /** Seconds after which the tunnel ends; absent for no limit. */
+  2: optional double max_s,
+}
+
+enum TunnelState {
+  /** The connection's bytes follow in both directions. */
+  OPENED = 0,
+  /** The process does not reach the endpoint, but reaches others. */
+  UNREACHABLE = 1,
+  /** The process reaches neither this endpoint nor others. */
+  CUT_OFF = 2,
+  /** The process has too many tunnels, stops, or does not list the endpoint. */
+  REFUSED = 3,
+}
+
+struct TunnelOpened { 1: required TunnelState state }
--- a/src/ibisknot/_forward_task.py
+++ b/src/ibisknot/_forward_task.py
@@ -62,6 +62,7 @@
             stated, or None.
         runs: Number of attempts that ran or may have run.
         attempts: Number of all attempts.
+        lost_paths: Number of attempts that found no path to an endpoint.
         failed_endpoints: Names of the endpoints at which an attempt failed.
         last_event_id: Id of the last event that the caller has, or None.
         has_relayed_event: Whether an event was relayed to the caller.
@@ -81,6 +82,7 @@
     caller_deadline_s: float | None
     runs: int = 0
     attempts: int = 0
+    lost_paths: int = 0
     failed_endpoints: set[str] = dataclasses.field(default_factory=set)
     last_event_id: int | None = None
     has_relayed_event: bool = False
--- a/src/ibisknot/errors.py
+++ b/src/ibisknot/errors.py
@@ -254,6 +254,21 @@
     code = "endpoint_stalled"
 
 
+class PathLostError(EndpointError):
+    """The path to an endpoint was lost; the endpoint itself may be sound."""
+
+    code = "endpoint_path_lost"
+    status = 503
+
+
+class TunnelError(IbisknotError):
+    """No other process connects this one to an endpoint."""
+
+    code = "no_tunnel"
+    status = 503
+    ran = NOT_RUN
+
+
 class KeyValueError(IbisknotError):
     """The key-value service refused or did not receive the call."""
 
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -30,6 +30,10 @@
 """A request is not sent with less time than this until its deadline."""
 MAX_ATTEMPTS = 6
 """Limit on the attempts of one request, those that did not run included."""
+PATH_LOST_RETRY_AFTER_S = 0.05
+"""Another gateway probably has a path, so that the caller need not wait."""
+MAX_LOST_PATHS = 2
+"""Attempts without any path after which the caller had better go elsewhere."""
 FINGERPRINT_DIGITS = 15
 """Hexadecimal digits of a fingerprint that fit into a signed integer."""
 EVENT_STREAM = "text/event-stream"
@@ -94,6 +98,8 @@
                 self._record_failure(task, ticket, error)
                 await self._report_crash(fingerprint, task, ticket, error)
                 if not self._may_retry(task, error):
+                    if task.runs:
+                        error.ran = errors.UNKNOWN
                     raise
             finally:
                 self.tickets.release(ticket, outcome)
@@ -183,16 +189,20 @@
         self, task: Task, ticket: ticket_types.Ticket
     ) -> http_client.Call:
         request = task.exchange.request
-        remaining_s = None
-        if task.caller_deadline_s is not None:
-            end_s = min(task.caller_deadline_s, task.deadline_s)
-            remaining_s = end_s - self.clock.now()
-        metadata = request_metadata.EndpointMetadata(
-            endpoint=ticket.endpoint.name,
-            organisation=task.organisation.name if task.organisation else "",
-            remaining_s=remaining_s,
-            last_event_id=task.last_event_id,
-        )
+        last_event_id = task.last_event_id
+
+        def encode_headers() -> http11.Headers:
+            # Connecting may have taken a part of the time.
+            metadata = request_metadata.EndpointMetadata(
+                endpoint=ticket.endpoint.name,
+                organisation=(
+                    task.organisation.name if task.organisation else ""
+                ),
+                remaining_s=self._caller_remaining_s(task),
+                last_event_id=last_event_id,
+            )
+            return self.dialect.encode_headers(request.headers, metadata)
+
         if task.last_event_id is not None:
             _log_continued(task, ticket)
         request_id = task.metadata.id
@@ -200,13 +210,21 @@
             address=ticket.endpoint.address,
             method=request.method,
             target=request.target,
-            headers=self.dialect.encode_headers(request.headers, metadata),
+            encode_headers=encode_headers,
+            max_s=max(MIN_REMAINING_S, task.deadline_s - self.clock.now()),
             body=request.body,
             is_own_response=lambda h: self.dialect.is_response_to(
                 request_id, h
             ),
         )
 
+    def _caller_remaining_s(self, task: Task) -> float | None:
+        """Returns the seconds that are left if the caller set a deadline."""
+        if task.caller_deadline_s is None:
+            return None
+        end_s = min(task.caller_deadline_s, task.deadline_s)
+        return end_s - self.clock.now()
+
     async def _attempt(self, task: Task, ticket: ticket_types.Ticket) -> str:
         """Sends a request once and relays the response.
 
@@ -276,6 +294,8 @@
         remaining_s = task.deadline_s - self.clock.now()
         if remaining_s <= MIN_REMAINING_S or task.attempts >= MAX_ATTEMPTS:
             return False
+        if task.lost_paths >= MAX_LOST_PATHS:
+            return False
         if error.ran == errors.NOT_RUN and not task.exchange.started:
             return True
         return self._may_run_again(task) or (
@@ -289,11 +309,16 @@
         error: errors.EndpointError,
     ) -> None:
         task.failed_endpoints.add(ticket.endpoint.name)
+        is_path_lost = isinstance(error, errors.PathLostError)
+        if is_path_lost and error.ran == errors.NOT_RUN:
+            task.lost_paths += 1
+            error.retry_after_s = PATH_LOST_RETRY_AFTER_S
         logs.event(
             "attempt_failed",
             request=task.metadata.id,
             endpoint=ticket.endpoint.name,
             ran=error.ran,
+            path_lost=is_path_lost,
             tries=task.attempts,
             runs=task.runs,
             started=task.exchange.started,
@@ -317,6 +342,8 @@
         """
         if error.ran == errors.NOT_RUN or task.has_relayed_event:
             return
+        if isinstance(error, errors.PathLostError):
+            return
         if not task.boundary.has_event:
             self.prompt_crashes.report_broken(
                 ticket.endpoint,
@@ -463,12 +490,13 @@
 def attempt_outcome(error: errors.EndpointError) -> str:
     """Returns the outcome, for the ticket, of an attempt that failed.
 
-    An endpoint that refused the request has not failed.
+    An endpoint that refused the request has not failed, nor has one to which
+    the path was lost.
 
     >>> attempt_outcome(errors.EndpointError("x", ran=errors.NOT_RUN))
     'unreachable'
     """
-    if isinstance(error, errors.EndpointRefusedError):
+    if isinstance(error, errors.EndpointRefusedError | errors.PathLostError):
         return admission.CANCELLED
     if error.ran == errors.NOT_RUN:
         return admission.UNREACHABLE
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -43,6 +43,27 @@
     }
 
 
+class TunnelState(object):
+    OPENED = 0
+    UNREACHABLE = 1
+    CUT_OFF = 2
+    REFUSED = 3
+
+    _VALUES_TO_NAMES = {
+        0: "OPENED",
+        1: "UNREACHABLE",
+        2: "CUT_OFF",
+        3: "REFUSED",
+    }
+
+    _NAMES_TO_VALUES = {
+        "OPENED": 0,
+        "UNREACHABLE": 1,
+        "CUT_OFF": 2,
+        "REFUSED": 3,
+    }
+
+
 class ListedEntry(object):
     """
     An entry of the platform's list of endpoints, as it was read.
@@ -4117,6 +4138,160 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class TunnelOpen(object):
+    """
+    Asks a process to connect to an endpoint for another process.
+
+    Attributes:
+     - endpoint: Address of the endpoint, `host:port`.
+     - max_s: Seconds after which the tunnel ends; absent for no limit.
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'max_s',
+    )
+
+
+    def __init__(self, endpoint=None, max_s=None,):
+        self.endpoint = endpoint
+        self.max_s = max_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.max_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelOpen')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.max_s is not None:
+            oprot.writeFieldBegin('max_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.max_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TunnelOpened(object):
+    """
+    Attributes:
+     - state
+
+    """
+
+    __slots__ = (
+        'state',
+    )
+
+
+    def __init__(self, state=None,):
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelOpened')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 1)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.state is None:
+            raise TProtocolException(message='Required field state is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ListedEntry)
 ListedEntry.thrift_spec = (
     None,  # 0
@@ -4397,5 +4572,16 @@
     (1, TType.STRUCT, 'refusal', [PartRefusal, None], None, ),  # 1
     (2, TType.I64, 'written_ms', None, None, ),  # 2
 )
+all_structs.append(TunnelOpen)
+TunnelOpen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'max_s', None, None, ),  # 2
+)
+all_structs.append(TunnelOpened)
+TunnelOpened.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'state', None, None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -111,7 +111,11 @@
     ]
 
 
-def set_socket_options(stream: abc.SocketStream) -> None:
+class PathLostError(anyio.BrokenResourceError):
+    """The path to the server was lost; what the server did is not known."""
+
+
+def set_socket_options(stream: abc.ByteStream) -> None:
     """Makes a connection send at once and detect an unresponsive peer."""
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -130,7 +134,7 @@
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-def is_idle(stream: abc.SocketStream) -> bool:
+def is_idle(stream: abc.ByteStream) -> bool:
     """Returns whether a connection is open and has no data to read."""
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     descriptor = raw_socket.fileno()
@@ -182,7 +186,7 @@
     return False
 
 
-async def close_abruptly(stream: abc.SocketStream) -> None:
+async def close_abruptly(stream: abc.ByteStream) -> None:
     """Closes a connection without waiting for data to be sent."""
     with anyio.CancelScope(shield=True):
         await anyio.aclose_forcefully(stream)
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -5,9 +5,11 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 import time
 from typing import Any
 
@@ -37,6 +39,44 @@
 A process that was paused finds the data that came in the meantime.
 """
 LATE_READ_TIMEOUT_S = 0.05
+SILENCE_S = 0.3
+"""Time without data after which the path to a server is doubted."""
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """A connection to a server.
+
+    Attributes:
+        stream: Its bytes.
+        is_direct: Whether no other process relays it.
+    """
+
+    stream: abc.ByteStream
+    is_direct: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Paths:
+    """How servers are reached whose paths may be lost.
+
+    Attributes:
+        connect: Opens a connection to an address, which the relaying process
+            may end after some seconds; raises EndpointError.
+        check_soon: Starts a check of the path to an address.
+        is_lost: Returns whether the path to an address was lost, after a
+            check if that is not known.
+        is_known_lost: The same without a check.
+        record_received: Called with each direct receipt of data.
+        is_silent: Returns whether no server has sent data for some seconds.
+    """
+
+    connect: Callable[[str, float | None], Awaitable[Connection]]
+    check_soon: Callable[[str], None]
+    is_lost: Callable[[str], Awaitable[bool]]
+    is_known_lost: Callable[[str], bool]
+    record_received: Callable[[], None]
+    is_silent: Callable[[float], bool]
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,7 +87,7 @@
         usable_until_s: Monotonic time until which it may be reused.
     """
 
-    stream: abc.SocketStream
+    stream: abc.ByteStream
     usable_until_s: float
 
 
@@ -59,10 +99,12 @@
         sending_started: Whether the server may have received a part of the
             request.
         connection_opened: Whether a new connection was opened for it.
+        broke_off: Whether the connection failed before the response's end.
     """
 
     sending_started: bool = False
     connection_opened: bool = False
+    broke_off: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,14 +124,19 @@
             reports by `Response.record_progress` count as progress, so that
             single bytes now and then do not keep a call alive. Otherwise all
             received data counts.
+        encode_headers: Returns the headers when the request is sent, or None
+            if `headers` has them.
+        max_s: Seconds after which a process that relays the call may end it.
         progress: Progress of the call.
     """
 
     address: str
     method: bytes
     target: bytes
-    headers: http11.Headers
+    headers: http11.Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
+    encode_headers: Callable[[], http11.Headers] | None = None
+    max_s: float | None = None
     is_own_response: Callable[[http11.Headers], bool] | None = None
     read_timeout_s: float | None = None
     needs_useful_data: bool = False
@@ -107,11 +154,24 @@
         skipped_bytes: Size of the bodies of skipped responses.
         progress_s: Monotonic time of the last progress.
         reads_after_timeout: Reads since the time without progress has passed.
+        watched_paths: The paths if the connection depends on one of them.
+        silent_scope: Cancelled when the path is lost while data is awaited.
+        is_silent: Whether data has been awaited for `SILENCE_S`.
+        is_path_lost: Whether the path was lost.
     """
 
-    def __init__(self, stream: abc.SocketStream, call: Call) -> None:
+    def __init__(
+        self,
+        stream: abc.ByteStream,
+        call: Call,
+        watched_paths: Paths | None = None,
+    ) -> None:
         self.stream = stream
         self.call = call
+        self.watched_paths = watched_paths
+        self.silent_scope = anyio.CancelScope()
+        self.is_silent = False
+        self.is_path_lost = False
         self.parser = _make_parser(call)
         self.status = 0
         self.headers: http11.Headers = []
@@ -145,15 +205,52 @@
         timeout_s = self.call.read_timeout_s
         try:
             if timeout_s is None:
-                return await self.stream.receive(http11.READ_BYTES)
+                return await self._read()
             with anyio.fail_after(self._remaining_s(timeout_s)):
-                data = await self.stream.receive(http11.READ_BYTES)
+                data = await self._read()
         except anyio.EndOfStream:
             return b""
         if not self.call.needs_useful_data:
             self.record_progress()
         return data
 
+    async def _read(self) -> bytes:
+        """Returns received data; doubts the path while there is none.
+
+        Raises:
+            PathLostError: The path was lost.
+        """
+        paths = self.watched_paths
+        if paths is None:
+            return await self.stream.receive(http11.READ_BYTES)
+        try:
+            while True:
+                with anyio.move_on_after(SILENCE_S) as self.silent_scope:
+                    data = await self.stream.receive(http11.READ_BYTES)
+                    paths.record_received()
+                    return data
+                self._doubt_path(paths)
+        finally:
+            self.is_silent = False
+
+    def _doubt_path(self, paths: Paths) -> None:
+        """Has the path checked if other servers are silent as well.
+
+        Raises:
+            PathLostError: The path was lost.
+        """
+        self.is_silent = True
+        if self.is_path_lost or paths.is_known_lost(self.call.address):
+            raise http11.PathLostError
+        if paths.is_silent(SILENCE_S):
+            paths.check_soon(self.call.address)
+
+    def end_silent_read(self) -> None:
+        """Ends a read that waits on a path that was lost."""
+        if self.is_silent:
+            self.is_path_lost = True
+            self.silent_scope.cancel()
+
     def _remaining_s(self, timeout_s: float) -> float:
         """Returns the seconds for which the next read may wait.
 
@@ -237,11 +334,15 @@
                 else:
                     raise h11.RemoteProtocolError("the response is incomplete")
         except TimeoutError:
+            self.call.progress.broke_off = True
             raise _stalled_error(self.call, errors.RAN) from None
         except (h11.RemoteProtocolError, *http11.CONNECTION_ERRORS) as error:
+            self.call.progress.broke_off = True
             message = (
                 f"response of {self.call.address} is incomplete: {error!r}"
             )
+            if isinstance(error, http11.PathLostError):
+                raise errors.PathLostError(message, ran=errors.RAN) from None
             raise errors.TruncatedStreamError(message) from None
 
     async def read_body(self, max_bytes: int) -> bytes:
@@ -279,6 +380,9 @@
         idle_connections: Idle connections by address, the most recently
             used last.
         opened_count: Number of connections that were opened.
+        paths: How servers are reached whose paths may be lost, or None if
+            all are reached directly.
+        responses: The responses that are being received.
     """
 
     def __init__(
@@ -287,7 +391,10 @@
         clock: Callable[[], float] = time.monotonic,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         local_host: str | None = None,
+        paths: Paths | None = None,
     ) -> None:
+        self.paths = paths
+        self.responses: set[Response] = set()
         self.local_host = local_host
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
@@ -305,13 +412,19 @@
             EndpointError: There is no response; `ran` tells whether the
                 request may have run.
         """
-        stream = await self._take_connection(call)
+        connection = await self._take_connection(call)
+        stream = connection.stream
+        if call.encode_headers is not None:
+            call.headers = call.encode_headers()
+        response = Response(
+            stream, call, self.paths if connection.is_direct else None
+        )
+        self.responses.add(response)
         reusable = False
         try:
             async with anyio.create_task_group() as task_group:
                 sender = _Sender(stream, call)
                 task_group.start_soon(sender.send)
-                response = Response(stream, call)
                 try:
                     await response.read_head()
                 except (
@@ -324,13 +437,49 @@
                 reusable = response.is_reusable() and sender.done
                 task_group.cancel_scope.cancel()
         except BaseExceptionGroup as raised:
-            raise _unwrap(raised) from None
+            cause = _unwrap(raised)
+            if connection.is_direct and isinstance(cause, errors.EndpointError):
+                cause = await self._explain(call, cause)
+            raise cause from None
         finally:
-            if reusable:
+            self.responses.discard(response)
+            if reusable and connection.is_direct:
                 self._store_connection(call.address, stream, response)
             else:
                 await http11.close_abruptly(stream)
 
+    async def _explain(
+        self, call: Call, error: errors.EndpointError
+    ) -> errors.EndpointError:
+        """Returns the error of a call whose connection may have lost its path.
+
+        An endpoint is not to blame for a lost path.
+        """
+        if self.paths is None or not call.progress.broke_off:
+            return error
+        if isinstance(error, errors.PathLostError):
+            return error
+        has_links = not self.paths.is_silent(SILENCE_S)
+        if has_links and isinstance(error, errors.StalledError):
+            return error
+        if not await self.paths.is_lost(call.address):
+            return error
+        return errors.PathLostError(error.message, ran=error.ran)
+
+    def on_path_lost(self, address: str) -> None:
+        """Ends what waits on a lost path, and closes its idle connections.
+
+        Connections on which data still arrives are kept.
+        """
+        assert self.paths is not None
+        for response in self.responses:
+            if self.paths.is_known_lost(response.call.address):
+                response.end_silent_read()
+        for idle_address, idle in self.idle_connections.items():
+            if self.paths.is_known_lost(idle_address):
+                for connection in idle:
+                    connection.usable_until_s = -math.inf
+
     async def fetch(
         self,
         call: Call,
@@ -356,7 +505,7 @@
                 check(response.status, body)
             return response.status, body
 
-    async def _take_connection(self, call: Call) -> abc.SocketStream:
+    async def _take_connection(self, call: Call) -> Connection:
         """Returns an idle connection, or a new one if none is usable."""
         idle = self.idle_connections.get(call.address, [])
         while idle:
@@ -364,16 +513,19 @@
             if self.clock() < connection.usable_until_s and http11.is_idle(
                 connection.stream
             ):
-                return connection.stream
+                return Connection(connection.stream)
             await http11.close_abruptly(connection.stream)
         self.opened_count += 1
         call.progress.connection_opened = True
-        return await http11.connect(
+        if self.paths is not None:
+            return await self.paths.connect(call.address, call.max_s)
+        stream = await http11.connect(
             call.address, self.connect_timeout_s, local_host=self.local_host
         )
+        return Connection(stream)
 
     def _store_connection(
-        self, address: str, stream: abc.SocketStream, response: Response
+        self, address: str, stream: abc.ByteStream, response: Response
     ) -> None:
         """Retains a connection for later calls."""
         idle_s = _idle_timeout_s(response.get_header(b"keep-alive"))
@@ -405,7 +557,7 @@
         done: Whether the whole request was sent.
     """
 
-    def __init__(self, stream: abc.SocketStream, call: Call) -> None:
+    def __init__(self, stream: abc.ByteStream, call: Call) -> None:
         self.stream = stream
         self.call = call
         self.done = False
@@ -450,6 +602,10 @@
     call: Call, error: BaseException
 ) -> errors.EndpointError:
     ran = errors.UNKNOWN if call.progress.sending_started else errors.NOT_RUN
+    call.progress.broke_off = True
+    if isinstance(error, http11.PathLostError):
+        message = f"the path to {call.address} was lost"
+        return errors.PathLostError(message, ran=ran)
     if isinstance(error, TimeoutError):
         return _stalled_error(call, ran)
     message = f"no response from {call.address}: {error!r}"
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -55,6 +55,10 @@
     "ibisknot_prompt_parts_refused_total",
     "Sets of prompt parts that this process began to refuse.",
 )
+TUNNELS = aioprometheus.Counter(
+    "ibisknot_tunnels_total",
+    "Connections to endpoints that this process opened for another one.",
+)
 LOG_LINES_DROPPED = aioprometheus.Counter(
     "ibisknot_log_lines_dropped_total", "Log lines over the bound."
 )
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -11,6 +11,7 @@
 from anyio import abc
 
 from ibisknot import deployment
+from ibisknot import endpoint_connector
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http_client
@@ -29,6 +30,7 @@
 from ibisknot import stream_origins
 from ibisknot import stream_records
 from ibisknot import timer
+from ibisknot import tunnel_server
 from ibisknot import view_runner
 
 SETTINGS_POLL_PERIOD_S = 1.0
@@ -71,6 +73,7 @@
         tickets: Client that requests tickets from the schedulers.
         prompt_crashes: Parts of prompts that have crashed endpoints.
         streams: Finds out which software began a stream.
+        tunnels: Connects to endpoints for other processes.
         stop_requested: Set when shutdown was requested.
     """
 
@@ -85,6 +88,7 @@
     tickets: placement.Client
     prompt_crashes: prompt_crash_notices.Notices
     streams: stream_lookup.Lookup
+    tunnels: tunnel_server.Server
     stop_requested: anyio.Event
 
 
@@ -108,7 +112,6 @@
         store=process.store,
     )
     clock = timer.Timer()
-    client = http_client.Client()
     store_client = http_client.Client(
         connect_timeout_s=STORE_CONNECT_TIMEOUT_S, local_host=process.ip
     )
@@ -117,6 +120,11 @@
         server = peer.Server()
         direct_store = platform.make_store(process.store, store_client)
         view = fleetview.View()
+        connector = endpoint_connector.Connector(
+            view, process.name, process.data_centre, peers, clock, task_group
+        )
+        client = http_client.Client(paths=connector.http_paths())
+        connector.loss_callbacks.append(client.on_path_lost)
         store = store_relay.RelayingStore(
             direct_store, view, peers, process.name, clock.now
         )
@@ -135,6 +143,8 @@
         tickets = placement.Client(
             process, view, peers, clock, task_group, origins=origins
         )
+        stop_requested = anyio.Event()
+        tunnels = tunnel_server.Server(view, connector, stop_requested.is_set)
         history = software_history.History()
         software = software_records.Keeper(
             process.name, store, view, history, clock.now
@@ -166,13 +176,15 @@
                 schedulers=tickets.schedulers,
                 others=runner.other_members,
             ),
-            stop_requested=anyio.Event(),
+            tunnels=tunnels,
+            stop_requested=stop_requested,
         )
         runner.change_callbacks.append(software.observe)
         software.start(clock)
         started.streams.start(server)
         runner.start(server)
         tickets.start(server)
+        tunnels.start(server)
         started.prompt_crashes.start(server)
 
         async def close_idle(_now: float) -> None:
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -29,8 +29,18 @@
 UNRESPONSIVE_TIMEOUT_S = 1.0
 """Time without a response after which a connection is replaced."""
 _LENGTH = struct.Struct("!I")
+_STREAM_ERRORS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 Handler = Callable[[Any], Awaitable[Any]]
+StreamHandler = Callable[
+    [abc.ByteStream, bytearray, ttypes.Envelope], Awaitable[None]
+]
+"""Takes over a connection, the bytes that were received after the first frame,
+and the call in that frame."""
 
 
 def encode(message: Any) -> bytes:
@@ -57,7 +67,7 @@
     return message
 
 
-async def _receive_frame(stream: abc.ByteStream, received: bytearray) -> bytes:
+async def receive_frame(stream: abc.ByteStream, received: bytearray) -> bytes:
     """Returns the next frame's content.
 
     Args:
@@ -83,7 +93,7 @@
     return frame
 
 
-async def _send_frame(
+async def send_frame(
     stream: abc.ByteStream, lock: anyio.Lock, envelope: ttypes.Envelope
 ) -> None:
     """Sends an envelope; the lock keeps frames of one connection apart."""
@@ -107,11 +117,14 @@
     Attributes:
         tls: Context of the connections, or None for plain TCP.
         handlers: Request type and handler of each method, by name.
+        stream_handlers: Handlers that take over a connection, by the method
+            of its first call.
     """
 
     def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
         self.tls = tls
         self.handlers: dict[str, tuple[type[Any], Handler]] = {}
+        self.stream_handlers: dict[str, StreamHandler] = {}
 
     def on(
         self, method: str, request_type: type[Any], handler: Handler
@@ -119,6 +132,10 @@
         """Registers the handler of a method and its request's type."""
         self.handlers[method] = (request_type, handler)
 
+    def on_stream(self, method: str, handler: StreamHandler) -> None:
+        """Registers the handler of connections that begin with a method."""
+        self.stream_handlers[method] = handler
+
     async def serve(self, address: str, port: int) -> None:
         """Listens at an address and port until cancelled."""
         listener = await anyio.create_tcp_listener(
@@ -139,8 +156,12 @@
                 stream = await _wrap_tls(stream, self.tls, server_side=True)
             async with stream, anyio.create_task_group() as task_group:
                 while True:
-                    frame = await _receive_frame(stream, received)
+                    frame = await receive_frame(stream, received)
                     envelope = _decode_envelope(frame)
+                    if envelope.method in self.stream_handlers:
+                        take_over = self.stream_handlers[envelope.method]
+                        await take_over(stream, received, envelope)
+                        return
                     task_group.start_soon(self._respond, stream, lock, envelope)
         except* (
             anyio.EndOfStream,
@@ -185,7 +206,7 @@
             response.error_message = f"{request.method} failed"
         if request.kind == ttypes.Kind.REQUEST:
             try:
-                await _send_frame(stream, lock, response)
+                await send_frame(stream, lock, response)
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 pass
 
@@ -276,7 +297,7 @@
         received = bytearray()
         try:
             while True:
-                frame = await _receive_frame(self.stream, received)
+                frame = await receive_frame(self.stream, received)
                 envelope = _decode_envelope(frame)
                 self.unanswered_since_s = None
                 pending = self.pending_calls.pop(envelope.id, None)
@@ -337,30 +358,79 @@
             existing = self.connections.get(address)
             if existing is not None and not existing.is_closed:
                 return existing
-            dial_address = self.address_overrides.get(address, address)
-            host, _, port = dial_address.rpartition(":")
-            try:
-                with anyio.fail_after(CONNECT_TIMEOUT_S):
-                    stream: abc.ByteStream = await anyio.connect_tcp(
-                        host, int(port)
-                    )
-                    if self.tls is not None:
-                        stream = await _wrap_tls(
-                            stream, self.tls, server_side=False
-                        )
-            except (
-                OSError,
-                TimeoutError,
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-            ) as error:
-                message = f"peer {address} not reachable: {error!r}"
-                raise errors.PeerError(message, ran=errors.NOT_RUN) from None
-            connection = _Connection(stream)
+            connection = _Connection(await self._open_connection(address))
             self.connections[address] = connection
             self.task_group.start_soon(connection.receive_responses)
             return connection
 
+    async def _open_connection(self, address: str) -> abc.ByteStream:
+        """Opens a connection to an address.
+
+        Raises:
+            PeerError: The peer is not reachable.
+        """
+        dial_address = self.address_overrides.get(address, address)
+        host, _, port = dial_address.rpartition(":")
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream: abc.ByteStream = await anyio.connect_tcp(
+                    host, int(port)
+                )
+                if self.tls is None:
+                    return stream
+                return await _wrap_tls(stream, self.tls, server_side=False)
+        except (
+            OSError,
+            TimeoutError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+        ) as error:
+            message = f"peer {address} not reachable: {error!r}"
+            raise errors.PeerError(message, ran=errors.NOT_RUN) from None
+
+    async def open_stream(
+        self,
+        address: str,
+        method: str,
+        request: Any,
+        response_type: type[Any],
+    ) -> tuple[abc.ByteStream, bytearray, Any]:
+        """Opens a connection that a peer's `on_stream` handler takes over.
+
+        Args:
+            address: The peer's `host:port`.
+            method: The method's name.
+            request: The request, a generated Thrift structure.
+            response_type: The generated Thrift type of the response.
+
+        Returns:
+            The connection, bytes that were received after the response, and
+            the decoded response.
+
+        Raises:
+            PeerError: The peer is not reachable or did not respond.
+        """
+        stream = await self._open_connection(address)
+        received = bytearray()
+        envelope = ttypes.Envelope(
+            id=next(self.message_ids),
+            kind=ttypes.Kind.REQUEST,
+            method=method,
+            payload=encode(request),
+        )
+        try:
+            await send_frame(stream, anyio.Lock(), envelope)
+            frame = await receive_frame(stream, received)
+            response = decode(_decode_envelope(frame).payload, response_type)
+        except BaseException as error:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+            if isinstance(error, (OSError, *_STREAM_ERRORS)):
+                message = f"no answer from {address} to {method}: {error!r}"
+                raise errors.PeerError(message) from None
+            raise
+        return stream, received, response
+
     async def call(
         self,
         address: str,
@@ -404,7 +474,7 @@
         connection.pending_calls[envelope.id] = (answered, responses)
         try:
             with anyio.fail_after(timeout_s):
-                await _send_frame(
+                await send_frame(
                     connection.stream, connection.send_lock, envelope
                 )
                 await answered.wait()
--- /dev/null
+++ b/src/ibisknot/tunnel_server.py
@@ -0,0 +1,192 @@
+"""Connects to endpoints for processes that have lost their links to them."""
+
+from collections.abc import Callable
+import math
+import random
+
+import anyio
+from anyio import abc
+
+from ibisknot import endpoint_connector
+from ibisknot import endpoint_paths
+from ibisknot import errors
+from ibisknot import fleetview
+from ibisknot import http11
+from ibisknot import metrics
+from ibisknot import peer
+from ibisknot import tunnel
+from ibisknot.gen.fleet import ttypes
+from ibisknot.gen.peer import ttypes as peer_ttypes
+
+MAX_TUNNELS = 256
+RECENT_S = 1.0
+"""Age up to which received data shows that this process has links."""
+
+State = ttypes.TunnelState
+
+
+class Server:
+    """Serves the tunnels of other processes.
+
+    Attributes:
+        view: Has the endpoints, to which alone tunnels lead.
+        connector: Connects directly, and knows whether this process is cut
+            off itself.
+        open_tunnels: Number of open tunnels.
+        is_stopping: Returns whether no further tunnel is to be opened.
+    """
+
+    def __init__(
+        self,
+        view: fleetview.View,
+        connector: endpoint_connector.Connector,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self.view = view
+        self.connector = connector
+        self.is_stopping = is_stopping
+        self.open_tunnels = 0
+        self.rng = random.Random()
+
+    def start(self, server: peer.Server) -> None:
+        """Registers the peer method."""
+        server.on_stream(tunnel.METHOD, self.serve)
+
+    async def serve(
+        self,
+        stream: abc.ByteStream,
+        received: bytearray,
+        request: peer_ttypes.Envelope,
+    ) -> None:
+        """Peer method: connects to an endpoint and relays both directions.
+
+        Raises:
+            PeerError: The call is malformed.
+        """
+        message = tunnel.decode_open(request.payload)
+        state, endpoint = await self._connect(message.endpoint)
+        try:
+            await _answer(stream, request, state)
+            if endpoint is not None:
+                metrics.TUNNELS.inc({})
+                await self._relay(
+                    tunnel.Stream(stream, received), endpoint, message.max_s
+                )
+        finally:
+            if endpoint is not None:
+                self.open_tunnels -= 1
+                await http11.close_abruptly(endpoint)
+
+    async def _connect(
+        self, address: str
+    ) -> tuple[int, abc.SocketStream | None]:
+        """Connects directly; counts the tunnel if that succeeds."""
+        is_listed = any(
+            e.address == address for e in self.view.endpoints.values()
+        )
+        if (
+            not is_listed
+            or self.is_stopping()
+            or self.open_tunnels >= MAX_TUNNELS
+        ):
+            return State.REFUSED, None
+        if endpoint_paths.is_cut_off(self.connector.paths):
+            return State.CUT_OFF, None
+        try:
+            endpoint = await self.connector.connect_directly(address)
+        except errors.EndpointError:
+            if await self._reaches_others(address):
+                return State.UNREACHABLE, None
+            return State.CUT_OFF, None
+        self.open_tunnels += 1
+        return State.OPENED, endpoint
+
+    async def _reaches_others(self, address: str) -> bool:
+        """Returns whether this process reaches an endpoint besides one.
+
+        Data from endpoints does not show it: connections that are open may
+        outlive the links for new ones.
+        """
+        paths = self.connector.paths
+        if self.connector.clock.now() - paths.connected_s <= RECENT_S:
+            return True
+        others = [
+            e.address
+            for e in self.view.endpoints.values()
+            if e.address != address
+        ]
+        if not others:
+            return True
+        try:
+            probe = await self.connector.connect_directly(
+                self.rng.choice(others)
+            )
+        except errors.EndpointError:
+            return False
+        await http11.close_abruptly(probe)
+        return True
+
+    async def _relay(
+        self,
+        caller: tunnel.Stream,
+        endpoint: abc.SocketStream,
+        max_s: float | None,
+    ) -> None:
+        """Relays until the endpoint or the caller has closed."""
+        with anyio.move_on_after(math.inf if max_s is None else max_s):
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(
+                    _send_up, caller, endpoint, task_group.cancel_scope
+                )
+                await _send_down(endpoint, caller)
+                task_group.cancel_scope.cancel()
+
+
+async def _answer(
+    stream: abc.ByteStream, request: peer_ttypes.Envelope, state: int
+) -> None:
+    """Answers the call that opens a tunnel."""
+    http11.set_socket_options(stream)
+    response = peer_ttypes.Envelope(
+        id=request.id,
+        kind=peer_ttypes.Kind.RESPONSE,
+        method=request.method,
+        payload=peer.encode(ttypes.TunnelOpened(state=state)),
+    )
+    await peer.send_frame(stream, anyio.Lock(), response)
+
+
+async def _send_up(
+    caller: tunnel.Stream, endpoint: abc.SocketStream, scope: anyio.CancelScope
+) -> None:
+    """Relays the caller's bytes; a caller that has left ends the relay."""
+    while True:
+        try:
+            data = await caller.receive(http11.READ_BYTES)
+        except http11.CONNECTION_ERRORS:
+            scope.cancel()
+            return
+        try:
+            await endpoint.send(data)
+        except http11.CONNECTION_ERRORS:
+            # The endpoint's answer, if there is one, is still relayed.
+            return
+
+
+async def _send_down(endpoint: abc.SocketStream, caller: tunnel.Stream) -> None:
+    """Relays the endpoint's bytes, and how its connection ended."""
+    mark = tunnel.END
+    try:
+        while True:
+            try:
+                data = await endpoint.receive(http11.READ_BYTES)
+            except anyio.EndOfStream:
+                break
+            except http11.CONNECTION_ERRORS:
+                mark = tunnel.BROKEN
+                break
+            await caller.send(data)
+        await caller.send_end(mark)
+    except http11.CONNECTION_ERRORS:
+        # The caller has left.
+        return
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -223,7 +223,10 @@
 
 
 async def serve_forwarder(
-    tickets: ScriptedTickets, route: serving.Route, task_group: abc.TaskGroup
+    tickets: ScriptedTickets,
+    route: serving.Route,
+    task_group: abc.TaskGroup,
+    paths: http_client.Paths | None = None,
 ) -> str:
     """Serves callers with a forwarder; returns its address."""
     clock = timer.Timer()
@@ -236,7 +239,7 @@
     )
     forwarder = forward.Forwarder(
         tickets,  # type: ignore[arg-type]
-        http_client.Client(connect_timeout_s=CONNECT_TIMEOUT_S),
+        http_client.Client(connect_timeout_s=CONNECT_TIMEOUT_S, paths=paths),
         programs.REQUEST_DIALECT,
         clock,
         crash_notices.CrashNotices(
@@ -347,6 +350,7 @@
     endpoints: list[ScriptedEndpoint],
     route: serving.Route,
     check: Callable[[str, ScriptedTickets], Awaitable[None]],
+    paths: http_client.Paths | None = None,
 ) -> None:
     """Runs a check of a forwarder before endpoints, by its address."""
 
@@ -354,7 +358,9 @@
         async with serving_endpoints(*endpoints):
             async with anyio.create_task_group() as task_group:
                 tickets = ScriptedTickets(endpoints)
-                address = await serve_forwarder(tickets, route, task_group)
+                address = await serve_forwarder(
+                    tickets, route, task_group, paths
+                )
                 await check(address, tickets)
                 task_group.cancel_scope.cancel()
 
