Do not take a link that refuses connections for a crashed endpoint

Cause: parts of prompts are suspected when an answer breaks off and nothing listens at the endpoint's address any more. A cut link that resets and refuses connections looks the same, so that a gateway without links suspected the prompts of all its requests, and told the fleet.

Change: a refusal counts only if no other process reaches the endpoint.

The test test_refusals_of_a_cut_link_are_no_crashes fails without the check: the part is refused after the reports of one gateway.

--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -165,6 +165,7 @@
                 task_group,
                 lambda: [m.address for m in runner.other_members()],
                 prompt_crash_records.Records(store, clock.now),
+                is_path_lost=connector.is_path_lost,
             ),
             streams=stream_lookup.Lookup(
                 origins,
--- a/src/ibisknot/prompt_crash_notices.py
+++ b/src/ibisknot/prompt_crash_notices.py
@@ -4,6 +4,7 @@
 once, and random peers compare digests while there is anything to compare.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import itertools
@@ -63,6 +64,8 @@
         task_group: abc.TaskGroup,
         peer_addresses: Callable[[], list[str]],
         records: prompt_crash_records.Records,
+        *,
+        is_path_lost: Callable[[str], Awaitable[bool]] | None = None,
     ) -> None:
         """Creates notices of an empty history.
 
@@ -72,7 +75,11 @@
             task_group: Runs what nobody waits for.
             peer_addresses: Returns the addresses of the other processes.
             records: Keeps refusals over a restart of all processes.
+            is_path_lost: Returns whether another process reaches the endpoint
+                at an address while this one does not; None if that is never
+                so.
         """
+        self.is_path_lost = is_path_lost
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
@@ -128,7 +135,7 @@
     async def _confirm(self, key: str, address: str, occurred_s: float) -> None:
         """Records a crash if nothing listens at the endpoint any more."""
         await anyio.sleep(COLLECT_S)
-        crashed = await http11.refuses_connections(address, CONNECT_TIMEOUT_S)
+        crashed = await self._is_refused(address)
         candidates = self.collected.pop(key)
         if not crashed:
             return
@@ -156,6 +163,15 @@
             )
         )
 
+    async def _is_refused(self, address: str) -> bool:
+        """Returns whether nothing listens at an endpoint's address.
+
+        A link that is cut may refuse connections as well.
+        """
+        if not await http11.refuses_connections(address, CONNECT_TIMEOUT_S):
+            return False
+        return self.is_path_lost is None or not await self.is_path_lost(address)
+
     def _write_changes(self, before: set[prompt_crashes.Parts]) -> None:
         """Writes what this process has changed to the store.
 
--- a/tests/test_prompt_crash_notices.py
+++ b/tests/test_prompt_crash_notices.py
@@ -90,6 +90,24 @@
     )
 
 
+def test_refusals_of_a_cut_link_are_no_crashes() -> None:
+    """Guards against sound prompts that a gateway without links refuses."""
+
+    async def is_path_lost(_address: str) -> bool:
+        return True
+
+    async def check(network: Network) -> None:
+        process = network.start("a")
+        process.is_path_lost = is_path_lost
+        await _crash_endpoints(network, ["a"] * 6)
+        assert process.refused_parts((SHARED, BAD, 999)) is None
+        process.is_path_lost = None
+        await _crash_endpoints(network, ["a"] * 6)
+        assert process.refused_parts((SHARED, BAD, 999)) is not None
+
+    _run(check)
+
+
 async def _closed_address() -> str:
     """Returns an address at which nothing listens."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
