--- a/src/ibisknot/_forward_task.py
+++ b/src/ibisknot/_forward_task.py
@@ -9,9 +9,11 @@
 from ibisknot import event_stream
 from ibisknot import http11
 from ibisknot import http_server
+from ibisknot import logs
 from ibisknot import request_metadata
 from ibisknot import serving
 from ibisknot import stream_origins
+from ibisknot import ticket_types
 
 FindOrigin = Callable[[str, Collection[str]], Awaitable[stream_origins.Origin]]
 """Finds the software that began a stream, by the stream's id and the services
@@ -115,3 +117,23 @@
     organisation_name = task.organisation.name if task.organisation else ""
     content = request.target + b"\n" + request.body
     return crashes.request_fingerprint("online", organisation_name, content)
+
+
+def caller_remaining_s(task: Task, now: float) -> float | None:
+    """Returns the seconds that are left if the caller set a deadline."""
+    if task.caller_deadline_s is None:
+        return None
+    return min(task.caller_deadline_s, task.deadline_s) - now
+
+
+def log_continued(task: Task, ticket: ticket_types.Ticket) -> None:
+    """Logs where a stream goes on, and what it has failed at before."""
+    logs.event(
+        "stream_continued",
+        request=task.metadata.id,
+        resumes=task.metadata.resumed_id,
+        endpoint=ticket.endpoint.name,
+        software=ticket.endpoint.software_version,
+        failed=sorted(task.failed_endpoints),
+        last_event=task.last_event_id,
+    )
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -14,7 +14,9 @@
 from ibisknot import fleetview
 from ibisknot import forward
 from ibisknot import http11
+from ibisknot import http_call
 from ibisknot import http_client
+from ibisknot import http_response
 from ibisknot import logs
 from ibisknot import placement
 from ibisknot import request_metadata
@@ -280,7 +282,7 @@
 
     def _make_call(
         self, task: Task, ticket: ticket_types.Ticket
-    ) -> http_client.Call:
+    ) -> http_call.Call:
         """Returns the request that continues an item after its last event."""
         item = task.item
         own_headers = self.item_headers(item.id, task.host)
@@ -306,7 +308,7 @@
                 failed=sorted(task.failed_endpoints),
                 last_event=task.last_event_id,
             )
-        return http_client.Call(
+        return http_call.Call(
             address=ticket.endpoint.address,
             method=b"POST",
             target=item.path.encode("latin-1"),
@@ -323,7 +325,7 @@
         self,
         task: Task,
         source: fleet_endpoint.Endpoint,
-        answer: http_client.Response,
+        answer: http_response.Response,
     ) -> None:
         """Appends a response's events to the task; skips repeated ones.
 
--- a/src/ibisknot/endpoint_connector.py
+++ b/src/ibisknot/endpoint_connector.py
@@ -17,7 +17,7 @@
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http11
-from ibisknot import http_client
+from ibisknot import http_call
 from ibisknot import logs
 from ibisknot import peer
 from ibisknot import timer
@@ -52,7 +52,7 @@
 
     scope: anyio.CancelScope
     started_s: float
-    winner: http_client.Connection | None = None
+    winner: http_call.Connection | None = None
     direct_error: errors.EndpointError | None = None
     direct_failed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_confirmed: bool = False
@@ -65,7 +65,7 @@
     if race.winner is not None:
         await http11.close_abruptly(stream)
         return False
-    race.winner = http_client.Connection(stream, is_direct)
+    race.winner = http_call.Connection(stream, is_direct)
     race.scope.cancel()
     return True
 
@@ -110,9 +110,9 @@
         self.checks: dict[str, anyio.Event] = {}
         self.checked_s: dict[str, float] = {}
 
-    def http_paths(self) -> http_client.Paths:
+    def http_paths(self) -> http_call.Paths:
         """Returns what an HTTP client for endpoints needs of this object."""
-        return http_client.Paths(
+        return http_call.Paths(
             connect=self.connect,
             check_soon=self.check_soon,
             is_lost=self.is_path_lost,
@@ -126,7 +126,7 @@
 
     async def connect(
         self, address: str, max_s: float | None
-    ) -> http_client.Connection:
+    ) -> http_call.Connection:
         """Opens a connection to an endpoint.
 
         Args:
@@ -144,7 +144,7 @@
         race = _Race(anyio.CancelScope(), self.clock.now())
         stream = await self._open_tunnel(address, max_s, race)
         if stream is not None:
-            return http_client.Connection(stream, is_direct=False)
+            return http_call.Connection(stream, is_direct=False)
         raise self._failure(address, race)
 
     async def connect_directly(self, address: str) -> abc.SocketStream:
@@ -172,7 +172,7 @@
 
     async def _connect_by_race(
         self, address: str, max_s: float | None
-    ) -> http_client.Connection:
+    ) -> http_call.Connection:
         async with anyio.create_task_group() as task_group:
             race = _Race(task_group.cancel_scope, self.clock.now())
             task_group.start_soon(self._race_directly, address, race)
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -13,7 +13,9 @@
 from ibisknot import event_stream
 from ibisknot import fleet_endpoint
 from ibisknot import http11
+from ibisknot import http_call
 from ibisknot import http_client
+from ibisknot import http_response
 from ibisknot import logs
 from ibisknot import placement
 from ibisknot import prompt_crash_notices
@@ -187,7 +189,7 @@
 
     def _make_call(
         self, task: Task, ticket: ticket_types.Ticket
-    ) -> http_client.Call:
+    ) -> http_call.Call:
         request = task.exchange.request
         last_event_id = task.last_event_id
 
@@ -198,15 +200,17 @@
                 organisation=(
                     task.organisation.name if task.organisation else ""
                 ),
-                remaining_s=self._caller_remaining_s(task),
+                remaining_s=_forward_task.caller_remaining_s(
+                    task, self.clock.now()
+                ),
                 last_event_id=last_event_id,
             )
             return self.dialect.encode_headers(request.headers, metadata)
 
         if task.last_event_id is not None:
-            _log_continued(task, ticket)
+            _forward_task.log_continued(task, ticket)
         request_id = task.metadata.id
-        return http_client.Call(
+        return http_call.Call(
             address=ticket.endpoint.address,
             method=request.method,
             target=request.target,
@@ -218,13 +222,6 @@
             ),
         )
 
-    def _caller_remaining_s(self, task: Task) -> float | None:
-        """Returns the seconds that are left if the caller set a deadline."""
-        if task.caller_deadline_s is None:
-            return None
-        end_s = min(task.caller_deadline_s, task.deadline_s)
-        return end_s - self.clock.now()
-
     async def _attempt(self, task: Task, ticket: ticket_types.Ticket) -> str:
         """Sends a request once and relays the response.
 
@@ -364,7 +361,7 @@
         self,
         task: Task,
         ticket: ticket_types.Ticket,
-        response: http_client.Response,
+        response: http_response.Response,
     ) -> None:
         """Relays a response to its end.
 
@@ -391,7 +388,7 @@
             self.prompt_crashes.record_completion(task.metadata.prompt_parts)
 
     async def _start_response(
-        self, task: Task, response: http_client.Response
+        self, task: Task, response: http_response.Response
     ) -> None:
         """Sends the head of the response to the caller.
 
@@ -468,20 +465,7 @@
     return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
 
 
-def _log_continued(task: Task, ticket: ticket_types.Ticket) -> None:
-    """Logs where a stream goes on, and what it has failed at before."""
-    logs.event(
-        "stream_continued",
-        request=task.metadata.id,
-        resumes=task.metadata.resumed_id,
-        endpoint=ticket.endpoint.name,
-        software=ticket.endpoint.software_version,
-        failed=sorted(task.failed_endpoints),
-        last_event=task.last_event_id,
-    )
-
-
-def _is_event_stream(response: http_client.Response) -> bool:
+def _is_event_stream(response: http_response.Response) -> bool:
     content_type = response.get_header(b"content-type") or ""
     media_type = content_type.partition(";")[0].strip().lower()
     return response.status == 200 and media_type == EVENT_STREAM
--- a/src/ibisknot/platform/key_value_store.py
+++ b/src/ibisknot/platform/key_value_store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ibisknot import errors
+from ibisknot import http_call
 from ibisknot import http_client
 from ibisknot import metrics
 from ibisknot import pairs
@@ -101,7 +102,7 @@
         """
         content = b"" if body is None else msgspec.json.encode(body)
         host = (b"Host", self.address.encode())
-        call = http_client.Call(
+        call = http_call.Call(
             address=self.address,
             method=method.encode(),
             target=target.encode(),
@@ -351,7 +352,7 @@
 
 
 def _call_error(
-    call: http_client.Call, cause: str, *, is_write: bool
+    call: http_call.Call, cause: str, *, is_write: bool
 ) -> errors.KeyValueError:
     if is_write and call.progress.sending_started:
         return errors.KeyValueUnknownError(f"no response to a write: {cause}")
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -18,6 +18,7 @@
 from ibisknot import forward
 from ibisknot import gateway
 from ibisknot import http11
+from ibisknot import http_call
 from ibisknot import http_client
 from ibisknot import http_server
 from ibisknot import peer
@@ -226,7 +227,7 @@
     tickets: ScriptedTickets,
     route: serving.Route,
     task_group: abc.TaskGroup,
-    paths: http_client.Paths | None = None,
+    paths: http_call.Paths | None = None,
 ) -> str:
     """Serves callers with a forwarder; returns its address."""
     clock = timer.Timer()
@@ -299,7 +300,7 @@
     Raises:
         EndpointError: The response is incomplete.
     """
-    request = http_client.Call(
+    request = http_call.Call(
         address=address,
         method=b"POST",
         target=b"/a/1",
@@ -350,7 +351,7 @@
     endpoints: list[ScriptedEndpoint],
     route: serving.Route,
     check: Callable[[str, ScriptedTickets], Awaitable[None]],
-    paths: http_client.Paths | None = None,
+    paths: http_call.Paths | None = None,
 ) -> None:
     """Runs a check of a forwarder before endpoints, by its address."""
 
--- a/tests/test_endpoint_connector.py
+++ b/tests/test_endpoint_connector.py
@@ -11,6 +11,7 @@
 from ibisknot import endpoint_paths
 from ibisknot import errors
 from ibisknot import http11
+from ibisknot import http_call
 from ibisknot import http_client
 
 World = list[tunnel_world.Process]
@@ -154,8 +155,8 @@
     await anyio.sleep_forever()
 
 
-def _call(endpoint: scripted.ScriptedEndpoint) -> http_client.Call:
-    return http_client.Call(
+def _call(endpoint: scripted.ScriptedEndpoint) -> http_call.Call:
+    return http_call.Call(
         address=endpoint.address,
         method=b"POST",
         target=b"/",
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -6,7 +6,7 @@
 import scripted
 
 from ibisknot import errors
-from ibisknot import http_client
+from ibisknot import http_response
 from ibisknot import prompt_crash_notices
 
 
@@ -436,7 +436,7 @@
         status, body = await scripted.send_request(address)
         assert (status, body) == (200, scripted.encode_event(1, "a"))
         # What the connection's buffers hold comes on top of the limit.
-        limit = http_client.MAX_SKIPPED_BYTES + 16 * 1024 * 1024
+        limit = http_response.MAX_SKIPPED_BYTES + 16 * 1024 * 1024
         assert sent_bytes[0] <= limit
 
     scripted.run_forwarder([first, second], scripted.make_route(), check)
--- a/tests/test_forward_paths.py
+++ b/tests/test_forward_paths.py
@@ -9,20 +9,20 @@
 from ibisknot import errors
 from ibisknot import forward
 from ibisknot import http11
-from ibisknot import http_client
+from ibisknot import http_call
 
 EVENT = scripted.encode_event(1, "a")
 
 
 def _paths(
-    connect: Callable[[str, float | None], Awaitable[http_client.Connection]],
-) -> http_client.Paths:
+    connect: Callable[[str, float | None], Awaitable[http_call.Connection]],
+) -> http_call.Paths:
     """Returns paths of which every one that breaks was lost."""
 
     async def is_lost(_address: str) -> bool:
         return True
 
-    return http_client.Paths(
+    return http_call.Paths(
         connect=connect,
         check_soon=lambda _address: None,
         is_lost=is_lost,
@@ -32,11 +32,9 @@
     )
 
 
-async def _connect(
-    address: str, _max_s: float | None
-) -> http_client.Connection:
+async def _connect(address: str, _max_s: float | None) -> http_call.Connection:
     stream = await http11.connect(address, scripted.CONNECT_TIMEOUT_S)
-    return http_client.Connection(stream)
+    return http_call.Connection(stream)
 
 
 def _endpoints(*scripts: scripted.Script) -> list[scripted.ScriptedEndpoint]:
@@ -54,7 +52,7 @@
 
     async def refuse(
         _address: str, _max_s: float | None
-    ) -> http_client.Connection:
+    ) -> http_call.Connection:
         raise errors.PathLostError("no path", ran=errors.NOT_RUN)
 
     async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
@@ -97,7 +95,7 @@
 
     async def connect_once(
         address: str, max_s: float | None
-    ) -> http_client.Connection:
+    ) -> http_call.Connection:
         calls.append(address)
         if len(calls) > 1:
             raise errors.PathLostError("no path", ran=errors.NOT_RUN)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ibisknot import errors
+from ibisknot import http_call
 from ibisknot import http_client
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -35,8 +36,8 @@
     anyio.run(main)
 
 
-def _call(address: str, **fields: object) -> http_client.Call:
-    return http_client.Call(
+def _call(address: str, **fields: object) -> http_call.Call:
+    return http_call.Call(
         address,
         b"GET",
         b"/",
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from ibisknot import http_call
 from ibisknot import http_client
 from ibisknot import http_server
 
@@ -55,7 +56,7 @@
         response = await _send_bytes(address, head + b"x" * 2000)
         assert response.startswith(b"HTTP/1.1 503")
         for _ in range(3):
-            small = http_client.Call(
+            small = http_call.Call(
                 address, b"POST", b"/", [(b"Host", b"h")], b"y" * 900
             )
             status, body = await http_client.Client().fetch(small)
