Ignore entries of endpoints that are nested deeply or out of range

Report of other operators: one odd entry among those of the engines ended the machines that read the list, or stopped their following it.

It can happen here: a deeply nested entry raised RecursionError out of the periodic read of the entries in every process; a port over 65,535 raised OverflowError when a request was sent there, in a worker out of the batch item's task; `born` over 2^63 does not fit into the messages between processes. Only MsgspecError was expected.

Change: the decoder checks ranges and catches the depth; a connection to an address that no socket takes fails as an ordinary one.

--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -164,7 +164,7 @@
             stream = await anyio.connect_tcp(
                 host, int(port), local_host=local_host
             )
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         message = f"connecting to {address} failed: {error!r}"
         raise errors.EndpointError(message, ran=errors.NOT_RUN) from None
     set_socket_options(stream)
@@ -180,7 +180,7 @@
     with anyio.move_on_after(timeout_s):
         try:
             stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             return isinstance(error.__cause__ or error, ConnectionRefusedError)
         await close_abruptly(stream)
     return False
--- a/src/ibisknot/platform/entries.py
+++ b/src/ibisknot/platform/entries.py
@@ -6,6 +6,10 @@
 from ibisknot import pairs
 
 KEY_PREFIX = "servers/"
+MAX_SLOTS = 100_000
+MAX_BORN_MS = 1 << 53
+"""Largest integer that every JSON decoder keeps exactly."""
+MAX_PORT = 65_535
 _IS_DRAINING = {"ready": False, "draining": True}
 
 
@@ -26,16 +30,14 @@
 def decode(pair: pairs.Pair) -> fleet_endpoint.Endpoint | None:
     """Decodes one entry; returns None if it is malformed.
 
-    An unknown state, less than one slot and an address without a port are
-    malformed, too.
+    Others may write below the prefix as well, so that everything that this
+    process later relies on is checked.
     """
     try:
         entry = msgspec.json.decode(pair.value, type=_Entry)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
-    is_draining = _IS_DRAINING.get(entry.State)
-    host, _, port = entry.Address.rpartition(":")
-    if is_draining is None or entry.Slots < 1 or not host or not port.isdigit():
+    if not _is_well_formed(entry):
         return None
     return fleet_endpoint.Endpoint(
         name=pair.key.removeprefix(KEY_PREFIX),
@@ -43,7 +45,29 @@
         address=entry.Address,
         data_centre=entry.Zone,
         slots=entry.Slots,
-        leaving=is_draining,
+        leaving=_IS_DRAINING[entry.State],
         born_ms=entry.born,
         software_version=entry.Version,
     )
+
+
+def _is_well_formed(entry: _Entry) -> bool:
+    """Returns whether an entry's values are in their ranges."""
+    return (
+        entry.State in _IS_DRAINING
+        and 1 <= entry.Slots <= MAX_SLOTS
+        and 0 <= entry.born <= MAX_BORN_MS
+        and _is_address(entry.Address)
+    )
+
+
+def _is_address(text: str) -> bool:
+    """Returns whether a text is a host with a port.
+
+    >>> [_is_address(t) for t in ("10.0.0.1:80", "10.0.0.1:70000", "10.0.0.1")]
+    [True, False, False]
+    """
+    host, _, port = text.rpartition(":")
+    if not host:
+        return False
+    return port.isascii() and port.isdigit() and 1 <= int(port[:6]) <= MAX_PORT
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's formats, malformed ones included."""
 
 import base64
+import json
 from typing import Any
 
 import msgspec
@@ -12,8 +13,10 @@
 from ibisknot import errors
 from ibisknot import http11
 from ibisknot import pairs
+from ibisknot import peer
 from ibisknot import request_metadata
 from ibisknot import serving
+from ibisknot.gen.fleet import ttypes
 from ibisknot.platform import configuration
 from ibisknot.platform import entries
 from ibisknot.platform import headers
@@ -76,7 +79,7 @@
         "Slots": 8,
     } | changed
     present = {k: v for k, v in fields.items() if v is not None}
-    return pairs.Pair("servers/i-1", msgspec.json.encode(present), 1)
+    return pairs.Pair("servers/i-1", json.dumps(present).encode(), 1)
 
 
 def test_entry_names_an_endpoint() -> None:
@@ -95,16 +98,50 @@
         {"Service": None},
         {"Slots": "8"},
         {"Slots": 0},
+        {"Slots": 10**18},
+        {"Slots": 10**400},
+        {"born": 10**19},
+        {"born": -1},
         {"State": "odd"},
+        {"State": ["ready"]},
         {"Address": "nowhere"},
+        {"Address": ":80"},
+        {"Address": "10.0.0.1:70000"},
+        {"Address": "10.0.0.1:0"},
+        {"Address": "10.0.0.1:\u00b2"},
+        {"Address": "10.0.0.1:" + "9" * 5000},
         {"Address": 5},
     ],
+    ids=str,
 )
 def test_entry_with_invalid_fields_is_ignored(changed: Any) -> None:
     """Guards against one malformed entry that hides the others."""
     assert entries.decode(_encode_entry(**changed)) is None
 
 
+@pytest.mark.parametrize("field", ["Slots", "Unknown"])
+def test_deeply_nested_entry_is_ignored(field: str) -> None:
+    """Guards against one entry that ends each process that reads the list."""
+    nested = b'{"%s": %s}' % (
+        field.encode(),
+        b"[" * 100_000 + b"]" * 100_000,
+    )
+    assert entries.decode(pairs.Pair("servers/i-1", nested, 1)) is None
+
+
+def test_entry_with_odd_characters_is_sent_to_peers() -> None:
+    """Guards against an entry that ends the messages between processes."""
+    endpoint = entries.decode(_encode_entry(Version="\ud800"))
+    assert endpoint is None or peer.encode(
+        ttypes.StreamOrigin(
+            known=True,
+            software=endpoint.software_version,
+            recent=[],
+            complete=True,
+        )
+    )
+
+
 def test_endpoint_headers_hide_the_key_and_name_the_organisation() -> None:
     """Guards against a key sent to an engine, and a forged organisation."""
     caller_headers: http11.Headers = [
