Test that a head which ends in its middle is no response

Report of other operators: an engine stopped in the middle of its answer's head, and callers got a 200 with an empty body, framed as whole.

It does not happen in the client that the gateways and workers use: the test cuts a head at each of its bytes, with an end and with a reset, and every call fails. The product's own interface (httpx) was not tried.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ibisknot import errors
+from ibisknot import http11
 from ibisknot import http_call
 from ibisknot import http_client
 
@@ -140,3 +141,42 @@
         assert len(opened) == 2
 
     _run(script, check)
+
+
+SIZED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"X-Ibisknot-Request-Id: r1\r\nContent-Length: 12\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_head_that_ends_in_its_middle_is_no_response(is_reset: bool) -> None:
+    """Guards against a cut head that is relayed as a whole, empty answer."""
+
+    async def check() -> None:
+        async with anyio.create_task_group() as task_group:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            sizes = iter(range(len(SIZED_HEAD)))
+
+            async def serve(stream: anyio.abc.SocketStream) -> None:
+                async with stream:
+                    await stream.receive()
+                    await stream.send(SIZED_HEAD[: next(sizes)])
+                    if is_reset:
+                        http11.reset_on_close(stream)
+
+            task_group.start_soon(listener.serve, serve)
+            client = http_client.Client(connect_timeout_s=5.0)
+            for _ in range(len(SIZED_HEAD)):
+                call = http_call.Call(
+                    address=f"127.0.0.1:{port}",
+                    method=b"POST",
+                    target=b"/",
+                    headers=[(b"Host", b"h")],
+                )
+                with pytest.raises(errors.EndpointError):
+                    await client.fetch(call)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(check)
