Publish the first configuration of a worker again

Their first update also tells the others of the members; without it two gateways of a fleet that had just started knew only themselves for a second, chose endpoints alone, and no scheduler heard of the streams that they began.

Ruled out: the lookup of origins, which was being changed at that moment.

The new case of test_first_configuration_is_published_by_workers_only fails without it.

--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -183,11 +183,8 @@
         due_s = fleetview.poll_due_s(self.view, self.own_member.name)
         if now < max(due_s, self.next_poll_s):
             return
-        started_s = self.clock.now()
         try:
-            listing = await self.direct_store.list_prefix(
-                self.layout.endpoints_prefix
-            )
+            await self.read_entries()
         except errors.KeyValueError as error:
             self._record_reachability(False, error.message)
             self.failed_polls += 1
@@ -195,12 +192,23 @@
             self.next_poll_s = self.clock.now() + pause_s
             return
         self.failed_polls = 0
+        # The next read does not wait for members that do not answer.
+        self.task_group.start_soon(self.exchange.publish)
+
+    async def read_entries(self) -> None:
+        """Reads the entries from the store and adopts them.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        started_s = self.clock.now()
+        listing = await self.direct_store.list_prefix(
+            self.layout.endpoints_prefix
+        )
         self._record_reachability(True)
         age_s = self.clock.now() - started_s
         self._confirm_configuration(age_s)
         self._adopt_entries(listing.revision, age_s, listing.pairs)
-        # The next read does not wait for members that do not answer.
-        self.task_group.start_soon(self.exchange.publish)
 
     def _adopt_entries(
         self, revision: int, age_s: float, entries: list[pairs.Pair]
@@ -310,17 +318,15 @@
                 source=source,
             )
             self._run_callbacks(self.configuration_callbacks)
-            if not is_first and self._publishes_configuration(source):
+            if self._is_publisher() or (source == STORE and not is_first):
                 self.task_group.start_soon(self.exchange.publish)
 
-    def _publishes_configuration(self, source: str) -> bool:
-        """Returns whether this process sends a new configuration to all.
+    def _is_publisher(self) -> bool:
+        """Returns whether this process sends each new configuration to all.
 
-        A gateway that has it from the store follows the operator's keys for
-        others that do not hear from a worker either.
+        Any other one that has a change from the store follows the operator's
+        keys because it hears from no worker, and sends it to all as well.
         """
-        if source == STORE and self.process.kind != deployment.WORKER:
-            return True
         name = self.own_member.name
         return fleetview.reader_position(self.view, name) < MAX_PUBLISHERS
 
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -265,6 +265,21 @@
     assert len(_receivers(world)) == sends
 
 
+@pytest.mark.parametrize(("name", "sends"), [("w0", 3), ("g1", 0)])
+def test_first_configuration_is_published_by_workers_only(
+    name: str, sends: int
+) -> None:
+    """Guards against a start that is slow, and one that floods the fleet.
+
+    With the update the others learn of the members as well.
+    """
+    world = _World(name)
+    world.view.configuration = None
+    world.runner.adopt_configuration(7, b"new", view_runner.STORE)
+    anyio.run(world.task_group.run)
+    assert len(_receivers(world)) == sends
+
+
 @pytest.mark.parametrize(
     ("follower", "is_followed"), [("w1", False), ("g1", True)]
 )
