Let a scheduler that has read no endpoints refuse nothing

What callers would see: 503 "no endpoint serves llm" for requests, and for streams that they take up, in the first moment after all processes have started again, although the gateway itself knows endpoints.

Cause: a scheduler answers UNSERVED when its service has no endpoints, also when it has not read any yet.

Change: it answers with an error instead, so that the gateway asks the next scheduler or chooses the endpoint itself. The test test_scheduler_that_has_read_nothing_refuses_no_request fails without it.

--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -16,6 +16,8 @@
 from ibisknot import pairs
 from ibisknot import serving
 
+NEVER_S = -1e9
+"""Monotonic time of what has not happened yet."""
 OUTAGE_THRESHOLD_S = 2.0
 """A longer gap between two reads of the entries counts as a store outage."""
 REREGISTRATION_S = 2.2
@@ -90,18 +92,18 @@
     configuration: serving.Configuration | None = None
     encoded_configuration: bytes = b""
     configuration_revision: int = 0
-    configuration_confirmed_s: float = -1e9
+    configuration_confirmed_s: float = NEVER_S
     configuration_follower: str = ""
     entries: dict[str, pairs.Pair] = dataclasses.field(default_factory=dict)
     endpoints: dict[str, fleet_endpoint.Endpoint] = dataclasses.field(
         default_factory=dict
     )
     endpoints_revision: int = 0
-    endpoints_read_s: float = -1e9
+    endpoints_read_s: float = NEVER_S
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     members_revision: int = 0
-    members_read_s: float = -1e9
-    store_recovered_s: float = -1e9
+    members_read_s: float = NEVER_S
+    store_recovered_s: float = NEVER_S
 
 
 def adopt_configuration(
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -147,7 +147,14 @@
         self._apply(service, actions)
 
     async def on_request(self, request: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
-        """Peer method: grants, queues or refuses a request for a ticket."""
+        """Peer method: grants, queues or refuses a request for a ticket.
+
+        Raises:
+            UnavailableError: This process has just started and knows no
+                endpoints yet; the holder knows some.
+        """
+        if self.view.endpoints_read_s == fleetview.NEVER_S:
+            raise errors.UnavailableError("the endpoints were not read yet")
         service = self.service(request.group)
         service.last_request_s = self.clock.now()
         self._await_first_report(request.holder)
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -11,6 +11,9 @@
 from ibisknot import fleetview
 from ibisknot.gen.fleet import ttypes
 
+START_S = 100.0
+"""Time of a new clock."""
+
 
 def endpoint(
     name: str, *, slots: int = 2, software: str = "v1"
@@ -35,8 +38,8 @@
 def view(
     *, endpoints: int = 1, gateways: int = 2, workers: int = 2
 ) -> fleetview.View:
-    """Returns a view of a fleet."""
-    fleet_view = fleetview.View()
+    """Returns a view of a fleet whose endpoints were just read."""
+    fleet_view = fleetview.View(endpoints_read_s=START_S)
     fleet_view.endpoints = {
         f"e{n}": endpoint(f"e{n}") for n in range(endpoints)
     }
@@ -111,7 +114,7 @@
 class Clock:
     """A clock that the test sets; the test also runs the periodic callbacks."""
 
-    time_s: float = 100.0
+    time_s: float = START_S
     callbacks: dict[str, Callable[[float], Any]] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,6 +7,7 @@
 import fake_fleet
 import pytest
 
+from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import rates
 from ibisknot import scheduler
@@ -53,6 +54,19 @@
     anyio.run(main)
 
 
+def test_scheduler_that_has_read_nothing_refuses_no_request() -> None:
+    """Guards against a new scheduler that says that nothing serves."""
+
+    async def main() -> None:
+        view = fake_fleet.view(endpoints=1)
+        view.endpoints_read_s = fleetview.NEVER_S
+        worker, _, _, _ = _make_scheduler(view)
+        with pytest.raises(errors.UnavailableError):
+            await worker.on_request(fake_fleet.place_ask(0))
+
+    anyio.run(main)
+
+
 def test_request_that_would_be_late_is_refused_at_once() -> None:
     """Guards against refusing a caller only after its objective."""
 
