Read the software that serves before a stream's origin is guessed

It can happen here: a gateway to which no other process answered guessed the only version that it knew if its view was at most 1 s old. A new version can come, begin a stream and fail within that second; and after a suspension the age is wrong, as the monotonic clock does not count it.

Change: if no process says that it knows all, the gateway reads the endpoints' entries and the record of the software from the store, after the search has begun, and only then takes one version for the only one. If that fails, the stream is refused for a moment, as not run. One read serves all searches that began before it; nothing is read while a scheduler answers.

Tests: test_gateway_out_of_step_does_not_guess_the_old_version fails without the change. test_gateway_that_is_cut_off_trusts_only_a_fresh_view accepted an age of 0.5 s, which is what was wrong; it is replaced by test_gateway_that_is_cut_off_trusts_only_what_it_reads_now, which accepts no age. Remaining: a scheduler that is itself out of step and is the only one to answer is believed.

--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -149,6 +149,15 @@
         software = software_records.Keeper(
             process.name, store, view, history, clock.now
         )
+
+        async def refresh_software() -> bool:
+            try:
+                await runner.read_entries()
+                await software.refresh()
+            except errors.KeyValueError:
+                return False
+            return True
+
         started = Node(
             process=process,
             task_group=task_group,
@@ -176,6 +185,7 @@
                 clock.now,
                 schedulers=tickets.schedulers,
                 others=runner.other_members,
+                refresh=refresh_software,
             ),
             tunnels=tunnels,
             stop_requested=stop_requested,
--- a/src/ibisknot/software_records.py
+++ b/src/ibisknot/software_records.py
@@ -86,6 +86,15 @@
                 "software_record_failed", level="warning", cause=error.message
             )
 
+    async def refresh(self) -> None:
+        """Adds what other processes have recorded to the history.
+
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+        self.observe()
+        await self._read()
+
     def _is_write_due(self, now: float) -> bool:
         """Returns whether this process should write the record."""
         position = fleetview.reader_position(self.view, self.own_name)
--- a/src/ibisknot/stream_lookup.py
+++ b/src/ibisknot/stream_lookup.py
@@ -6,10 +6,12 @@
 the stream.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import math
 
 import anyio
 
@@ -32,8 +34,6 @@
 RETRY_PAUSE_S = 0.1
 MAX_OTHERS_ASKED = 32
 """Other processes that are asked if no scheduler knows the stream."""
-MAX_VIEW_AGE_S = 1.0
-"""Age of the endpoints above which a process that is cut off cannot tell."""
 UNANSWERED_RETRY_AFTER_S = 0.5
 
 
@@ -44,6 +44,7 @@
     Attributes:
         stream_id: Id of the stream; empty if the caller does not name it.
         services: Names of the services that may have begun it.
+        started_s: Time at which the search began.
         end_s: Time at which the search ends.
         others_asked: Whether processes other than schedulers were asked.
         schedulers: Number of schedulers that were asked last.
@@ -55,6 +56,7 @@
 
     stream_id: str
     services: Collection[str]
+    started_s: float
     end_s: float
     others_asked: bool = False
     schedulers: int = 0
@@ -89,6 +91,10 @@
         clock: Returns the monotonic time.
         schedulers: Returns the schedulers.
         others: Returns the other processes of the fleet.
+        refresh: Reads from the store which software serves and has served;
+            returns whether that succeeded.
+        refresh_lock: Held during such a read.
+        refreshed_s: Time at which the last such read that succeeded began.
     """
 
     def __init__(
@@ -102,7 +108,11 @@
         *,
         schedulers: Callable[[], list[fleetview.Member]],
         others: Callable[[], list[fleetview.Member]],
+        refresh: Callable[[], Awaitable[bool]],
     ) -> None:
+        self.refresh = refresh
+        self.refresh_lock = anyio.Lock()
+        self.refreshed_s = -math.inf
         self.table = table
         self.history = history
         self.records = records
@@ -155,7 +165,8 @@
         own = self.table.find(stream_id)
         if own is not None:
             return own
-        search = _Search(stream_id, services, anyio.current_time() + MAX_WAIT_S)
+        started_s = anyio.current_time()
+        search = _Search(stream_id, services, started_s, started_s + MAX_WAIT_S)
         while True:
             found = await self._look_once(search)
             if found is not None:
@@ -177,8 +188,13 @@
         """Asks once all that may know; returns what they know, or None."""
         schedulers = self.schedulers()
         answers = await self._ask(schedulers, search.stream_id)
+        is_complete = any(answer.complete for answer in answers)
+        if not (is_complete or _latest(answers)):
+            is_complete = await self._has_refreshed(search)
         candidates = self._candidates(search.services, answers)
-        found = _latest(answers) or self._only_one(candidates, answers)
+        found = _latest(answers)
+        if found is None and is_complete:
+            found = _only_one(candidates)
         if found is None and schedulers and search.may_ask_others():
             search.others_asked = True
             others = self._others_than(schedulers)
@@ -188,9 +204,24 @@
         search.schedulers = len(schedulers)
         search.answered = len(answers)
         search.candidates = sorted(candidates)
-        search.is_complete = self._is_complete(answers)
+        search.is_complete = is_complete
         return found
 
+    async def _has_refreshed(self, search: _Search) -> bool:
+        """Returns whether all software that has served lately is known here.
+
+        Nobody else says so, and this process may have been cut off or
+        suspended without knowing it: only what was read from the store since
+        the search began shows it.
+        """
+        async with self.refresh_lock:
+            if self.refreshed_s < search.started_s:
+                started_s = anyio.current_time()
+                if not await self.refresh():
+                    return False
+                self.refreshed_s = started_s
+        return software_history.is_complete(self.history, self.clock())
+
     async def _find_in_records(
         self, search: _Search
     ) -> stream_origins.Origin | None:
@@ -245,24 +276,15 @@
             seen |= software_records.from_wire(answer.recent)
         return {(service, v) for service, v in seen if service in services}
 
-    def _is_complete(self, answers: list[ttypes.StreamOrigin]) -> bool:
-        """Returns whether all that may have begun a stream has been seen."""
-        if any(answer.complete for answer in answers):
-            return True
-        now = self.clock()
-        is_fresh = now - self.view.endpoints_read_s <= MAX_VIEW_AGE_S
-        return is_fresh and software_history.is_complete(self.history, now)
 
-    def _only_one(
-        self,
-        candidates: set[tuple[str, str]],
-        answers: list[ttypes.StreamOrigin],
-    ) -> stream_origins.Origin | None:
-        """Returns the software of a stream if there is no other, or None."""
-        if len(candidates) != 1 or not self._is_complete(answers):
-            return None
-        (candidate,) = candidates
-        return stream_origins.Origin(*candidate, number=0)
+def _only_one(
+    candidates: set[tuple[str, str]],
+) -> stream_origins.Origin | None:
+    """Returns the software of a stream if there is no other, or None."""
+    if len(candidates) != 1:
+        return None
+    (candidate,) = candidates
+    return stream_origins.Origin(*candidate, number=0)
 
 
 def _unknown_error(*, is_settled: bool) -> errors.UnavailableError:
--- a/tests/test_stream_lookup.py
+++ b/tests/test_stream_lookup.py
@@ -28,12 +28,16 @@
         lookups: The lookup of each process, by its name.
         asked: Addresses of the processes that were asked.
         store: Has the records of streams.
+        registered: Services and versions that the store lists.
+        refreshes: Number of reads of these.
     """
 
     def __init__(self, **sizes: int) -> None:
         self.clock = fake_fleet.Clock()
         self.peers = fake_fleet.Peers()
         self.store = fake_pairs_store.FakeStore()
+        self.registered: set[tuple[str, str]] = set()
+        self.refreshes = 0
         self.view = fake_fleet.view(**sizes)
         self.view.endpoints_read_s = self.clock.now()
         self.peers.answers["stream_origin"] = lambda address, message: (
@@ -48,20 +52,30 @@
             workers = [m for m in members if m.kind == "worker"]
             return workers[: placement.MAX_SCHEDULERS]
 
+        history = software_history.History(has_record=True)
+
+        async def refresh() -> bool:
+            self.refreshes += 1
+            if not self.store.is_down:
+                history.gone_s |= dict.fromkeys(self.registered, math.inf)
+            return not self.store.is_down
+
         table = stream_origins.Table()
         return stream_lookup.Lookup(
             table,
-            software_history.History(has_record=True),
+            history,
             stream_records.Reader(self.store, table, self.clock.now),
             self.view,
             self.peers,  # type: ignore[arg-type]
             self.clock.now,
             schedulers=schedulers,
             others=lambda: [m for m in members if m.name != name],
+            refresh=refresh,
         )
 
     def see(self, *software: tuple[str, str]) -> None:
         """Lets all processes see software of services."""
+        self.registered = set(software)
         for lookup in self.lookups.values():
             lookup.history.gone_s = dict.fromkeys(software, math.inf)
 
@@ -183,24 +197,45 @@
     assert fleet.find(services=("s", "t")) is None
 
 
-@pytest.mark.parametrize(
-    ("age_s", "is_found"),
-    [(0.5, True), (2 * stream_lookup.MAX_VIEW_AGE_S, False)],
-)
-def test_gateway_that_is_cut_off_trusts_only_a_fresh_view(
-    age_s: float, *, is_found: bool
+@pytest.mark.parametrize("is_store_down", [True, False])
+def test_gateway_that_is_cut_off_trusts_only_what_it_reads_now(
+    *, is_store_down: bool
 ) -> None:
-    """Guards against a version that came after the cut."""
+    """Guards against a version that came after the cut.
+
+    The age of what is known does not tell: a process that was suspended takes
+    it for less than it is.
+    """
     fleet = _Fleet()
     fleet.see(("s", "v1"))
     fleet.peers.unresponsive = {m.address for m in fleet.view.members.values()}
-    fleet.clock.time_s += age_s
-    assert (fleet.find() is not None) == is_found
-    if not is_found:
+    fleet.store.is_down = is_store_down
+    assert (fleet.find() is not None) != is_store_down
+    if is_store_down:
         # Another gateway may know more.
         assert fleet.retry_after_s is not None
 
 
+def test_gateway_out_of_step_does_not_guess_the_old_version() -> None:
+    """Guards against a stream that goes on at other software.
+
+    Endpoints of a new version joined while the gateway was cut off.
+    """
+    fleet = _Fleet()
+    fleet.see(("s", "v1"))
+    fleet.peers.unresponsive = {m.address for m in fleet.view.members.values()}
+    fleet.registered.add(("s", "v2"))
+    assert fleet.find() is None
+
+
+def test_software_is_not_read_while_a_scheduler_answers() -> None:
+    """Guards against a price for days on which nobody is cut off."""
+    fleet = _Fleet()
+    fleet.see(("s", "v1"))
+    assert fleet.find() is not None
+    assert fleet.refreshes == 0
+
+
 def test_own_stream_is_found_without_a_message() -> None:
     """Guards against refusals by a gateway that is cut off."""
     fleet = _Fleet()
