Do not end the stream of an endpoint that is silent for a second

What callers saw: a sound engine may be silent for a second or so and go on. After 1.0 s without an event its stream was ended and went on elsewhere, and two such streams closed the endpoint to all gateways.

Change: the shortest time without progress is 1.6 s. A caller's objective is missed after 1.0 s as well, so that a dead endpoint costs no answer that would have been on time.

The new case of test_slow_stream_is_not_cut, a pause of 1.3 s on a route that intends 0.4 s, fails before; the old case stays.

--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -24,8 +24,11 @@
 from ibisknot import ticket_types
 from ibisknot import timer
 
-MIN_STALL_TIMEOUT_S = 1.0
-"""Time without progress after which a retry at another endpoint begins."""
+MIN_STALL_TIMEOUT_S = 1.6
+"""Time without progress after which a retry at another endpoint begins.
+
+A sound endpoint may be silent for a second.
+"""
 STALL_GAPS = 2.0
 """A stream is stalled after this many of its longest intended pauses."""
 MIN_REMAINING_S = 0.03
@@ -458,7 +461,7 @@
     >>> import dataclasses
     >>> route = serving.Route("r", "h", "/", serving.STREAM, ())
     >>> stall_timeout_s(route)
-    1.0
+    1.6
     >>> stall_timeout_s(dataclasses.replace(route, event_gap_target_s=2.0))
     4.0
     """
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -386,8 +386,12 @@
     scripted.run_forwarder([first, second], scripted.make_route(), check)
 
 
-def test_slow_stream_within_its_intended_pauses_is_not_cut() -> None:
-    """Guards against sound streams that are cut because they are slow."""
+@pytest.mark.parametrize("event_gap_target_s", [0.4, 1.5])
+def test_slow_stream_is_not_cut(event_gap_target_s: float) -> None:
+    """Guards against sound streams that are cut because they are slow.
+
+    A pause may be intended, and a sound endpoint may be silent for a second.
+    """
     events = [scripted.encode_event(n, "a") for n in (1, 2)]
     first = scripted.ScriptedEndpoint(
         "e1", [_script_paced(*events, pause_s=1.3)]
@@ -399,7 +403,9 @@
         assert second.received_heads == []
 
     scripted.run_forwarder(
-        [first, second], scripted.make_route(event_gap_target_s=1.5), check
+        [first, second],
+        scripted.make_route(event_gap_target_s=event_gap_target_s),
+        check,
     )
 
 
