--- a/src/ibisknot/_scheduler_messages.py
+++ b/src/ibisknot/_scheduler_messages.py
@@ -1,5 +1,6 @@
 """Messages between the scheduler and the holders of tickets."""
 
+from ibisknot import _service
 from ibisknot import admission
 from ibisknot.gen.fleet import ttypes
 
@@ -53,3 +54,16 @@
         alone=alone,
         software=software,
     )
+
+
+def grant(
+    service: _service.Service, ticket: admission.Ticket
+) -> ttypes.PlaceAnswer:
+    """Returns the message that grants a ticket."""
+    return answer(
+        ticket.id,
+        ttypes.PlaceState.GRANTED,
+        ticket.endpoint,
+        alone=ticket.exclusive,
+        software=service.software_version(ticket.endpoint),
+    )
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -244,7 +244,7 @@
             granted,
         )
         if granted:
-            return _grant_message(service, granted[0])
+            return _scheduler_messages.grant(service, granted[0])
         if request.id in service.requesters:
             return _scheduler_messages.answer(request.id, State.QUEUED)
         return self._refuse(service, request, now)
@@ -457,7 +457,9 @@
     def _notify_granted(
         self, service: _service.Service, ticket: admission.Ticket
     ) -> None:
-        self._notify_decided(ticket.holder, _grant_message(service, ticket))
+        self._notify_decided(
+            ticket.holder, _scheduler_messages.grant(service, ticket)
+        )
 
     def _notify_refused(
         self, service: _service.Service, refusal: admission.Refuse, holder: str
@@ -488,16 +490,3 @@
             logs.event(
                 "push_failed", peer=address, method=method, cause=error.message
             )
-
-
-def _grant_message(
-    service: _service.Service, ticket: admission.Ticket
-) -> ttypes.PlaceAnswer:
-    """Returns the message that grants a ticket."""
-    return _scheduler_messages.answer(
-        ticket.id,
-        State.GRANTED,
-        ticket.endpoint,
-        alone=ticket.exclusive,
-        software=service.software_version(ticket.endpoint),
-    )
