Keep calls on connections that outlive the path for new ones

Cause: when a path was known as lost, a call that had been silent for 0.3 s was ended, also on a connection that had been opened before and still works, and also when the route does not let it run again. Found by reading the diff; a cut may leave open connections alive.

Change: only calls that may run again end at once; others end when no endpoint at all has sent data for 1 s. test_call_that_may_run_once_outlives_the_path_for_new_connections fails without it.

With it, from the same reading: a tunnel that was opened at the moment at which the direct connection won is closed, and did leak before; a worker that stops waits for its tunnels as a gateway does (test_process_that_stops_waits_for_its_tunnels).

--- a/src/ibisknot/endpoint_connector.py
+++ b/src/ibisknot/endpoint_connector.py
@@ -260,34 +260,33 @@
         """
         members = self._helpers_for(address)
         failed = [anyio.Event() for _ in members]
-        async with anyio.create_task_group() as task_group:
-            inner = _Race(task_group.cancel_scope, race.started_s)
-
-            async def ask(index: int) -> None:
-                if index + 1 < len(members):
-                    task_group.start_soon(ask_next, index + 1)
-                if not await self._ask_helper(
-                    members[index], address, max_s, inner
-                ):
-                    failed[index].set()
-
-            async def ask_next(index: int) -> None:
-                with anyio.move_on_after(HELPER_STAGGER_S):
-                    await failed[index - 1].wait()
-                await ask(index)
-
-            if members:
-                task_group.start_soon(ask, 0)
-        race.is_confirmed = race.is_confirmed or inner.is_confirmed
-        if inner.winner is None:
-            return None
-        stream = inner.winner.stream
+        inner = _Race(anyio.CancelScope(), race.started_s)
+
+        async def ask(task_group: abc.TaskGroup, index: int) -> None:
+            if index + 1 < len(members):
+                task_group.start_soon(ask_next, task_group, index + 1)
+            if not await self._ask_helper(
+                members[index], address, max_s, inner
+            ):
+                failed[index].set()
+
+        async def ask_next(task_group: abc.TaskGroup, index: int) -> None:
+            with anyio.move_on_after(HELPER_STAGGER_S):
+                await failed[index - 1].wait()
+            await ask(task_group, index)
+
         try:
+            async with anyio.create_task_group() as task_group:
+                inner.scope = task_group.cancel_scope
+                if members:
+                    task_group.start_soon(ask, task_group, 0)
             await lowlevel.checkpoint_if_cancelled()
         except BaseException:
-            await http11.close_abruptly(stream)
+            if inner.winner is not None:
+                await http11.close_abruptly(inner.winner.stream)
             raise
-        return stream
+        race.is_confirmed = race.is_confirmed or inner.is_confirmed
+        return None if inner.winner is None else inner.winner.stream
 
     async def _ask_helper(
         self,
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -136,12 +136,8 @@
     server.start_closing()
     await anyio.sleep(BALANCER_NOTICE_S)
     caller_gateway.is_stopping = True
-    tunnels = gateway_node.tunnels
-    await _wait_until(
-        lambda: not server.active_requests and not tunnels.open_tunnels,
-        gateway_node,
-        end_s,
-    )
+    await _wait_until(lambda: not server.active_requests, gateway_node, end_s)
+    await gateway_node.tunnels.drain(end_s)
     # Connections that were accepted until now still get an answer.
     server.stop_accepting()
     await _wait_until(
--- a/src/ibisknot/http_response.py
+++ b/src/ibisknot/http_response.py
@@ -25,6 +25,8 @@
 LATE_READ_TIMEOUT_S = 0.05
 SILENCE_S = 0.3
 """Time without data after which the path to a server is doubted."""
+ALL_SILENT_S = 1.0
+"""Time without data of all servers that ends every call on a lost path."""
 
 
 class Response:
@@ -124,14 +126,23 @@
             PathLostError: The path was lost.
         """
         self.is_silent = True
-        if self.is_path_lost or paths.is_known_lost(self.call.address):
+        is_lost = self.is_path_lost or paths.is_known_lost(self.call.address)
+        if is_lost and (self._may_run_again() or paths.is_silent(ALL_SILENT_S)):
             raise http11.PathLostError
         if paths.is_silent(SILENCE_S):
             paths.check_soon(self.call.address)
 
+    def _may_run_again(self) -> bool:
+        """Returns whether the call is repeated if it fails now.
+
+        Another one is ended later: connections may outlive the path for new
+        ones.
+        """
+        return self.call.read_timeout_s is not None
+
     def end_silent_read(self) -> None:
         """Ends a read that waits on a path that was lost."""
-        if self.is_silent:
+        if self.is_silent and self._may_run_again():
             self.is_path_lost = True
             self.silent_scope.cancel()
 
--- a/src/ibisknot/tunnel_server.py
+++ b/src/ibisknot/tunnel_server.py
@@ -19,6 +19,7 @@
 from ibisknot.gen.peer import ttypes as peer_ttypes
 
 MAX_TUNNELS = 256
+DRAIN_POLL_PERIOD_S = 0.05
 RECENT_S = 1.0
 """Age up to which received data shows that this process has links."""
 
@@ -52,6 +53,12 @@
         """Registers the peer method."""
         server.on_stream(tunnel.METHOD, self.serve)
 
+    async def drain(self, end_s: float) -> None:
+        """Waits until no tunnel is open, at most until a monotonic time."""
+        clock = self.connector.clock
+        while self.open_tunnels and clock.now() < end_s:
+            await anyio.sleep(DRAIN_POLL_PERIOD_S)
+
     async def serve(
         self,
         stream: abc.ByteStream,
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -82,3 +82,4 @@
             - EXIT_MARGIN_S
         )
         await batch_drain.drain(worker, end_s)
+        await worker_node.tunnels.drain(end_s)
--- a/tests/test_endpoint_connector.py
+++ b/tests/test_endpoint_connector.py
@@ -155,8 +155,11 @@
     await anyio.sleep_forever()
 
 
-def _call(endpoint: scripted.ScriptedEndpoint) -> http_call.Call:
+def _call(
+    endpoint: scripted.ScriptedEndpoint, *, may_run_again: bool = True
+) -> http_call.Call:
     return http_call.Call(
+        read_timeout_s=30.0 if may_run_again else None,
         address=endpoint.address,
         method=b"POST",
         target=b"/",
@@ -190,6 +193,33 @@
     _run(check)
 
 
+def test_call_that_may_run_once_outlives_the_path_for_new_connections() -> None:
+    """Guards against answers that are cut although they still arrive."""
+
+    async def answer_late(stream: object, _head: bytes) -> None:
+        await anyio.sleep(0.7)
+        await scripted.script_bytes(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        )(stream, b"")  # type: ignore[arg-type]
+
+    async def check(processes: World, endpoints: Endpoints) -> None:
+        connector = processes[0].connector
+        endpoints[0].scripts = [answer_late]
+        client = _client(processes[0])
+
+        async def lose_path() -> None:
+            await anyio.sleep(0.1)
+            connector._record_received()
+            connector._record_lost(endpoints[0].address)
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(lose_path)
+            call = _call(endpoints[0], may_run_again=False)
+            assert await client.fetch(call) == (200, b"ok")
+
+    _run(check)
+
+
 def test_silent_endpoint_is_not_taken_for_a_lost_path() -> None:
     """Guards against a cut answer of a sound endpoint that pauses."""
 
--- a/tests/test_tunnel_server.py
+++ b/tests/test_tunnel_server.py
@@ -141,6 +141,24 @@
     _run(wait_for_end, check)
 
 
+def test_process_that_stops_waits_for_its_tunnels() -> None:
+    """Guards against streams that are cut by the planned stop of a helper."""
+
+    async def main() -> None:
+        endpoint = scripted.ScriptedEndpoint("e0", [])
+        async with tunnel_world.fleet(endpoint) as (caller, helper):
+            _, stream = await _open(caller, endpoint.address)
+            assert stream is not None
+            clock = helper.connector.clock
+            await helper.tunnels.drain(clock.now() + 0.1)
+            assert helper.tunnels.open_tunnels == 1
+            await http11.close_abruptly(stream)
+            await helper.tunnels.drain(clock.now() + 10.0)
+            assert helper.tunnels.open_tunnels == 0
+
+    anyio.run(main)
+
+
 def test_tunnel_ends_at_the_deadline_of_its_request() -> None:
     """Guards against work for a caller that vanished without a word."""
 
