Confirm the configuration only while the wait for changes is trusted

What callers would see: changes that are not in force for 5 to 7 s after a worker's cut from the store has healed, although it says that its configuration is the newest, so that no gateway looks for itself.

Cause: a worker confirmed the configuration after each read of the entries while its wait for changes was open. A wait that hangs on a connection from before a cut looks open until keep-alive ends it; the success of other calls stood for its own. The opposite happened as well: after a wait that failed, the keys were followed again without being called so, and gateways followed the store beside a sound worker for good.

Change: a read of the entries that fails ends the wait, and after every failure all keys are read anew before the process confirms anything.

Tests: test_wait_that_may_be_cut_confirms_nothing and test_keys_are_followed_again_after_a_failed_wait; both fail without it.

--- a/src/ibisknot/operator_watch.py
+++ b/src/ibisknot/operator_watch.py
@@ -32,6 +32,7 @@
             the seconds since then.
         is_following: Whether all keys were read and their changes are being
             waited for.
+        wait_scope: Cancelled to end the wait for changes; None before it.
     """
 
     def __init__(
@@ -51,13 +52,14 @@
         self.on_reachability = on_reachability
         self.on_current = on_current
         self.is_following = False
+        self.wait_scope: anyio.CancelScope | None = None
         self.rng = random.Random()
 
     async def run(self) -> None:
         """Follows the keys until cancelled.
 
-        Reads all keys first, and again when the changes since the last known
-        revision are unknown.
+        Reads all keys first, and again after a failure and when the changes
+        since the last known revision are unknown.
         """
         after_revision = 0
         while True:
@@ -73,15 +75,31 @@
                     self.on_reachability(True, "")
                     self._set_following(True)
                     self.on_current(anyio.current_time() - started_s)
-                after_revision = await self._wait_for_changes(after_revision)
+                with anyio.CancelScope() as self.wait_scope:
+                    after_revision = await self._wait_for_changes(
+                        after_revision
+                    )
+                    continue
+                after_revision = 0
+                self._set_following(False, "other calls of the store failed")
             except errors.HistoryGoneError:
                 after_revision = 0
             except errors.KeyValueError as error:
+                after_revision = 0
                 self.on_reachability(False, error.message)
                 self._set_following(False, error.message)
                 pause_s = self.rng.uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S)
                 await anyio.sleep(pause_s)
 
+    def distrust(self) -> None:
+        """Reads all keys anew, because other calls of the service failed.
+
+        What they show may have happened to the wait for changes as well, which
+        would go on without a sign.
+        """
+        if self.is_following and self.wait_scope is not None:
+            self.wait_scope.cancel()
+
     def _set_following(self, is_following: bool, cause: str = "") -> None:
         """Records whether the keys are followed, and logs each change."""
         if is_following == self.is_following:
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -187,6 +187,7 @@
             await self.read_entries()
         except errors.KeyValueError as error:
             self._record_reachability(False, error.message)
+            self.operator_watch.distrust()
             self.failed_polls += 1
             pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * self.failed_polls)
             self.next_poll_s = self.clock.now() + pause_s
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -8,9 +8,11 @@
 import pytest
 
 from ibisknot import deployment
+from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http_server
 from ibisknot import operator_watch
+from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import registration
 from ibisknot import serving
@@ -310,6 +312,61 @@
     assert not world.runner._needs_own_watch()
 
 
+def test_keys_are_followed_again_after_a_failed_wait() -> None:
+    """Guards against a worker after which all gateways follow the store."""
+    world = _World("w1")
+    watch = world.runner.operator_watch
+    wait_for_changes = world.store.changes
+
+    async def fail_once(
+        prefix: str, after: int, wait_s: float
+    ) -> pairs.Changes:
+        world.store.changes = wait_for_changes  # type: ignore[method-assign]
+        raise errors.KeyValueError("the wait was cut")
+
+    async def main() -> None:
+        world.store.changes = fail_once  # type: ignore[method-assign]
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(watch.run)
+            await anyio.wait_all_tasks_blocked()
+            assert not watch.is_following
+            with anyio.fail_after(10.0):
+                while not watch.is_following:
+                    await anyio.sleep(0.01)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_wait_that_may_be_cut_confirms_nothing() -> None:
+    """Guards against an old configuration that a worker calls the newest.
+
+    Its wait for changes hangs on a connection from before a cut.
+    """
+    world = _World("w1")
+    watch = world.runner.operator_watch
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(watch.run)
+            await anyio.wait_all_tasks_blocked()
+            assert watch.is_following
+            world.store.is_down = True
+            world.clock.time_s += fleetview.POLL_PERIOD_S
+            await world.runner._poll_entries(world.clock.now())
+            await anyio.wait_all_tasks_blocked()
+            assert not watch.is_following
+            world.store.is_down = False
+            world.store.calls.clear()
+            with anyio.fail_after(10.0):
+                while not watch.is_following:
+                    await anyio.sleep(0.01)
+            assert world.store.calls["list"] == 1
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_peer_with_a_newer_configuration_confirms_no_older_one() -> None:
     """Guards against a gateway that keeps an old configuration for good."""
     world = _World("g0")
