--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -315,6 +315,7 @@
 def test_keys_are_followed_again_after_a_failed_wait() -> None:
     """Guards against a worker after which all gateways follow the store."""
     world = _World("w1")
+    world.store.revision = 5
     watch = world.runner.operator_watch
     wait_for_changes = world.store.changes
 
