--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,9 @@
-"""Removing a batch route stops the jobs of the other routes for good.
+"""Results that gather while the store is down are never listed.
 
-Items whose route is gone wait without end and hold the places of their worker.
+The limit on the size of one value counts characters, not bytes.
 """
 
 import asyncio
-import copy
 import pathlib
 import sys
 
@@ -14,78 +13,55 @@
 import fleet  # noqa: E402
 import rules  # noqa: E402
 
-BACKLOG_JOBS = 7
-BACKLOG_ITEMS = 200
-SOUND_JOBS = 12
-SOUND_ITEMS = 4
-EVENTS = 40
+ENGINES = 9
+ITEMS = 200
+EVENTS = 59
+EVENT_S = 0.03
+EVENT_SPREAD_S = 0.001
+TEXT = "Кецкемет, лот, лист, влажность, вес, цвет, сорт, цена; склад Солнок, "
+"""Text of an event; most of its letters have two bytes in UTF-8."""
+TEXT_CHARS = 105
 WARM_UP_S = 5.0
-CHANGE_AFTER_S = 2.0
-SOUND_AFTER_S = 12.0
-OTHER_KEY = "key-two"
-OTHER_PREFIX = "/lots-b/"
+OUTAGE_AFTER_S = 1.0
+OUTAGE_S = 4.5
 
 
-async def submit(
-    played: fleet.Fleet, number: int, count: int, *, key: str, prefix: str
-) -> tuple[str, list[str]]:
-    """Submits a job; returns its id and those of its items."""
-    job = fleet.new_id()
-    ids = [f"{job}-{n}" for n in range(count)]
-    node = played.gateways[number % len(played.gateways)]
-    answer = await played.submit(
-        node,
-        job,
-        [fleet.make_item(i, events=EVENTS) for i in ids],
-        key=key,
-        prefix=prefix,
-    )
-    if answer is None or answer.status != 202:
-        raise fleet.CannotRunError("a job was not accepted")
-    return job, ids
+def make_text(request_id: str, number: int) -> str:
+    """Returns the data of an event."""
+    return f"{number}: {TEXT * 2}"[:TEXT_CHARS]
 
 
 async def play(played: fleet.Fleet, with_trouble: bool) -> bool:
-    """Removes a batch route with open jobs, then uses the other route."""
-    tenants = [
-        {"Name": fleet.TENANT, "ApiKeys": [fleet.KEY]},
-        {"Name": "two", "ApiKeys": [OTHER_KEY]},
-    ]
-    desired = fleet.configuration(1, tenants=tenants)
-    lots = next(r for r in desired["Routes"] if r["Kind"] == "batch")
-    desired["Routes"].append(
-        {**lots, "Name": "r-lots-b", "Prefix": OTHER_PREFIX}
-    )
-    await played.start(desired)
+    """Takes the store down while the items of one job are finished."""
+    await played.start(fleet.configuration(1), engines=ENGINES)
+    for number, made in enumerate(played.engines):
+        made.make_text = make_text
+        made.event_s = EVENT_S + number * EVENT_SPREAD_S
     played.note("the fleet serves")
     await asyncio.sleep(WARM_UP_S)
-    backlog = {}
-    for number in range(BACKLOG_JOBS):
-        job, ids = await submit(
-            played, number, BACKLOG_ITEMS, key=fleet.KEY, prefix=lots["Prefix"]
-        )
-        backlog[job] = ids
-    await asyncio.sleep(CHANGE_AFTER_S)
+    job = fleet.new_id()
+    items = [f"{job}-{n}" for n in range(ITEMS)]
+    answer = await played.submit(
+        played.gateways[0],
+        job,
+        [fleet.make_item(i, events=EVENTS) for i in items],
+    )
+    if answer is None or answer.status != 202:
+        raise fleet.CannotRunError("the job was not accepted")
+    await asyncio.sleep(OUTAGE_AFTER_S)
     if with_trouble:
-        changed = copy.deepcopy(desired)
-        changed["Version"] = 2
-        changed["Routes"] = [
-            r for r in desired["Routes"] if r["Name"] != lots["Name"]
-        ]
-        await played.platform.write("op/config", changed)
-        played.note(f"version 2, without {lots['Name']}, is acknowledged")
-    await asyncio.sleep(SOUND_AFTER_S)
-    jobs = {}
-    for number in range(SOUND_JOBS):
-        job, ids = await submit(
-            played, number, SOUND_ITEMS, key=OTHER_KEY, prefix=OTHER_PREFIX
-        )
-        jobs[job] = ids
+        played.platform.is_down = True
+        played.note("the store is down")
+        await asyncio.sleep(OUTAGE_S)
+        played.platform.is_down = False
+        played.note("the store is back")
     await asyncio.sleep(rules.FINISH_S + rules.CALM_S)
-    unlisted = await rules.unlisted_items(played, jobs, key=OTHER_KEY)
-    dropped = await rules.unlisted_items(played, backlog)
-    played.note(f"items of the route that stays, no result: {len(unlisted)}")
-    played.note(f"items of the removed route, no result: {len(dropped)}")
+    unlisted = await rules.unlisted_items(played, {job: items})
+    whole = {r.request_id for e in played.engines for r in e.runs if r.is_whole}
+    played.note(f"items that engines have finished: {len(whole & set(items))}")
+    sizes = played.platform.refused_sizes
+    played.note(f"values over ValueBytes: {len(sizes)}, the last: {sizes[-1:]}")
+    played.note(f"items neither done nor errored: {len(unlisted)}")
     return not (unlisted and rules.finish_rule_applies(played, unlisted))
 
 
