--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,6 +26,11 @@
     await played.start(fleet.configuration(1, tenants=tenants))
     played.note("the fleet serves")
     await asyncio.sleep(WARM_UP_S)
+    # Online, the same header is passed on as the bytes that a caller sends.
+    online = {HEADER: HUNGARIAN_NAME.encode().decode("latin-1")}
+    answer = await played.chat(played.gateways[0], extra=online)
+    status = None if answer is None else answer.status
+    played.note(f"an online request with {HEADER} {HUNGARIAN_NAME}: {status}")
     name = HUNGARIAN_NAME if with_trouble else PLAIN_NAME
     odd = fleet.new_id()
     item = fleet.make_item(f"{odd}-0", headers={HEADER: name})
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -393,9 +393,10 @@
         key: str = KEY,
         events: int = 4,
         deadline_ms: int = 5000,
+        extra: dict[str, str] | None = None,
     ) -> wire.Message | None:
         """Sends an online request on a new connection."""
-        headers = {
+        headers = (extra or {}) | {
             "Host": self.chat_host,
             "X-Ibisknot-Request-Id": request_id or new_id(),
             "X-Ibisknot-Model": "m",
@@ -562,7 +563,8 @@
             )
         verdict = {0: "kept", 1: "broken", 2: "not run"}[code]
         fleet.note(f"verdict: {verdict}")
-        (folder / "record.txt").write_text("\n".join(fleet.lines) + "\n")
+        record = "\n".join(fleet.lines) + "\n"
+        (folder / "record.txt").write_text(record, encoding="utf-8")
         if os.environ.get("KEEP_LOGS"):
             keep = pathlib.Path(os.environ["KEEP_LOGS"])
             keep.mkdir(parents=True, exist_ok=True)
