--- a/review/4/case.py
+++ b/review/4/case.py
@@ -45,8 +45,8 @@
         node = played.gateways[number % len(played.gateways)]
         answer = await played.submit(node, job, items)
         if answer is None or answer.status != 202:
-            del jobs[job]
-    await asyncio.sleep(rules.FINISH_S)
+            raise fleet.CannotRunError("a sound job was not accepted")
+    await asyncio.sleep(rules.FINISH_S + rules.CALM_S)
     unlisted = await rules.unlisted_items(played, jobs)
     ends = {w.name: len(w.exits) for w in played.workers}
     played.note(f"processes that ended by themselves: {ends}")
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -533,14 +533,19 @@
 async def _play(case: Case, folder: pathlib.Path, with_trouble: bool) -> int:
     with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
         fleet = Fleet(pathlib.Path(temporary))
+        code = 2
+        # An end from outside must end the processes, too.
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115.0):
                 fleet.note(f"disruption: {with_trouble}")
                 kept = await case(fleet, with_trouble)
             code = 0 if kept else 1
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.note(f"the case could not run: {error!r}")
-            code = 2
         finally:
             await fleet.stop()
         for made in fleet.engines:
