--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -42,6 +42,11 @@
   12: optional double configuration_age_s,
   /** Name of that process. */
   13: optional string configuration_follower,
+  /** The store's revision up to which the evacuations are known; absent if no
+      data centre was ever evacuated. */
+  14: optional i64 evacuations_revision,
+  /** Names of the data centres whose endpoints get no requests. */
+  15: optional list<string> evacuated_data_centres,
 }
 
 /** The receiver's revisions after it took the news. */
@@ -212,6 +217,10 @@
   3: required string endpoint,
   /** `ok`, `cancelled`, `unreachable`, `failed` or `crashed`. */
   4: required string outcome,
+  /** Mean seconds between the events of the response; absent if unknown. */
+  5: optional double event_gap_s,
+  /** Seconds from the send to the first event; absent if unknown. */
+  6: optional double first_event_s,
 }
 
 /** All places that a process holds. */
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -311,6 +311,9 @@
      - configuration_age_s: Seconds since a process that follows the operator's keys confirmed that
     the configuration is the newest; absent if that is not known.
      - configuration_follower: Name of that process.
+     - evacuations_revision: The store's revision up to which the evacuations are known; absent if no
+    data centre was ever evacuated.
+     - evacuated_data_centres: Names of the data centres whose endpoints get no requests.
 
     """
 
@@ -328,10 +331,12 @@
         'members_age_s',
         'configuration_age_s',
         'configuration_follower',
+        'evacuations_revision',
+        'evacuated_data_centres',
     )
 
 
-    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None, configuration_age_s=None, configuration_follower=None,):
+    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None, configuration_age_s=None, configuration_follower=None, evacuations_revision=None, evacuated_data_centres=None,):
         self.sender = sender
         self.configuration_revision = configuration_revision
         self.configuration = configuration
@@ -345,6 +350,8 @@
         self.members_age_s = members_age_s
         self.configuration_age_s = configuration_age_s
         self.configuration_follower = configuration_follower
+        self.evacuations_revision = evacuations_revision
+        self.evacuated_data_centres = evacuated_data_centres
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -432,6 +439,21 @@
                     self.configuration_follower = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.evacuations_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.evacuated_data_centres = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_data_centres.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -465,8 +487,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter12 in self.endpoints:
-                iter12.write(oprot)
+            for iter18 in self.endpoints:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members_revision is not None:
@@ -476,8 +498,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+            for iter19 in self.members:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_digest is not None:
@@ -500,6 +522,17 @@
             oprot.writeFieldBegin('configuration_follower', TType.STRING, 13)
             oprot.writeString(self.configuration_follower.encode('utf-8') if sys.version_info[0] == 2 else self.configuration_follower)
             oprot.writeFieldEnd()
+        if self.evacuations_revision is not None:
+            oprot.writeFieldBegin('evacuations_revision', TType.I64, 14)
+            oprot.writeI64(self.evacuations_revision)
+            oprot.writeFieldEnd()
+        if self.evacuated_data_centres is not None:
+            oprot.writeFieldBegin('evacuated_data_centres', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated_data_centres))
+            for iter20 in self.evacuated_data_centres:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -860,11 +893,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EndpointLimit()
-                        _elem19.read(iprot)
-                        self.limits.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = EndpointLimit()
+                        _elem26.read(iprot)
+                        self.limits.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -881,8 +914,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter20 in self.limits:
-                iter20.write(oprot)
+            for iter27 in self.limits:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1035,10 +1068,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.versions.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1059,8 +1092,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.versions))
-            for iter27 in self.versions:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.versions:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1121,11 +1154,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = ServiceSoftware()
-                        _elem33.read(iprot)
-                        self.services.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = ServiceSoftware()
+                        _elem40.read(iprot)
+                        self.services.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1142,8 +1175,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter34 in self.services:
-                iter34.write(oprot)
+            for iter41 in self.services:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1226,10 +1259,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readI64()
-                        self.streams.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.streams.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1258,8 +1291,8 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.streams))
-            for iter41 in self.streams:
-                oprot.writeI64(iter41)
+            for iter48 in self.streams:
+                oprot.writeI64(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1324,11 +1357,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.sets = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = StreamSet()
-                        _elem47.read(iprot)
-                        self.sets.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = StreamSet()
+                        _elem54.read(iprot)
+                        self.sets.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1345,8 +1378,8 @@
         if self.sets is not None:
             oprot.writeFieldBegin('sets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.sets))
-            for iter48 in self.sets:
-                iter48.write(oprot)
+            for iter55 in self.sets:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1510,11 +1543,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = ServiceSoftware()
-                        _elem54.read(iprot)
-                        self.recent.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = ServiceSoftware()
+                        _elem61.read(iprot)
+                        self.recent.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1552,8 +1585,8 @@
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter55 in self.recent:
-                iter55.write(oprot)
+            for iter62 in self.recent:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -1716,10 +1749,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.blocks = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readI64()
-                        self.blocks.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readI64()
+                        self.blocks.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1746,10 +1779,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1791,11 +1824,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = EndpointLimit()
-                        _elem73.read(iprot)
-                        self.limits.append(_elem73)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = EndpointLimit()
+                        _elem80.read(iprot)
+                        self.limits.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1852,8 +1885,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter74 in self.blocks:
-                oprot.writeI64(iter74)
+            for iter81 in self.blocks:
+                oprot.writeI64(iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -1875,8 +1908,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter75 in self.avoid:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter82 in self.avoid:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_per_s is not None:
@@ -1910,8 +1943,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter76 in self.limits:
-                iter76.write(oprot)
+            for iter83 in self.limits:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.software is not None:
@@ -2450,6 +2483,8 @@
      - id
      - endpoint
      - outcome: `ok`, `cancelled`, `unreachable`, `failed` or `crashed`.
+     - event_gap_s: Mean seconds between the events of the response; absent if unknown.
+     - first_event_s: Seconds from the send to the first event; absent if unknown.
 
     """
 
@@ -2458,14 +2493,18 @@
         'id',
         'endpoint',
         'outcome',
+        'event_gap_s',
+        'first_event_s',
     )
 
 
-    def __init__(self, group=None, id=None, endpoint=None, outcome=None,):
+    def __init__(self, group=None, id=None, endpoint=None, outcome=None, event_gap_s=None, first_event_s=None,):
         self.group = group
         self.id = id
         self.endpoint = endpoint
         self.outcome = outcome
+        self.event_gap_s = event_gap_s
+        self.first_event_s = first_event_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2496,6 +2535,16 @@
                     self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.event_gap_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.first_event_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2522,6 +2571,14 @@
             oprot.writeFieldBegin('outcome', TType.STRING, 4)
             oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
             oprot.writeFieldEnd()
+        if self.event_gap_s is not None:
+            oprot.writeFieldBegin('event_gap_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.event_gap_s)
+            oprot.writeFieldEnd()
+        if self.first_event_s is not None:
+            oprot.writeFieldBegin('first_event_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.first_event_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2600,22 +2657,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Place()
-                        _elem82.read(iprot)
-                        self.places.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Place()
+                        _elem89.read(iprot)
+                        self.places.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = EndpointLimit()
-                        _elem88.read(iprot)
-                        self.limits.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = EndpointLimit()
+                        _elem95.read(iprot)
+                        self.limits.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2641,15 +2698,15 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter89 in self.places:
-                iter89.write(oprot)
+            for iter96 in self.places:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter90 in self.limits:
-                iter90.write(oprot)
+            for iter97 in self.limits:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accrued_s is not None:
@@ -2878,10 +2935,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readBinary()
-                        self.parts.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readBinary()
+                        self.parts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2902,8 +2959,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter97 in self.parts:
-                oprot.writeBinary(iter97)
+            for iter104 in self.parts:
+                oprot.writeBinary(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3550,10 +3607,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.parts.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI64()
+                        self.parts.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3574,8 +3631,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter104 in self.parts:
-                oprot.writeI64(iter104)
+            for iter111 in self.parts:
+                oprot.writeI64(iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3652,11 +3709,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = CrashCandidate()
-                        _elem110.read(iprot)
-                        self.candidates.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = CrashCandidate()
+                        _elem117.read(iprot)
+                        self.candidates.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3681,8 +3738,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter111 in self.candidates:
-                iter111.write(oprot)
+            for iter118 in self.candidates:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3843,10 +3900,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI64()
-                        self.parts.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI64()
+                        self.parts.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3883,8 +3940,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter118 in self.parts:
-                oprot.writeI64(iter118)
+            for iter125 in self.parts:
+                oprot.writeI64(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -3976,33 +4033,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = EndpointCrash()
-                        _elem124.read(iprot)
-                        self.crashes.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = EndpointCrash()
+                        _elem131.read(iprot)
+                        self.crashes.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = PartCompletion()
-                        _elem130.read(iprot)
-                        self.completions.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = PartCompletion()
+                        _elem137.read(iprot)
+                        self.completions.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = PartRefusal()
-                        _elem136.read(iprot)
-                        self.refusals.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = PartRefusal()
+                        _elem143.read(iprot)
+                        self.refusals.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4024,22 +4081,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter137 in self.crashes:
-                iter137.write(oprot)
+            for iter144 in self.crashes:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter138 in self.completions:
-                iter138.write(oprot)
+            for iter145 in self.completions:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter139 in self.refusals:
-                iter139.write(oprot)
+            for iter146 in self.refusals:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -4420,6 +4477,8 @@
     (11, TType.DOUBLE, 'members_age_s', None, None, ),  # 11
     (12, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 12
     (13, TType.STRING, 'configuration_follower', 'UTF8', None, ),  # 13
+    (14, TType.I64, 'evacuations_revision', None, None, ),  # 14
+    (15, TType.LIST, 'evacuated_data_centres', (TType.STRING, 'UTF8', False), None, ),  # 15
 )
 all_structs.append(ViewAck)
 ViewAck.thrift_spec = (
@@ -4561,6 +4620,8 @@
     (2, TType.STRING, 'id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'outcome', 'UTF8', None, ),  # 4
+    (5, TType.DOUBLE, 'event_gap_s', None, None, ),  # 5
+    (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
 )
 all_structs.append(PlacesHeld)
 PlacesHeld.thrift_spec = (
