Compress what a change of the view sends to every process

Every change of an entry sends all entries to every process, and each new configuration was sent to every process by three publishers at the same moment, since none of them had seen the others' copies acknowledged.

Peers that announce it get both parts compressed by zlib; others get them as before. Further publishers wait 0.1 s each, so that they send a configuration only to those that lack it. Sending only changed entries was ruled out: every engine writes its entry anew with each heartbeat, so the revisions say little. Not measured yet after the change.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -47,8 +47,15 @@
   14: optional i64 evacuations_revision,
   /** Names of the data centres whose endpoints get no requests. */
   15: optional list<string> evacuated_data_centres,
+  /** The configuration, compressed by zlib, in place of `configuration`. */
+  16: optional binary compressed_configuration,
+  /** A `ListedEntries`, compressed by zlib, in place of `endpoints`. */
+  17: optional binary compressed_endpoints,
 }
 
+/** The entries of the platform's list of endpoints. */
+struct ListedEntries { 1: required list<ListedEntry> entries }
+
 /** The receiver's revisions after it took the news. */
 struct ViewAck {
   1: required i64 configuration_revision,
@@ -57,9 +64,15 @@
   3: required bool wants_entries,
   /** Whether the receiver lacks the members that the digest stands for. */
   4: optional bool wants_members,
+  /** Whether the receiver reads the compressed fields of `ViewNews`. */
+  5: optional bool reads_compressed,
 }
 
-struct ViewAsk { 1: required string sender }
+struct ViewAsk {
+  1: required string sender,
+  /** Whether the sender reads the compressed fields of `ViewNews`. */
+  2: optional bool reads_compressed,
+}
 
 /** The limit that an endpoint has named in an answer. */
 struct EndpointLimit {
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -314,6 +314,8 @@
      - evacuations_revision: The store's revision up to which the evacuations are known; absent if no
     data centre was ever evacuated.
      - evacuated_data_centres: Names of the data centres whose endpoints get no requests.
+     - compressed_configuration: The configuration, compressed by zlib, in place of `configuration`.
+     - compressed_endpoints: A `ListedEntries`, compressed by zlib, in place of `endpoints`.
 
     """
 
@@ -333,10 +335,12 @@
         'configuration_follower',
         'evacuations_revision',
         'evacuated_data_centres',
+        'compressed_configuration',
+        'compressed_endpoints',
     )
 
 
-    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None, configuration_age_s=None, configuration_follower=None, evacuations_revision=None, evacuated_data_centres=None,):
+    def __init__(self, sender=None, configuration_revision=None, configuration=None, endpoints_revision=None, endpoints_age_s=None, endpoints=None, members_revision=None, members=None, endpoints_digest=None, members_digest=None, members_age_s=None, configuration_age_s=None, configuration_follower=None, evacuations_revision=None, evacuated_data_centres=None, compressed_configuration=None, compressed_endpoints=None,):
         self.sender = sender
         self.configuration_revision = configuration_revision
         self.configuration = configuration
@@ -352,6 +356,8 @@
         self.configuration_follower = configuration_follower
         self.evacuations_revision = evacuations_revision
         self.evacuated_data_centres = evacuated_data_centres
+        self.compressed_configuration = compressed_configuration
+        self.compressed_endpoints = compressed_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -454,6 +460,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.compressed_configuration = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.compressed_endpoints = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -533,6 +549,14 @@
                 oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.compressed_configuration is not None:
+            oprot.writeFieldBegin('compressed_configuration', TType.STRING, 16)
+            oprot.writeBinary(self.compressed_configuration)
+            oprot.writeFieldEnd()
+        if self.compressed_endpoints is not None:
+            oprot.writeFieldBegin('compressed_endpoints', TType.STRING, 17)
+            oprot.writeBinary(self.compressed_endpoints)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -570,6 +594,87 @@
         return not (self == other)
 
 
+class ListedEntries(object):
+    """
+    The entries of the platform's list of endpoints.
+
+    Attributes:
+     - entries
+
+    """
+
+    __slots__ = (
+        'entries',
+    )
+
+
+    def __init__(self, entries=None,):
+        self.entries = entries
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = ListedEntry()
+                        _elem26.read(iprot)
+                        self.entries.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedEntries')
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter27 in self.entries:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.entries is None:
+            raise TProtocolException(message='Required field entries is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ViewAck(object):
     """
     The receiver's revisions after it took the news.
@@ -579,6 +684,7 @@
      - endpoints_revision
      - wants_entries: Whether the receiver lacks the entries that the digest stands for.
      - wants_members: Whether the receiver lacks the members that the digest stands for.
+     - reads_compressed: Whether the receiver reads the compressed fields of `ViewNews`.
 
     """
 
@@ -587,14 +693,16 @@
         'endpoints_revision',
         'wants_entries',
         'wants_members',
+        'reads_compressed',
     )
 
 
-    def __init__(self, configuration_revision=None, endpoints_revision=None, wants_entries=None, wants_members=None,):
+    def __init__(self, configuration_revision=None, endpoints_revision=None, wants_entries=None, wants_members=None, reads_compressed=None,):
         self.configuration_revision = configuration_revision
         self.endpoints_revision = endpoints_revision
         self.wants_entries = wants_entries
         self.wants_members = wants_members
+        self.reads_compressed = reads_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -625,6 +733,11 @@
                     self.wants_members = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reads_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -651,6 +764,10 @@
             oprot.writeFieldBegin('wants_members', TType.BOOL, 4)
             oprot.writeBool(self.wants_members)
             oprot.writeFieldEnd()
+        if self.reads_compressed is not None:
+            oprot.writeFieldBegin('reads_compressed', TType.BOOL, 5)
+            oprot.writeBool(self.reads_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -686,16 +803,19 @@
     """
     Attributes:
      - sender
+     - reads_compressed: Whether the sender reads the compressed fields of `ViewNews`.
 
     """
 
     __slots__ = (
         'sender',
+        'reads_compressed',
     )
 
 
-    def __init__(self, sender=None,):
+    def __init__(self, sender=None, reads_compressed=None,):
         self.sender = sender
+        self.reads_compressed = reads_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -711,6 +831,11 @@
                     self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.reads_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -725,6 +850,10 @@
             oprot.writeFieldBegin('sender', TType.STRING, 1)
             oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
             oprot.writeFieldEnd()
+        if self.reads_compressed is not None:
+            oprot.writeFieldBegin('reads_compressed', TType.BOOL, 2)
+            oprot.writeBool(self.reads_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -893,11 +1022,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = EndpointLimit()
-                        _elem26.read(iprot)
-                        self.limits.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = EndpointLimit()
+                        _elem33.read(iprot)
+                        self.limits.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -914,8 +1043,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter27 in self.limits:
-                iter27.write(oprot)
+            for iter34 in self.limits:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1068,10 +1197,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.versions.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1092,8 +1221,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.versions))
-            for iter34 in self.versions:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.versions:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1154,11 +1283,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = ServiceSoftware()
-                        _elem40.read(iprot)
-                        self.services.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = ServiceSoftware()
+                        _elem47.read(iprot)
+                        self.services.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1175,8 +1304,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter41 in self.services:
-                iter41.write(oprot)
+            for iter48 in self.services:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1259,10 +1388,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.streams.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.streams.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1291,8 +1420,8 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.streams))
-            for iter48 in self.streams:
-                oprot.writeI64(iter48)
+            for iter55 in self.streams:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1357,11 +1486,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.sets = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = StreamSet()
-                        _elem54.read(iprot)
-                        self.sets.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = StreamSet()
+                        _elem61.read(iprot)
+                        self.sets.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1378,8 +1507,8 @@
         if self.sets is not None:
             oprot.writeFieldBegin('sets', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.sets))
-            for iter55 in self.sets:
-                iter55.write(oprot)
+            for iter62 in self.sets:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1543,11 +1672,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recent = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ServiceSoftware()
-                        _elem61.read(iprot)
-                        self.recent.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServiceSoftware()
+                        _elem68.read(iprot)
+                        self.recent.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1585,8 +1714,8 @@
         if self.recent is not None:
             oprot.writeFieldBegin('recent', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recent))
-            for iter62 in self.recent:
-                iter62.write(oprot)
+            for iter69 in self.recent:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -1749,10 +1878,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.blocks = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI64()
-                        self.blocks.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI64()
+                        self.blocks.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1779,10 +1908,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1824,11 +1953,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = EndpointLimit()
-                        _elem80.read(iprot)
-                        self.limits.append(_elem80)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = EndpointLimit()
+                        _elem87.read(iprot)
+                        self.limits.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1885,8 +2014,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter81 in self.blocks:
-                oprot.writeI64(iter81)
+            for iter88 in self.blocks:
+                oprot.writeI64(iter88)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.holder is not None:
@@ -1908,8 +2037,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter82 in self.avoid:
-                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
+            for iter89 in self.avoid:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_per_s is not None:
@@ -1943,8 +2072,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter83 in self.limits:
-                iter83.write(oprot)
+            for iter90 in self.limits:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.software is not None:
@@ -2657,22 +2786,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.places = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Place()
-                        _elem89.read(iprot)
-                        self.places.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Place()
+                        _elem96.read(iprot)
+                        self.places.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = EndpointLimit()
-                        _elem95.read(iprot)
-                        self.limits.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = EndpointLimit()
+                        _elem102.read(iprot)
+                        self.limits.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2698,15 +2827,15 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter96 in self.places:
-                iter96.write(oprot)
+            for iter103 in self.places:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter97 in self.limits:
-                iter97.write(oprot)
+            for iter104 in self.limits:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accrued_s is not None:
@@ -2935,10 +3064,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readBinary()
-                        self.parts.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readBinary()
+                        self.parts.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2959,8 +3088,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter104 in self.parts:
-                oprot.writeBinary(iter104)
+            for iter111 in self.parts:
+                oprot.writeBinary(iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3607,10 +3736,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI64()
-                        self.parts.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.parts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3631,8 +3760,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter111 in self.parts:
-                oprot.writeI64(iter111)
+            for iter118 in self.parts:
+                oprot.writeI64(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3709,11 +3838,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = CrashCandidate()
-                        _elem117.read(iprot)
-                        self.candidates.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = CrashCandidate()
+                        _elem124.read(iprot)
+                        self.candidates.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3738,8 +3867,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter118 in self.candidates:
-                iter118.write(oprot)
+            for iter125 in self.candidates:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3900,10 +4029,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readI64()
-                        self.parts.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readI64()
+                        self.parts.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3940,8 +4069,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter125 in self.parts:
-                oprot.writeI64(iter125)
+            for iter132 in self.parts:
+                oprot.writeI64(iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -4033,33 +4162,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = EndpointCrash()
-                        _elem131.read(iprot)
-                        self.crashes.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = EndpointCrash()
+                        _elem138.read(iprot)
+                        self.crashes.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PartCompletion()
-                        _elem137.read(iprot)
-                        self.completions.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PartCompletion()
+                        _elem144.read(iprot)
+                        self.completions.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = PartRefusal()
-                        _elem143.read(iprot)
-                        self.refusals.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = PartRefusal()
+                        _elem150.read(iprot)
+                        self.refusals.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4081,22 +4210,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter144 in self.crashes:
-                iter144.write(oprot)
+            for iter151 in self.crashes:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter145 in self.completions:
-                iter145.write(oprot)
+            for iter152 in self.completions:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter146 in self.refusals:
-                iter146.write(oprot)
+            for iter153 in self.refusals:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -4479,6 +4608,13 @@
     (13, TType.STRING, 'configuration_follower', 'UTF8', None, ),  # 13
     (14, TType.I64, 'evacuations_revision', None, None, ),  # 14
     (15, TType.LIST, 'evacuated_data_centres', (TType.STRING, 'UTF8', False), None, ),  # 15
+    (16, TType.STRING, 'compressed_configuration', 'BINARY', None, ),  # 16
+    (17, TType.STRING, 'compressed_endpoints', 'BINARY', None, ),  # 17
+)
+all_structs.append(ListedEntries)
+ListedEntries.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'entries', (TType.STRUCT, [ListedEntry, None], False), None, ),  # 1
 )
 all_structs.append(ViewAck)
 ViewAck.thrift_spec = (
@@ -4487,11 +4623,13 @@
     (2, TType.I64, 'endpoints_revision', None, None, ),  # 2
     (3, TType.BOOL, 'wants_entries', None, None, ),  # 3
     (4, TType.BOOL, 'wants_members', None, None, ),  # 4
+    (5, TType.BOOL, 'reads_compressed', None, None, ),  # 5
 )
 all_structs.append(ViewAsk)
 ViewAsk.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'reads_compressed', None, None, ),  # 2
 )
 all_structs.append(EndpointLimit)
 EndpointLimit.thrift_spec = (
--- a/src/ibisknot/view_exchange.py
+++ b/src/ibisknot/view_exchange.py
@@ -18,6 +18,7 @@
 from ibisknot import peer
 from ibisknot import registration
 from ibisknot import timer
+from ibisknot import view_encoding
 from ibisknot.gen.fleet import ttypes
 
 MEMBERS_STALE_S = 2.5
@@ -73,6 +74,7 @@
         started_s: Monotonic time of this process's start.
         next_gossip_s: Monotonic time before which no exchange is needed while
             updates arrive in time.
+        compressor: Compresses the large parts of updates.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self.rng = random.Random()
         self.started_s = clock.now()
         self.next_gossip_s = 0.0
+        self.compressor = view_encoding.Compressor()
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods and starts the gossip."""
@@ -111,10 +114,17 @@
         configuration: bool = False,
         entries: bool = False,
         members: bool = False,
+        compressed: bool = False,
     ) -> ttypes.ViewNews:
         """Returns an update for a peer.
 
         It has revisions and digests, and those parts that the peer needs.
+
+        Args:
+            configuration: Whether it needs the configuration.
+            entries: Whether it needs the endpoints' entries.
+            members: Whether it needs the members.
+            compressed: Whether it reads compressed parts.
         """
         view = self.view
         now = self.clock.now()
@@ -130,13 +140,20 @@
             configuration_age_s=min(1e6, now - view.configuration_confirmed_s),
             configuration_follower=view.configuration_follower,
         )
-        if configuration:
+        if configuration and compressed:
+            update.compressed_configuration = (
+                self.compressor.compress_configuration(
+                    view.configuration_revision, view.encoded_configuration
+                )
+            )
+        elif configuration:
             update.configuration = view.encoded_configuration
-        if entries:
-            update.endpoints = [
-                ttypes.ListedEntry(p.key, p.value, p.revision)
-                for p in view.entries.values()
-            ]
+        if entries and compressed:
+            update.compressed_endpoints = self.compressor.compress_entries(
+                view.entries
+            )
+        elif entries:
+            update.endpoints = view_encoding.to_wire(view.entries.values())
         if members:
             update.members = [
                 registration.to_wire(m) for m in view.members.values()
@@ -152,14 +169,16 @@
             endpoints_revision=view.endpoints_revision,
             wants_entries=not self._has_entries(update),
             wants_members=not self._has_members(update),
+            reads_compressed=True,
         )
 
-    async def on_view_request(
-        self, _request: ttypes.ViewAsk
-    ) -> ttypes.ViewNews:
+    async def on_view_request(self, request: ttypes.ViewAsk) -> ttypes.ViewNews:
         """Peer method: returns a full update."""
         return self._compose_update(
-            configuration=True, entries=True, members=True
+            configuration=True,
+            entries=True,
+            members=True,
+            compressed=bool(request.reads_compressed),
         )
 
     def _adopt_update(self, update: ttypes.ViewNews) -> None:
@@ -167,11 +186,8 @@
         self._adopt_configuration(update)
         if not self._is_recent(update.endpoints_age_s):
             return
-        if update.endpoints is not None and update.endpoints_revision:
-            entries = [
-                pairs.Pair(e.name, e.value, e.revision)
-                for e in update.endpoints
-            ]
+        entries = view_encoding.entries_of(update)
+        if entries is not None and update.endpoints_revision:
             self.adoption.entries(
                 update.endpoints_revision, update.endpoints_age_s, entries
             )
@@ -185,8 +201,9 @@
         age_s = update.configuration_age_s
         if age_s is None:
             age_s = math.inf
+        configuration = view_encoding.configuration_of(update)
         if not self._is_recent(age_s):
-            if update.configuration:
+            if configuration:
                 logs.event(
                     "update_too_old",
                     peer=update.sender,
@@ -194,10 +211,10 @@
                     revision=update.configuration_revision,
                 )
             return
-        if update.configuration:
+        if configuration:
             self.adoption.configuration(
                 update.configuration_revision,
-                update.configuration,
+                configuration,
                 update.sender,
             )
         self.adoption.confirmation(
@@ -221,7 +238,11 @@
 
         A later read of the same entries is recorded.
         """
-        if update.endpoints is not None or not update.endpoints_revision:
+        has_listing = (
+            update.endpoints is not None
+            or update.compressed_endpoints is not None
+        )
+        if has_listing or not update.endpoints_revision:
             return True
         if not self._is_recent(update.endpoints_age_s):
             return True
@@ -274,6 +295,7 @@
                     configuration=lacks_configuration,
                     entries=ack.wants_entries,
                     members=bool(ack.wants_members),
+                    compressed=bool(ack.reads_compressed),
                 )
                 await self._call_update(address, update)
         except errors.IbisknotError:
@@ -305,7 +327,7 @@
         update = await self.peers.call(
             address,
             "view_ask",
-            ttypes.ViewAsk(sender=self.own_name),
+            ttypes.ViewAsk(sender=self.own_name, reads_compressed=True),
             ttypes.ViewNews,
             timeout_s=PEER_TIMEOUT_S,
         )
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 import dataclasses
 
+import anyio
+
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleet_endpoint
@@ -30,6 +32,8 @@
 """Period at which a process checks whether a read of the members is due."""
 STORE = "store"
 """Source of a configuration that this process has read from the store."""
+PUBLISH_STAGGER_S = 0.1
+"""Delay of each further publisher, so that it sends only what is lacking."""
 MAX_PUBLISHERS = 3
 """Processes in the order of readers that publish a configuration to all.
 
@@ -321,7 +325,17 @@
             )
             self._run_callbacks(self.configuration_callbacks)
             if self._is_publisher() or (source == STORE and not is_first):
-                self.task_group.start_soon(self.exchange.publish)
+                self.task_group.start_soon(self._publish_in_turn)
+
+    async def _publish_in_turn(self) -> None:
+        """Publishes the configuration after the publishers before this one.
+
+        They would all send it to each process that has not received the
+        first one's copy yet.
+        """
+        position = fleetview.reader_position(self.view, self.own_member.name)
+        await anyio.sleep(PUBLISH_STAGGER_S * min(position, MAX_PUBLISHERS))
+        await self.exchange.publish()
 
     def _is_publisher(self) -> bool:
         """Returns whether this process sends each new configuration to all.
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -16,6 +16,7 @@
 from ibisknot import peer
 from ibisknot import registration
 from ibisknot import serving
+from ibisknot import view_encoding
 from ibisknot import view_exchange
 from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
@@ -187,6 +188,24 @@
     assert all(m.configuration is None for m in world.sent())
 
 
+@pytest.mark.parametrize("reads_compressed", [None, True])
+def test_parts_are_compressed_only_for_builds_that_read_it(
+    reads_compressed: bool | None,
+) -> None:
+    """Guards against an earlier build that gets no configuration."""
+    world = _World("w0")
+    world.view.encoded_configuration = b"configuration"
+    world.view.configuration_revision = 3
+    world.peers.answers["view_news"] = lambda _a, _m: ttypes.ViewAck(
+        2, 0, False, reads_compressed=reads_compressed
+    )
+    update = world.exchange._compose_update()
+    anyio.run(world.exchange._send_update, "g0:1", update)
+    sent = world.sent()[-1]
+    assert view_encoding.configuration_of(sent) == b"configuration"
+    assert (sent.configuration is None) == bool(reads_compressed)
+
+
 @pytest.mark.parametrize(("name", "is_needed"), [("g0", False), ("w1", True)])
 def test_gateway_that_gets_updates_does_not_watch_the_store(
     name: str, is_needed: bool
