Keep the progress of batch items on the worker's disk

The store alone still decides which result is listed.

Copies on a second worker and progress in the store were ruled out (docs/design/progress.md).

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -1,7 +1,6 @@
 """Runs the items of batch jobs at endpoints until they are done or given up."""
 
 from collections.abc import Callable
-import dataclasses
 import math
 
 import anyio
@@ -9,6 +8,7 @@
 from ibisknot import admission
 from ibisknot import attempt_outcomes
 from ibisknot import batch_records
+from ibisknot import batch_task
 from ibisknot import errors
 from ibisknot import event_stream
 from ibisknot import fleet_endpoint
@@ -35,8 +35,6 @@
 An endpoint that is slow but sound is thus not cut for ever.
 """
 LAST_EVENT_ID_HEADER = b"last-event-id"
-LINE_END_BYTES = 1
-"""The line feed after the data of each event."""
 MAX_UNEXPECTED_FAILURES = 3
 """An item that fails so often without a known cause is given up."""
 UNEXPECTED_FAILURE_PAUSE_S = 1.0
@@ -49,58 +47,6 @@
 """HTTP status of an item that cannot succeed at any endpoint."""
 
 
-@dataclasses.dataclass(slots=True)
-class Task:
-    """One item that is being run, and its state.
-
-    Attributes:
-        job_id: Id of the item's job.
-        index: Index of the item in its job.
-        item: The request to run.
-        route_name: Name of the route on which the job was submitted.
-        host: Host of that route.
-        organisation: The job's organisation.
-        submitted_s: Monotonic time at which the job was accepted.
-        event_data: Data of the events received so far, in order.
-        last_event_id: Id of the last of these events.
-        service: Service at which the item runs; empty before the first
-            attempt.
-        software_version: Version of the software that `event_data` is from;
-            None without data.
-        stalls: Number of attempts that ended without progress.
-        output_bytes: Size of the output so far in UTF-8.
-        failures: Number of responses that report a failure of the item.
-        attempts: Number of requests sent to endpoints.
-        failed_endpoints: Names of the endpoints to avoid next, because the
-            last attempt failed there.
-        is_at_endpoint: Whether the item has a ticket and runs there.
-        without_route_since_s: Monotonic time since which the route is missing.
-        cancel_scope: Cancels the task.
-    """
-
-    job_id: str
-    index: int
-    item: batch_records.Item
-    route_name: str
-    host: str
-    organisation: serving.Organisation
-    submitted_s: float
-    event_data: list[str] = dataclasses.field(default_factory=list)
-    last_event_id: int | None = None
-    service: str = ""
-    software_version: str | None = None
-    stalls: int = 0
-    output_bytes: int = 0
-    failures: int = 0
-    attempts: int = 0
-    failed_endpoints: set[str] = dataclasses.field(default_factory=set)
-    is_at_endpoint: bool = False
-    without_route_since_s: float | None = None
-    cancel_scope: anyio.CancelScope = dataclasses.field(
-        default_factory=anyio.CancelScope
-    )
-
-
 ItemHeaders = Callable[[str, str], http11.Headers]
 
 
@@ -134,13 +80,17 @@
         self.item_headers = item_headers
         self.clock = clock
 
-    async def run(self, task: Task) -> batch_records.ItemResult | None:
+    async def run(
+        self, task: batch_task.Task
+    ) -> batch_records.ItemResult | None:
         """Returns an item's result; None if its task was cancelled."""
         with task.cancel_scope:
             return await self._run_contained(task)
         return None
 
-    async def _run_contained(self, task: Task) -> batch_records.ItemResult:
+    async def _run_contained(
+        self, task: batch_task.Task
+    ) -> batch_records.ItemResult:
         """Runs an item; gives it up if it fails unexpectedly again and again.
 
         Whatever is wrong with an item must not end its neighbours.
@@ -150,12 +100,16 @@
                 return await self._run_to_end(task)
             except Exception as error:
                 isolation.record("item", task.item.id, error)
-                _clear_output(task)
+                batch_task.clear_output(task)
             await anyio.sleep(UNEXPECTED_FAILURE_PAUSE_S * number)
         return self._give_up(task, "it failed unexpectedly")
 
-    async def _run_to_end(self, task: Task) -> batch_records.ItemResult:
+    async def _run_to_end(
+        self, task: batch_task.Task
+    ) -> batch_records.ItemResult:
         """Repeats attempts until the item is done or given up."""
+        if task.is_complete:
+            return batch_task.done(task)
         while True:
             route = self._current_route(task)
             if route is None:
@@ -173,7 +127,7 @@
                 ticket = await self._acquire_ticket(task, route)
             except errors.IbisknotError as error:
                 if task.software_version is not None:
-                    _start_again(task, error.message)
+                    batch_task.start_again(task, error.message)
                     continue
                 await anyio.sleep(error.retry_after_s or RETRY_PAUSE_S)
                 continue
@@ -185,14 +139,14 @@
             if result is not None:
                 return result
 
-    def _current_route(self, task: Task) -> serving.Route | None:
+    def _current_route(self, task: batch_task.Task) -> serving.Route | None:
         """Returns the job's route in the current configuration, or None."""
         configuration = self.view.configuration
         if configuration is None:
             return None
         return configuration.find_route_by_name(task.route_name)
 
-    def _is_route_gone(self, task: Task) -> bool:
+    def _is_route_gone(self, task: batch_task.Task) -> bool:
         """Returns whether a job's route was removed, and not just added.
 
         The configuration must have been confirmed since the route was missed.
@@ -202,7 +156,7 @@
         return self.view.configuration_confirmed_s > task.without_route_since_s
 
     async def _acquire_ticket(
-        self, task: Task, route: serving.Route
+        self, task: batch_task.Task, route: serving.Route
     ) -> ticket_types.Ticket:
         """Waits for a ticket to run an item.
 
@@ -234,7 +188,9 @@
             )
         )
 
-    def _choose_service(self, task: Task, route: serving.Route) -> None:
+    def _choose_service(
+        self, task: batch_task.Task, route: serving.Route
+    ) -> None:
         """Chooses the service of the next attempt, the same one if it may be.
 
         Raises:
@@ -244,14 +200,16 @@
         if task.software_version is not None:
             if task.service in services:
                 return
-            _start_again(task, f"the route leads no longer to {task.service}")
+            batch_task.start_again(
+                task, f"the route leads no longer to {task.service}"
+            )
         service = route.choose_service(self.tickets.rng)
         if service is None:
             raise errors.OverloadedError(f"{route.name} has no service")
         task.service = service
 
     async def _attempt(
-        self, task: Task, ticket: ticket_types.Ticket
+        self, task: batch_task.Task, ticket: ticket_types.Ticket
     ) -> batch_records.ItemResult | None:
         """Runs an item once under a ticket, which it releases.
 
@@ -287,7 +245,7 @@
         return result
 
     async def _send(
-        self, task: Task, ticket: ticket_types.Ticket
+        self, task: batch_task.Task, ticket: ticket_types.Ticket
     ) -> batch_records.ItemResult | None:
         """Sends an item's request and receives its events.
 
@@ -322,13 +280,10 @@
             if is_from_start:
                 run_s = self.clock() - started_s
                 self._record_run_time(task, run_s)
-        output = "\n".join(task.event_data)
-        return batch_records.ItemResult(
-            task.item.id, batch_records.DONE, output
-        )
+        return batch_task.done(task)
 
     def _make_call(
-        self, task: Task, ticket: ticket_types.Ticket
+        self, task: batch_task.Task, ticket: ticket_types.Ticket
     ) -> http_call.Call:
         """Returns the request that continues an item after its last event."""
         item = task.item
@@ -371,7 +326,7 @@
 
     async def _receive_events(
         self,
-        task: Task,
+        task: batch_task.Task,
         source: fleet_endpoint.Endpoint,
         answer: http_response.Response,
     ) -> None:
@@ -395,7 +350,9 @@
                 if event.id > expected_id:
                     message = f"event {expected_id} is missing"
                     raise errors.TruncatedStreamError(message)
-                task.output_bytes += len(event.data.encode()) + LINE_END_BYTES
+                task.output_bytes += (
+                    len(event.data.encode()) + batch_task.LINE_END_BYTES
+                )
                 if task.output_bytes > self.max_output_bytes:
                     self._discard_output(task)
                 task.event_data.append(event.data)
@@ -405,20 +362,20 @@
         if splitter.incomplete:
             raise errors.TruncatedStreamError("the stream ends within an event")
 
-    def _discard_output(self, task: Task) -> None:
+    def _discard_output(self, task: batch_task.Task) -> None:
         """Discards output that has no end, so that the item starts again.
 
         Raises:
             ItemFailedError: Always. It counts as a failure of the item, which
                 is given up if every endpoint sends so much.
         """
-        _clear_output(task)
+        batch_task.clear_output(task)
         task.failures += 1
         raise errors.ItemFailedError(
             f"the output is over {self.max_output_bytes} bytes"
         )
 
-    def _record_run_time(self, task: Task, run_s: float) -> None:
+    def _record_run_time(self, task: batch_task.Task, run_s: float) -> None:
         """Records the run time of an item that ran from its start."""
         metadata = self.dialect.decode_metadata(
             _encode_headers(task.item.headers)
@@ -428,7 +385,7 @@
 
     def _record_failure(
         self,
-        task: Task,
+        task: batch_task.Task,
         ticket: ticket_types.Ticket,
         error: errors.EndpointError,
     ) -> None:
@@ -446,7 +403,9 @@
             cause=error.message,
         )
 
-    def _give_up(self, task: Task, cause: str) -> batch_records.ItemResult:
+    def _give_up(
+        self, task: batch_task.Task, cause: str
+    ) -> batch_records.ItemResult:
         """Logs why an item is given up and returns its failed result."""
         logs.event(
             "item_given_up",
@@ -458,27 +417,6 @@
         return batch_records.ItemResult(task.item.id, batch_records.FAILED, "")
 
 
-def _clear_output(task: Task) -> None:
-    """Drops the output received so far; the next attempt begins anew."""
-    task.event_data.clear()
-    task.output_bytes = 0
-    task.last_event_id = None
-    task.software_version = None
-
-
-def _start_again(task: Task, cause: str) -> None:
-    """Drops output that no endpoint can continue in time."""
-    logs.event(
-        "item_started_again",
-        job=task.job_id,
-        request=task.item.id,
-        software=task.software_version,
-        last_event=task.last_event_id,
-        cause=cause,
-    )
-    _clear_output(task)
-
-
 def stall_timeout_s(stalls: int) -> float:
     """Returns the seconds without a new event after which an attempt fails.
 
--- a/src/ibisknot/batch_job.py
+++ b/src/ibisknot/batch_job.py
@@ -7,8 +7,8 @@
 import anyio
 from anyio import abc
 
-from ibisknot import batch_item
 from ibisknot import batch_records
+from ibisknot import batch_task
 from ibisknot import listed_results
 
 LATE_WRITE_S = 10.0
@@ -66,7 +66,7 @@
     cancel_scope: anyio.CancelScope = dataclasses.field(
         default_factory=anyio.CancelScope
     )
-    tasks: dict[int, batch_item.Task] = dataclasses.field(default_factory=dict)
+    tasks: dict[int, batch_task.Task] = dataclasses.field(default_factory=dict)
     task_group: abc.TaskGroup | None = None
 
 
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -16,6 +16,7 @@
 from ibisknot import batch_job
 from ibisknot import batch_record_writer
 from ibisknot import batch_records
+from ibisknot import batch_task
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
@@ -31,6 +32,7 @@
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
+from ibisknot.progress import journal
 
 MIN_POLL_PERIOD_S = 1.5
 MAX_FLEET_POLLS_PER_S = 2.8
@@ -71,6 +73,7 @@
             last one at the end.
         owners: Owners of the open jobs that were listed last, by job id.
         unix_s: Returns the Unix time in seconds.
+        progress: Keeps the progress of items on the disk; None without one.
         failed_jobs: Jobs that ended with an unexpected error here.
         item_semaphore: Limits the number of items that run here.
     """
@@ -119,6 +122,7 @@
         self.owners: dict[str, str] = {}
         self.missing_since_s: dict[str, float] = {}
         self.is_draining = False
+        self.progress: journal.Journal | None = None
         self.failed_jobs = isolation.Failures()
         self.item_semaphore = anyio.Semaphore(MAX_RUNNING_ITEMS)
 
@@ -436,10 +440,10 @@
 
     def _make_task(
         self, job: batch_job.Job, index: int, item: batch_records.Item
-    ) -> batch_item.Task:
+    ) -> batch_task.Task:
         meta = job.progress.meta
         age_s = self.unix_s() - meta.submitted_ms / 1000
-        return batch_item.Task(
+        task = batch_task.Task(
             job_id=meta.id,
             index=index,
             item=item,
@@ -448,16 +452,22 @@
             organisation=serving.Organisation(meta.organisation),
             submitted_s=self.clock.now() - age_s,
         )
+        if self.progress is not None:
+            self.progress.track(task)
+        return task
 
     async def _run_item(
-        self, job: batch_job.Job, task: batch_item.Task
+        self, job: batch_job.Job, task: batch_task.Task
     ) -> None:
         """Runs an item and queues its result, to be written."""
+        result = None
         try:
             async with self.item_semaphore:
                 result = await self.item_runner.run(task)
         finally:
             job.tasks.pop(task.index, None)
+            if self.progress is not None:
+                self.progress.finish(task, result)
         if result is not None:
             metrics.BATCH_ITEMS.inc({"outcome": result.state})
             job.unwritten.append((task.index, result, task.item.tokens))
--- a/src/ibisknot/deployment.py
+++ b/src/ibisknot/deployment.py
@@ -47,6 +47,7 @@
         lease_minimum_s: Shortest lease that the key-value service grants.
         memory_bytes: Memory limit, above which the process is killed.
         descriptors: Limit of open file descriptors.
+        data_folder: Folder on the VM's disk, or None without one.
     """
 
     name: str
@@ -64,6 +65,7 @@
     memory_bytes: int
     descriptors: int
     bounds: Bounds
+    data_folder: str | None = None
 
     @property
     def peer_address(self) -> str:
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -22,6 +22,10 @@
 BATCH_ITEMS = aioprometheus.Counter(
     "ibisknot_batch_items_total", "Batch items by outcome."
 )
+ITEMS_RESTORED = aioprometheus.Counter(
+    "ibisknot_items_restored_total",
+    "Batch items that went on from what a worker's disk had.",
+)
 BATCH_JOBS = aioprometheus.Counter(
     "ibisknot_batch_jobs_total", "Batch jobs by final state."
 )
--- a/src/ibisknot/platform/settings.py
+++ b/src/ibisknot/platform/settings.py
@@ -53,6 +53,7 @@
     Limits: _Limits = msgspec.field(default_factory=_Limits)
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     Seeds: list[str] = []
+    DataDir: str | None = None
 
 
 def path_from_environment() -> str:
@@ -128,6 +129,7 @@
         lease_minimum_s=file.Platform.TtlMinMs / 1000,
         memory_bytes=file.Limits.MemoryMb * 1024 * 1024,
         descriptors=file.Limits.MaxFds,
+        data_folder=file.DataDir,
         bounds=deployment.Bounds(
             drain_s=bounds.DrainMs / 1000,
             grace_s=bounds.GraceS,
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -10,6 +10,7 @@
 from ibisknot import scheduler
 from ibisknot import stream_records
 from ibisknot import worker_retirement
+from ibisknot.progress import journal
 
 EXIT_MARGIN_S = 1.0
 """Time kept for the shutdown before the VM's grace period ends."""
@@ -61,6 +62,13 @@
             worker_node.tasks,
             worker_node.runner.registration,
         )
+        data_folder = worker_node.process.data_folder
+        if data_folder is not None:
+            worker.progress = await journal.open_journal(
+                data_folder, worker.jobs.__contains__
+            )
+        if worker.progress is not None:
+            worker.progress.start(worker_node.clock)
         worker.start(worker_node.server)
         worker_node.runner.change_callbacks.append(worker.on_members_changed)
         job_answers.Answers(
--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -7,6 +7,7 @@
 
 from ibisknot import batch_item
 from ibisknot import batch_records
+from ibisknot import batch_task
 from ibisknot import fleetview
 from ibisknot import http_client
 from ibisknot import http_server
@@ -30,7 +31,7 @@
     *scripts: scripted.Script,
     versions: tuple[str, ...] = (),
     item: batch_records.Item | None = None,
-) -> tuple[batch_records.ItemResult | None, batch_item.Task]:
+) -> tuple[batch_records.ItemResult | None, batch_task.Task]:
     """Runs an item at one endpoint after another.
 
     Args:
@@ -47,10 +48,10 @@
         endpoint.software_version = version
     clock = timer.Timer()
     run_item = item or batch_records.Item("r1", "/a/x", [], b"", 10)
-    outcome: list[tuple[batch_records.ItemResult | None, batch_item.Task]] = []
+    outcome: list[tuple[batch_records.ItemResult | None, batch_task.Task]] = []
 
     async def main() -> None:
-        task = batch_item.Task(
+        task = batch_task.Task(
             "j", 0, run_item, "r", "h", serving.Organisation("one"), clock.now()
         )
         async with scripted.serving_endpoints(*endpoints):
@@ -286,7 +287,7 @@
     item = batch_records.Item("r1", "/a", [], b"", 10)
 
     async def main() -> batch_records.ItemResult | None:
-        task = batch_item.Task(
+        task = batch_task.Task(
             "j", 0, item, "r", "h", serving.Organisation("one"), clock.now()
         )
         runner = batch_item.Runner(
