Check the style of all packages

The checks named three packages, so that modules of a new one were not checked, and imports of its modules were taken for imports of names. They now cover every package inside ibisknot except the generated one.

--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -6,13 +6,17 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = sorted(
+    path.parent.name
+    for path in (ROOT / "src/ibisknot").glob("*/__init__.py")
+    if path.parent.name != "gen"
+)
+"""Packages inside `ibisknot`, the generated one aside."""
 SOURCES = [
     path
     for folder in (
         "src/ibisknot",
-        "src/ibisknot/bench",
-        "src/ibisknot/platform",
-        "src/ibisknot/standins",
+        *(f"src/ibisknot/{package}" for package in PACKAGES),
         "tests",
         "examples",
         "benchmarks",
@@ -28,7 +32,7 @@
             p.stem
             for p in (ROOT / "src/ibisknot" / package.lstrip(".")).iterdir()
         }
-        for package in ("", ".bench", ".platform", ".standins")
+        for package in ("", *(f".{package}" for package in PACKAGES))
     }
     imported: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
@@ -60,7 +64,11 @@
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in SOURCES if path.parent.name in ("ibisknot", "platform")],
+    [
+        path
+        for path in SOURCES
+        if path.parent.name in {"ibisknot", *PACKAGES} - {"bench", "standins"}
+    ],
     ids=lambda path: path.name,
 )
 def test_product_does_not_import_its_bench(path: pathlib.Path) -> None:
