Weigh loads against the cost of leaving a data centre

The choice of an endpoint added 3 ms for another data centre. On endpoints with stated slots, the expected engine time does not depend on load, so the data centre decided until all its slots were in use, or cached prompt parts decided alone.

The new package locality compares the gain of a less full endpoint with the delay and the bytes of a crossing, with hysteresis between data centres, by the counts of the scheduler. It only orders candidates, so that no request waits and none is revoked beside a free slot.

Filtering candidates by data centre was ruled out: it would need exceptions for each rule that takes precedence.

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -8,6 +8,7 @@
 from ibisknot import breaker
 from ibisknot import request_limits
 from ibisknot import routing
+from ibisknot.locality import decision as locality_decision
 
 ONLINE = "online"
 BATCH = "batch"
@@ -176,6 +177,7 @@
         online_queue: Queued online requests.
         batch_queue: Queued batch requests.
         ended_s: Monotonic time at which each ticket was released, by id.
+        locality: Which data centres send requests to which others.
     """
 
     policy: Policy = dataclasses.field(default_factory=Policy)
@@ -188,6 +190,9 @@
         default_factory=_fair_queue.FairQueue
     )
     ended_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    locality: locality_decision.State = dataclasses.field(
+        default_factory=locality_decision.State
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -10,6 +10,7 @@
 from ibisknot import request_limits
 from ibisknot import routing
 from ibisknot import urgency
+from ibisknot.locality import endpoint_delays
 
 ONLINE_LIMIT_FRACTION = 0.5
 """Fraction of an endpoint's limit up to which online is consolidated there.
@@ -52,10 +53,14 @@
     Returns:
         The actions to carry out.
     """
+    delays = endpoint_delays.weighed(group, now)
     choose_for_online = (
-        choose or _endpoint_choice.least_expected_after_revocation(group.policy)
+        choose
+        or _endpoint_choice.least_expected_after_revocation(
+            group.policy, delays
+        )
     )
-    choose_for_batch = choose or _endpoint_choice.least_expected_first_token
+    choose_for_batch = choose or _endpoint_choice.least_expected(delays)
     actions: list[_admission_state.Action] = []
     for queue in (group.online_queue, group.batch_queue):
         for request in queue.expire(now):
--- a/src/ibisknot/_endpoint_choice.py
+++ b/src/ibisknot/_endpoint_choice.py
@@ -5,6 +5,7 @@
 from ibisknot import _admission_state
 from ibisknot import _fair_queue
 from ibisknot import routing
+from ibisknot.locality import endpoint_delays
 
 ChooseEndpoint = Callable[
     [list[_admission_state.Endpoint], _fair_queue.QueuedRequest],
@@ -18,50 +19,71 @@
     request: _fair_queue.QueuedRequest,
 ) -> _admission_state.Endpoint:
     """Chooses the endpoint with the least expected time to first token."""
-    options = [_candidate(e, request, e.unrevoked_count()) for e in candidates]
-    chosen = routing.choose(
-        options, request.prompt_blocks, request.prompt_words
-    )
-    return next(e for e in candidates if e.name == chosen.name)
+    return least_expected(endpoint_delays.network_only)(candidates, request)
+
+
+def least_expected(delays: endpoint_delays.Delays) -> ChooseEndpoint:
+    """Returns a function that chooses endpoints for batch requests.
+
+    It chooses the least expected time to first token.
+
+    Args:
+        delays: Returns what the data centres of the endpoints cost.
+    """
+
+    def choose(
+        candidates: list[_admission_state.Endpoint],
+        request: _fair_queue.QueuedRequest,
+    ) -> _admission_state.Endpoint:
+        delay_s = delays(candidates, request)
+        options = [
+            _candidate(e, e.unrevoked_count(), delay_s(e)) for e in candidates
+        ]
+        chosen = routing.choose(
+            options, request.prompt_blocks, request.prompt_words
+        )
+        return next(e for e in candidates if e.name == chosen.name)
+
+    return choose
 
 
 def _candidate(
-    endpoint: _admission_state.Endpoint,
-    request: _fair_queue.QueuedRequest,
-    running: int,
+    endpoint: _admission_state.Endpoint, running: int, delay_s: float
 ) -> routing.Candidate:
     """Returns an endpoint as it would serve a request.
 
     Args:
         endpoint: The endpoint.
-        request: The request.
         running: Sequences that run beside it.
+        delay_s: Seconds that its data centre costs.
     """
     return routing.Candidate(
-        endpoint.name,
-        running,
-        endpoint.capacity,
-        endpoint.view,
-        routing.network_delay_s(request.data_centre, endpoint.data_centre),
+        endpoint.name, running, endpoint.capacity, endpoint.view, delay_s
     )
 
 
 def least_expected_after_revocation(
     policy: _admission_state.Policy,
+    delays: endpoint_delays.Delays = endpoint_delays.network_only,
 ) -> ChooseEndpoint:
     """Returns a function that chooses endpoints for online requests.
 
     It chooses the least expected time to first token, and counts on each
     endpoint only the batch sequences that would still run beside one more
     online request, not those that would be revoked for it.
+
+    Args:
+        policy: How many batch sequences are revoked.
+        delays: Returns what the data centres of the endpoints cost.
     """
 
     def choose(
         candidates: list[_admission_state.Endpoint],
         request: _fair_queue.QueuedRequest,
     ) -> _admission_state.Endpoint:
+        delay_s = delays(candidates, request)
         options = [
-            _candidate(e, request, _running_after_revocation(e, policy))
+            _candidate(e, _running_after_revocation(e, policy), delay_s(e))
             for e in candidates
         ]
         chosen = routing.choose(
--- a/src/ibisknot/_scheduler_log.py
+++ b/src/ibisknot/_scheduler_log.py
@@ -3,6 +3,7 @@
 from ibisknot import _service
 from ibisknot import logs
 from ibisknot.gen.fleet import ttypes
+from ibisknot.locality import decision
 
 BURST_S = 1.0
 """Lines say which fraction of a burst of this time may be saved up."""
@@ -38,3 +39,20 @@
         accruing=round(accruing, 2),
         view_age_s=round(view_age_s, 3),
     )
+
+
+def flows_changed(service: _service.Service, now: float) -> None:
+    """Logs data centres that begin or stop sending requests to others.
+
+    Args:
+        service: The service.
+        now: Monotonic time in seconds.
+    """
+    for change in decision.take_changes(service.group.locality, now):
+        logs.event(
+            "data_centre_left" if change.has_begun else "data_centre_preferred",
+            service=service.name,
+            kind=change.flow.kind,
+            data_centre=change.flow.home,
+            other=change.flow.other,
+        )
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -43,6 +43,11 @@
 ENDPOINT_CALLS = aioprometheus.Counter(
     "ibisknot_endpoint_calls_total", "Requests sent to endpoints by outcome."
 )
+PLACEMENTS = aioprometheus.Counter(
+    "ibisknot_placements_total",
+    "Requests by kind and by whether their endpoint is in the own or in another"
+    " data centre.",
+)
 TICKET_WAIT_S = aioprometheus.Histogram(
     "ibisknot_place_wait_seconds",
     "Seconds that a request waited for a place at an endpoint.",
@@ -74,6 +79,28 @@
     KEY_VALUE_CALLS.inc({"call": name})
 
 
+def count_placement(kind: str, own: str, other: str) -> None:
+    """Counts a request that gets an endpoint.
+
+    Args:
+        kind: `online` or `batch`.
+        own: Data centre of this process.
+        other: Data centre of the endpoint.
+    """
+    PLACEMENTS.inc({"kind": kind, "data_centre": scope(own, other)})
+
+
+def scope(own: str, other: str) -> str:
+    """Returns whether two data centres are the same one, as a label.
+
+    >>> scope("a", "a"), scope("a", "b"), scope("a", "")
+    ('own', 'other', 'unknown')
+    """
+    if not own or not other:
+        return "unknown"
+    return "own" if own == other else "other"
+
+
 def count_bytes(channel: str, *, sent: int = 0, received: int = 0) -> None:
     """Counts control traffic.
 
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -13,7 +13,6 @@
 import math
 import random
 import time
-from typing import Any
 
 import anyio
 
@@ -287,6 +286,11 @@
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
+        metrics.count_placement(
+            ticket.request.kind,
+            self.process.data_centre,
+            ticket.endpoint.data_centre,
+        )
         origins = self.origins
         record = origins.record if ticket.granted_by else origins.record_grant
         record(
@@ -357,7 +361,7 @@
         self.fallback.set_request_limit(
             endpoint.name, self.limits.rate_per_s(endpoint.name), now
         )
-        message = _limits_message(self.limits.to_wire(now))
+        message = ttypes.EndpointLimits(self.limits.to_wire(now))
         for member in self.schedulers():
             self._notify(member, "endpoint_limits", message)
 
@@ -463,7 +467,7 @@
         places = _placement_messages.places(self.tickets.values(), now)
         limits = self.limits.to_wire(now)
         for member in schedulers:
-            method, message = "endpoint_limits", _limits_message(limits)
+            method, message = "endpoint_limits", ttypes.EndpointLimits(limits)
             # An earlier build counts the share of each process that reports.
             if not self.share.uses_own_share(member):
                 method = "places_held"
@@ -494,7 +498,3 @@
         if ticket is not None:
             _ticket_log.revoked(ticket, message.scheduler)
             ticket.revoked.set()
-
-
-def _limits_message(limits: list[ttypes.EndpointLimit]) -> Any:
-    return ttypes.EndpointLimits(limits=limits)
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -421,6 +421,7 @@
             if now - service.last_request_s > ACTIVE_TIMEOUT_S:
                 service.group.policy = STANDBY_POLICY
             self._apply(service, admission.tick(service.group, now))
+            _scheduler_log.flows_changed(service, now)
 
     def _add_accrued(self, accrued_s: float) -> None:
         """Adds time for which the limits of endpoints accrue here."""
