Compress messages between data centres, and count their bytes

Results of batch items are read by gateways from the job's owner in full, and reports repeat the same fields for each ticket. Neither was compressed, and bytes were only counted by method.

Payloads of 400 bytes to 256 kB between data centres are now compressed with zlib's fastest level once both processes have said that they take it, in optional fields of the envelope. Earlier builds are sent none. The caller counts the bytes of both directions by whether the peer is in another data centre.

--- a/src/ibisknot/gen/peer/ttypes.py
+++ b/src/ibisknot/gen/peer/ttypes.py
@@ -34,6 +34,18 @@
     }
 
 
+class Compression(object):
+    ZLIB = 1
+
+    _VALUES_TO_NAMES = {
+        1: "ZLIB",
+    }
+
+    _NAMES_TO_VALUES = {
+        "ZLIB": 1,
+    }
+
+
 class Envelope(object):
     """
     Outer message of every frame between ibisknot processes.
@@ -46,6 +58,8 @@
      - trace_parent
      - error_code: Error code of a failed call; absent when the call succeeded.
      - error_message
+     - compression: How the payload is compressed; absent if it is not.
+     - takes_compressed: Whether the sender takes compressed payloads over this connection.
 
     """
 
@@ -57,10 +71,12 @@
         'trace_parent',
         'error_code',
         'error_message',
+        'compression',
+        'takes_compressed',
     )
 
 
-    def __init__(self, id=None, kind=None, method=None, payload=None, trace_parent=None, error_code=None, error_message=None,):
+    def __init__(self, id=None, kind=None, method=None, payload=None, trace_parent=None, error_code=None, error_message=None, compression=None, takes_compressed=None,):
         self.id = id
         self.kind = kind
         self.method = method
@@ -68,6 +84,8 @@
         self.trace_parent = trace_parent
         self.error_code = error_code
         self.error_message = error_message
+        self.compression = compression
+        self.takes_compressed = takes_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -113,6 +131,16 @@
                     self.error_message = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.compression = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.takes_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -151,6 +179,14 @@
             oprot.writeFieldBegin('error_message', TType.STRING, 7)
             oprot.writeString(self.error_message.encode('utf-8') if sys.version_info[0] == 2 else self.error_message)
             oprot.writeFieldEnd()
+        if self.compression is not None:
+            oprot.writeFieldBegin('compression', TType.I32, 8)
+            oprot.writeI32(self.compression)
+            oprot.writeFieldEnd()
+        if self.takes_compressed is not None:
+            oprot.writeFieldBegin('takes_compressed', TType.BOOL, 9)
+            oprot.writeBool(self.takes_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -242,6 +278,8 @@
     (5, TType.STRING, 'trace_parent', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'error_code', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'error_message', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'compression', None, None, ),  # 8
+    (9, TType.BOOL, 'takes_compressed', None, None, ),  # 9
 )
 all_structs.append(Empty)
 Empty.thrift_spec = (
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -37,6 +37,12 @@
     "ibisknot_control_bytes_total",
     "Bytes to and from peers and the platform, by direction and channel.",
 )
+PEER_BYTES = aioprometheus.Counter(
+    "ibisknot_peer_bytes_total",
+    "Bytes of calls to peers and of the answers, by channel, direction and"
+    " whether the peer is in the own or in another data centre. The caller"
+    " counts both directions.",
+)
 KEY_VALUE_CALLS = aioprometheus.Counter(
     "ibisknot_store_calls_total", "Calls to the key-value service."
 )
@@ -79,42 +85,40 @@
     KEY_VALUE_CALLS.inc({"call": name})
 
 
-def count_placement(kind: str, own: str, other: str) -> None:
+def count_placement(kind: str, scope: str) -> None:
     """Counts a request that gets an endpoint.
 
     Args:
         kind: `online` or `batch`.
-        own: Data centre of this process.
-        other: Data centre of the endpoint.
-    """
-    PLACEMENTS.inc({"kind": kind, "data_centre": scope(own, other)})
-
-
-def scope(own: str, other: str) -> str:
-    """Returns whether two data centres are the same one, as a label.
-
-    >>> scope("a", "a"), scope("a", "b"), scope("a", "")
-    ('own', 'other', 'unknown')
+        scope: Whether the endpoint is in the `own` or an `other` data centre.
     """
-    if not own or not other:
-        return "unknown"
-    return "own" if own == other else "other"
+    PLACEMENTS.inc({"kind": kind, "data_centre": scope})
 
 
-def count_bytes(channel: str, *, sent: int = 0, received: int = 0) -> None:
+def count_bytes(
+    channel: str,
+    *,
+    sent: int = 0,
+    received: int = 0,
+    scope: str | None = None,
+) -> None:
     """Counts control traffic.
 
     Args:
         channel: Name of the peer method, or `key_value`.
         sent: Bytes sent.
         received: Bytes received.
+        scope: Whether the peer that this process calls is in the `own` or an
+            `other` data centre, or `unknown`; None where another process
+            calls, which counts the bytes.
     """
-    if sent:
-        CONTROL_BYTES.add({"channel": channel, "direction": "sent"}, sent)
-    if received:
-        CONTROL_BYTES.add(
-            {"channel": channel, "direction": "received"}, received
-        )
+    for direction, size in (("sent", sent), ("received", received)):
+        if not size:
+            continue
+        labels = {"channel": channel, "direction": direction}
+        CONTROL_BYTES.add(labels, size)
+        if scope is not None:
+            PEER_BYTES.add({**labels, "data_centre": scope}, size)
 
 
 def render(accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -33,6 +33,7 @@
 from ibisknot import timer
 from ibisknot import tunnel_server
 from ibisknot import view_runner
+from ibisknot.locality import scopes
 
 SETTINGS_POLL_PERIOD_S = 1.0
 IDLE_CHECK_PERIOD_S = 1.0
@@ -125,6 +126,7 @@
         server = peer.Server()
         direct_store = platform.make_store(process.store, store_client)
         view = fleetview.View()
+        peers.scope_of = scopes.of_members(view, process.data_centre)
         connector = endpoint_connector.Connector(
             view, process.name, process.data_centre, peers, clock, tasks
         )
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -18,12 +18,15 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
+from ibisknot import _peer_connection
 from ibisknot import errors
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import traces
 from ibisknot.gen.peer import ttypes
+from ibisknot.locality import compression
+from ibisknot.locality import scopes
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -95,20 +98,34 @@
 
 
 async def send_frame(
-    stream: abc.ByteStream, lock: anyio.Lock, envelope: ttypes.Envelope
+    stream: abc.ByteStream,
+    lock: anyio.Lock,
+    envelope: ttypes.Envelope,
+    scope: str | None = None,
 ) -> None:
-    """Sends an envelope; the lock keeps frames of one connection apart."""
+    """Sends an envelope; the lock keeps frames of one connection apart.
+
+    Args:
+        stream: The connection.
+        lock: Lock of the connection.
+        envelope: The envelope.
+        scope: Scope of the peer that is called; None for a response.
+    """
     frame = encode(envelope)
     async with lock:
         await stream.send(_LENGTH.pack(len(frame)) + frame)
-    metrics.count_bytes(envelope.method, sent=_LENGTH.size + len(frame))
+    size = _LENGTH.size + len(frame)
+    metrics.count_bytes(envelope.method, sent=size, scope=scope)
 
 
-def _decode_envelope(frame: bytes) -> ttypes.Envelope:
+def _decode_envelope(frame: bytes, scope: str | None = None) -> ttypes.Envelope:
     """Decodes a received frame and counts its bytes."""
     envelope = decode(frame, ttypes.Envelope)
     size = _LENGTH.size + len(frame)
-    metrics.count_bytes(envelope.method, received=size)
+    metrics.count_bytes(envelope.method, received=size, scope=scope)
+    envelope.payload = compression.unpack(
+        envelope.payload, envelope.compression
+    )
     return envelope
 
 
@@ -205,6 +222,11 @@
             )
             response.error_code = errors.IbisknotError.code
             response.error_message = f"{request.method} failed"
+        if request.takes_compressed:
+            response.takes_compressed = True
+            response.payload, response.compression = compression.pack(
+                response.payload
+            )
         if request.kind == ttypes.Kind.REQUEST:
             try:
                 await send_frame(stream, lock, response)
@@ -251,77 +273,6 @@
         raise
 
 
-class _Connection:
-    """One multiplexed connection to a peer.
-
-    Attributes:
-        stream: The connection.
-        send_lock: Held while a frame is sent.
-        pending_calls: Event and response of each call without a response, by
-            envelope id; the event without a response means that the
-            connection was closed.
-        is_closed: Whether no further call may use the connection.
-        unanswered_since_s: Monotonic time of the first message that was sent
-            since the last one was received, or None.
-    """
-
-    def __init__(self, stream: abc.ByteStream) -> None:
-        self.stream = stream
-        self.send_lock = anyio.Lock()
-        self.pending_calls: dict[
-            int, tuple[anyio.Event, list[ttypes.Envelope]]
-        ] = {}
-        self.is_closed = False
-        self.unanswered_since_s: float | None = None
-
-    def is_unresponsive(self) -> bool:
-        """Returns whether the connection may be interrupted without notice.
-
-        A call's timeout is not enough: a busy peer may respond later than
-        that, and a new connection would increase its load.
-        """
-        if self.unanswered_since_s is None:
-            return False
-        return (
-            anyio.current_time() - self.unanswered_since_s
-            >= UNRESPONSIVE_TIMEOUT_S
-        )
-
-    async def abort(self) -> None:
-        """Closes the connection without a handshake."""
-        self.is_closed = True
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self.stream)
-
-    async def receive_responses(self) -> None:
-        """Passes responses to the pending calls until the connection ends."""
-        received = bytearray()
-        try:
-            while True:
-                frame = await receive_frame(self.stream, received)
-                envelope = _decode_envelope(frame)
-                self.unanswered_since_s = None
-                pending = self.pending_calls.pop(envelope.id, None)
-                if pending is not None:
-                    pending[1].append(envelope)
-                    pending[0].set()
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            errors.PeerError,
-            OSError,
-        ):
-            pass
-        finally:
-            self.is_closed = True
-            for event, _ in self.pending_calls.values():
-                event.set()
-            self.pending_calls.clear()
-            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
-                await self.stream.aclose()
-
-
 class Client:
     """Calls peers over one connection to each address.
 
@@ -329,6 +280,8 @@
         task_group: Runs the connections.
         address_overrides: Addresses to connect to, by the peers' own address.
         tls: Context of the connections, or None for plain TCP.
+        scope_of: Returns whether a peer is in the own data centre; messages to
+            others are compressed.
         connections: The last connection to each address.
         connect_locks: Held while a connection to an address is opened.
         message_ids: Ids of the next envelopes.
@@ -344,11 +297,12 @@
         self.task_group = task_group
         self.address_overrides = address_overrides or {}
         self.tls = tls
-        self.connections: dict[str, _Connection] = {}
+        self.scope_of: scopes.ScopeOf = scopes.unknown
+        self.connections: dict[str, _peer_connection.Connection] = {}
         self.connect_locks: dict[str, anyio.Lock] = {}
         self.message_ids = itertools.count(1)
 
-    async def _connect(self, address: str) -> _Connection:
+    async def _connect(self, address: str) -> _peer_connection.Connection:
         """Returns the open connection to an address, or opens one.
 
         Raises:
@@ -359,9 +313,17 @@
             existing = self.connections.get(address)
             if existing is not None and not existing.is_closed:
                 return existing
-            connection = _Connection(await self._open_connection(address))
+            connection = _peer_connection.Connection(
+                await self._open_connection(address), self.scope_of(address)
+            )
             self.connections[address] = connection
-            self.task_group.start_soon(connection.receive_responses)
+            received = bytearray()
+
+            async def receive() -> ttypes.Envelope:
+                frame = await receive_frame(connection.stream, received)
+                return _decode_envelope(frame, connection.scope)
+
+            self.task_group.start_soon(connection.receive_responses, receive)
             return connection
 
     async def _open_connection(self, address: str) -> abc.ByteStream:
@@ -420,9 +382,11 @@
             payload=encode(request),
         )
         try:
-            await send_frame(stream, anyio.Lock(), envelope)
+            scope = self.scope_of(address)
+            await send_frame(stream, anyio.Lock(), envelope, scope)
             frame = await receive_frame(stream, received)
-            response = decode(_decode_envelope(frame).payload, response_type)
+            answer = _decode_envelope(frame, scope)
+            response = decode(answer.payload, response_type)
         except BaseException as error:
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
@@ -468,6 +432,13 @@
             payload=encode(request),
             trace_parent=traces.headers().get("traceparent"),
         )
+        connection.scope = self.scope_of(address)
+        if connection.scope == scopes.OTHER:
+            envelope.takes_compressed = True
+            if connection.takes_compressed:
+                envelope.payload, envelope.compression = compression.pack(
+                    envelope.payload
+                )
         answered = anyio.Event()
         responses: list[ttypes.Envelope] = []
         if connection.unanswered_since_s is None:
@@ -476,7 +447,10 @@
         try:
             with anyio.fail_after(timeout_s):
                 await send_frame(
-                    connection.stream, connection.send_lock, envelope
+                    connection.stream,
+                    connection.send_lock,
+                    envelope,
+                    connection.scope,
                 )
                 await answered.wait()
         except (
@@ -484,7 +458,7 @@
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ) as error:
-            if connection.is_unresponsive():
+            if connection.is_unresponsive(UNRESPONSIVE_TIMEOUT_S):
                 await connection.abort()
             message = f"no answer from {address} to {method}: {error!r}"
             raise errors.PeerError(message) from None
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -36,6 +36,7 @@
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 from ibisknot.gen.peer import ttypes as peer_types
+from ibisknot.locality import scopes
 
 MAX_SCHEDULERS = 3
 """Schedulers that receive all updates on tickets, the active one first."""
@@ -286,11 +287,8 @@
     def _record_ticket(self, ticket: ticket_types.Ticket) -> None:
         self.tickets[ticket.id] = ticket
         ticket.acquired_s = self.clock.now()
-        metrics.count_placement(
-            ticket.request.kind,
-            self.process.data_centre,
-            ticket.endpoint.data_centre,
-        )
+        own, other = self.process.data_centre, ticket.endpoint.data_centre
+        metrics.count_placement(ticket.request.kind, scopes.compare(own, other))
         origins = self.origins
         record = origins.record if ticket.granted_by else origins.record_grant
         record(
--- /dev/null
+++ b/tests/test_peer_compression.py
@@ -0,0 +1,130 @@
+"""Messages between data centres: compression, and the count of their bytes."""
+
+from typing import Any
+import zlib
+
+import anyio
+from anyio import abc
+import fake_fleet
+import pytest
+
+from ibisknot import errors
+from ibisknot import metrics
+from ibisknot import peer
+from ibisknot.gen.fleet import ttypes as fleet_types
+from ibisknot.gen.peer import ttypes
+from ibisknot.locality import compression
+from ibisknot.locality import scopes
+
+BODY = b"data: event " * 500
+
+
+class _Server(peer.Server):
+    """Records the compression of requests; may be of an earlier build."""
+
+    def __init__(self, *, is_earlier: bool) -> None:
+        super().__init__()
+        self.is_earlier = is_earlier
+        self.compressions: list[int | None] = []
+
+    async def _respond(
+        self, stream: abc.ByteStream, lock: anyio.Lock, request: Any
+    ) -> None:
+        self.compressions.append(request.compression)
+        if self.is_earlier:
+            request.takes_compressed = None
+        await super()._respond(stream, lock, request)
+
+
+async def _call_thrice(scope: str, *, is_earlier: bool = False) -> _Server:
+    """Makes three calls whose message and answer are `BODY`."""
+    server = _Server(is_earlier=is_earlier)
+
+    async def echo(message: Any) -> Any:
+        assert message.result == BODY
+        return message
+
+    server.on("echo", fleet_types.StoreAnswer, echo)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(listener.serve, server._serve_connection)
+        client = peer.Client(task_group)
+        client.scope_of = lambda _address: scope
+        for _ in range(3):
+            answer = await client.call(
+                f"127.0.0.1:{port}",
+                "echo",
+                fleet_types.StoreAnswer(result=BODY),
+                fleet_types.StoreAnswer,
+            )
+            assert answer.result == BODY
+        task_group.cancel_scope.cancel()
+    return server
+
+
+def _count(monkeypatch: pytest.MonkeyPatch) -> dict[tuple[str, str], int]:
+    """Returns the bytes by direction and scope, as they will be counted."""
+    counted: dict[tuple[str, str], int] = {}
+
+    def add(labels: dict[str, str], size: int) -> None:
+        key = (labels["direction"], labels["data_centre"])
+        counted[key] = counted.get(key, 0) + size
+
+    monkeypatch.setattr(metrics.PEER_BYTES, "add", add)
+    return counted
+
+
+def test_both_directions_are_compressed_once_the_peer_takes_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against messages that are sent in full to another data centre."""
+    counted = _count(monkeypatch)
+    server = anyio.run(_call_thrice, scopes.OTHER)
+    packed = ttypes.Compression.ZLIB
+    assert server.compressions == [None, packed, packed]
+    assert len(BODY) < counted["sent", "other"] < 1.3 * len(BODY)
+    assert counted["received", "other"] < 0.3 * len(BODY)
+
+
+@pytest.mark.parametrize(
+    ("scope", "is_earlier"), [(scopes.OWN, False), (scopes.OTHER, True)]
+)
+def test_no_compression_near_by_nor_to_an_earlier_build(
+    monkeypatch: pytest.MonkeyPatch, scope: str, is_earlier: bool
+) -> None:
+    """Guards against payloads that an earlier build cannot read."""
+    counted = _count(monkeypatch)
+
+    async def main() -> _Server:
+        return await _call_thrice(scope, is_earlier=is_earlier)
+
+    assert anyio.run(main).compressions == [None] * 3
+    assert counted["sent", scope] > 3 * len(BODY)
+    assert counted["received", scope] > 3 * len(BODY)
+
+
+@pytest.mark.parametrize(
+    ("payload", "kind"),
+    [
+        (zlib.compress(bytes(compression.MAX_BYTES + 1)), 1),
+        (zlib.compress(BODY)[:-5], 1),
+        (b"no stream", 1),
+        (BODY, 9),
+    ],
+)
+def test_malformed_compression_is_refused(payload: bytes, kind: int) -> None:
+    """Guards against a small message that fills the memory."""
+    with pytest.raises(errors.PeerError):
+        compression.unpack(payload, kind)
+
+
+def test_scope_follows_the_members() -> None:
+    """Guards against bytes counted by a list of members that is old."""
+    view = fake_fleet.view()
+    scope_of = scopes.of_members(view, "d")
+    assert (scope_of("w0:1"), scope_of("new:1")) == ("own", "unknown")
+    new = fake_fleet.member("new", "worker")
+    view.members = view.members | {"new": new}
+    assert scope_of("new:1") == "own"
+    assert scopes.of_members(view, "e")("new:1") == "other"
