Prefer endpoints at home while no scheduler responds

A process that chooses alone broke ties at random, over all data centres. It now takes an endpoint of its own data centre, of those with the fewest of its requests, where that has at least as many slots for each process as the fleet. Without this condition, the processes of a data centre with few endpoints would fill them together.

An owner of batch jobs in the data centre of the accepting gateway was ruled out: other gateways could not compute it from the id of the job.

--- a/src/ibisknot/fallback.py
+++ b/src/ibisknot/fallback.py
@@ -1,5 +1,6 @@
 """Chooses endpoints within one process while no scheduler responds."""
 
+import collections
 from collections.abc import Mapping
 import math
 import random
@@ -15,6 +16,7 @@
 from ibisknot import request_limits
 from ibisknot import serving
 from ibisknot import token_level
+from ibisknot.locality import decision
 
 FLEET_RESERVE_TOKENS = 9.0
 """Tokens of each organisation that all gateways together grant in advance."""
@@ -27,6 +29,7 @@
     Attributes:
         view: The process's view of the fleet.
         rng: Breaks ties between endpoints.
+        data_centre: Data centre of this process; empty if it is not known.
         circuits: Circuit breaker of each endpoint, by endpoint name.
         levels: Tokens of this process's share of each rate, by organisation
             name.
@@ -38,10 +41,14 @@
     """
 
     def __init__(
-        self, view: fleetview.View, rng: random.Random | None = None
+        self,
+        view: fleetview.View,
+        rng: random.Random | None = None,
+        data_centre: str = "",
     ) -> None:
         self.view = view
         self.rng = rng or random.Random()
+        self.data_centre = data_centre
         self.circuits: dict[str, breaker.Breaker] = {}
         self.levels: dict[str, token_level.Level] = {}
         self.accrued_s = 0.0
@@ -120,7 +127,9 @@
     ) -> fleet_endpoint.Endpoint:
         """Returns the endpoint with the fewest requests of this process.
 
-        Endpoints in `avoid` are chosen only if there is no other.
+        Of several, one in the data centre of this process is chosen if that
+        has endpoints enough. Endpoints in `avoid` are chosen only if there is
+        no other.
 
         Args:
             service: Name of the service that the endpoint must serve.
@@ -153,10 +162,26 @@
             raise errors.OverloadedError(
                 message, retry_after_s=NO_ENDPOINT_RETRY_AFTER_S
             )
+        home = self._home(candidates)
         return min(
             candidates,
-            key=lambda e: (in_flight.get(e.name, 0), self.rng.random()),
+            key=lambda e: (
+                in_flight.get(e.name, 0),
+                e.data_centre != home,
+                self.rng.random(),
+            ),
+        )
+
+    def _home(self, candidates: list[fleet_endpoint.Endpoint]) -> str | None:
+        """Returns the data centre of this process if it is to be preferred."""
+        processes = collections.Counter(
+            m.data_centre for m in self.view.members.values()
+        )
+        loads = decision.loads((e.data_centre, 0, e.slots) for e in candidates)
+        is_enough = decision.is_home_enough(
+            self.data_centre, loads, processes, decision.Policy()
         )
+        return self.data_centre if is_enough else None
 
     def consume_token(
         self, organisation: serving.Organisation, now: float
--- a/src/ibisknot/locality/decision.py
+++ b/src/ibisknot/locality/decision.py
@@ -230,6 +230,32 @@
     return price_s(demand, policy) * factor - gain_s
 
 
+def is_home_enough(
+    home: str,
+    loads: dict[str, Load],
+    processes: dict[str, int],
+    policy: Policy,
+) -> bool:
+    """Returns whether requests may stay at home while no scheduler responds.
+
+    Nobody knows the loads then. Home is enough if it has as many slots for
+    each of its processes as the whole fleet.
+
+    Args:
+        home: Data centre of this process.
+        loads: The endpoints and slots of each data centre.
+        processes: Number of processes in each data centre.
+        policy: The smallest number of endpoints.
+    """
+    if not prefers_home(Demand(home, ""), loads, policy):
+        return False
+    all_slots = sum(load.slots for load in loads.values())
+    all_processes = sum(processes.values())
+    return loads[home].slots * all_processes >= all_slots * processes.get(
+        home, 0
+    )
+
+
 def take_changes(state: State, now: float) -> list[Change]:
     """Returns the changes to log, and records that they were logged.
 
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -102,7 +102,7 @@
         self.limits = endpoint_limits.Table(view)
         self.leaving = leaving_endpoints.Table(view)
         self.reported_to: set[fleetview.Member] = set()
-        self.fallback = fallback.Fallback(view, self.rng)
+        self.fallback = fallback.Fallback(view, self.rng, process.data_centre)
         self.id_prefix = f"{process.name}/{time.time_ns():x}"
         self.id_counter = itertools.count(1)
         self.is_retrying = False
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -1,6 +1,8 @@
 """Endpoint choice and rate limit within one process, without a scheduler."""
 
+import dataclasses
 import math
+import random
 
 import fake_fleet
 import pytest
@@ -45,6 +47,39 @@
     assert _chosen_name(local_fallback) == "e0"
 
 
+@pytest.mark.parametrize(
+    ("near", "away", "stays"), [(4, 2, True), (3, 2, False), (4, 0, False)]
+)
+def test_home_is_preferred_where_it_has_slots_for_its_processes(
+    near: int, away: int, stays: bool
+) -> None:
+    """Guards against processes that fill a few endpoints at home alone.
+
+    Of eight endpoints, `near` are at home, and of four processes `away` are
+    not.
+    """
+    fleet_view = fake_fleet.view(endpoints=8)
+    for n, (name, endpoint) in enumerate(fleet_view.endpoints.items()):
+        place = "d" if n < near else "f"
+        fleet_view.endpoints[name] = dataclasses.replace(
+            endpoint, data_centre=place
+        )
+    for n, (name, member) in enumerate(fleet_view.members.items()):
+        place = "f" if n < away else "d"
+        fleet_view.members[name] = dataclasses.replace(
+            member, data_centre=place
+        )
+    rng = random.Random(1)
+    local_fallback = fallback.Fallback(fleet_view, rng, "d")
+    names = [_chosen_name(local_fallback) for _ in range(20)]
+    places = {fleet_view.endpoints[name].data_centre for name in names}
+    assert places == ({"d"} if stays else {"d", "f"})
+    # An endpoint elsewhere without a request goes before one at home.
+    busy = {f"e{n}": 1 for n in range(near)}
+    name = _chosen_name(local_fallback, **busy)
+    assert fleet_view.endpoints[name].data_centre == "f"
+
+
 def test_gateway_uses_only_its_share_of_a_rate() -> None:
     """Guards against gateways that each admit the whole rate."""
     local_fallback = fallback.Fallback(fake_fleet.view(gateways=2))
