Confirm queued batch requests by reports

In fleets with five workers or more, the periodic report now names them, and the answer says which ones to send again. Optional fields carry both; a scheduler of an earlier build does not answer the question and is asked as before.

Requests that are queued at a scheduler which is no longer the one to ask are sent again at the next report. The end of a request without a ticket is told only to the schedulers that were asked.

A longer period alone was ruled out: a lost grant would hold its slot until then.

--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -235,12 +235,16 @@
    * none.
    */
   4: optional double accrued_s,
+  /** Ids of the batch asks that the process believes to be queued here. */
+  5: optional list<string> queued,
 }
 
 /** The answer to `PlacesHeld`. */
 struct ReportAccepted {
   /** Whether the scheduler grants only what is passed on to it. */
   1: optional bool counts_accrued,
+  /** Those of `queued` that are not queued here and are to be sent again. */
+  2: optional list<string> not_queued,
 }
 
 /** A place that its holder gives back at once. */
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -1,5 +1,6 @@
 """A scheduler's state of one service."""
 
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -85,6 +86,25 @@
         )
 
 
+def not_queued(
+    services: Iterable[Service], ticket_ids: list[str] | None
+) -> list[str] | None:
+    """Returns those ids of batch requests that no service has queued.
+
+    Their holders send them again: they were granted, or are not known.
+
+    Args:
+        services: The services.
+        ticket_ids: The ids; None, which is returned, if there was no question.
+    """
+    if not ticket_ids:
+        return ticket_ids
+    queued: set[str] = set()
+    for service in services:
+        queued |= admission.queued_batch_ids(service.group)
+    return [i for i in ticket_ids if i not in queued]
+
+
 def _usable_slots(endpoint: admission.Endpoint, hold_s: float) -> float:
     """Returns the slots of an endpoint that online requests can fill."""
     slots = float(int(endpoint.capacity.limit))
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -277,6 +277,11 @@
     return any(queued.id == request_id for queued in all_queued)
 
 
+def queued_batch_ids(group: _admission_state.Group) -> set[str]:
+    """Returns the ids of the queued batch requests."""
+    return {request.id for request in group.batch_queue.all_requests()}
+
+
 def reclaim_tickets(
     group: _admission_state.Group, now: float, holder: str
 ) -> list[_admission_state.Action]:
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -2623,6 +2623,7 @@
      - accrued_s: Seconds of the process's share of rates and limits that it passes on to
     this scheduler; 0 if another one gets them. Builds before `accrual` send
     none.
+     - queued: Ids of the batch asks that the process believes to be queued here.
 
     """
 
@@ -2631,14 +2632,16 @@
         'places',
         'limits',
         'accrued_s',
+        'queued',
     )
 
 
-    def __init__(self, holder=None, places=None, limits=None, accrued_s=None,):
+    def __init__(self, holder=None, places=None, limits=None, accrued_s=None, queued=None,):
         self.holder = holder
         self.places = places
         self.limits = limits
         self.accrued_s = accrued_s
+        self.queued = queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2681,6 +2684,16 @@
                     self.accrued_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.queued = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.queued.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2698,21 +2711,28 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter96 in self.places:
-                iter96.write(oprot)
+            for iter102 in self.places:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter97 in self.limits:
-                iter97.write(oprot)
+            for iter103 in self.limits:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accrued_s is not None:
             oprot.writeFieldBegin('accrued_s', TType.DOUBLE, 4)
             oprot.writeDouble(self.accrued_s)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.queued))
+            for iter104 in self.queued:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2748,16 +2768,19 @@
 
     Attributes:
      - counts_accrued: Whether the scheduler grants only what is passed on to it.
+     - not_queued: Those of `queued` that are not queued here and are to be sent again.
 
     """
 
     __slots__ = (
         'counts_accrued',
+        'not_queued',
     )
 
 
-    def __init__(self, counts_accrued=None,):
+    def __init__(self, counts_accrued=None, not_queued=None,):
         self.counts_accrued = counts_accrued
+        self.not_queued = not_queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2773,6 +2796,16 @@
                     self.counts_accrued = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.not_queued = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.not_queued.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2787,6 +2820,13 @@
             oprot.writeFieldBegin('counts_accrued', TType.BOOL, 1)
             oprot.writeBool(self.counts_accrued)
             oprot.writeFieldEnd()
+        if self.not_queued is not None:
+            oprot.writeFieldBegin('not_queued', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.not_queued))
+            for iter111 in self.not_queued:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2935,10 +2975,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readBinary()
-                        self.parts.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readBinary()
+                        self.parts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2959,8 +2999,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter104 in self.parts:
-                oprot.writeBinary(iter104)
+            for iter118 in self.parts:
+                oprot.writeBinary(iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3607,10 +3647,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readI64()
-                        self.parts.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI64()
+                        self.parts.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3631,8 +3671,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter111 in self.parts:
-                oprot.writeI64(iter111)
+            for iter125 in self.parts:
+                oprot.writeI64(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3709,11 +3749,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = CrashCandidate()
-                        _elem117.read(iprot)
-                        self.candidates.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = CrashCandidate()
+                        _elem131.read(iprot)
+                        self.candidates.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3738,8 +3778,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter118 in self.candidates:
-                iter118.write(oprot)
+            for iter132 in self.candidates:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3900,10 +3940,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readI64()
-                        self.parts.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readI64()
+                        self.parts.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3940,8 +3980,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter125 in self.parts:
-                oprot.writeI64(iter125)
+            for iter139 in self.parts:
+                oprot.writeI64(iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -4033,33 +4073,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = EndpointCrash()
-                        _elem131.read(iprot)
-                        self.crashes.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = EndpointCrash()
+                        _elem145.read(iprot)
+                        self.crashes.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = PartCompletion()
-                        _elem137.read(iprot)
-                        self.completions.append(_elem137)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = PartCompletion()
+                        _elem151.read(iprot)
+                        self.completions.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = PartRefusal()
-                        _elem143.read(iprot)
-                        self.refusals.append(_elem143)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = PartRefusal()
+                        _elem157.read(iprot)
+                        self.refusals.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4081,22 +4121,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter144 in self.crashes:
-                iter144.write(oprot)
+            for iter158 in self.crashes:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter145 in self.completions:
-                iter145.write(oprot)
+            for iter159 in self.completions:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter146 in self.refusals:
-                iter146.write(oprot)
+            for iter160 in self.refusals:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -4630,11 +4670,13 @@
     (2, TType.LIST, 'places', (TType.STRUCT, [Place, None], False), None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 3
     (4, TType.DOUBLE, 'accrued_s', None, None, ),  # 4
+    (5, TType.LIST, 'queued', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(ReportAccepted)
 ReportAccepted.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'counts_accrued', None, None, ),  # 1
+    (2, TType.LIST, 'not_queued', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(PlaceRevoked)
 PlaceRevoked.thrift_spec = (
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -17,6 +17,7 @@
 import anyio
 
 from ibisknot import _placement_messages
+from ibisknot import _queued_requests
 from ibisknot import _ticket_log
 from ibisknot import accrual_holder
 from ibisknot import admission
@@ -49,10 +50,6 @@
 BATCH_DELAY_S = 3.0
 """Time that batch waits for a responsive scheduler before the fallback."""
 BATCH_POLL_PERIOD_S = 0.5
-RETRY_SPACING_S = 0.005
-"""Pause between requests that are resent when the active scheduler changes."""
-RESEND_S = {admission.ONLINE: 0.15, admission.BATCH: 1.5}
-"""Time after which a queued request is sent again, by its kind."""
 NOTIFY_TIMEOUT_S = 0.4
 REPORT_PERIOD_S = 0.8
 DECLINED_RETRY_DELAY_S = 0.02
@@ -67,7 +64,8 @@
 
     Attributes:
         tickets: The held tickets by id.
-        pending: The requests that wait for a decision, by ticket id.
+        requests: The requests that wait for a decision.
+        pending: The same requests by ticket id.
         unresponsive: Names of the schedulers that did not answer. Requests
             skip a scheduler until it accepts a periodic report.
         limits: The limits of endpoints that this process knows.
@@ -75,7 +73,6 @@
         origins: The software that began the streams.
         reported_to: Schedulers that have accepted a periodic report since they
             started.
-        is_retrying: Whether `_retry_pending` is running.
         share: This process's share of rates and limits.
     """
 
@@ -96,7 +93,8 @@
         self.clock = clock
         self.task_group = task_group
         self.tickets: dict[str, ticket_types.Ticket] = {}
-        self.pending: dict[str, ticket_types.PendingRequest] = {}
+        self.requests = _queued_requests.Requests(view, task_group)
+        self.pending = self.requests.pending
         self.unresponsive: set[str] = set()
         self.rng = random.Random()
         self.limits = endpoint_limits.Table(view)
@@ -105,7 +103,6 @@
         self.fallback = fallback.Fallback(view, self.rng, process.data_centre)
         self.id_prefix = f"{process.name}/{time.time_ns():x}"
         self.id_counter = itertools.count(1)
-        self.is_retrying = False
         self.share = accrual_holder.Holder(
             view, clock, self.schedulers, self.unresponsive
         )
@@ -165,7 +162,11 @@
             metrics.TICKET_WAIT_S.observe({"kind": request.kind}, waited_s)
             if ticket is None:
                 self._notify_released(
-                    ticket_id, request, pending.declined, admission.CANCELLED
+                    ticket_id,
+                    request,
+                    pending.declined,
+                    admission.CANCELLED,
+                    pending.asked,
                 )
             else:
                 _ticket_log.acquired(ticket, waited_s)
@@ -203,14 +204,19 @@
                 request = dataclasses.replace(request, is_rate_limited=False)
             if member.name != pending.scheduler:
                 pending.scheduler = member.name
+                pending.asked.add(member.name)
                 number = next(numbers)
             answer = await self._send(
                 member, request, ticket_id, number, waited_s
             )
             if answer is not None and answer.state == State.QUEUED:
                 left_s = max(0.0, request.max_wait_s - waited_s)
-                with anyio.move_on_after(min(RESEND_S[request.kind], left_s)):
+                resend_s = self.requests.resend_s(member, request.kind)
+                if request.kind == admission.BATCH:
+                    pending.queued_at = member.name
+                with anyio.move_on_after(min(resend_s, left_s)):
                     await pending.answered.wait()
+                pending.queued_at = ""
                 answer = pending.answer
                 pending.answered = anyio.Event()
             if answer is None:
@@ -388,12 +394,15 @@
         request: ticket_types.TicketRequest,
         name: str,
         outcome: str,
+        asked: set[str] | None = None,
     ) -> None:
+        """Tells the schedulers, or only those asked for one never taken."""
         message = ttypes.PlaceReturned(
             group=request.service, id=ticket_id, endpoint=name, outcome=outcome
         )
         for member in self.schedulers():
-            self._notify(member, "place_returned", message)
+            if asked is None or member.name in asked:
+                self._notify(member, "place_returned", message)
 
     def _notify(
         self, member: fleetview.Member, method: str, message: object
@@ -425,35 +434,23 @@
                     cause=error.message,
                 )
             return
-        if is_report:
+        if isinstance(message, ttypes.PlacesHeld):
             self.reported_to.add(member)
             self.share.learn_build(member, bool(answer.counts_accrued))
+            self.requests.on_confirmed(
+                member, message.queued, answer.not_queued
+            )
         if member.name in self.unresponsive:
             self.unresponsive.discard(member.name)
-            self._start_retry()
+            self.requests.start_retry()
             logs.event("scheduler_regained", scheduler=member.name)
 
     def _mark_unresponsive(self, member: fleetview.Member) -> None:
         """Skips a scheduler until it accepts a periodic report."""
         self.unresponsive.add(member.name)
-        self._start_retry()
+        self.requests.start_retry()
         self.share.on_lost(member)
 
-    def _start_retry(self) -> None:
-        """Resends the pending requests, because the scheduler has changed."""
-        if not self.is_retrying:
-            self.is_retrying = True
-            self.task_group.start_soon(self._retry_pending)
-
-    async def _retry_pending(self) -> None:
-        """Wakes the requests one by one, so that they arrive in no burst."""
-        try:
-            for pending in list(self.pending.values()):
-                pending.answered.set()
-                await anyio.sleep(RETRY_SPACING_S)
-        finally:
-            self.is_retrying = False
-
     async def _report(self, now: float) -> None:
         """Timer callback: reports all tickets to the schedulers."""
         for name in self.limits.forget_gone():
@@ -462,6 +459,9 @@
         self.reported_to &= set(schedulers)
         self.unresponsive &= {member.name for member in schedulers}
         self.share.forget_others(schedulers)
+        active = self._responsive_scheduler()
+        if active is not None:
+            self.requests.resend_misplaced(schedulers, active.name)
         places = _placement_messages.places(self.tickets.values(), now)
         limits = self.limits.to_wire(now)
         for member in schedulers:
@@ -474,6 +474,7 @@
                     places=places,
                     limits=limits or None,
                     accrued_s=self.share.take(member),
+                    queued=self.requests.queued_at(member),
                 )
             self.task_group.start_soon(self._call, member, method, message)
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -377,6 +377,7 @@
     ) -> ttypes.ReportAccepted:
         """Peer method: reconciles the tickets with a holder's report."""
         now = self.clock.now()
+        holder = message.holder
         self.accruals.on_report(message)
         self.last_report_s[message.holder] = now
         self.unreported_since_s.pop(message.holder, None)
@@ -393,11 +394,10 @@
             )
         for name, tickets in tickets_by_service.items():
             service = self.services[name]
-            actions = admission.reconcile(
-                service.group, now, message.holder, tickets
-            )
+            actions = admission.reconcile(service.group, now, holder, tickets)
             self._apply(service, actions)
-        return ttypes.ReportAccepted(counts_accrued=True)
+        missing = _service.not_queued(self.services.values(), message.queued)
+        return ttypes.ReportAccepted(counts_accrued=True, not_queued=missing)
 
     async def tick(self, now: float) -> None:
         """Timer callback: applies deadlines, and reclaims lost tickets."""
--- a/src/ibisknot/ticket_types.py
+++ b/src/ibisknot/ticket_types.py
@@ -86,9 +86,14 @@
         scheduler: Name of the scheduler that was asked last.
         answered: Set when an answer has arrived or the request is to be resent.
         declined: Endpoint of a grant that this process did not accept.
+        queued_at: Name of the scheduler that has queued it for a batch item;
+            empty while none has.
+        asked: Schedulers that were asked.
     """
 
     scheduler: str = ""
     answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     answer: ttypes.PlaceAnswer | None = None
     declined: str = ""
+    queued_at: str = ""
+    asked: set[str] = dataclasses.field(default_factory=set)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,6 +7,7 @@
 import fake_fleet
 import pytest
 
+from ibisknot import _queued_requests
 from ibisknot import admission
 from ibisknot import errors
 from ibisknot import placement
@@ -117,7 +118,7 @@
         peers.answers["place_ask"] = lambda address, message: (
             queued if address == "w0:1" else _grant(address, message)
         )
-        with anyio.fail_after(placement.RESEND_S[admission.BATCH] / 2):
+        with anyio.fail_after(_queued_requests.RESEND_S[admission.BATCH] / 2):
             async with anyio.create_task_group() as tasks:
                 request = _request(kind=admission.BATCH, max_wait_s=10.0)
                 tasks.start_soon(client.acquire, request)
