--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -2752,6 +2752,7 @@
      - accrued_s: Seconds of the process's share of rates and limits that it passes on to
     this scheduler; 0 if another one gets them. Builds before `accrual` send
     none.
+     - queued: Ids of the batch asks that the process believes to be queued here.
 
     """
 
@@ -2760,14 +2761,16 @@
         'places',
         'limits',
         'accrued_s',
+        'queued',
     )
 
 
-    def __init__(self, holder=None, places=None, limits=None, accrued_s=None,):
+    def __init__(self, holder=None, places=None, limits=None, accrued_s=None, queued=None,):
         self.holder = holder
         self.places = places
         self.limits = limits
         self.accrued_s = accrued_s
+        self.queued = queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2810,6 +2813,16 @@
                     self.accrued_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.queued = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.queued.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2827,21 +2840,28 @@
         if self.places is not None:
             oprot.writeFieldBegin('places', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.places))
-            for iter103 in self.places:
-                iter103.write(oprot)
+            for iter109 in self.places:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter104 in self.limits:
-                iter104.write(oprot)
+            for iter110 in self.limits:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accrued_s is not None:
             oprot.writeFieldBegin('accrued_s', TType.DOUBLE, 4)
             oprot.writeDouble(self.accrued_s)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.queued))
+            for iter111 in self.queued:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2877,16 +2897,19 @@
 
     Attributes:
      - counts_accrued: Whether the scheduler grants only what is passed on to it.
+     - not_queued: Those of `queued` that are not queued here and are to be sent again.
 
     """
 
     __slots__ = (
         'counts_accrued',
+        'not_queued',
     )
 
 
-    def __init__(self, counts_accrued=None,):
+    def __init__(self, counts_accrued=None, not_queued=None,):
         self.counts_accrued = counts_accrued
+        self.not_queued = not_queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2902,6 +2925,16 @@
                     self.counts_accrued = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.not_queued = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.not_queued.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2916,6 +2949,13 @@
             oprot.writeFieldBegin('counts_accrued', TType.BOOL, 1)
             oprot.writeBool(self.counts_accrued)
             oprot.writeFieldEnd()
+        if self.not_queued is not None:
+            oprot.writeFieldBegin('not_queued', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.not_queued))
+            for iter118 in self.not_queued:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3064,10 +3104,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readBinary()
-                        self.parts.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readBinary()
+                        self.parts.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3088,8 +3128,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter111 in self.parts:
-                oprot.writeBinary(iter111)
+            for iter125 in self.parts:
+                oprot.writeBinary(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3736,10 +3776,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI64()
-                        self.parts.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readI64()
+                        self.parts.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3760,8 +3800,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter118 in self.parts:
-                oprot.writeI64(iter118)
+            for iter132 in self.parts:
+                oprot.writeI64(iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3838,11 +3878,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.candidates = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = CrashCandidate()
-                        _elem124.read(iprot)
-                        self.candidates.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = CrashCandidate()
+                        _elem138.read(iprot)
+                        self.candidates.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3867,8 +3907,8 @@
         if self.candidates is not None:
             oprot.writeFieldBegin('candidates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.candidates))
-            for iter125 in self.candidates:
-                iter125.write(oprot)
+            for iter139 in self.candidates:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4029,10 +4069,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readI64()
-                        self.parts.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readI64()
+                        self.parts.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4069,8 +4109,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter132 in self.parts:
-                oprot.writeI64(iter132)
+            for iter146 in self.parts:
+                oprot.writeI64(iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_count is not None:
@@ -4162,33 +4202,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = EndpointCrash()
-                        _elem138.read(iprot)
-                        self.crashes.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = EndpointCrash()
+                        _elem152.read(iprot)
+                        self.crashes.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.completions = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PartCompletion()
-                        _elem144.read(iprot)
-                        self.completions.append(_elem144)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = PartCompletion()
+                        _elem158.read(iprot)
+                        self.completions.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = PartRefusal()
-                        _elem150.read(iprot)
-                        self.refusals.append(_elem150)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = PartRefusal()
+                        _elem164.read(iprot)
+                        self.refusals.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4210,22 +4250,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter151 in self.crashes:
-                iter151.write(oprot)
+            for iter165 in self.crashes:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.completions is not None:
             oprot.writeFieldBegin('completions', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.completions))
-            for iter152 in self.completions:
-                iter152.write(oprot)
+            for iter166 in self.completions:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter153 in self.refusals:
-                iter153.write(oprot)
+            for iter167 in self.refusals:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_settled is not None:
@@ -4768,11 +4808,13 @@
     (2, TType.LIST, 'places', (TType.STRUCT, [Place, None], False), None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 3
     (4, TType.DOUBLE, 'accrued_s', None, None, ),  # 4
+    (5, TType.LIST, 'queued', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(ReportAccepted)
 ReportAccepted.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'counts_accrued', None, None, ),  # 1
+    (2, TType.LIST, 'not_queued', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(PlaceRevoked)
 PlaceRevoked.thrift_spec = (
