Start a job soon after an outage when its notification came during it

Cause: the owner of a new job reads the job's record when it is notified. If the read failed, or if the gateway got no answer to the write and so notified nobody, the job waited for the owner's next listing: up to 5 s in a fleet of 14 workers, and as long again if that listing failed as well.

Change: a failed read or listing is repeated after 0.5 s, and the items of the notification are kept for it. A gateway that finds a submitted job stored notifies its owner, which ignores the message if it runs the job.

--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -112,10 +112,30 @@
             if is_outcome_unknown:
                 logs.event("job_unknown", job=submission.id, cause=cause)
             if self.clock() + SUBMIT_RETRY_PAUSE_S >= deadline_s:
+                if is_outcome_unknown:
+                    self._notify_probable_owner(submission.id, parts)
                 message = f"job {submission.id} may have been accepted"
                 raise errors.KeyValueUnknownError(message)
             await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
 
+    def _notify_probable_owner(self, job_id: str, parts: list[bytes]) -> None:
+        """Notifies the owner of a job whose write was not answered.
+
+        The owner reads the job's record, which may name another worker by now
+        or not exist.
+        """
+        owner = job_owners.choose_owner(
+            job_id, job_owners.worker_names(self.view)
+        )
+        self._start_notify(job_id, owner, parts)
+
+    def _start_notify(
+        self, job_id: str, owner: str, parts: list[bytes] | None = None
+    ) -> None:
+        self.task_group.start_soon(
+            job_owners.notify, self.view, self.peers, job_id, owner, parts
+        )
+
     def _split(self, submission: batch_records.Submission) -> list[bytes]:
         """Encodes a job's items in parts that the store can hold.
 
@@ -150,23 +170,43 @@
         waiting = batch_records.WaitingTokens({})
         if pair is not None:
             waiting = batch_records.decode_waiting_tokens(pair.value)
-        if submission.id in waiting.jobs:
-            job = await self.reader.find_job(submission.id)
-            if job is not None:
-                self._check_access(job, organisation)
-                return True
+        if submission.id in waiting.jobs and await self._is_stored(
+            submission.id, parts, organisation
+        ):
+            return True
         tokens = submission.total_tokens()
         has_many_jobs = len(waiting.jobs) > MAX_COUNTED_JOBS
         if has_many_jobs or not _is_within_limit(waiting, tokens, route):
             waiting = await self._count_waiting_tokens(route, organisation)
             if not _is_within_limit(waiting, tokens, route):
-                return await self._refuse_over_limit(submission, organisation)
+                return await self._refuse_over_limit(
+                    submission, parts, organisation
+                )
         waiting.jobs[submission.id] = tokens
         guard = pairs.Guard(key, 0 if pair is None else pair.revision)
         return await self._create(
             submission, parts, route, organisation, waiting, guard
         )
 
+    async def _is_stored(
+        self, job_id: str, parts: list[bytes], organisation: str
+    ) -> bool:
+        """Returns whether a job is already stored, and notifies its owner.
+
+        The process whose write of the job was not answered has notified
+        nobody.
+
+        Raises:
+            NotFoundError: Another organisation has a job with this id.
+            KeyValueError: The store does not respond.
+        """
+        job = await self.reader.find_job(job_id)
+        if job is None:
+            return False
+        self._check_access(job, organisation)
+        self._notify_probable_owner(job_id, parts)
+        return True
+
     async def _count_waiting_tokens(
         self, route: serving.Route, organisation: str
     ) -> batch_records.WaitingTokens:
@@ -187,12 +227,13 @@
         return batch_records.WaitingTokens(tokens_by_job)
 
     async def _refuse_over_limit(
-        self, submission: batch_records.Submission, organisation: str
+        self,
+        submission: batch_records.Submission,
+        parts: list[bytes],
+        organisation: str,
     ) -> bool:
         """Returns True if the job is already stored, else refuses it."""
-        job = await self.reader.find_job(submission.id)
-        if job is not None:
-            self._check_access(job, organisation)
+        if await self._is_stored(submission.id, parts, organisation):
             return True
         raise errors.RateLimitError(
             f"{organisation} has too many batch tokens waiting",
@@ -242,11 +283,7 @@
         guards = [pairs.Guard(meta_key, 0), guard]
         revision = await self.store.transact(guards, puts)
         if not revision:
-            job = await self.reader.find_job(meta.id)
-            if job is None:
-                return False
-            self._check_access(job, organisation)
-            return True
+            return await self._is_stored(meta.id, parts, organisation)
         self._cache_new_job(meta, revision)
         logs.event(
             "job_accepted",
@@ -256,14 +293,7 @@
             owner=progress.owner,
             revision=revision,
         )
-        self.task_group.start_soon(
-            job_owners.notify,
-            self.view,
-            self.peers,
-            meta.id,
-            progress.owner,
-            parts,
-        )
+        self._start_notify(meta.id, progress.owner, parts)
         return True
 
     def _cache_new_job(
@@ -317,13 +347,7 @@
             return False
         if revision:
             logs.event("job_ended", job=job_id, revision=revision)
-            self.task_group.start_soon(
-                job_owners.notify,
-                self.view,
-                self.peers,
-                job_id,
-                progress.owner,
-            )
+            self._start_notify(job_id, progress.owner)
         return bool(revision)
 
 
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -38,6 +38,13 @@
 
 A listing finds what a lost notification has missed.
 """
+POLL_RETRY_S = 0.5
+"""Time after a failed read or listing in which the jobs are listed again.
+
+A job whose notification came during an outage starts soon after its end.
+"""
+MAX_UNREAD_JOBS = 64
+"""Notified jobs without a record whose items are retained."""
 POLL_CHECK_PERIOD_S = 0.25
 """Period at which a worker checks whether a listing is due."""
 MEMBERS_STALE_S = 3.0
@@ -70,6 +77,8 @@
         ended_jobs: Jobs of which all results were listed here, by id, the
             last one at the end.
         owners: Owners of the open jobs that were listed last, by job id.
+        unread_parts: Items of notified jobs whose record could not be read,
+            as they are stored, by job id.
         unix_s: Returns the Unix time in seconds.
         failed_jobs: Jobs that ended with an unexpected error here.
         item_semaphore: Limits the number of items that run here.
@@ -117,6 +126,7 @@
             collections.OrderedDict()
         )
         self.owners: dict[str, str] = {}
+        self.unread_parts: dict[str, list[bytes]] = {}
         self.missing_since_s: dict[str, float] = {}
         self.is_draining = False
         self.failed_jobs = isolation.Failures()
@@ -162,33 +172,50 @@
     async def _read_job(
         self, job_id: str, parts: list[bytes] | None = None
     ) -> None:
-        """Reads and applies a job's record; `parts` has a new job's items."""
+        """Reads and applies a job's record; `parts` has a new job's items.
+
+        The next listing repeats a read that has failed.
+        """
+        if parts and job_id in self.jobs:
+            # The gateway repeats the notification of a job that it has found.
+            return
         lease_count = self.entry.lease_count
         try:
             pair = await self.store.get(batch_records.OPEN_PREFIX + job_id)
         except errors.KeyValueError as error:
             logs.event("job_not_read", job=job_id, cause=error.message)
+            if parts and len(self.unread_parts) < MAX_UNREAD_JOBS:
+                self.unread_parts[job_id] = parts
+            self._poll_within(POLL_RETRY_S)
             return
         if pair is not None:
             await self._apply_record(pair, lease_count)
-            job = self.jobs.get(job_id)
-            if job is not None and parts and not job.items:
-                job.items = batch_records.decode_items(parts)
+            self._set_items(job_id, parts)
+
+    def _set_items(self, job_id: str, parts: list[bytes] | None) -> None:
+        """Sets the items of a job that was just started."""
+        job = self.jobs.get(job_id)
+        if job is not None and parts and not job.items:
+            job.items = batch_records.decode_items(parts)
 
     async def poll(self, now: float) -> None:
         """Lists the open jobs and applies their records."""
         self.next_poll_s = now + poll_period_s(len(self._workers()))
         lease_count = self.entry.lease_count
         self.polled_lease_count = lease_count
+        unread_parts, self.unread_parts = self.unread_parts, {}
         try:
             listing = await self.store.list_prefix(batch_records.OPEN_PREFIX)
         except errors.KeyValueError:
+            self.unread_parts = unread_parts | self.unread_parts
+            self._poll_within(POLL_RETRY_S)
             return
         self._update_missing_owners(now)
         owners = {}
         for pair in listing.pairs:
             job_id = pair.key.removeprefix(batch_records.OPEN_PREFIX)
             owners[job_id] = await self._apply_contained(pair, lease_count)
+            self._set_items(job_id, unread_parts.get(job_id))
         self.owners = owners
         for job_id, job in list(self.jobs.items()):
             if job_id not in owners and job.revision < listing.revision:
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -69,3 +69,29 @@
     error = _submit(store, b"x" * 1000)
     assert isinstance(error, errors.KeyValueRefusedError)
     assert store.refused == 1
+
+
+def test_owner_is_notified_of_a_job_whose_write_was_not_answered() -> None:
+    """Guards against a job that waits for its owner's next listing."""
+    store = fake_pairs_store.FakeStore()
+    store.lost_answers = 1
+    peers = fake_fleet.Peers()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            jobs = _jobs(store, task_group)
+            jobs.peers = peers  # type: ignore[assignment]
+            item = batch_records.Item("a", "/", [], b"", 1)
+            await jobs.submit(
+                batch_records.Submission("j", [item]),
+                ROUTE,
+                "one",
+                fake_fleet.START_S + 1.0,
+            )
+
+    anyio.run(main)
+    ((address, _, message),) = peers.calls
+    stored = store.stored[batch_records.OPEN_PREFIX + "j"]
+    progress = batch_records.decode_progress(stored.value)
+    assert address == f"{progress.owner}:1"
+    assert message.parts
--- a/tests/test_batch_worker.py
+++ b/tests/test_batch_worker.py
@@ -237,3 +237,29 @@
         assert world.runner.started == [0, 1, 2]
 
     job_world.run(scenario)
+
+
+def test_job_whose_notification_came_in_an_outage_starts_after_it() -> None:
+    """Guards against a job that waits for the rare listing of a large fleet.
+
+    The owner could not read the record when it was notified, and its next
+    listing fell into the outage as well.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        world.worker.next_poll_s = world.clock.now() + 60
+        await world.store_job(job_world.record(owner="w0"))
+        part = world.store.stored[batch_records.items_key("j", 0)].value
+        world.store.is_down = True
+        await world.worker._read_job("j", [part])
+        world.clock.time_s += batch_worker.POLL_RETRY_S
+        await world.worker._poll_if_due(world.clock.now())
+        world.store.is_down = False
+        world.store.calls.clear()
+        world.clock.time_s += batch_worker.POLL_RETRY_S
+        await world.worker._poll_if_due(world.clock.now())
+        await anyio.wait_all_tasks_blocked()
+        assert world.runner.started == [0, 1, 2]
+        assert world.store.calls == {"list": 1}
+
+    job_world.run(scenario)
