Retain members when they are read before the entries after an outage

Cause, seen in the logs of a run with real processes (the store gave no answers for 6 s): the leases of all workers had ended when the store was back, and the first process that read the members did so before it read the entries. Only a read of the entries started the time in which lapsed entries are retained, so all workers left every view for about a second. A job that was submitted then got no owner: it was started 4.5 s later by a listing, and took 13.5 s in place of 7. In that second no process had a scheduler either.

Change: a process that reads the members itself after a gap starts that time as well, and a process whose entry may have lapsed renews it as soon as the store is back. Members that a peer sends are taken as they are, because the peer has retained them itself, and a process that was cut off needs the new ones at once.

--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -19,7 +19,10 @@
 NEVER_S = -1e9
 """Monotonic time of what has not happened yet."""
 OUTAGE_THRESHOLD_S = 2.0
-"""A longer gap between two reads of the entries counts as a store outage."""
+"""A longer gap between two reads counts as a store outage.
+
+It applies to the entries, and to members that a process reads itself.
+"""
 REREGISTRATION_S = 2.2
 """Time in which endpoints write entries again that expired in an outage."""
 POLL_PERIOD_S = 0.4
@@ -85,8 +88,9 @@
         members_revision: The store's revision when `members` were read.
         members_read_s: Monotonic time at which `members` were last read or
             received.
-        store_recovered_s: Monotonic time at which the entries were first read
-            after a store outage.
+        store_recovered_s: Monotonic time at which the entries, and that at
+            which the members, were first read after a store outage; the later
+            one.
     """
 
     configuration: serving.Configuration | None = None
@@ -274,6 +278,16 @@
     return changed
 
 
+def record_members_read(view: View, now: float) -> None:
+    """Records that this process reads the members from the store.
+
+    It may do so before it reads the entries when the store is back. Peers send
+    members that they have retained themselves.
+    """
+    if now - view.members_read_s > OUTAGE_THRESHOLD_S and view.members:
+        view.store_recovered_s = now
+
+
 def members_digest(view: View) -> int:
     """Returns a signed 64-bit hash of the members, which peers compare.
 
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -82,6 +82,8 @@
             again, after a failed read.
         next_members_poll_s: Monotonic time before which the members are not
             read again.
+        renewed_recovery_s: The view's `store_recovered_s` after which the own
+            entry was last renewed.
         failed_polls: Failed reads of the entries since the last success.
         is_store_reachable: Whether the last direct call succeeded; None
             before the first.
@@ -136,6 +138,7 @@
         )
         self.next_poll_s = 0.0
         self.next_members_poll_s = 0.0
+        self.renewed_recovery_s = fleetview.NEVER_S
         self.failed_polls = 0
         self.is_store_reachable: bool | None = None
 
@@ -242,6 +245,7 @@
         next update carries the members to the others.
         """
         now = self.clock.now()
+        self._renew_after_outage()
         if now < max(
             fleetview.members_poll_due_s(self.view, self.own_member.name),
             self.next_members_poll_s,
@@ -260,8 +264,20 @@
             for m in map(registration.decode_member, listing.pairs)
             if m is not None
         ]
+        fleetview.record_members_read(self.view, self.clock.now())
         self._adopt_members(listing.revision, members, age_s=0.0)
 
+    def _renew_after_outage(self) -> None:
+        """Renews the own entry when the store is back, if it may have lapsed.
+
+        The others retain it only for a while.
+        """
+        if self.view.store_recovered_s <= self.renewed_recovery_s:
+            return
+        self.renewed_recovery_s = self.view.store_recovered_s
+        if not self.registration.is_certain():
+            self.task_group.start_soon(self.registration.renew, 0.0)
+
     def _adopt_members(
         self, revision: int, members: list[fleetview.Member], age_s: float
     ) -> None:
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -75,6 +75,38 @@
     assert sorted(view.endpoints) == ["b"]
 
 
+def test_members_that_lapsed_in_an_outage_are_retained_for_a_while() -> None:
+    """Guards against a fleet without workers when the store recovers.
+
+    The members may be read before the entries. A job that was submitted then
+    had no owner, and no request found a scheduler.
+    """
+    view = fake_fleet.view(gateways=1, workers=2)
+    view.members_revision, view.members_read_s = 5, 1.0
+    gateway = [view.members["g0"]]
+    recovered_s = 1.0 + fleetview.OUTAGE_THRESHOLD_S + 1.0
+    for late_s, names in [
+        (0.0, ["g0", "w0", "w1"]),
+        (fleetview.REREGISTRATION_S / 2, ["g0", "w0", "w1"]),
+        (fleetview.REREGISTRATION_S + 0.1, ["g0"]),
+    ]:
+        now = recovered_s + late_s
+        revision = 6 + int(10 * late_s)
+        fleetview.record_members_read(view, now)
+        fleetview.adopt_members(view, now, revision=revision, members=gateway)
+        assert sorted(view.members) == names
+
+
+def test_member_that_leaves_is_removed_at_once() -> None:
+    """Guards against requests to a scheduler that no longer exists."""
+    view = fake_fleet.view(gateways=1, workers=2)
+    view.members_revision, view.members_read_s = 5, 1.0
+    members = [m for m in view.members.values() if m.name != "w0"]
+    fleetview.record_members_read(view, 2.0)
+    fleetview.adopt_members(view, 2.0, revision=6, members=members)
+    assert sorted(view.members) == ["g0", "w1"]
+
+
 def test_older_listing_is_not_adopted() -> None:
     """Guards against a late listing that restores a deleted endpoint."""
     view = fleetview.View()
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -145,6 +145,22 @@
     assert world.store.calls["list"] == 1
 
 
+def test_entry_is_renewed_when_the_store_is_back() -> None:
+    """Guards against a worker that leaves the view before its next renewal.
+
+    The members may be read before the entries. Its own entry is retained in
+    its view, so it does not see that it lapsed.
+    """
+    world = _World("w1")
+    world.store.revision = 9
+    world.clock.time_s += 2 * fleetview.OUTAGE_THRESHOLD_S
+    world.poll_members()
+    assert "w1" in world.view.members
+    world.poll_members()
+    renewals = [function for function, _ in world.task_group.tasks]
+    assert renewals == [world.runner.registration.renew]
+
+
 def test_equal_members_are_confirmed_without_being_sent() -> None:
     """Guards against lists of all members in every update of a large fleet."""
     world = _World("g0")
