Repeat few calls while the store rejects a process, and all when it is back

Cause, found by reading: in an outage each job with a finished result made two calls every 0.3 s, a write and a read of its record. In the first 1.5 s each failed call was also relayed through two workers, the first of which is the active scheduler for every process of the fleet, and the relayed calls failed as well. After the outage calls went through these two workers for up to 2 s more.

Change: the package outage holds the failed calls of a process. One of them is repeated every 0.25 s; all are as soon as one succeeds or a peer has read from the store. A failed write reads the record first only if its outcome is unknown. While direct calls fail, a write does not try whether they succeed again, so that it gets no unknown outcome.

--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import math
 import time
@@ -17,6 +18,7 @@
 from ibisknot import batch_record_writer
 from ibisknot import batch_records
 from ibisknot import deployment
+from ibisknot import ended_jobs
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import isolation
@@ -51,9 +53,6 @@
 """Age of the member list above which an absence is not confirmed."""
 TAKEOVER_S = 1.5
 """Jobs are taken over from an owner absent from the fleet for this time."""
-MAX_ENDED_JOBS = 256
-MAX_ENDED_BYTES = 16 * 1024 * 1024
-"""Memory for the outputs of ended jobs that are retained."""
 NO_LEASE = -1
 """Marks a job whose record this worker no longer follows."""
 MAX_RUNNING_ITEMS = 200
@@ -80,6 +79,8 @@
         unread_parts: Items of notified jobs whose record could not be read,
             as they are stored, by job id.
         unix_s: Returns the Unix time in seconds.
+        wait_to_retry: Waits until a call of the store that failed may be
+            repeated.
         failed_jobs: Jobs that ended with an unexpected error here.
         item_semaphore: Limits the number of items that run here.
     """
@@ -96,6 +97,7 @@
         entry: registration.Registration,
         *,
         unix_s: Callable[[], float] = time.time,
+        wait_to_retry: Callable[[], Awaitable[None]] = result_listing.pause,
     ) -> None:
         self.process = process
         self.records = batch_record_writer.RecordWriter(
@@ -110,7 +112,9 @@
             self._stop_job,
             clock.now,
             unix_s,
+            wait_to_retry,
         )
+        self.wait_to_retry = wait_to_retry
         self.started_s = clock.now()
         self.next_poll_s = 0.0
         self.polled_lease_count = 0
@@ -418,18 +422,7 @@
             if self.jobs.get(job_id) is job:
                 del self.jobs[job_id]
                 if batch_job.has_all_results(job):
-                    self._retain_ended_job(job)
-
-    def _retain_ended_job(self, job: batch_job.Job) -> None:
-        """Retains a job for its readers; evicts jobs over the limits."""
-        job.items.clear()
-        self.ended_jobs[job.progress.meta.id] = job
-        while len(self.ended_jobs) > MAX_ENDED_JOBS or (
-            len(self.ended_jobs) > 1
-            and sum(j.listed.memory_bytes() for j in self.ended_jobs.values())
-            > MAX_ENDED_BYTES
-        ):
-            self.ended_jobs.popitem(last=False)
+                    ended_jobs.retain(self.ended_jobs, job)
 
     def _start_items(self, job: batch_job.Job) -> None:
         """Starts the items that have no result and do not run."""
@@ -459,7 +452,7 @@
             except errors.KeyValueError as error:
                 job_id = job.progress.meta.id
                 logs.event("job_not_read", job=job_id, cause=error.message)
-                await anyio.sleep(result_listing.STORE_RETRY_PAUSE_S)
+                await self.wait_to_retry()
 
     def _make_task(
         self, job: batch_job.Job, index: int, item: batch_records.Item
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -85,7 +85,7 @@
     tasks: isolation.Tasks
     clock: timer.Timer
     client: http_client.Client
-    store: pairs.KeyValueStore
+    store: store_relay.RelayingStore
     server: peer.Server
     peers: peer.Client
     runner: view_runner.Runner
--- a/src/ibisknot/result_listing.py
+++ b/src/ibisknot/result_listing.py
@@ -1,5 +1,6 @@
 """Lists the results of a running batch job in the key-value service."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import anyio
@@ -20,6 +21,11 @@
 STORE_RETRY_PAUSE_S = 0.3
 
 
+async def pause() -> None:
+    """Waits as a worker does that does not know when the store is back."""
+    await anyio.sleep(STORE_RETRY_PAUSE_S)
+
+
 class ResultListing:
     """Lists the results of the jobs of one worker.
 
@@ -32,6 +38,7 @@
             cause.
         clock: Returns the monotonic time in seconds.
         unix_s: Returns the Unix time in seconds.
+        wait_to_retry: Waits until a call that failed may be repeated.
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         stop_job: Callable[[str, str], None],
         clock: Callable[[], float],
         unix_s: Callable[[], float],
+        wait_to_retry: Callable[[], Awaitable[None]],
     ) -> None:
         self.worker_name = worker_name
         self.records = records
@@ -51,6 +59,7 @@
         self.stop_job = stop_job
         self.clock = clock
         self.unix_s = unix_s
+        self.wait_to_retry = wait_to_retry
 
     async def list_results(self, job: batch_job.Job) -> None:
         """Writes a job's results until all are listed or run elsewhere."""
@@ -62,16 +71,27 @@
                     if not await self.records.append_results(job):
                         await self.reload(job)
                 except errors.KeyValueError as error:
-                    if isinstance(error, errors.KeyValueRefusedError):
-                        self.records.write_less(job)
-                    logs.event(
-                        "results_not_written",
-                        job=job.progress.meta.id,
-                        waiting=len(job.unwritten),
-                        cause=error.message,
-                    )
-                    await anyio.sleep(STORE_RETRY_PAUSE_S)
-                    await self.reload(job)
+                    await self._recover(job, error)
+
+    async def _recover(
+        self, job: batch_job.Job, error: errors.KeyValueError
+    ) -> None:
+        """Prepares the next write after one that failed.
+
+        The record is read first if the write may have taken effect. Any other
+        change of the record is found by the next write.
+        """
+        if isinstance(error, errors.KeyValueRefusedError):
+            self.records.write_less(job)
+        logs.event(
+            "results_not_written",
+            job=job.progress.meta.id,
+            waiting=len(job.unwritten),
+            cause=error.message,
+        )
+        await self.wait_to_retry()
+        if isinstance(error, errors.KeyValueUnknownError):
+            await self.reload(job)
 
     async def _collect_results(self, job: batch_job.Job) -> None:
         """Waits for further results that one transaction can write as well.
--- a/src/ibisknot/store_relay.py
+++ b/src/ibisknot/store_relay.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import msgspec
+import xxhash
 
 from ibisknot import deployment
 from ibisknot import errors
@@ -20,12 +21,18 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot.gen.fleet import ttypes
+from ibisknot.outage import gate
 
 MAX_ENTRIES_AGE_S = 1.5
 """Endpoints' entries of at most this age show that peers reach the service."""
 DIRECT_CALL_PAUSE_S = 2.0
 """Time after a failed direct call in which calls are relayed at once."""
 RELAY_TIMEOUT_S = 2.5
+RELAY_PAUSE_S = 0.5
+"""Time after a relayed call without success in which none is relayed.
+
+If no process reaches the service, each call is thus made about once.
+"""
 MAX_HELPERS = 2
 """Maximum count of peers through which a call is tried."""
 
@@ -61,9 +68,14 @@
     Attributes:
         paused_until_s: Monotonic time until which calls are relayed without a
             direct call first.
+        is_failing: Whether the last direct call failed.
+        unrelayed_until_s: Monotonic time until which calls are not relayed,
+            because no helper got an answer.
     """
 
     paused_until_s: float = -1e9
+    is_failing: bool = False
+    unrelayed_until_s: float = -1e9
 
 
 class RelayingStore:
@@ -77,6 +89,7 @@
         own_name: Name of this VM.
         clock: Returns the monotonic time in seconds.
         direct_access: State of the direct calls, which may be paused.
+        gate: Holds failed calls until they may be repeated.
     """
 
     def __init__(
@@ -93,6 +106,7 @@
         self.own_name = own_name
         self.clock = clock
         self.direct_access = DirectAccess()
+        self.gate = gate.Gate(view, clock)
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer method that makes calls for other VMs."""
@@ -222,6 +236,9 @@
         """Makes a call directly, or through a peer if that fails.
 
         A write without an answer is not relayed, as it may have taken effect.
+        While direct calls fail, only a call that is not a write tries another
+        one from time to time: a write would get no answer for as long as the
+        service takes to fail.
 
         Args:
             call_directly: Makes the direct call.
@@ -233,48 +250,82 @@
             KeyValueUnknownError: The call may have taken effect.
             LeaseEndedError: The lease of a write has ended.
         """
-        if (
-            self.clock() >= self.direct_access.paused_until_s
-            or not self._helpers()
-        ):
+        try:
+            result = await self._call_either_way(
+                call_directly, method, arguments
+            )
+        except (errors.LeaseEndedError, errors.KeyValueRefusedError):
+            self.gate.record_success()
+            raise
+        except errors.KeyValueError:
+            self.gate.record_failure()
+            raise
+        self.gate.record_success()
+        return result
+
+    async def _call_either_way(
+        self,
+        call_directly: Callable[[], Awaitable[T]],
+        method: str,
+        arguments: Any,
+    ) -> Any:
+        """Makes a call directly, or through a peer if that fails."""
+        access = self.direct_access
+        is_paused = self.clock() < access.paused_until_s or (
+            access.is_failing and method == "transact"
+        )
+        if not is_paused or not self._helpers():
             try:
-                return await call_directly()
+                result = await call_directly()
             except (errors.LeaseEndedError, errors.KeyValueRefusedError):
+                access.is_failing = False
                 raise
             except errors.KeyValueUnknownError:
-                self.direct_access.paused_until_s = (
-                    self.clock() + DIRECT_CALL_PAUSE_S
-                )
+                self._pause_direct_calls()
                 raise
             except errors.KeyValueError as error:
+                self._pause_direct_calls()
                 helpers = self._helpers()
                 if not helpers:
                     raise
-                self.direct_access.paused_until_s = (
-                    self.clock() + DIRECT_CALL_PAUSE_S
-                )
                 logs.event(
                     "store_relayed",
                     method=method,
                     through=helpers[0].name,
                     cause=error.message,
                 )
+            else:
+                access.is_failing = False
+                return result
         return await self._relay(method, arguments)
 
+    def _pause_direct_calls(self) -> None:
+        self.direct_access.is_failing = True
+        self.direct_access.paused_until_s = self.clock() + DIRECT_CALL_PAUSE_S
+
     def _helpers(self) -> list[fleetview.Member]:
-        """Returns the workers to relay through, in order of precedence.
+        """Returns the workers to relay through, in order of preference.
 
         There are none if the entries are so old that the workers probably do
-        not reach the service either.
+        not reach the service either, or if they have just said so. Each
+        process prefers other ones; the active scheduler is the last choice.
         """
-        if self.clock() - self.view.endpoints_read_s > MAX_ENTRIES_AGE_S:
+        now = self.clock()
+        if now - self.view.endpoints_read_s > MAX_ENTRIES_AGE_S:
+            return []
+        if now < self.direct_access.unrelayed_until_s:
             return []
-        ordered = fleetview.by_precedence(self.view.members.values())
-        return [
-            m
-            for m in ordered
-            if m.name != self.own_name and m.kind == deployment.WORKER
-        ][:MAX_HELPERS]
+        members = fleetview.by_precedence(self.view.members.values())
+        workers = [m for m in members if m.kind == deployment.WORKER]
+        active = workers[0].name if workers else ""
+        others = [m for m in workers if m.name != self.own_name]
+        others.sort(key=lambda m: (m.name == active, self._preference(m)))
+        return others[:MAX_HELPERS]
+
+    def _preference(self, member: fleetview.Member) -> int:
+        """Returns a number that orders the helpers of this process."""
+        pair = f"{self.own_name}/{member.name}"
+        return xxhash.xxh3_64_intdigest(pair.encode())
 
     async def _relay(self, method: str, arguments: Any) -> Any:
         """Makes a call through the first worker that gets an answer.
@@ -308,4 +359,5 @@
                 last_error = errors.KeyValueError(error.message)
                 continue
             return msgspec.msgpack.decode(answer.result)
+        self.direct_access.unrelayed_until_s = self.clock() + RELAY_PAUSE_S
         raise last_error
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -60,6 +60,7 @@
             worker_node.clock,
             worker_node.tasks,
             worker_node.runner.registration,
+            wait_to_retry=worker_node.store.gate.wait,
         )
         worker.start(worker_node.server)
         worker_node.runner.change_callbacks.append(worker.on_members_changed)
--- a/tests/test_result_listing.py
+++ b/tests/test_result_listing.py
@@ -84,3 +84,24 @@
         for pair in listing.pairs
         for result in batch_records.decode_results(pair.value)
     ]
+
+
+def test_results_are_not_written_again_before_the_store_may_be_back() -> None:
+    """Guards against two calls every 0.3 s for each job in an outage."""
+
+    async def scenario(world: job_world.World) -> None:
+        may_retry = anyio.Event()
+        world.worker.listing.wait_to_retry = may_retry.wait
+        await world.start_job()
+        world.store.calls.clear()
+        world.store.is_down = True
+        for index in range(3):
+            await world.finish_item(index)
+        assert world.store.calls == {"transact": 1}
+        world.store.is_down = False
+        may_retry.set()
+        await anyio.wait_all_tasks_blocked()
+        assert world.store.calls == {"transact": 2}
+        assert await _states(world) == [batch_records.DONE] * 3
+
+    job_world.run(scenario)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -11,6 +11,7 @@
     for folder in (
         "src/ibisknot",
         "src/ibisknot/bench",
+        "src/ibisknot/outage",
         "src/ibisknot/platform",
         "src/ibisknot/standins",
         "tests",
@@ -28,7 +29,7 @@
             p.stem
             for p in (ROOT / "src/ibisknot" / package.lstrip(".")).iterdir()
         }
-        for package in ("", ".bench", ".platform", ".standins")
+        for package in ("", ".bench", ".outage", ".platform", ".standins")
     }
     imported: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
@@ -60,7 +61,11 @@
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in SOURCES if path.parent.name in ("ibisknot", "platform")],
+    [
+        path
+        for path in SOURCES
+        if path.parent.name in ("ibisknot", "outage", "platform")
+    ],
     ids=lambda path: path.name,
 )
 def test_product_does_not_import_its_bench(path: pathlib.Path) -> None:
