Let reads of jobs wait through an outage, and settle lost answers by a read

Cause: a read whose worker was not certain to know all results went to the store, and was refused at once with status 503 and without Retry-After while the store was away. A write without an answer kept its worker uncertain for 10 s even after a read of the record had shown a higher revision, which voids all earlier writes of that worker.

Change: a read that fails is repeated in the time that its caller waits. While no process reaches the store, the worker holds it and answers as soon as the results are listed, and neither of them calls the store. A refusal names 0.5 s. A higher revision of the record ends the doubt.

--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -23,6 +23,7 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import serving
+from ibisknot.outage import gate
 
 SUBMIT_RETRY_PAUSE_S = 0.1
 CANCEL_RETRY_PAUSE_S = 0.02
@@ -49,6 +50,8 @@
         peers: peer.Client,
         clock: Callable[[], float],
         task_group: isolation.TaskStarter,
+        *,
+        is_outage: Callable[[], bool] = gate.no_outage,
     ) -> None:
         self.process = process
         self.store = store
@@ -56,7 +59,9 @@
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
-        self.reader = job_reader.Reader(store, view, peers, clock)
+        self.reader = job_reader.Reader(
+            store, view, peers, clock, is_outage=is_outage
+        )
 
     async def submit(
         self,
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -76,6 +76,7 @@
             gateway_node.peers,
             gateway_node.clock.now,
             gateway_node.tasks,
+            is_outage=gateway_node.store.gate.is_outage,
         )
         batch_handler = batch_api.Handler(jobs, batch_dialect)
         caller_gateway = gateway.Gateway(
--- a/src/ibisknot/job_answers.py
+++ b/src/ibisknot/job_answers.py
@@ -18,8 +18,11 @@
 from ibisknot import peer
 from ibisknot import registration
 from ibisknot.gen.fleet import ttypes
+from ibisknot.outage import gate
 
 MAX_WAIT_S = 2.0
+OUTAGE_CHECK_S = 0.1
+"""Period at which a read that waits for the store is checked again."""
 
 
 class Answers:
@@ -31,6 +34,8 @@
             while the entry exists.
         store: The key-value service.
         clock: Returns the monotonic time in seconds.
+        is_outage: Returns whether no process reaches the store. A read then
+            waits here: the gateway could not read more.
     """
 
     def __init__(
@@ -39,11 +44,14 @@
         entry: registration.Registration,
         store: pairs.KeyValueStore,
         clock: Callable[[], float],
+        *,
+        is_outage: Callable[[], bool] = gate.no_outage,
     ) -> None:
         self.worker = worker
         self.entry = entry
         self.store = store
         self.clock = clock
+        self.is_outage = is_outage
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer methods."""
@@ -56,16 +64,21 @@
         if job is None:
             return _uncertain(self.worker.owners.get(request.job, ""))
         deadline_s = self.clock() + min(MAX_WAIT_S, request.wait_s)
-        while await self._knows_all_results(job):
+        while True:
+            is_outage = self.is_outage()
+            is_certain = await self._knows_all_results(job, is_outage)
             remaining_s = deadline_s - self.clock()
-            is_complete = job.progress.is_complete()
-            known = job.listed.results
-            if len(known) > request.first_index or is_complete:
-                return _page(job, request.first_index)
-            if remaining_s <= 0:
+            is_new = len(job.listed.results) > request.first_index
+            if is_certain and (is_new or job.progress.is_complete()):
                 return _page(job, request.first_index)
+            if remaining_s <= 0 or not (is_certain or is_outage):
+                break
+            if not is_certain:
+                remaining_s = min(remaining_s, OUTAGE_CHECK_S)
             with anyio.move_on_after(remaining_s):
                 await job.results_changed.wait()
+        if is_certain:
+            return _page(job, request.first_index)
         return _uncertain(job.progress.owner)
 
     async def on_item_read(self, request: ttypes.JobItemRead) -> ttypes.JobItem:
@@ -82,12 +95,14 @@
             body=next(bodies, None),
         )
 
-    async def _knows_all_results(self, job: batch_job.Job) -> bool:
+    async def _knows_all_results(
+        self, job: batch_job.Job, is_outage: bool
+    ) -> bool:
         """Returns whether every listed result of a job is known here.
 
         Results that an earlier owner has listed are read first.
         """
-        if len(job.listed.results) < len(job.progress.listed):
+        if len(job.listed.results) < len(job.progress.listed) and not is_outage:
             job_id = job.progress.meta.id
             try:
                 await listed_results.load(self.store, job_id, job.listed)
--- a/src/ibisknot/job_reader.py
+++ b/src/ibisknot/job_reader.py
@@ -10,6 +10,8 @@
 import dataclasses
 from typing import Any
 
+import anyio
+
 from ibisknot import batch_records
 from ibisknot import errors
 from ibisknot import fleetview
@@ -19,6 +21,7 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot.gen.fleet import ttypes
+from ibisknot.outage import gate
 
 MAX_CACHED_JOBS = 64
 MAX_CACHED_BYTES = 16 * 1024 * 1024
@@ -31,6 +34,9 @@
 """Time for a worker's answer after the time that it may wait."""
 MAX_WAIT_S = 30.0
 """Longest time for which a caller may wait for results."""
+RETRY_PAUSE_S = 0.2
+"""Pause before a failed read is repeated in the time that its caller waits."""
+RETRY_AFTER_S = 0.5
 SILENT_PAUSE_S = 2.0
 """Time for which a worker that did not answer is not asked."""
 
@@ -67,6 +73,7 @@
         owners: Names of the workers that answered last, by job id.
         silent_until_s: Monotonic time until which a worker is not asked, by
             name.
+        is_outage: Returns whether no process reaches the store.
     """
 
     def __init__(
@@ -75,7 +82,10 @@
         view: fleetview.View,
         peers: peer.Client,
         clock: Callable[[], float],
+        *,
+        is_outage: Callable[[], bool] = gate.no_outage,
     ) -> None:
+        self.is_outage = is_outage
         self.store = store
         self.view = view
         self.peers = peers
@@ -148,10 +158,37 @@
             NotFoundError: The organisation has no such job.
             KeyValueError: The store does not respond.
         """
-        wait_s = min(wait_s, MAX_WAIT_S)
-        deadline_s = self.clock() + wait_s
+        deadline_s = self.clock() + min(wait_s, MAX_WAIT_S)
+        while True:
+            try:
+                return await self._try_read(
+                    job_id, organisation, first_index, deadline_s
+                )
+            except errors.KeyValueError as error:
+                error.retry_after_s = RETRY_AFTER_S
+                if self.clock() + RETRY_PAUSE_S >= deadline_s:
+                    raise
+            await anyio.sleep(RETRY_PAUSE_S)
+
+    async def _try_read(
+        self,
+        job_id: str,
+        organisation: str,
+        first_index: int,
+        deadline_s: float,
+    ) -> tuple[int, list[batch_records.ItemResult]]:
+        """Reads one page from the worker that runs the job, or the store.
+
+        While no process reaches the store, only the worker is asked until the
+        deadline.
+
+        Raises:
+            NotFoundError: The organisation has no such job.
+            KeyValueError: The store does not respond.
+        """
         cached = self.cached_jobs.get(job_id)
         if cached is None or not cached.is_complete():
+            wait_s = max(0.0, deadline_s - self.clock())
             request = ttypes.JobRead(
                 job=job_id, first_index=first_index, wait_s=wait_s
             )
@@ -162,6 +199,8 @@
                 check_access(job_id, page.organisation, organisation)
                 results = batch_records.decode_results(page.results)
                 return page.total, results
+            if self.is_outage() and self.clock() + RETRY_PAUSE_S < deadline_s:
+                raise errors.KeyValueError("no process reaches the store")
         return await self._read_from_store(
             job_id, organisation, first_index, deadline_s
         )
--- a/src/ibisknot/outage/gate.py
+++ b/src/ibisknot/outage/gate.py
@@ -16,6 +16,15 @@
 """
 
 
+OUTAGE_AGE_S = 1.5
+"""Endpoints' entries of a higher age show that no process reads them."""
+
+
+def no_outage() -> bool:
+    """Returns False, for parts that do not wait for the end of an outage."""
+    return False
+
+
 class Gate:
     """Holds the failed calls of one process.
 
@@ -45,6 +54,10 @@
             self.recovered.set()
             self.recovered = anyio.Event()
 
+    def is_outage(self) -> bool:
+        """Returns whether probably no process reaches the service."""
+        return self.clock() - self.view.endpoints_read_s > OUTAGE_AGE_S
+
     async def wait(self) -> None:
         """Waits until the caller may repeat its failed call."""
         await anyio.sleep(MIN_PAUSE_S)
--- a/src/ibisknot/result_listing.py
+++ b/src/ibisknot/result_listing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import anyio
 
@@ -138,6 +139,9 @@
         if pair is None:
             self.stop_job(job_id, "it has ended")
             return
+        if pair.revision > job.revision:
+            # The guards of all writes without an answer no longer hold.
+            job.doubtful_until_s = -math.inf
         job.progress = batch_records.decode_progress(pair.value)
         job.revision = pair.revision
         if not batch_job.runs_at(job.progress, self.worker_name):
--- a/src/ibisknot/store_relay.py
+++ b/src/ibisknot/store_relay.py
@@ -23,8 +23,6 @@
 from ibisknot.gen.fleet import ttypes
 from ibisknot.outage import gate
 
-MAX_ENTRIES_AGE_S = 1.5
-"""Endpoints' entries of at most this age show that peers reach the service."""
 DIRECT_CALL_PAUSE_S = 2.0
 """Time after a failed direct call in which calls are relayed at once."""
 RELAY_TIMEOUT_S = 2.5
@@ -311,9 +309,8 @@
         process prefers other ones; the active scheduler is the last choice.
         """
         now = self.clock()
-        if now - self.view.endpoints_read_s > MAX_ENTRIES_AGE_S:
-            return []
-        if now < self.direct_access.unrelayed_until_s:
+        is_useless = now < self.direct_access.unrelayed_until_s
+        if is_useless or self.gate.is_outage():
             return []
         members = fleetview.by_precedence(self.view.members.values())
         workers = [m for m in members if m.kind == deployment.WORKER]
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -69,6 +69,7 @@
             worker_node.runner.registration,
             worker_node.store,
             worker_node.clock.now,
+            is_outage=worker_node.store.gate.is_outage,
         ).start(worker_node.server)
         retirement = worker_retirement.Retirement(
             worker_node.process,
--- a/tests/test_job_reader.py
+++ b/tests/test_job_reader.py
@@ -9,6 +9,7 @@
 from ibisknot import batch_job
 from ibisknot import errors
 from ibisknot import job_reader
+from ibisknot import result_listing
 
 
 def test_reads_of_a_running_job_make_no_store_calls() -> None:
@@ -134,6 +135,82 @@
     job_world.run(scenario)
 
 
+def test_lost_answer_is_settled_by_the_next_read_of_the_record() -> None:
+    """Guards against reads that go to the store for the 10 s of a late write.
+
+    The write has taken effect, so no other one of this worker can do so.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.store.lost_answers = 1
+        await world.finish_item(1)
+        await anyio.sleep(2 * result_listing.STORE_RETRY_PAUSE_S)
+        assert await world.read() == ["i1"]
+        world.store.calls.clear()
+        assert await world.read(first_index=1) == []
+        assert not world.store.calls
+
+    job_world.run(scenario)
+
+
+def test_reads_wait_for_the_end_of_an_outage_without_store_calls() -> None:
+    """Guards against refused reads, and calls that grow with the readers.
+
+    The worker does not know for how long its entry exists, and no process
+    could read more from the store.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.store.calls.clear()
+        world.store.is_down = True
+        world.reader.is_outage = lambda: world.store.is_down
+        world.peers.answers_of_worker.is_outage = lambda: world.store.is_down
+        world.boot_time_s += world.entry.lease_ttl_s
+        await world.finish_item(0)
+        found: list[str] = []
+
+        async def read() -> None:
+            found.extend(await world.read(wait_s=5.0))
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(read)
+            await anyio.sleep(0.5)
+            assert not found
+            assert not world.store.calls["list"]
+            world.store.is_down = False
+            await world.entry.renew(0.0)
+        assert found == ["i0"]
+
+    job_world.run(scenario)
+
+
+def test_failed_read_is_repeated_while_its_caller_waits() -> None:
+    """Guards against a caller who gets no results until it asks again."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w0"))
+        await world.list_elsewhere(2)
+        world.peers.unresponsive.add("w0:1")
+        world.store.is_down = True
+        with pytest.raises(errors.KeyValueError) as raised:
+            await world.read()
+        assert raised.value.retry_after_s
+        found: list[str] = []
+
+        async def read() -> None:
+            found.extend(await world.read(wait_s=5.0))
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(read)
+            await anyio.wait_all_tasks_blocked()
+            world.store.is_down = False
+        assert found == ["i2"]
+
+    job_world.run(scenario)
+
+
 def test_worker_does_not_answer_while_a_write_waits_for_its_answer() -> None:
     """Guards against results that only readers of the store have seen."""
 
