Read the store less often while no process reaches it

Cause: in an outage each worker, and one after the other each gateway, read the operator's keys about three times a second, the entries once and the members once.

Change: the first four processes in the order of readers repeat failed reads as often as before; the others do so after 3 s, or as soon as a peer has read the entries. The members are not read until the entries were.

--- a/src/ibisknot/operator_watch.py
+++ b/src/ibisknot/operator_watch.py
@@ -1,5 +1,6 @@
 """Follows the keys that the operator writes to the key-value service."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
@@ -28,6 +29,8 @@
         is_needed: Returns whether the keys must be followed now.
         on_reachability: Called with whether the service responds, and with
             the cause if it does not.
+        wait_for_store: Waits until a call that failed may be repeated, from
+            the shortest time to wait in seconds.
         on_current: Called when all changes up to some moment are known, with
             the seconds since then.
         is_following: Whether all keys were read and their changes are being
@@ -44,6 +47,7 @@
         is_needed: Callable[[], bool],
         on_reachability: Callable[[bool, str], None],
         on_current: Callable[[float], None],
+        wait_for_store: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         self.store = store
         self.prefix = prefix
@@ -51,6 +55,7 @@
         self.is_needed = is_needed
         self.on_reachability = on_reachability
         self.on_current = on_current
+        self.wait_for_store = wait_for_store
         self.is_following = False
         self.wait_scope: anyio.CancelScope | None = None
         self.rng = random.Random()
@@ -89,7 +94,7 @@
                 self.on_reachability(False, error.message)
                 self._set_following(False, error.message)
                 pause_s = self.rng.uniform(MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S)
-                await anyio.sleep(pause_s)
+                await self.wait_for_store(pause_s)
 
     def distrust(self) -> None:
         """Reads all keys anew, because other calls of the service failed.
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 import dataclasses
 
+import anyio
+
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleet_endpoint
@@ -20,12 +22,15 @@
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot import view_exchange
+from ibisknot.outage import probing
 
 POLL_CHECK_PERIOD_S = 0.2
 """Period at which a process checks whether a read of the entries is due."""
 RETRY_PAUSE_S = 0.5
 """Pause after one failed read of the entries."""
 MAX_RETRY_PAUSE_S = 1.0
+STORE_CHECK_PERIOD_S = 0.1
+"""Period at which a process checks whether peers have read from the store."""
 MEMBERS_CHECK_PERIOD_S = 0.25
 """Period at which a process checks whether a read of the members is due."""
 STORE = "store"
@@ -135,6 +140,7 @@
             is_needed=self._needs_own_watch,
             on_reachability=self._record_reachability,
             on_current=self._confirm_configuration,
+            wait_for_store=self._wait_for_store,
         )
         self.next_poll_s = 0.0
         self.next_members_poll_s = 0.0
@@ -180,6 +186,26 @@
             cause=cause,
         )
 
+    def _probe_pause_s(self, first_pause_s: float) -> float:
+        """Returns the seconds until a failed read is repeated."""
+        name = self.own_member.name
+        position = fleetview.reader_position(self.view, name)
+        return probing.pause_s(position, first_pause_s)
+
+    async def _wait_for_store(self, first_pause_s: float) -> None:
+        """Waits before the operator's keys are read again after a failure.
+
+        It ends early, but not before `first_pause_s`, when the entries were
+        read here or by a peer.
+        """
+        started_s = self.clock.now()
+        await anyio.sleep(first_pause_s)
+        late_s = self._probe_pause_s(first_pause_s) - first_pause_s
+        for _ in range(int(late_s / STORE_CHECK_PERIOD_S)):
+            if self.view.endpoints_read_s > started_s:
+                return
+            await anyio.sleep(STORE_CHECK_PERIOD_S)
+
     # Endpoints ------------------------------------------------------------
 
     async def _poll_entries(self, now: float) -> None:
@@ -194,7 +220,7 @@
             self.operator_watch.distrust()
             self.failed_polls += 1
             pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * self.failed_polls)
-            self.next_poll_s = self.clock.now() + pause_s
+            self.next_poll_s = self.clock.now() + self._probe_pause_s(pause_s)
             return
         self.failed_polls = 0
         # The next read does not wait for members that do not answer.
@@ -251,6 +277,8 @@
             self.next_members_poll_s,
         ):
             return
+        if self._awaits_entries(now):
+            return
         # The read is not repeated at once when it fails.
         self.next_members_poll_s = now + fleetview.MEMBERS_POLL_PERIOD_S
         try:
@@ -267,6 +295,16 @@
         fleetview.record_members_read(self.view, self.clock.now())
         self._adopt_members(listing.revision, members, age_s=0.0)
 
+    def _awaits_entries(self, now: float) -> bool:
+        """Returns whether the store is away, so that the entries come first.
+
+        After a failed read of the entries, the members are not read until some
+        process has read the entries.
+        """
+        age_s = now - self.view.endpoints_read_s
+        is_old = age_s > fleetview.OUTAGE_THRESHOLD_S
+        return is_old and self.failed_polls > 0 and bool(self.view.members)
+
     def _renew_after_outage(self) -> None:
         """Renews the own entry when the store is back, if it may have lapsed.
 
