Give up store calls of an outage when it is over

Change: when the entries are read again after 1.5 s or more in which no process read them, direct calls from before the end are given up, and repeated like calls whose answer was lost. A store that is only slow, or that rejects single processes, is not concerned.

--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -33,6 +33,7 @@
 from ibisknot import timer
 from ibisknot import tunnel_server
 from ibisknot import view_runner
+from ibisknot.outage import gate
 
 SETTINGS_POLL_PERIOD_S = 1.0
 IDLE_CHECK_PERIOD_S = 1.0
@@ -134,6 +135,7 @@
             direct_store, view, peers, process.name, clock.now
         )
         store.start(server)
+        clock.subscribe("store_gate", gate.CHECK_PERIOD_S, store.gate.check)
         runner = view_runner.Runner(
             process,
             store,
--- a/src/ibisknot/store_relay.py
+++ b/src/ibisknot/store_relay.py
@@ -274,7 +274,9 @@
         )
         if not is_paused or not self._helpers():
             try:
-                result = await call_directly()
+                result = await self.gate.run(
+                    call_directly, is_write=method == "transact"
+                )
             except (errors.LeaseEndedError, errors.KeyValueRefusedError):
                 access.is_failing = False
                 raise
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -12,6 +12,7 @@
 from ibisknot import pairs
 from ibisknot import store_relay
 from ibisknot.outage import access
+from ibisknot.outage import gate
 
 WAITING = 20
 """Calls that wait for the service at the same time."""
@@ -146,3 +147,55 @@
         assert world.direct.calls == {"get": 2, "transact": 1}
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize("is_write", [True, False])
+def test_call_from_an_outage_is_given_up_when_it_is_over(
+    is_write: bool,
+) -> None:
+    """Guards against results that wait for the time-out of a lost write."""
+    world = _World()
+    store_gate = world.store.gate
+    expected = errors.KeyValueUnknownError if is_write else errors.KeyValueError
+
+    async def lose() -> None:
+        with pytest.raises(errors.KeyValueError) as raised:
+            await store_gate.run(anyio.sleep_forever, is_write=is_write)
+        assert type(raised.value) is expected
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(lose)
+            await anyio.wait_all_tasks_blocked()
+            world.clock.time_s += 2.0
+            await store_gate.check(world.clock.now())
+            assert store_gate.started_s
+            world.view.endpoints_read_s = world.clock.now()
+            await store_gate.check(world.clock.now())
+
+    anyio.run(main)
+
+
+def test_slow_call_is_not_given_up_without_an_outage() -> None:
+    """Guards against writes of unknown outcome when the store is only slow."""
+    world = _World()
+    store_gate = world.store.gate
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_run_for_ever, store_gate)
+            await anyio.wait_all_tasks_blocked()
+            store_gate.record_failure()
+            for _ in range(3):
+                world.clock.time_s += 1.0
+                world.view.endpoints_read_s = world.clock.now()
+                await store_gate.check(world.clock.now())
+            await anyio.wait_all_tasks_blocked()
+            assert store_gate.started_s
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def _run_for_ever(outage_gate: gate.Gate) -> None:
+    await outage_gate.run(anyio.sleep_forever, is_write=True)
