Let submissions of jobs wait through an outage

Cause: a job that was submitted in an outage was refused at once, and accepted only by the first attempt of its caller after the end.

Change: while no process reaches the store, a submission waits for the end of the outage up to its deadline, without calls of the store. It is refused as before if other processes reach the store, and at its deadline.

--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -40,6 +40,7 @@
 
     Attributes:
         reader: Reads jobs, and caches those that were submitted here.
+        is_outage: Returns whether no process reaches the store.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
+        self.is_outage = is_outage
         self.reader = job_reader.Reader(
             store, view, peers, clock, is_outage=is_outage
         )
@@ -110,12 +112,15 @@
                     raise
                 cause = error.message
             except errors.KeyValueError as error:
-                if not is_outcome_unknown:
+                if not is_outcome_unknown and not await self._wait_for_store(
+                    deadline_s
+                ):
                     error.retry_after_s = STORE_RETRY_AFTER_S
                     raise
                 cause = error.message
             if is_outcome_unknown:
                 logs.event("job_unknown", job=submission.id, cause=cause)
+                await self._wait_for_store(deadline_s)
             if self.clock() + SUBMIT_RETRY_PAUSE_S >= deadline_s:
                 if is_outcome_unknown:
                     self._notify_probable_owner(submission.id, parts)
@@ -123,6 +128,20 @@
                 raise errors.KeyValueUnknownError(message)
             await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
 
+    async def _wait_for_store(self, deadline_s: float) -> bool:
+        """Waits for the end of an outage; returns whether it has ended in time.
+
+        It returns False at once while other processes reach the store: another
+        gateway may then accept the job.
+        """
+        if not self.is_outage():
+            return False
+        while self.is_outage():
+            if self.clock() + 2 * SUBMIT_RETRY_PAUSE_S >= deadline_s:
+                return False
+            await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
+        return True
+
     def _notify_probable_owner(self, job_id: str, parts: list[bytes]) -> None:
         """Notifies the owner of a job whose write was not answered.
 
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -4,6 +4,7 @@
 from anyio import abc
 import fake_fleet
 import fake_pairs_store
+import pytest
 import scripted
 
 from ibisknot import batch_jobs
@@ -95,3 +96,58 @@
     progress = batch_records.decode_progress(stored.value)
     assert address == f"{progress.owner}:1"
     assert message.parts
+
+
+def test_submission_waits_for_the_end_of_an_outage() -> None:
+    """Guards against jobs that wait for their callers' next attempts.
+
+    The store is not called before it is back.
+    """
+    store = fake_pairs_store.FakeStore()
+    store.is_down = True
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            jobs = _jobs(store, task_group)
+            jobs.is_outage = lambda: store.is_down
+            item = batch_records.Item("a", "/", [], b"", 1)
+            submission = batch_records.Submission("j", [item])
+
+            async def submit() -> None:
+                deadline_s = fake_fleet.START_S + 3.0
+                await jobs.submit(submission, ROUTE, "one", deadline_s)
+
+            task_group.start_soon(submit)
+            await anyio.sleep(3 * batch_jobs.SUBMIT_RETRY_PAUSE_S)
+            assert store.calls == {"get": 1}
+            store.is_down = False
+
+    anyio.run(main)
+    assert batch_records.OPEN_PREFIX + "j" in store.stored
+
+
+def test_submission_in_an_outage_is_refused_at_its_deadline() -> None:
+    """Guards against a caller that gets no response, or an uncertain one."""
+    store = fake_pairs_store.FakeStore()
+    store.is_down = True
+    clock = fake_fleet.Clock()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            jobs = _jobs(store, task_group)
+            jobs.clock = clock.now
+
+            def is_outage() -> bool:
+                clock.time_s += 0.5
+                return True
+
+            jobs.is_outage = is_outage
+            item = batch_records.Item("a", "/", [], b"", 1)
+            submission = batch_records.Submission("j", [item])
+            with pytest.raises(errors.KeyValueError) as raised:
+                await jobs.submit(submission, ROUTE, "one", clock.now() + 3.0)
+            assert raised.value.ran == errors.NOT_RUN
+            after_s = raised.value.retry_after_s
+            assert after_s == batch_jobs.STORE_RETRY_AFTER_S
+
+    anyio.run(main)
