--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import math
 import time
@@ -18,6 +19,7 @@
 from ibisknot import batch_records
 from ibisknot import batch_task
 from ibisknot import deployment
+from ibisknot import ended_jobs
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import isolation
@@ -34,21 +36,19 @@
 from ibisknot.gen.fleet import ttypes
 from ibisknot.progress import journal
 
-MIN_POLL_PERIOD_S = 1.5
-MAX_FLEET_POLLS_PER_S = 2.8
-"""Listings of the open jobs by all workers together.
+POLL_RETRY_S = 0.5
+"""Time after a failed read or listing in which the jobs are listed again.
 
-A listing finds what a lost notification has missed.
+A job whose notification came during an outage starts soon after its end.
 """
+MAX_UNREAD_JOBS = 64
+"""Notified jobs without a record whose items are retained."""
 POLL_CHECK_PERIOD_S = 0.25
 """Period at which a worker checks whether a listing is due."""
 MEMBERS_STALE_S = 3.0
 """Age of the member list above which an absence is not confirmed."""
 TAKEOVER_S = 1.5
 """Jobs are taken over from an owner absent from the fleet for this time."""
-MAX_ENDED_JOBS = 256
-MAX_ENDED_BYTES = 16 * 1024 * 1024
-"""Memory for the outputs of ended jobs that are retained."""
 NO_LEASE = -1
 """Marks a job whose record this worker no longer follows."""
 MAX_RUNNING_ITEMS = 200
@@ -72,8 +72,12 @@
         ended_jobs: Jobs of which all results were listed here, by id, the
             last one at the end.
         owners: Owners of the open jobs that were listed last, by job id.
+        unread_parts: Items of notified jobs whose record could not be read,
+            as they are stored, by job id.
         unix_s: Returns the Unix time in seconds.
         progress: Keeps the progress of items on the disk; None without one.
+        wait_to_retry: Waits until a call of the store that failed may be
+            repeated.
         failed_jobs: Jobs that ended with an unexpected error here.
         item_semaphore: Limits the number of items that run here.
     """
@@ -90,6 +94,7 @@
         entry: registration.Registration,
         *,
         unix_s: Callable[[], float] = time.time,
+        wait_to_retry: Callable[[], Awaitable[None]] = result_listing.pause,
     ) -> None:
         self.process = process
         self.records = batch_record_writer.RecordWriter(
@@ -104,7 +109,9 @@
             self._stop_job,
             clock.now,
             unix_s,
+            wait_to_retry,
         )
+        self.wait_to_retry = wait_to_retry
         self.started_s = clock.now()
         self.next_poll_s = 0.0
         self.polled_lease_count = 0
@@ -120,6 +127,7 @@
             collections.OrderedDict()
         )
         self.owners: dict[str, str] = {}
+        self.unread_parts: dict[str, list[bytes]] = {}
         self.missing_since_s: dict[str, float] = {}
         self.is_draining = False
         self.progress: journal.Journal | None = None
@@ -166,33 +174,50 @@
     async def _read_job(
         self, job_id: str, parts: list[bytes] | None = None
     ) -> None:
-        """Reads and applies a job's record; `parts` has a new job's items."""
+        """Reads and applies a job's record; `parts` has a new job's items.
+
+        The next listing repeats a read that has failed.
+        """
+        if parts and job_id in self.jobs:
+            # The gateway repeats the notification of a job that it has found.
+            return
         lease_count = self.entry.lease_count
         try:
             pair = await self.store.get(batch_records.OPEN_PREFIX + job_id)
         except errors.KeyValueError as error:
             logs.event("job_not_read", job=job_id, cause=error.message)
+            if parts and len(self.unread_parts) < MAX_UNREAD_JOBS:
+                self.unread_parts[job_id] = parts
+            self._poll_within(POLL_RETRY_S)
             return
         if pair is not None:
             await self._apply_record(pair, lease_count)
-            job = self.jobs.get(job_id)
-            if job is not None and parts and not job.items:
-                job.items = batch_records.decode_items(parts)
+            self._set_items(job_id, parts)
+
+    def _set_items(self, job_id: str, parts: list[bytes] | None) -> None:
+        """Sets the items of a job that was just started."""
+        job = self.jobs.get(job_id)
+        if job is not None and parts and not job.items:
+            job.items = batch_records.decode_items(parts)
 
     async def poll(self, now: float) -> None:
         """Lists the open jobs and applies their records."""
-        self.next_poll_s = now + poll_period_s(len(self._workers()))
+        self.next_poll_s = now + job_owners.poll_period_s(len(self._workers()))
         lease_count = self.entry.lease_count
         self.polled_lease_count = lease_count
+        unread_parts, self.unread_parts = self.unread_parts, {}
         try:
             listing = await self.store.list_prefix(batch_records.OPEN_PREFIX)
         except errors.KeyValueError:
+            self.unread_parts = unread_parts | self.unread_parts
+            self._poll_within(POLL_RETRY_S)
             return
         self._update_missing_owners(now)
         owners = {}
         for pair in listing.pairs:
             job_id = pair.key.removeprefix(batch_records.OPEN_PREFIX)
             owners[job_id] = await self._apply_contained(pair, lease_count)
+            self._set_items(job_id, unread_parts.get(job_id))
         self.owners = owners
         for job_id, job in list(self.jobs.items()):
             if job_id not in owners and job.revision < listing.revision:
@@ -395,18 +420,7 @@
             if self.jobs.get(job_id) is job:
                 del self.jobs[job_id]
                 if batch_job.has_all_results(job):
-                    self._retain_ended_job(job)
-
-    def _retain_ended_job(self, job: batch_job.Job) -> None:
-        """Retains a job for its readers; evicts jobs over the limits."""
-        job.items.clear()
-        self.ended_jobs[job.progress.meta.id] = job
-        while len(self.ended_jobs) > MAX_ENDED_JOBS or (
-            len(self.ended_jobs) > 1
-            and sum(j.listed.memory_bytes() for j in self.ended_jobs.values())
-            > MAX_ENDED_BYTES
-        ):
-            self.ended_jobs.popitem(last=False)
+                    ended_jobs.retain(self.ended_jobs, job)
 
     def _start_items(self, job: batch_job.Job) -> None:
         """Starts the items that have no result and do not run."""
@@ -436,7 +450,7 @@
             except errors.KeyValueError as error:
                 job_id = job.progress.meta.id
                 logs.event("job_not_read", job=job_id, cause=error.message)
-                await anyio.sleep(result_listing.STORE_RETRY_PAUSE_S)
+                await self.wait_to_retry()
 
     def _make_task(
         self, job: batch_job.Job, index: int, item: batch_records.Item
@@ -477,12 +491,3 @@
         """Notifies a job's owner of its record."""
         job_id = progress.meta.id
         await job_owners.notify(self.view, self.peers, job_id, progress.owner)
-
-
-def poll_period_s(workers: int) -> float:
-    """Returns the seconds between two listings of the open jobs by a worker.
-
-    >>> poll_period_s(4), round(poll_period_s(14), 1)
-    (1.5, 5.0)
-    """
-    return max(MIN_POLL_PERIOD_S, workers / MAX_FLEET_POLLS_PER_S)
--- a/src/ibisknot/job_owners.py
+++ b/src/ibisknot/job_owners.py
@@ -10,6 +10,12 @@
 from ibisknot import peer
 from ibisknot.gen.fleet import ttypes
 
+MIN_POLL_PERIOD_S = 1.5
+MAX_FLEET_POLLS_PER_S = 2.8
+"""Listings of the open jobs by all workers together.
+
+A listing finds what a lost notification has missed.
+"""
 NOTIFY_TIMEOUT_S = 0.3
 NOTIFY_ATTEMPTS = 5
 NOTIFY_RETRY_PAUSE_S = 0.2
@@ -96,3 +102,12 @@
             await anyio.sleep(NOTIFY_RETRY_PAUSE_S)
         else:
             return
+
+
+def poll_period_s(workers: int) -> float:
+    """Returns the seconds between two listings of the open jobs by a worker.
+
+    >>> poll_period_s(4), round(poll_period_s(14), 1)
+    (1.5, 5.0)
+    """
+    return max(MIN_POLL_PERIOD_S, workers / MAX_FLEET_POLLS_PER_S)
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -34,6 +34,7 @@
 from ibisknot import tunnel_server
 from ibisknot import view_runner
 from ibisknot.locality import scopes
+from ibisknot.outage import gate
 
 SETTINGS_POLL_PERIOD_S = 1.0
 IDLE_CHECK_PERIOD_S = 1.0
@@ -86,7 +87,7 @@
     tasks: isolation.Tasks
     clock: timer.Timer
     client: http_client.Client
-    store: pairs.KeyValueStore
+    store: store_relay.RelayingStore
     server: peer.Server
     peers: peer.Client
     runner: view_runner.Runner
@@ -136,6 +137,7 @@
             direct_store, view, peers, process.name, clock.now
         )
         store.start(server)
+        clock.subscribe("store_gate", gate.CHECK_PERIOD_S, store.gate.check)
         runner = view_runner.Runner(
             process,
             store,
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from ibisknot import _view_log
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleet_endpoint
@@ -22,12 +23,15 @@
 from ibisknot import serving
 from ibisknot import timer
 from ibisknot import view_exchange
+from ibisknot.outage import probing
 
 POLL_CHECK_PERIOD_S = 0.2
 """Period at which a process checks whether a read of the entries is due."""
 RETRY_PAUSE_S = 0.5
 """Pause after one failed read of the entries."""
 MAX_RETRY_PAUSE_S = 1.0
+STORE_CHECK_PERIOD_S = 0.1
+"""Period at which a process checks whether peers have read from the store."""
 MEMBERS_CHECK_PERIOD_S = 0.25
 """Period at which a process checks whether a read of the members is due."""
 STORE = "store"
@@ -86,6 +90,8 @@
             again, after a failed read.
         next_members_poll_s: Monotonic time before which the members are not
             read again.
+        renewed_recovery_s: The view's `store_recovered_s` after which the own
+            entry was last renewed.
         failed_polls: Failed reads of the entries since the last success.
         is_store_reachable: Whether the last direct call succeeded; None
             before the first.
@@ -137,9 +143,11 @@
             is_needed=self._needs_own_watch,
             on_reachability=self._record_reachability,
             on_current=self._confirm_configuration,
+            wait_for_store=self._wait_for_store,
         )
         self.next_poll_s = 0.0
         self.next_members_poll_s = 0.0
+        self.renewed_recovery_s = fleetview.NEVER_S
         self.failed_polls = 0
         self.is_store_reachable: bool | None = None
 
@@ -181,6 +189,26 @@
             cause=cause,
         )
 
+    def _probe_pause_s(self, first_pause_s: float) -> float:
+        """Returns the seconds until a failed read is repeated."""
+        name = self.own_member.name
+        position = fleetview.reader_position(self.view, name)
+        return probing.pause_s(position, first_pause_s)
+
+    async def _wait_for_store(self, first_pause_s: float) -> None:
+        """Waits before the operator's keys are read again after a failure.
+
+        It ends early, but not before `first_pause_s`, when the entries were
+        read here or by a peer.
+        """
+        started_s = self.clock.now()
+        await anyio.sleep(first_pause_s)
+        late_s = self._probe_pause_s(first_pause_s) - first_pause_s
+        for _ in range(int(late_s / STORE_CHECK_PERIOD_S)):
+            if self.view.endpoints_read_s > started_s:
+                return
+            await anyio.sleep(STORE_CHECK_PERIOD_S)
+
     # Endpoints ------------------------------------------------------------
 
     async def _poll_entries(self, now: float) -> None:
@@ -195,7 +223,7 @@
             self.operator_watch.distrust()
             self.failed_polls += 1
             pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * self.failed_polls)
-            self.next_poll_s = self.clock.now() + pause_s
+            self.next_poll_s = self.clock.now() + self._probe_pause_s(pause_s)
             return
         self.failed_polls = 0
         # The next read does not wait for members that do not answer.
@@ -230,7 +258,9 @@
             decode=self.layout.decode_endpoint,
         )
         if adopted and self.view.endpoints != before:
-            _log_endpoint_changes(before, self.view.endpoints, revision, age_s)
+            _view_log.endpoint_changes(
+                before, self.view.endpoints, revision, age_s
+            )
             self._run_callbacks(self.change_callbacks)
 
     def _run_callbacks(self, callbacks: list[Callable[[], None]]) -> None:
@@ -246,11 +276,14 @@
         next update carries the members to the others.
         """
         now = self.clock.now()
+        self._renew_after_outage()
         if now < max(
             fleetview.members_poll_due_s(self.view, self.own_member.name),
             self.next_members_poll_s,
         ):
             return
+        if self._awaits_entries(now):
+            return
         # The read is not repeated at once when it fails.
         self.next_members_poll_s = now + fleetview.MEMBERS_POLL_PERIOD_S
         try:
@@ -264,8 +297,30 @@
             for m in map(registration.decode_member, listing.pairs)
             if m is not None
         ]
+        fleetview.record_members_read(self.view, self.clock.now())
         self._adopt_members(listing.revision, members, age_s=0.0)
 
+    def _awaits_entries(self, now: float) -> bool:
+        """Returns whether the store is away, so that the entries come first.
+
+        After a failed read of the entries, the members are not read until some
+        process has read the entries.
+        """
+        age_s = now - self.view.endpoints_read_s
+        is_old = age_s > fleetview.OUTAGE_THRESHOLD_S
+        return is_old and self.failed_polls > 0 and bool(self.view.members)
+
+    def _renew_after_outage(self) -> None:
+        """Renews the own entry when the store is back, if it may have lapsed.
+
+        The others retain it only for a while.
+        """
+        if self.view.store_recovered_s <= self.renewed_recovery_s:
+            return
+        self.renewed_recovery_s = self.view.store_recovered_s
+        if not self.registration.is_certain():
+            self.task_group.start_soon(self.registration.renew, 0.0)
+
     def _adopt_members(
         self, revision: int, members: list[fleetview.Member], age_s: float
     ) -> None:
@@ -421,31 +476,3 @@
                 callback(change)
         elif change.value is not None:
             self.adopt_configuration(change.revision, change.value, STORE)
-
-
-def _log_endpoint_changes(
-    before: dict[str, fleet_endpoint.Endpoint],
-    after: dict[str, fleet_endpoint.Endpoint],
-    revision: int,
-    age_s: float,
-) -> None:
-    """Logs each endpoint that was added, changed or removed.
-
-    The log event `endpoint_leaving` means that the endpoint is draining.
-    """
-    for name in sorted(before.keys() | after.keys()):
-        old, new = before.get(name), after.get(name)
-        if old == new:
-            continue
-        state = "gone"
-        if new is not None:
-            state = "leaving" if new.leaving else "active"
-        shown = new or old
-        assert shown is not None
-        logs.event(
-            "endpoint_" + state,
-            endpoint=name,
-            software=shown.software_version,
-            revision=revision,
-            age_s=round(age_s, 3),
-        )
--- a/src/ibisknot/worker_program.py
+++ b/src/ibisknot/worker_program.py
@@ -61,6 +61,7 @@
             worker_node.clock,
             worker_node.tasks,
             worker_node.runner.registration,
+            wait_to_retry=worker_node.store.gate.wait,
         )
         data_folder = worker_node.process.data_folder
         if data_folder is not None:
@@ -76,6 +77,7 @@
             worker_node.runner.registration,
             worker_node.store,
             worker_node.clock.now,
+            is_outage=worker_node.store.gate.is_outage,
         ).start(worker_node.server)
         retirement = worker_retirement.Retirement(
             worker_node.process,
--- a/tests/test_batch_worker.py
+++ b/tests/test_batch_worker.py
@@ -11,6 +11,7 @@
 from ibisknot import deployment
 from ibisknot import fleetview
 from ibisknot import http_server
+from ibisknot import job_owners
 from ibisknot import pairs
 from ibisknot import result_listing
 from ibisknot import serving
@@ -142,8 +143,8 @@
 def test_listings_of_all_workers_are_bounded() -> None:
     """Guards against store calls that grow with the number of workers."""
     for workers in (4, 14, 30, 200):
-        rate = workers / batch_worker.poll_period_s(workers)
-        assert rate <= batch_worker.MAX_FLEET_POLLS_PER_S
+        rate = workers / job_owners.poll_period_s(workers)
+        assert rate <= job_owners.MAX_FLEET_POLLS_PER_S
 
 
 def test_results_that_end_together_are_written_together() -> None:
@@ -237,3 +238,29 @@
         assert world.runner.started == [0, 1, 2]
 
     job_world.run(scenario)
+
+
+def test_job_whose_notification_came_in_an_outage_starts_after_it() -> None:
+    """Guards against a job that waits for the rare listing of a large fleet.
+
+    The owner could not read the record when it was notified, and its next
+    listing fell into the outage as well.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        world.worker.next_poll_s = world.clock.now() + 60
+        await world.store_job(job_world.record(owner="w0"))
+        part = world.store.stored[batch_records.items_key("j", 0)].value
+        world.store.is_down = True
+        await world.worker._read_job("j", [part])
+        world.clock.time_s += batch_worker.POLL_RETRY_S
+        await world.worker._poll_if_due(world.clock.now())
+        world.store.is_down = False
+        world.store.calls.clear()
+        world.clock.time_s += batch_worker.POLL_RETRY_S
+        await world.worker._poll_if_due(world.clock.now())
+        await anyio.wait_all_tasks_blocked()
+        assert world.runner.started == [0, 1, 2]
+        assert world.store.calls == {"list": 1}
+
+    job_world.run(scenario)
