Start batch items by slack when not all of them can be on time

The largest tenth of batch items starved where room was short: with the earliest due first and a margin of 1.4 on the expected duration, they were the first that could no longer be on time, ran last, and were revoked first. While the work that is due exceeds half of the free slots, items are now started by the slack that is left, resumed ones first and late ones last, and an organisation with over twice an equal share of the slots yields to others. A revocation takes the item that loses least: a late one, then one that can spare the time, then the one with the least value for the time that it frees.

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -8,6 +8,7 @@
 from ibisknot import breaker
 from ibisknot import request_limits
 from ibisknot import routing
+from ibisknot.contention import room
 
 ONLINE = "online"
 BATCH = "batch"
@@ -38,6 +39,8 @@
         headroom_slots: Slots of each endpoint that batch leaves free.
         in_arrival_order: Whether online requests are granted in order of
             arrival, and not those of the least-served organisation first.
+        weighs_losses: Whether batch requests that cannot all be on time are
+            granted and revoked so that the least value is lost.
     """
 
     batch_weight: float = 1.0
@@ -46,6 +49,7 @@
     consolidates_online: bool = True
     headroom_slots: float = 1.0
     in_arrival_order: bool = False
+    weighs_losses: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -176,6 +180,7 @@
         online_queue: Queued online requests.
         batch_queue: Queued batch requests.
         ended_s: Monotonic time at which each ticket was released, by id.
+        batch_room: Whether batch requests lack slots.
     """
 
     policy: Policy = dataclasses.field(default_factory=Policy)
@@ -188,6 +193,7 @@
         default_factory=_fair_queue.FairQueue
     )
     ended_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    batch_room: room.Room = dataclasses.field(default_factory=room.Room)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -10,6 +10,7 @@
 from ibisknot import request_limits
 from ibisknot import routing
 from ibisknot import urgency
+from ibisknot.contention import losses
 
 ONLINE_LIMIT_FRACTION = 0.5
 """Fraction of an endpoint's limit up to which online is consolidated there.
@@ -73,6 +74,7 @@
     if group.policy.revokes_batch:
         for endpoint in group.endpoints.values():
             _revoke_excess_batch(endpoint, now, group.policy, actions)
+    _queue_order.check_room(group, now)
     while _grant_batch(group, now, choose_for_batch, actions):
         pass
     if group.policy.revokes_batch:
@@ -253,7 +255,7 @@
         free = _spare_endpoints(free, now) or free
         free = _online_first_endpoints(free) or free
         if not free and group.policy.revokes_batch:
-            free = _revoke_one_batch(shared, now, actions)
+            free = _revoke_one_batch(shared, now, group.policy, actions)
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
@@ -263,9 +265,10 @@
 def _revoke_one_batch(
     endpoints: list[_admission_state.Endpoint],
     now: float,
+    policy: _admission_state.Policy,
     actions: list[_admission_state.Action],
 ) -> list[_admission_state.Endpoint]:
-    """Revokes one batch ticket: a late one, or where most of them run.
+    """Revokes one batch ticket.
 
     Returns:
         The endpoint of that ticket if it has a free slot now, else nothing.
@@ -273,17 +276,32 @@
     with_batch = [e for e in endpoints if e.unrevoked_batch_count()]
     if not with_batch:
         return []
+    chosen, ticket = _ticket_to_revoke(with_batch, now, policy)
+    _revoke(chosen, ticket, actions)
+    return [chosen] if _has_free_slot(chosen) else []
+
+
+def _ticket_to_revoke(
+    endpoints: list[_admission_state.Endpoint],
+    now: float,
+    policy: _admission_state.Policy,
+) -> tuple[_admission_state.Endpoint, _admission_state.Ticket]:
+    """Returns the batch ticket to revoke at one of several endpoints.
+
+    Without weighing losses, it is a late one, or where most of them run.
+    """
+    if policy.weighs_losses:
+        tickets = [(e, t) for e in endpoints for t in e.unrevoked_batch()]
+        return min(tickets, key=lambda pair: losses.key(pair[1], now))
     chosen = max(
-        with_batch,
+        endpoints,
         key=lambda e: (
             urgency.least_urgent(e.unrevoked_batch(), now).is_late,
             e.unrevoked_batch_count(),
             e.name,
         ),
     )
-    ticket = urgency.least_urgent(chosen.unrevoked_batch(), now).ticket
-    _revoke(chosen, ticket, actions)
-    return [chosen] if _has_free_slot(chosen) else []
+    return chosen, urgency.least_urgent(chosen.unrevoked_batch(), now).ticket
 
 
 def _revoke(
@@ -337,11 +355,8 @@
         return
     limit = _batch_limit(endpoint, now, policy)
     for _ in range(endpoint.unrevoked_batch_count() - limit):
-        _revoke(
-            endpoint,
-            urgency.least_urgent(endpoint.unrevoked_batch(), now).ticket,
-            actions,
-        )
+        _, ticket = _ticket_to_revoke([endpoint], now, policy)
+        _revoke(endpoint, ticket, actions)
 
 
 def _revoke_late_batch(
@@ -360,11 +375,12 @@
         r for r in group.batch_queue.all_requests() if r.due_s < math.inf
     ]
     on_time = sum(urgency.can_be_on_time(r, now) for r in with_due_time)
+    is_late = losses.is_late if group.policy.weighs_losses else urgency.is_late
     late = [
         (endpoint, ticket)
         for endpoint in _shareable_endpoints(_usable_endpoints(group, now))
         for ticket in endpoint.unrevoked_batch()
-        if urgency.is_late(ticket, now)
+        if is_late(ticket, now)
     ]
     endpoints = (*group.endpoints.values(), *group.draining.values())
     revoked = sum(e.revoked for e in endpoints)
@@ -384,6 +400,8 @@
     """
     if any(not r.crash_suspect for r in group.online_queue.all_requests()):
         return False
+    if not _may_grant_batch(group, now):
+        return False
     for request in _queue_order.batch_order(group, now):
         usable = _usable_endpoints(group, now, request)
         if request.crash_suspect and len(group.endpoints) > 1:
@@ -391,11 +409,7 @@
             if not free:
                 _revoke_on_reserved(group, actions)
         else:
-            free = [
-                e
-                for e in _shareable_endpoints(usable)
-                if e.batch_count() < _batch_limit(e, now, group.policy)
-            ]
+            free = _with_batch_slot(usable, now, group.policy)
             # A limit counts requests, and a batch item runs for as long as
             # many online requests.
             free = _limited_endpoints(free) or free
@@ -405,6 +419,27 @@
     return False
 
 
+def _with_batch_slot(
+    usable: list[_admission_state.Endpoint],
+    now: float,
+    policy: _admission_state.Policy,
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that may have one more batch ticket."""
+    return [
+        e
+        for e in _shareable_endpoints(usable)
+        if e.batch_count() < _batch_limit(e, now, policy)
+    ]
+
+
+def _may_grant_batch(group: _admission_state.Group, now: float) -> bool:
+    """Returns whether it is worthwhile to order the batch requests."""
+    usable = _usable_endpoints(group, now)
+    if _with_batch_slot(usable, now, group.policy):
+        return True
+    return any(r.crash_suspect for r in group.batch_queue.all_requests())
+
+
 def _grant(
     group: _admission_state.Group,
     now: float,
--- a/src/ibisknot/_queue_order.py
+++ b/src/ibisknot/_queue_order.py
@@ -1,5 +1,6 @@
 """Which queued requests may be granted next, in order."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import math
@@ -7,6 +8,8 @@
 from ibisknot import _admission_state
 from ibisknot import _fair_queue
 from ibisknot import urgency
+from ibisknot.contention import ranking
+from ibisknot.contention import room
 
 
 def online_order(
@@ -62,10 +65,49 @@
     order = _fair_order(group.batch_queue, now)
     if not order or order[0].crash_suspect or order[0].due_s == math.inf:
         return order
+    choose = _choose_batch(group, now)
     return _with_alternatives(
-        urgency.next_request(group.batch_queue.all_requests(), now),
-        group.batch_queue,
-        lambda requests: urgency.next_request(requests, now),
+        choose(group.batch_queue.all_requests()), group.batch_queue, choose
+    )
+
+
+def _choose_batch(
+    group: _admission_state.Group, now: float
+) -> Callable[[Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest]:
+    """Returns a function that chooses the batch request to run next."""
+    if not room.is_short(group.batch_room, now):
+        return lambda requests: urgency.next_request(requests, now)
+    in_flight = collections.Counter(
+        ticket.organisation
+        for endpoint in group.endpoints.values()
+        for ticket in endpoint.unrevoked_batch()
+    )
+    levels = ranking.levels(in_flight, group.batch_queue.queues)
+    return ranking.next_request(now, levels)
+
+
+def check_room(group: _admission_state.Group, now: float) -> None:
+    """Compares the batch requests with the slots, from time to time."""
+    if not group.policy.weighs_losses:
+        return
+    if not room.is_check_due(group.batch_room, now):
+        return
+    endpoints = group.endpoints.values()
+    work = [
+        (t.due_s, max(0.0, t.expected_end_s - now))
+        for endpoint in endpoints
+        for t in endpoint.unrevoked_batch()
+    ]
+    work += [
+        (r.due_s, r.expected_duration_s)
+        for r in group.batch_queue.all_requests()
+    ]
+    room.check(
+        group.batch_room,
+        now,
+        slots=sum(int(e.capacity.limit) for e in endpoints),
+        online=sum(e.online_count() for e in endpoints),
+        work=work,
     )
 
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -42,6 +42,7 @@
     consolidates_online=False,
     headroom_slots=0.0,
     in_arrival_order=True,
+    weighs_losses=True,
 )
 """Uses every slot: endpoints with a stated slot count slow little when full."""
 STANDBY_POLICY = dataclasses.replace(ACTIVE_POLICY, revokes_batch=False)
--- /dev/null
+++ b/tests/test_contention.py
@@ -0,0 +1,154 @@
+"""Batch items that cannot all be on time: which run, and which are revoked."""
+
+import dataclasses
+
+import contention_world
+import pytest
+
+from ibisknot import admission
+from ibisknot import scheduler
+from ibisknot.contention import losses
+from ibisknot.contention import ranking
+
+POLICY = scheduler.ACTIVE_POLICY
+EARLIER_POLICY = dataclasses.replace(POLICY, weighs_losses=False)
+SEEDS = (1, 2, 3)
+MAX_SIZE_DIFFERENCE = 0.1
+
+
+def _play(
+    policy: admission.Policy, **load: object
+) -> list[contention_world.World]:
+    worlds = []
+    for seed in SEEDS:
+        sent = contention_world.Load(seed=seed, duration_s=40.0)
+        sent = dataclasses.replace(sent, **load)  # type: ignore[arg-type]
+        world = contention_world.World(sent, policy)
+        world.run()
+        worlds.append(world)
+    return worlds
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values)
+
+
+@pytest.mark.parametrize("batch_fraction", [0.6, 0.9])
+def test_no_size_of_items_starves(batch_fraction: float) -> None:
+    """Guards against large items that are late first and then never run."""
+    before = _play(EARLIER_POLICY, batch_fraction=batch_fraction)
+    after = _play(POLICY, batch_fraction=batch_fraction)
+    smallest, all_items, largest = (
+        _mean([world.shares()[k] for world in after]) for k in range(3)
+    )
+    assert abs(smallest - all_items) <= MAX_SIZE_DIFFERENCE
+    assert abs(largest - all_items) <= MAX_SIZE_DIFFERENCE
+    assert largest > _mean([world.shares()[2] for world in before])
+    assert _mean([world.value() for world in after]) >= 0.98 * _mean(
+        [world.value() for world in before]
+    )
+
+
+def test_flood_of_one_organisation_leaves_room_for_others() -> None:
+    """Guards against small organisations that wait behind a large one."""
+    shares = {"flood": 12.0} | {f"o{n}": 1.0 for n in range(11)}
+    world = _play(POLICY, organisations=shares)[0]
+    flood = [i for i in world.items if i.organisation == "flood"]
+    others = [i for i in world.items if i.organisation != "flood"]
+    assert contention_world.on_time_share(
+        others
+    ) > 0.2 + contention_world.on_time_share(flood)
+
+
+def test_order_is_the_earlier_one_while_there_is_room() -> None:
+    """Guards against another order where every item is on time anyway."""
+    ends = [
+        [
+            item.ended_s
+            for item in _play(
+                policy, batch_fraction=0.15, online_per_s=(0.1, 0.1)
+            )[0].items
+        ]
+        for policy in (EARLIER_POLICY, POLICY)
+    ]
+    assert ends[0] == ends[1]
+
+
+def _queued(
+    name: str, *, due_s: float, duration_s: float, organisation: str = "o"
+) -> admission.QueuedRequest:
+    return admission.QueuedRequest(
+        name,
+        admission.BATCH,
+        organisation,
+        0.0,
+        99.0,
+        due_s=due_s,
+        expected_duration_s=duration_s,
+    )
+
+
+def test_next_item_has_the_least_slack_of_those_that_can_be_on_time() -> None:
+    """Guards against a start that is late in place of one on time."""
+    late = _queued("late", due_s=5.0, duration_s=6.0)
+    small = _queued("small", due_s=15.0, duration_s=2.0)
+    large = _queued("large", due_s=18.0, duration_s=12.0)
+    choose = ranking.next_request(0.0, {})
+    assert choose([late, small, large]) is large
+    assert choose([late, small]) is small
+
+
+def test_item_with_output_resumes_before_others_start() -> None:
+    """Guards against work that was done and is lost for lack of the rest."""
+    resumes = _queued("resumes", due_s=15.0, duration_s=2.0)
+    resumes.software_version = "1"
+    fresh = _queued("fresh", due_s=15.0, duration_s=12.0)
+    assert ranking.next_request(0.0, {})([fresh, resumes]) is resumes
+
+
+def test_organisation_with_less_in_flight_goes_first() -> None:
+    """Guards against a flood that gets every slot because it is due first."""
+    flood = _queued("a", due_s=8.0, duration_s=4.0, organisation="flood")
+    other = _queued("b", due_s=18.0, duration_s=4.0)
+    levels = ranking.levels({"flood": 20}, ["flood", "o", "p", "q"])
+    assert ranking.next_request(0.0, levels)([flood, other]) is other
+
+
+def _ticket(
+    name: str, *, due_s: float, end_s: float, tokens: int = 100
+) -> admission.Ticket:
+    return admission.Ticket(
+        name,
+        admission.BATCH,
+        "o",
+        "h",
+        "e",
+        0.0,
+        max_tokens=tokens,
+        due_s=due_s,
+        expected_end_s=end_s,
+    )
+
+
+@pytest.mark.parametrize(
+    ("revoked", "kept"),
+    [
+        # A late one before one that can spare the time.
+        ({"due_s": 3.0, "end_s": 6.0}, {"due_s": 20.0, "end_s": 6.0}),
+        # One that can spare the time, though it is due earlier.
+        ({"due_s": 9.0, "end_s": 2.0}, {"due_s": 10.0, "end_s": 9.0}),
+        # The one with most of its work ahead, where both become late.
+        (
+            {"due_s": 9.0, "end_s": 8.0, "tokens": 300},
+            {"due_s": 5.0, "end_s": 4.0, "tokens": 300},
+        ),
+    ],
+)
+def test_revoked_item_loses_least(
+    revoked: dict[str, float], kept: dict[str, float]
+) -> None:
+    """Guards against a revocation that makes an item late without need."""
+    first = _ticket("first", **revoked)  # type: ignore[arg-type]
+    second = _ticket("second", **kept)  # type: ignore[arg-type]
+    assert losses.least_loss([second, first], 0.0) is first
+    assert losses.least_loss([first, second], 0.0) is first
