Let refused callers of a wave return later, and refuse them earlier

A wave of online requests lasts longer than the longest delay that callers honour, so that those who return early meet the same wave. The delay is now at least 0.85 of that limit (0.65 before), and a request is refused when 1.5 times its mean wait exceeds the objective (1.25 before).

--- a/src/ibisknot/overload.py
+++ b/src/ibisknot/overload.py
@@ -20,11 +20,11 @@
 """Time from the ticket to the first token, the network included."""
 HONOURED_FRACTION = 0.33
 """Longest retry delay that callers honour, as a fraction of their time left."""
-EARLIEST_RETRY_FRACTION = 0.65
+EARLIEST_RETRY_FRACTION = 0.85
 """Start of the range of retry delays, as a fraction of the longest one."""
 QUEUE_TIMEOUT_S = 1.5
 """Time after which a queued online request is refused."""
-WAIT_SPREAD_FACTOR = 1.25
+WAIT_SPREAD_FACTOR = 1.5
 """Factor on the mean wait, so that few actual waits exceed the objective."""
 REFUSAL_RETENTION_S = 6.0
 MAX_REFUSALS = 5000
