Grant no ticket beyond the stated memory of an endpoint

An endpoint crashes if it holds more tokens than its memory. Where the configuration states KvCapacityTokens, the scheduler counts the tokens of all tickets at an endpoint, also of revoked ones until they are released. It grants none above the memory, and refuses a request that exceeds it alone. While the next request fits nowhere, one endpoint is kept for it, and smaller ones run at the others. A malformed statement is ignored with one log line.

Ruled out: to let requests that fit pass the next one anywhere, which starves large ones (test_large_request_is_not_overtaken_for_ever).

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -107,6 +107,7 @@
         online: Number of online tickets.
         revoked: Number of revoked tickets.
         exclusive: Number of exclusive tickets.
+        held_tokens: Tokens of all its tickets.
         online_peak: Decayed peak of the number of online tickets.
         online_peak_s: Monotonic time of `online_peak`.
         reserved: Whether it is being emptied for an exclusive request.
@@ -130,6 +131,7 @@
     online: int = 0
     revoked: int = 0
     exclusive: int = 0
+    held_tokens: int = 0
     online_peak: float = 0.0
     online_peak_s: float = 0.0
     reserved: bool = False
@@ -181,6 +183,8 @@
         batch_queue: Queued batch requests.
         ended_s: Monotonic time at which each ticket was released, by id.
         batch_room: Whether batch requests lack slots.
+        memory_tokens: Tokens that the memory of each endpoint holds; 0 if that
+            is not stated.
     """
 
     policy: Policy = dataclasses.field(default_factory=Policy)
@@ -194,6 +198,7 @@
     )
     ended_s: dict[str, float] = dataclasses.field(default_factory=dict)
     batch_room: room.Room = dataclasses.field(default_factory=room.Room)
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -311,6 +316,7 @@
     endpoint.online += change * (ticket.kind == ONLINE)
     endpoint.revoked += change * ticket.revoked
     endpoint.exclusive += change * ticket.exclusive
+    endpoint.held_tokens += change * max(0, ticket.max_tokens)
 
 
 def remove_ticket(group: Group, now: float, ticket: Ticket) -> None:
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -1,16 +1,14 @@
 """Decides which tickets of an admission group to grant, refuse or revoke."""
 
-import math
-
 from ibisknot import _admission_state
+from ibisknot import _batch_revocation
 from ibisknot import _endpoint_choice
 from ibisknot import _fair_queue
 from ibisknot import _queue_order
 from ibisknot import breaker
 from ibisknot import request_limits
 from ibisknot import routing
-from ibisknot import urgency
-from ibisknot.contention import losses
+from ibisknot.contention import memory
 
 ONLINE_LIMIT_FRACTION = 0.5
 """Fraction of an endpoint's limit up to which online is consolidated there.
@@ -23,17 +21,6 @@
 
 Batch may then use all endpoints.
 """
-SHARED_LIMIT_FRACTION = 0.4
-"""Fraction of the limit that online and batch use together.
-
-It applies to endpoints that prefer online requests.
-"""
-DECAY_ROUNDING_SLOTS = 0.2
-"""Added to batch's slots before they are rounded down.
-
-A decayed peak never reaches zero; its remainder must not take a slot from
-batch for long.
-"""
 
 
 def decide(
@@ -73,20 +60,36 @@
         pass
     if group.policy.revokes_batch:
         for endpoint in group.endpoints.values():
-            _revoke_excess_batch(endpoint, now, group.policy, actions)
+            _batch_revocation.revoke_excess(
+                endpoint, now, group.policy, actions
+            )
     _queue_order.check_room(group, now)
     while _grant_batch(group, now, choose_for_batch, actions):
         pass
-    if group.policy.revokes_batch:
-        _revoke_late_batch(group, now, actions)
+    if group.policy.revokes_batch and group.batch_queue.size:
+        shared = _shareable_endpoints(_usable_endpoints(group, now))
+        _batch_revocation.revoke_late(group, shared, now, actions)
     return actions
 
 
 def _refuse_unservable(
     group: _admission_state.Group, actions: list[_admission_state.Action]
 ) -> None:
-    """Refuses requests that need software which no endpoint has any more."""
+    """Refuses requests that no endpoint can serve, now or later.
+
+    These need software which no endpoint has any more, or more memory than
+    an endpoint has.
+    """
     for queue in (group.online_queue, group.batch_queue):
+        for request in memory.too_large(
+            queue.all_requests(), group.memory_tokens
+        ):
+            queue.remove(request.id)
+            actions.append(
+                _admission_state.Refuse(
+                    request.id, "it exceeds the memory of an endpoint"
+                )
+            )
         bound = [
             r for r in queue.all_requests() if r.software_version is not None
         ]
@@ -228,10 +231,6 @@
     return [e for e in endpoints if e.bucket is not None]
 
 
-def _has_free_slot(endpoint: _admission_state.Endpoint) -> bool:
-    return endpoint.unrevoked_count() < int(endpoint.capacity.limit)
-
-
 def _grant_online(
     group: _admission_state.Group,
     now: float,
@@ -239,153 +238,111 @@
     actions: list[_admission_state.Action],
 ) -> bool:
     """Grants one queued online request if possible; returns whether it did."""
-    for request in _queue_order.online_order(group, now):
+    order, kept = _keep_memory(
+        group,
+        _queue_order.online_order(group, now),
+        group.online_queue,
+        _fair_queue.oldest,
+        now,
+    )
+    for request in order:
         usable = _usable_endpoints(group, now, request)
+        if request is not order[0]:
+            usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
             free = _empty_endpoints(usable)
             if free:
                 _grant(group, now, request, choose(free, request), actions)
                 return True
-            _revoke_on_reserved(group, actions)
+            _batch_revocation.revoke_on_reserved(group, actions)
             continue
         shared = _shareable_endpoints(usable)
-        free = [e for e in shared if _has_free_slot(e)]
+        free = [e for e in shared if _batch_revocation.has_free_slot(e)]
+        free = _with_memory(group, free, request)
         # Requests that limits allow are kept for the next wave. Those that
         # cannot be kept are used, so that an endpoint can end its limit.
         free = _spare_endpoints(free, now) or free
         free = _online_first_endpoints(free) or free
         if not free and group.policy.revokes_batch:
-            free = _revoke_one_batch(shared, now, group.policy, actions)
+            free = _revoke_for_online(group, shared, now, request, actions)
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
     return False
 
 
-def _revoke_one_batch(
+def _with_memory(
+    group: _admission_state.Group,
     endpoints: list[_admission_state.Endpoint],
-    now: float,
-    policy: _admission_state.Policy,
-    actions: list[_admission_state.Action],
+    request: _fair_queue.QueuedRequest,
 ) -> list[_admission_state.Endpoint]:
-    """Revokes one batch ticket.
-
-    Returns:
-        The endpoint of that ticket if it has a free slot now, else nothing.
-    """
-    with_batch = [e for e in endpoints if e.unrevoked_batch_count()]
-    if not with_batch:
-        return []
-    chosen, ticket = _ticket_to_revoke(with_batch, now, policy)
-    _revoke(chosen, ticket, actions)
-    return [chosen] if _has_free_slot(chosen) else []
+    """Returns the endpoints whose memory can hold a request."""
+    return [
+        e
+        for e in endpoints
+        if memory.fits(e, request.max_tokens, group.memory_tokens)
+    ]
 
 
-def _ticket_to_revoke(
-    endpoints: list[_admission_state.Endpoint],
+def _keep_memory(
+    group: _admission_state.Group,
+    order: list[_fair_queue.QueuedRequest],
+    queue: _fair_queue.FairQueue,
+    choose_request: _queue_order.ChooseRequest,
     now: float,
-    policy: _admission_state.Policy,
-) -> tuple[_admission_state.Endpoint, _admission_state.Ticket]:
-    """Returns the batch ticket to revoke at one of several endpoints.
-
-    Without weighing losses, it is a late one, or where most of them run.
-    """
-    if policy.weighs_losses:
-        tickets = [(e, t) for e in endpoints for t in e.unrevoked_batch()]
-        return min(tickets, key=lambda pair: losses.key(pair[1], now))
-    chosen = max(
-        endpoints,
-        key=lambda e: (
-            urgency.least_urgent(e.unrevoked_batch(), now).is_late,
-            e.unrevoked_batch_count(),
-            e.name,
-        ),
-    )
-    return chosen, urgency.least_urgent(chosen.unrevoked_batch(), now).ticket
+) -> tuple[list[_fair_queue.QueuedRequest], str]:
+    """Keeps an endpoint for a request that no memory can hold yet.
 
+    Meanwhile, the next one that fits may run at the others.
 
-def _revoke(
-    endpoint: _admission_state.Endpoint,
-    ticket: _admission_state.Ticket,
-    actions: list[_admission_state.Action],
-) -> None:
-    """Marks a ticket as revoked and adds the action for it."""
-    _admission_state.revoke_ticket(endpoint, ticket)
-    actions.append(_admission_state.Revoke(ticket.id, ticket.holder))
-
-
-def _revoke_on_reserved(
-    group: _admission_state.Group, actions: list[_admission_state.Action]
-) -> None:
-    """Revokes the batch tickets on the reserved endpoint."""
-    if not group.policy.revokes_batch:
-        return
-    for endpoint in group.endpoints.values():
-        if endpoint.reserved:
-            for ticket in endpoint.unrevoked_batch():
-                _revoke(endpoint, ticket, actions)
-
-
-def _batch_limit(
-    endpoint: _admission_state.Endpoint,
-    now: float,
-    policy: _admission_state.Policy,
-) -> int:
-    """Returns how many batch tickets an endpoint may have."""
-    online = _admission_state.decayed_online_peak(endpoint, now)
-    if endpoint.prefers_online:
-        shared_slots = endpoint.capacity.limit * SHARED_LIMIT_FRACTION - online
-        return max(0, math.floor(shared_slots * policy.batch_weight))
-    idle = (
-        endpoint.capacity.limit
-        - policy.displaced_per_online * online
-        - policy.headroom_slots
+    Returns:
+        The requests that may be granted next, and the name of the endpoint
+        that only the first of them may use; empty if none is kept.
+    """
+    if group.memory_tokens == memory.UNSTATED or len(order) != 1:
+        return order, ""
+    first = order[0]
+    shared = _shareable_endpoints(_usable_endpoints(group, now, first))
+    kept = memory.kept_endpoint(shared, first, group.memory_tokens)
+    if not kept:
+        return order, ""
+    others = memory.others_that_fit(
+        queue.all_requests(),
+        first,
+        [e for e in group.endpoints.values() if e.name != kept],
+        group.memory_tokens,
     )
-    return max(0, math.floor(idle * policy.batch_weight + DECAY_ROUNDING_SLOTS))
-
-
-def _revoke_excess_batch(
-    endpoint: _admission_state.Endpoint,
-    now: float,
-    policy: _admission_state.Policy,
-    actions: list[_admission_state.Action],
-) -> None:
-    """Revokes batch tickets over the limit where online requests run."""
-    if not endpoint.online_count() and not endpoint.prefers_online:
-        return
-    limit = _batch_limit(endpoint, now, policy)
-    for _ in range(endpoint.unrevoked_batch_count() - limit):
-        _, ticket = _ticket_to_revoke([endpoint], now, policy)
-        _revoke(endpoint, ticket, actions)
+    return [first, *([choose_request(others)] if others else [])], kept
 
 
-def _revoke_late_batch(
+def _revoke_for_online(
     group: _admission_state.Group,
+    endpoints: list[_admission_state.Endpoint],
     now: float,
+    request: _fair_queue.QueuedRequest,
     actions: list[_admission_state.Action],
-) -> None:
-    """Revokes a late batch ticket for each queued request that can be on time.
+) -> list[_admission_state.Endpoint]:
+    """Revokes one batch ticket, unless memory is about to be released.
 
-    Tickets that are already revoked will free their slots, so each of them
-    counts for one such request.
+    Returns:
+        The endpoint of that ticket if it can run the request now, else nothing.
     """
-    if not group.batch_queue.size:
-        return
-    with_due_time = [
-        r for r in group.batch_queue.all_requests() if r.due_s < math.inf
-    ]
-    on_time = sum(urgency.can_be_on_time(r, now) for r in with_due_time)
-    is_late = losses.is_late if group.policy.weighs_losses else urgency.is_late
-    late = [
-        (endpoint, ticket)
-        for endpoint in _shareable_endpoints(_usable_endpoints(group, now))
-        for ticket in endpoint.unrevoked_batch()
-        if is_late(ticket, now)
+    tokens = request.max_tokens
+    if any(
+        _batch_revocation.has_free_slot(e)
+        and memory.will_fit(e, tokens, group.memory_tokens)
+        for e in endpoints
+    ):
+        return []
+    large_enough = [
+        e
+        for e in endpoints
+        if memory.fits_beside_online(e, tokens, group.memory_tokens)
     ]
-    endpoints = (*group.endpoints.values(), *group.draining.values())
-    revoked = sum(e.revoked for e in endpoints)
-    for endpoint, ticket in late[: max(0, on_time - revoked)]:
-        _revoke(endpoint, ticket, actions)
+    freed = _batch_revocation.revoke_one(
+        large_enough, now, group.policy, actions
+    )
+    return _with_memory(group, freed, request)
 
 
 def _grant_batch(
@@ -402,14 +359,24 @@
         return False
     if not _may_grant_batch(group, now):
         return False
-    for request in _queue_order.batch_order(group, now):
+    order, kept = _keep_memory(
+        group,
+        _queue_order.batch_order(group, now),
+        group.batch_queue,
+        _queue_order.choose_batch(group, now),
+        now,
+    )
+    for request in order:
         usable = _usable_endpoints(group, now, request)
+        if request is not order[0]:
+            usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
             free = _empty_endpoints(usable)
             if not free:
-                _revoke_on_reserved(group, actions)
+                _batch_revocation.revoke_on_reserved(group, actions)
         else:
             free = _with_batch_slot(usable, now, group.policy)
+            free = _with_memory(group, free, request)
             # A limit counts requests, and a batch item runs for as long as
             # many online requests.
             free = _limited_endpoints(free) or free
@@ -428,7 +395,7 @@
     return [
         e
         for e in _shareable_endpoints(usable)
-        if e.batch_count() < _batch_limit(e, now, policy)
+        if e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
     ]
 
 
--- a/src/ibisknot/_queue_order.py
+++ b/src/ibisknot/_queue_order.py
@@ -11,6 +11,11 @@
 from ibisknot.contention import ranking
 from ibisknot.contention import room
 
+ChooseRequest = Callable[
+    [Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest
+]
+"""Chooses the next one of several requests."""
+
 
 def online_order(
     group: _admission_state.Group, now: float
@@ -29,9 +34,7 @@
 def _with_alternatives(
     first: _fair_queue.QueuedRequest | None,
     queue: _fair_queue.FairQueue,
-    choose: Callable[
-        [Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest
-    ],
+    choose: ChooseRequest,
 ) -> list[_fair_queue.QueuedRequest]:
     """Returns a request and those that need not wait for the same endpoints.
 
@@ -65,13 +68,13 @@
     order = _fair_order(group.batch_queue, now)
     if not order or order[0].crash_suspect or order[0].due_s == math.inf:
         return order
-    choose = _choose_batch(group, now)
+    choose = choose_batch(group, now)
     return _with_alternatives(
         choose(group.batch_queue.all_requests()), group.batch_queue, choose
     )
 
 
-def _choose_batch(
+def choose_batch(
     group: _admission_state.Group, now: float
 ) -> Callable[[Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest]:
     """Returns a function that chooses the batch request to run next."""
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -6,6 +6,9 @@
 from ibisknot import admission
 from ibisknot import overload
 from ibisknot import request_limits
+from ibisknot import serving
+from ibisknot.contention import memory
+from ibisknot.gen.fleet import ttypes
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,18 +75,47 @@
             _usable_slots(e, hold_s) for e in self.group.endpoints.values()
         )
 
-    def has_online_slot(self, now: float) -> bool:
+    def has_online_slot(self, now: float, tokens: int = 0) -> bool:
         """Returns whether a slot is free or held by batch that can be revoked.
 
-        Slots of endpoints that take no request now are not counted.
+        Slots of endpoints that take no request now, or whose memory cannot
+        hold the request, are not counted.
+
+        Args:
+            now: Monotonic time in seconds.
+            tokens: Tokens of the request.
         """
+        memory_tokens = self.group.memory_tokens
         return any(
             e.unrevoked_count() < int(e.capacity.limit)
             or e.unrevoked_batch_count()
             for e in self.group.endpoints.values()
             if request_limits.allows(e.bucket, now)
+            and memory.fits_beside_online(e, tokens, memory_tokens)
+        )
+
+    def is_late(self, request: ttypes.PlaceAsk, now: float) -> bool:
+        """Returns whether an online request would miss its objective."""
+        if request.kind != admission.ONLINE:
+            return False
+        if self.has_online_slot(now, request.tokens):
+            return False
+        return overload.would_miss_objective(
+            self.hold_time,
+            queued=self.group.online_queue.on_time_count(),
+            slots=self.online_slots(),
+            remaining_objective_s=request.objective_s,
         )
 
+    def apply_configuration(
+        self, configuration: serving.Configuration | None
+    ) -> None:
+        """Applies what the operator states about the service's endpoints."""
+        if configuration is not None:
+            self.group.memory_tokens = configuration.memory_tokens.get(
+                self.name, memory.UNSTATED
+            )
+
 
 def _usable_slots(endpoint: admission.Endpoint, hold_s: float) -> float:
     """Returns the slots of an endpoint that online requests can fill."""
--- a/src/ibisknot/contention/losses.py
+++ b/src/ibisknot/contention/losses.py
@@ -15,6 +15,7 @@
 ALMOST_DONE_S = 0.5
 """An item with less time to run is revoked last: it frees its slot anyway."""
 MIN_REMAINING_S = 0.05
+MAX_REMAINING_S = 600.0
 LATENESS_TOLERANCE = 0.1
 """Error of an expected end, as a fraction of the time that remains."""
 LATE_VALUE = 0.1
@@ -28,8 +29,12 @@
 
 
 def remaining_s(ticket: _admission_state.Ticket, now: float) -> float:
-    """Returns the seconds for which a ticket is expected to be held yet."""
-    return max(MIN_REMAINING_S, ticket.expected_end_s - now)
+    """Returns the seconds for which a ticket is expected to be held yet.
+
+    One that is held for longer than expected may be held as long again.
+    """
+    left_s = abs(ticket.expected_end_s - now)
+    return min(MAX_REMAINING_S, max(MIN_REMAINING_S, left_s))
 
 
 def is_late(ticket: _admission_state.Ticket, now: float) -> bool:
--- a/src/ibisknot/platform/configuration.py
+++ b/src/ibisknot/platform/configuration.py
@@ -7,8 +7,13 @@
 from ibisknot import api_keys
 from ibisknot import errors
 from ibisknot import http_server
+from ibisknot import logs
 from ibisknot import serving
 
+MAX_MEMORY_TOKENS = 1_000_000_000
+"""Larger statements of an endpoint's memory are ignored."""
+MAX_LOGGED_VALUE = 80
+
 _KINDS = {
     "safe": serving.SAFE,
     "unsafe": serving.UNSAFE,
@@ -44,6 +49,7 @@
 
 class _Service(msgspec.Struct):
     Name: str
+    Engine: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -105,9 +111,30 @@
             header_timeout_s=config.Limits.HeaderTimeoutMs / 1000,
             idle_timeout_s=config.Limits.IdleTimeoutMs / 1000,
         ),
+        memory_tokens=_decode_memory(config.Services),
     )
 
 
+def _decode_memory(services: list[_Service]) -> dict[str, int]:
+    """Returns the tokens that an endpoint of each service holds, if stated."""
+    stated = {}
+    for service in services:
+        if not isinstance(service.Engine, dict):
+            continue
+        tokens: Any = service.Engine.get("KvCapacityTokens")
+        is_number = isinstance(tokens, int | float) and tokens is not True
+        if is_number and 0 < tokens <= MAX_MEMORY_TOKENS:
+            stated[service.Name] = int(tokens)
+        elif tokens is not None:
+            logs.event(
+                "engine_memory_ignored",
+                level="warning",
+                service=service.Name,
+                value=repr(tokens)[:MAX_LOGGED_VALUE],
+            )
+    return stated
+
+
 def _decode_route(raw: _Route) -> serving.Route:
     targets = [serving.Target(s.Service, s.Weight) for s in raw.TrafficSplit]
     if not targets and raw.Service is not None:
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -125,6 +125,7 @@
             self._update_endpoints(service)
 
     def _update_endpoints(self, service: _service.Service) -> None:
+        service.apply_configuration(self.view.configuration)
         found = fleetview.active_endpoints(self.view, service.name)
         names = {endpoint.name for endpoint in found}
         versions = {e.name: e.software_version for e in found}
@@ -205,7 +206,7 @@
             return _scheduler_messages.answer(
                 request.id, State.OVER_RATE, retry_s=retry_s
             )
-        if not granted and first_s is None and self._is_late(service, request):
+        if not granted and first_s is None and service.is_late(request, now):
             self.rates.refund_token(request)
             return self._refuse(service, request, now)
         return self._admit(service, request, now, first_s)
@@ -278,19 +279,6 @@
             return request.wait_s
         return min(request.wait_s, overload.QUEUE_TIMEOUT_S)
 
-    def _is_late(
-        self, service: _service.Service, request: ttypes.PlaceAsk
-    ) -> bool:
-        now = self.clock.now()
-        if request.kind != admission.ONLINE or service.has_online_slot(now):
-            return False
-        return overload.would_miss_objective(
-            service.hold_time,
-            queued=service.group.online_queue.on_time_count(),
-            slots=service.online_slots(),
-            remaining_objective_s=request.objective_s,
-        )
-
     def _retry_after_s(
         self, service: _service.Service, remaining_s: float
     ) -> float:
--- a/src/ibisknot/serving.py
+++ b/src/ibisknot/serving.py
@@ -122,6 +122,8 @@
             of their API keys.
         requires_key: Whether routes require an API key at all.
         limits: Limits of the HTTP server.
+        memory_tokens: Tokens that the memory of one endpoint holds, by the
+            service's name; services without a statement are missing.
     """
 
     version: int
@@ -131,6 +133,7 @@
     organisations_by_key_hash: dict[str, str]
     requires_key: bool
     limits: http_server.Limits
+    memory_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def find_organisation(self, key: str | None) -> str | None:
         """Returns the name of the organisation that owns an API key."""
--- a/tests/test_consolidation.py
+++ b/tests/test_consolidation.py
@@ -1,6 +1,7 @@
 """Consolidation of online requests in an admission group."""
 
 from ibisknot import _admission_state
+from ibisknot import _batch_revocation
 from ibisknot import _decisions
 
 
@@ -43,7 +44,9 @@
     group = group_of(2, online=5)
     _decisions._consolidate_online(group, 0.0)
     policy = group.policy
-    beside = _decisions._batch_limit(group.endpoints["e0"], 0.0, policy)
-    elsewhere = _decisions._batch_limit(group.endpoints["e1"], 0.0, policy)
+    beside = _batch_revocation.batch_limit(group.endpoints["e0"], 0.0, policy)
+    elsewhere = _batch_revocation.batch_limit(
+        group.endpoints["e1"], 0.0, policy
+    )
     assert beside == 3
     assert elsewhere == 19
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -3,12 +3,14 @@
 import dataclasses
 
 import contention_world
+import msgspec
 import pytest
 
 from ibisknot import admission
 from ibisknot import scheduler
 from ibisknot.contention import losses
 from ibisknot.contention import ranking
+from ibisknot.platform import configuration
 
 POLICY = scheduler.ACTIVE_POLICY
 EARLIER_POLICY = dataclasses.replace(POLICY, weighs_losses=False)
@@ -152,3 +154,95 @@
     second = _ticket("second", **kept)  # type: ignore[arg-type]
     assert losses.least_loss([second, first], 0.0) is first
     assert losses.least_loss([first, second], 0.0) is first
+
+
+def _group_with_memory(tokens: int) -> admission.Group:
+    group = admission.Group(policy=POLICY)
+    group.memory_tokens = tokens
+    slots = {"e0": 8, "e1": 8}
+    admission.set_endpoints(group, 0.0, slots, slots=slots)
+    return group
+
+
+def _ask(
+    group: admission.Group, name: str, tokens: int, kind: str = admission.BATCH
+) -> list[str]:
+    """Returns the names of the actions that a request leads to."""
+    request = admission.QueuedRequest(
+        name, kind, "o", 1.0, 99.0, max_tokens=tokens, due_s=60.0
+    )
+    actions = admission.request_ticket(group, 1.0, request)
+    return [type(action).__name__ for action in actions]
+
+
+def test_endpoints_hold_no_more_tokens_than_their_memory() -> None:
+    """Guards against endpoints that crash because they hold too much."""
+    group = _group_with_memory(100)
+    for index in range(12):
+        _ask(group, f"b{index}", 40)
+    held = [e.held_tokens for e in group.endpoints.values()]
+    assert held == [80, 80]
+    admission.release_ticket(group, 2.0, "b0", admission.Measurement())
+    assert [e.held_tokens for e in group.endpoints.values()] == held
+
+
+def test_revoked_ticket_counts_until_it_is_released() -> None:
+    """Guards against an online request beside a batch item that still runs."""
+    group = _group_with_memory(100)
+    for index in range(2):
+        _ask(group, f"b{index}", 90)
+    assert _ask(group, "r", 20, admission.ONLINE) == ["Revoke"]
+    assert admission.tick(group, 1.1) == []
+    (revoked,) = [t for t in admission.all_tickets(group) if t.revoked]
+    actions = admission.release_ticket(
+        group, 1.2, revoked.id, admission.Measurement(admission.CANCELLED)
+    )
+    assert [type(action).__name__ for action in actions] == ["Grant"]
+
+
+def test_large_request_is_not_overtaken_for_ever() -> None:
+    """Guards against small requests that take all memory that is released."""
+    group = _group_with_memory(100)
+    for index in range(4):
+        _ask(group, f"b{index}", 50)
+    _ask(group, "large", 100)
+    for index in range(4, 9):
+        _ask(group, f"b{index}", 50)
+    for step in range(20):
+        tickets = admission.all_tickets(group)
+        if any(t.id == "large" for t in tickets):
+            return
+        oldest = min(tickets, key=lambda t: t.granted_s)
+        admission.release_ticket(
+            group, 2.0 + step, oldest.id, admission.Measurement()
+        )
+    pytest.fail("the large request was never granted")
+
+
+def test_request_that_no_memory_holds_is_refused() -> None:
+    """Guards against a request that blocks the queue or crashes endpoints."""
+    group = _group_with_memory(100)
+    assert _ask(group, "r", 101, admission.ONLINE) == ["Refuse"]
+    assert _ask(_group_with_memory(0), "r", 101) == ["Grant"]
+
+
+@pytest.mark.parametrize(
+    ("engine", "tokens"),
+    [
+        ({"KvCapacityTokens": 5000}, {"s": 5000}),
+        ({}, {}),
+        (None, {}),
+        (7, {}),
+        ({"KvCapacityTokens": "5000"}, {}),
+        ({"KvCapacityTokens": -1}, {}),
+        ({"KvCapacityTokens": 1e300}, {}),
+        ({"KvCapacityTokens": True}, {}),
+    ],
+)
+def test_stated_memory_is_decoded(
+    engine: object, tokens: dict[str, int]
+) -> None:
+    """Guards against a bad value that makes the configuration unusable."""
+    value = {"Version": 1, "Services": [{"Name": "s", "Engine": engine}]}
+    decoded = configuration.decode(msgspec.json.encode(value))
+    assert decoded.memory_tokens == tokens
