--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -8,6 +8,7 @@
 from ibisknot import breaker
 from ibisknot import request_limits
 from ibisknot import routing
+from ibisknot.contention import room
 from ibisknot.locality import decision as locality_decision
 
 ONLINE = "online"
@@ -39,6 +40,8 @@
         headroom_slots: Slots of each endpoint that batch leaves free.
         in_arrival_order: Whether online requests are granted in order of
             arrival, and not those of the least-served organisation first.
+        weighs_losses: Whether batch requests that cannot all be on time are
+            granted and revoked so that the least value is lost.
     """
 
     batch_weight: float = 1.0
@@ -47,6 +50,7 @@
     consolidates_online: bool = True
     headroom_slots: float = 1.0
     in_arrival_order: bool = False
+    weighs_losses: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +108,7 @@
         online: Number of online tickets.
         revoked: Number of revoked tickets.
         exclusive: Number of exclusive tickets.
+        held_tokens: Tokens of all its tickets.
         online_peak: Decayed peak of the number of online tickets.
         online_peak_s: Monotonic time of `online_peak`.
         reserved: Whether it is being emptied for an exclusive request.
@@ -127,6 +132,7 @@
     online: int = 0
     revoked: int = 0
     exclusive: int = 0
+    held_tokens: int = 0
     online_peak: float = 0.0
     online_peak_s: float = 0.0
     reserved: bool = False
@@ -178,6 +184,9 @@
         batch_queue: Queued batch requests.
         ended_s: Monotonic time at which each ticket was released, by id.
         locality: Which data centres send requests to which others.
+        batch_room: Whether batch requests lack slots.
+        memory_tokens: Tokens that the memory of each endpoint holds; 0 if that
+            is not stated.
     """
 
     policy: Policy = dataclasses.field(default_factory=Policy)
@@ -193,6 +202,8 @@
     locality: locality_decision.State = dataclasses.field(
         default_factory=locality_decision.State
     )
+    batch_room: room.Room = dataclasses.field(default_factory=room.Room)
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -310,6 +321,7 @@
     endpoint.online += change * (ticket.kind == ONLINE)
     endpoint.revoked += change * ticket.revoked
     endpoint.exclusive += change * ticket.exclusive
+    endpoint.held_tokens += change * max(0, ticket.max_tokens)
 
 
 def remove_ticket(group: Group, now: float, ticket: Ticket) -> None:
