Check a configuration before an operator sends it

Operators learned of a route that another one hides, of a key that two organisations hold, or of items that are given up before they are due, only from callers. ibisknotctl config check decodes the value as gateways do and asks the code that serves requests which route and organisation it selects; a copy of these decisions was ruled out, as it would drift from them. The routes of a configuration are now decoded with it, so that an error names their index.

--- a/src/ibisknot/ctl.py
+++ b/src/ibisknot/ctl.py
@@ -17,6 +17,7 @@
 
 import ibisknot
 from ibisknot import _ctl_commands
+from ibisknot import _ctl_config
 from ibisknot import _ctl_session
 from ibisknot import _ctl_show
 
@@ -30,7 +31,7 @@
 class Arguments:
     """States intents, confirms plans and inspects the fleet."""
 
-    command: cappa.Subcommands[_ctl_commands.Command]
+    command: cappa.Subcommands[_ctl_commands.Command | _ctl_config.Config]
     url: Annotated[
         str, cappa.Arg(long=True, help=f"Entry URL, or {URL_VARIABLE}.")
     ] = ""
@@ -66,6 +67,9 @@
 def run(argv: list[str]) -> int:
     """Runs a command line and returns the exit status."""
     arguments = cappa.parse(Arguments, argv=argv, version=ibisknot.__version__)
+    if isinstance(arguments.command, _ctl_config.Config):
+        check = arguments.command.command
+        return _ctl_config.run(check, as_json=arguments.json)
     url = arguments.url or os.environ.get(URL_VARIABLE, "")
     key = arguments.key or os.environ.get(KEY_VARIABLE, "")
     if not url or not key:
--- a/src/ibisknot/platform/configuration.py
+++ b/src/ibisknot/platform/configuration.py
@@ -14,7 +14,9 @@
 """Larger statements of an endpoint's memory are ignored."""
 MAX_LOGGED_VALUE = 80
 
-_KINDS = {
+KEY = "op/config"
+"""Key of the operator's newest value."""
+KINDS = {
     "safe": serving.SAFE,
     "unsafe": serving.UNSAFE,
     "streaming": serving.STREAM,
@@ -69,7 +71,7 @@
 
 class _Config(msgspec.Struct):
     Version: int
-    Routes: list[Any] = []
+    Routes: list[_Route] = []
     Services: list[_Service] = []
     Limits: _Limits = msgspec.field(default_factory=_Limits)
     Tenants: list[_Tenant] | None = None
@@ -85,13 +87,12 @@
     """
     try:
         config = msgspec.json.decode(value, type=_Config)
-        routes = [msgspec.convert(raw, _Route) for raw in config.Routes]
     except msgspec.MsgspecError as error:
         message = f"the operator's configuration is invalid: {error}"
         raise errors.BadRequestError(message) from None
     return serving.Configuration(
         version=config.Version,
-        routes=[_decode_route(r) for r in routes if r.Kind in _KINDS],
+        routes=[_decode_route(r) for r in config.Routes if r.Kind in KINDS],
         services=frozenset(s.Name for s in config.Services),
         organisations={
             t.Name: serving.Organisation(
@@ -143,7 +144,7 @@
         name=raw.Name,
         host=raw.Host.lower(),
         prefix=raw.Prefix,
-        kind=_KINDS[raw.Kind],
+        kind=KINDS[raw.Kind],
         targets=tuple(targets),
         timeout_s=raw.TimeoutMs / 1000,
         objective_s=raw.TargetLatencyMs / 1000,
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -46,7 +46,7 @@
 )
 LAYOUT = view_runner.Layout(
     operator_prefix="op/",
-    configuration_key="op/config",
+    configuration_key=configuration.KEY,
     endpoints_prefix=entries.KEY_PREFIX,
     members_prefix="ibisknot/members/",
     decode_configuration=configuration.decode,
