Count the bytes in tunnels, and shorten the ids of tickets

The bytes that a tunnel carries between processes were in no metric. The process that has opened the tunnel counts them now.

The id of a ticket is in every message about it and had a start time in nanoseconds; milliseconds tell two starts of a process apart as well.

--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -101,7 +101,7 @@
         self.leaving = leaving_endpoints.Table(view)
         self.reported_to: set[fleetview.Member] = set()
         self.fallback = fallback.Fallback(view, self.rng, process.data_centre)
-        self.id_prefix = f"{process.name}/{time.time_ns():x}"
+        self.id_prefix = f"{process.name}/{time.time_ns() // 1_000_000:x}"
         self.id_counter = itertools.count(1)
         self.share = accrual_holder.Holder(
             view, clock, self.schedulers, self.unresponsive
--- a/src/ibisknot/tunnel.py
+++ b/src/ibisknot/tunnel.py
@@ -16,10 +16,13 @@
 
 from ibisknot import errors
 from ibisknot import http11
+from ibisknot import metrics
 from ibisknot import peer
 from ibisknot.gen.fleet import ttypes
 
 METHOD = "tunnel_open"
+CHANNEL = "tunnel"
+"""Channel of the bytes in a tunnel, in metrics."""
 MAX_FRAME_BYTES = 1024 * 1024
 LENGTH = struct.Struct("!I")
 """Length of the frame that follows, or one of the marks below."""
@@ -37,10 +40,17 @@
         received: Bytes that were received and not yet returned.
         remaining_bytes: Bytes of the current frame that are still to come.
         is_ended: Whether the endpoint's connection has ended.
+        scope: Whether the helper is in the `own` or an `other` data centre.
     """
 
-    def __init__(self, inner: abc.ByteStream, received: bytearray) -> None:
+    def __init__(
+        self,
+        inner: abc.ByteStream,
+        received: bytearray,
+        scope: str | None = None,
+    ) -> None:
         self.inner = inner
+        self.scope = scope
         self.received = received
         self.remaining_bytes = 0
         self.is_ended = False
@@ -82,7 +92,9 @@
         """Receives until `size` bytes are there."""
         while len(self.received) < size:
             try:
-                self.received += await self.inner.receive()
+                data = await self.inner.receive()
+                self.received += data
+                self._count(received=len(data))
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
@@ -95,6 +107,14 @@
         for start in range(0, len(item), MAX_FRAME_BYTES):
             piece = item[start : start + MAX_FRAME_BYTES]
             await self.inner.send(LENGTH.pack(len(piece)) + piece)
+            self._count(sent=LENGTH.size + len(piece))
+
+    def _count(self, *, sent: int = 0, received: int = 0) -> None:
+        """Counts bytes at the end that has opened the tunnel."""
+        if self.scope is not None:
+            metrics.count_bytes(
+                CHANNEL, sent=sent, received=received, scope=self.scope
+            )
 
     async def send_end(self, mark: int) -> None:
         """Tells the other end how the endpoint's connection has ended."""
@@ -143,7 +163,8 @@
     )
     if opened.state == ttypes.TunnelState.OPENED:
         http11.set_socket_options(inner)
-        return opened.state, Stream(inner, received)
+        scope = peers.scope_of(helper_address)
+        return opened.state, Stream(inner, received, scope)
     with anyio.CancelScope(shield=True):
         await anyio.aclose_forcefully(inner)
     return opened.state, None
--- a/tests/test_peer_compression.py
+++ b/tests/test_peer_compression.py
@@ -11,6 +11,7 @@
 from ibisknot import errors
 from ibisknot import metrics
 from ibisknot import peer
+from ibisknot import tunnel
 from ibisknot.gen.fleet import ttypes as fleet_types
 from ibisknot.gen.peer import ttypes
 from ibisknot.locality import compression
@@ -119,6 +120,32 @@
         compression.unpack(payload, kind)
 
 
+def test_bytes_in_a_tunnel_are_counted_by_its_opener(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against traffic of tunnels that no metric shows."""
+    counted = _count(monkeypatch)
+
+    class Inner:
+        """Gives one frame, and takes any."""
+
+        async def receive(self) -> bytes:
+            return tunnel.LENGTH.pack(3) + b"abc"
+
+        async def send(self, item: bytes) -> None:
+            pass
+
+    async def main() -> None:
+        inner: Any = Inner()
+        for scope in (scopes.OTHER, None):
+            stream = tunnel.Stream(inner, bytearray(), scope)
+            assert await stream.receive() == b"abc"
+            await stream.send(b"abcde")
+
+    anyio.run(main)
+    assert counted == {("received", "other"): 7, ("sent", "other"): 9}
+
+
 def test_scope_follows_the_members() -> None:
     """Guards against bytes counted by a list of members that is old."""
     view = fake_fleet.view()
