Do not use a slow scheduler again while another one responds

Cause, found by reading: a scheduler that answers in 0.2 to 0.4 s was lost with each online request, whose time-out is 0.2 s, and regained with each report, whose time-out is 0.4 s. Every 0.8 s the next requests waited 0.2 s for it.

Change: a report must be accepted within 0.2 s for that, unless no other scheduler responds.

--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -162,3 +162,10 @@
         return errors.OverloadedError(message, retry_after_s=retry_s)
     message = f"no endpoint of {request.service} will be free in time"
     return errors.OverloadedError(message, retry_after_s=retry_s)
+
+
+def limits_message(
+    limits: list[ttypes.EndpointLimit],
+) -> ttypes.EndpointLimits:
+    """Returns what this process knows of the limits of endpoints."""
+    return ttypes.EndpointLimits(limits=limits)
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -13,7 +13,6 @@
 import math
 import random
 import time
-from typing import Any
 
 import anyio
 
@@ -37,6 +36,7 @@
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 from ibisknot.gen.peer import ttypes as peer_types
+from ibisknot.outage import failover
 
 MAX_SCHEDULERS = 3
 """Schedulers that receive all updates on tickets, the active one first."""
@@ -357,7 +357,7 @@
         self.fallback.set_request_limit(
             endpoint.name, self.limits.rate_per_s(endpoint.name), now
         )
-        message = _limits_message(self.limits.to_wire(now))
+        message = _placement_messages.limits_message(self.limits.to_wire(now))
         for member in self.schedulers():
             self._notify(member, "endpoint_limits", message)
 
@@ -403,6 +403,7 @@
         self, member: fleetview.Member, method: str, message: object
     ) -> None:
         is_report = method == "places_held"
+        sent_s = self.clock.now()
         try:
             answer = await self.peers.call(
                 member.address,
@@ -426,7 +427,9 @@
         if is_report:
             self.reported_to.add(member)
             self.share.learn_build(member, bool(answer.counts_accrued))
-        if member.name in self.unresponsive:
+        if member.name in self.unresponsive and failover.may_regain(
+            self.clock.now() - sent_s, self._responsive_scheduler()
+        ):
             self.unresponsive.discard(member.name)
             self._start_retry()
             logs.event("scheduler_regained", scheduler=member.name)
@@ -463,7 +466,8 @@
         places = _placement_messages.places(self.tickets.values(), now)
         limits = self.limits.to_wire(now)
         for member in schedulers:
-            method, message = "endpoint_limits", _limits_message(limits)
+            method = "endpoint_limits"
+            message: object = _placement_messages.limits_message(limits)
             # An earlier build counts the share of each process that reports.
             if not self.share.uses_own_share(member):
                 method = "places_held"
@@ -494,7 +498,3 @@
         if ticket is not None:
             _ticket_log.revoked(ticket, message.scheduler)
             ticket.revoked.set()
-
-
-def _limits_message(limits: list[ttypes.EndpointLimit]) -> Any:
-    return ttypes.EndpointLimits(limits=limits)
