Give up calls that were made just before the end of an outage

Cause, seen in a run with real processes: a write that was made 0.2 s before the other processes had read the entries again was too young to be given up, and waited for its time-out of 2 s.

--- a/src/ibisknot/outage/gate.py
+++ b/src/ibisknot/outage/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 from typing import TypeVar
 
 import anyio
@@ -44,6 +45,7 @@
         recovered: Set when a call succeeds or an outage ends; a new event
             follows.
         was_outage: Whether no process reached the service at the last check.
+        ended_s: Monotonic time of the end of the last outage.
         started_s: Monotonic time of the start of each direct call without an
             answer, by the scope that cancels it.
     """
@@ -56,6 +58,7 @@
         self.clock = clock
         self.recovered = anyio.Event()
         self.was_outage = False
+        self.ended_s = -math.inf
         self.started_s: dict[anyio.CancelScope, float] = {}
 
     def record_failure(self) -> None:
@@ -79,18 +82,13 @@
         service that gave no answers then gives none later.
         """
         was_outage, self.was_outage = self.was_outage, self.is_outage()
-        if self.was_outage or not was_outage:
-            return
-        lost = [
-            scope
-            for scope, started_s in self.started_s.items()
-            if now - started_s > LOST_CALL_S
-        ]
-        for scope in lost:
-            scope.cancel()
-        if self.access.is_failing or lost:
-            logs.event("outage_ended", given_up=len(lost))
-        self._wake()
+        if was_outage and not self.was_outage:
+            self.ended_s = now
+            logs.event("outage_ended", calls=len(self.started_s))
+            self._wake()
+        for scope, started_s in list(self.started_s.items()):
+            if started_s < self.ended_s and now - started_s > LOST_CALL_S:
+                scope.cancel()
 
     async def run(
         self, call: Callable[[], Awaitable[T]], *, is_write: bool
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -149,9 +149,10 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("age_s", [0.1, 2.0])
 @pytest.mark.parametrize("is_write", [True, False])
 def test_call_from_an_outage_is_given_up_when_it_is_over(
-    is_write: bool,
+    is_write: bool, age_s: float
 ) -> None:
     """Guards against results that wait for the time-out of a lost write."""
     world = _World()
@@ -165,13 +166,17 @@
 
     async def main() -> None:
         async with anyio.create_task_group() as task_group:
+            world.clock.time_s += 3.0
+            await store_gate.check(world.clock.now())
             task_group.start_soon(lose)
             await anyio.wait_all_tasks_blocked()
-            world.clock.time_s += 2.0
+            world.clock.time_s += age_s
             await store_gate.check(world.clock.now())
             assert store_gate.started_s
             world.view.endpoints_read_s = world.clock.now()
             await store_gate.check(world.clock.now())
+            world.clock.time_s += gate.LOST_CALL_S
+            await store_gate.check(world.clock.now())
 
     anyio.run(main)
 
