--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -25,6 +25,8 @@
 """
 REREGISTRATION_S = 2.2
 """Time in which endpoints write entries again that expired in an outage."""
+MAX_SCHEDULERS = 3
+"""Schedulers that receive all updates on tickets, the active one first."""
 POLL_PERIOD_S = 0.4
 """Age of the entries at which the first process reads them again."""
 POLL_STAGGER_S = 0.15
@@ -344,6 +346,12 @@
     return sorted(members, key=lambda m: (m.kind != deployment.WORKER, m.name))
 
 
+def schedulers(view: View) -> list[Member]:
+    """Returns the schedulers in their order; the first one is active."""
+    workers = [m for m in view.members.values() if m.kind == deployment.WORKER]
+    return by_precedence(workers)[:MAX_SCHEDULERS]
+
+
 def readers(members: Iterable[Member]) -> list[Member]:
     """Returns the members in the order in which they read the store for all.
 
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -38,9 +38,8 @@
 from ibisknot.gen.fleet import ttypes
 from ibisknot.gen.peer import ttypes as peer_types
 from ibisknot.locality import scopes
+from ibisknot.outage import failover
 
-MAX_SCHEDULERS = 3
-"""Schedulers that receive all updates on tickets, the active one first."""
 REQUEST_TIMEOUT_S = {admission.ONLINE: 0.2, admission.BATCH: 1.0}
 """Time after which a scheduler counts as unresponsive, by kind of request.
 
@@ -115,9 +114,7 @@
 
     def schedulers(self) -> list[fleetview.Member]:
         """Returns the schedulers in their order; the first one is active."""
-        members = self.view.members.values()
-        workers = [m for m in members if m.kind == deployment.WORKER]
-        return fleetview.by_precedence(workers)[:MAX_SCHEDULERS]
+        return fleetview.schedulers(self.view)
 
     async def acquire(
         self, request: ticket_types.TicketRequest
@@ -414,6 +411,7 @@
         self, member: fleetview.Member, method: str, message: object
     ) -> None:
         is_report = method == "places_held"
+        sent_s = self.clock.now()
         try:
             answer = await self.peers.call(
                 member.address,
@@ -440,7 +438,9 @@
             self.requests.on_confirmed(
                 member, message.queued, answer.not_queued
             )
-        if member.name in self.unresponsive:
+        if member.name in self.unresponsive and failover.may_regain(
+            self.clock.now() - sent_s, self._responsive_scheduler()
+        ):
             self.unresponsive.discard(member.name)
             self.requests.start_retry()
             logs.event("scheduler_regained", scheduler=member.name)
--- a/tests/test_stream_lookup.py
+++ b/tests/test_stream_lookup.py
@@ -10,7 +10,6 @@
 
 from ibisknot import errors
 from ibisknot import fleetview
-from ibisknot import placement
 from ibisknot import software_history
 from ibisknot import stream_lookup
 from ibisknot import stream_origins
@@ -50,7 +49,7 @@
 
         def schedulers() -> list[fleetview.Member]:
             workers = [m for m in members if m.kind == "worker"]
-            return workers[: placement.MAX_SCHEDULERS]
+            return workers[: fleetview.MAX_SCHEDULERS]
 
         history = software_history.History(has_record=True)
 
@@ -305,7 +304,7 @@
     monkeypatch.setattr(stream_lookup, "MAX_OTHERS_ASKED", 5)
     fleet = _Fleet(gateways=40, workers=20)
     assert fleet.find() is None
-    assert len(fleet.asked()) == placement.MAX_SCHEDULERS + 5
+    assert len(fleet.asked()) == fleetview.MAX_SCHEDULERS + 5
 
 
 def test_answer_of_a_peer_says_what_it_knows() -> None:
