--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -41,8 +41,8 @@
 [Listen]
 {listen}
 [Limits]
-MemoryMb = 300
-MaxFds = 4100
+MemoryMb = {memory_mb}
+MaxFds = {descriptors}
 [Bounds]
 DrainMs = 2000
 GraceS = {grace_s}
@@ -161,10 +161,20 @@
             share addresses.
         store_url: URL of the stand-in store.
         programs: The started programs by name.
+        memory_mb: Memory limit in the settings of gateways and workers.
+        descriptors: Their limit of descriptors.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        memory_mb: int = 300,
+        descriptors: int = 4100,
+    ) -> None:
         self.folder = folder
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
         self.subnet = f"127.{random.randint(50, 250)}.{random.randint(1, 250)}"
         self.store_url = f"http://{self.subnet}.1:{STORE_PORT}"
         self.programs: dict[str, Program] = {}
@@ -257,6 +267,8 @@
                 listen=listen,
                 store=self.store_url.removeprefix("http://"),
                 grace_s=GRACE_S,
+                memory_mb=self.memory_mb,
+                descriptors=self.descriptors,
             )
         )
         program = "ibisknot-gateway" if kind == "front" else "ibisknot-worker"
@@ -457,9 +469,11 @@
     engines: int = 2,
     gateways: int = 2,
     workers: int = 2,
+    memory_mb: int = 300,
+    descriptors: int = 4100,
 ) -> Iterator[Fleet]:
     """Runs a fleet until the context ends."""
-    fleet = Fleet(folder)
+    fleet = Fleet(folder, memory_mb=memory_mb, descriptors=descriptors)
     try:
         fleet.start(engines=engines, gateways=gateways, workers=workers)
         yield fleet
