Bound what a connection of a client holds

Cause: anyio's accepted connections begin to read before anything is asked of them, and pause only when a read had to wait. A client that sends faster than it is served is never paused: asyncio receives up to 256 KiB a turn into the stream's queue. Measured with 70 connections that pipeline heads of 8 KB at a path without a route, in a process of 286 MB: 246.7 MB in these queues, 2.1 MB in h11, nothing in unparsed data and in write buffers; 69 of 70 were reading. Ruled out by that: h11's buffers, the write buffers and lingering connections.

Other causes, by reading and by the tests: no listener has a limit on its connections; a frame of a peer may be claimed by every connection, is moved in memory as it grows and is copied twice; calls of a peer that reads no responses start tasks without a limit; large bodies are refused when they come last, not when they hold most.

Change: client_limits accepts connections itself. A connection holds at most two pieces of 32 KiB that were not taken, its socket buffers are set, and is charged for what is held for it to one budget of the process, half of its memory. Each listener has a part of the descriptors. Under pressure the client without a completed request or, for memory, the largest one is closed or gets 503; a request that is being handled never is. A caller that sends ahead is not read beyond 16 KiB, and its requests take turns. Refusals are counted, with one log line in 5 s.

--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -14,6 +14,7 @@
 from ibisknot import logs
 from ibisknot import node
 from ibisknot import stream_records
+from ibisknot.client_limits import listener
 
 BALANCER_NOTICE_S = 2.8
 """Time for which requests are accepted after the VM reports not ready.
@@ -90,6 +91,7 @@
             max_buffered_bytes=gateway_node.process.memory_bytes
             // BODY_MEMORY_DIVISOR,
             clock=gateway_node.clock.now,
+            clients=gateway_node.clients,
         )
 
         def apply_limits() -> None:
@@ -119,9 +121,10 @@
         await exchange.respond(200 if ready else 503, [])
 
     if gateway_node.process.ready_listen is not None:
-        await http_server.Server(handle).serve(
-            gateway_node.process.ready_listen
+        server = http_server.Server(
+            handle, clients=gateway_node.clients, name=listener.READINESS
         )
+        await server.serve(gateway_node.process.ready_listen)
 
 
 async def _drain(
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -184,6 +184,17 @@
     return not poller.poll(0)
 
 
+def has_left(stream: abc.ByteStream) -> bool:
+    """Returns whether the other end has closed, without reading data."""
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    descriptor = raw_socket.fileno()
+    if descriptor < 0:
+        return True
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 async def connect(
     address: str, timeout_s: float, *, local_host: str | None = None
 ) -> abc.SocketStream:
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -68,6 +68,11 @@
     "ibisknot_log_lines_dropped_total", "Log lines over the bound."
 )
 
+CLIENTS_REFUSED = aioprometheus.Counter(
+    "ibisknot_clients_refused_total",
+    "Clients that were refused or closed, by listener and cause.",
+)
+
 
 def count_key_value_call(name: str) -> None:
     """Counts a call to the key-value service, by the name of the call."""
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -33,6 +33,8 @@
 from ibisknot import timer
 from ibisknot import tunnel_server
 from ibisknot import view_runner
+from ibisknot.client_limits import listener
+from ibisknot.client_limits import refusals
 
 SETTINGS_POLL_PERIOD_S = 1.0
 IDLE_CHECK_PERIOD_S = 1.0
@@ -70,6 +72,7 @@
         clock: Runs periodic callbacks and returns the monotonic time.
         client: HTTP client for requests to endpoints.
         store: Key-value service, reached through peers if necessary.
+        clients: Limits of the clients of all listeners.
         server: Receives messages of other processes.
         peers: Sends messages to other processes.
         runner: Keeps the process's view of the fleet up to date.
@@ -86,6 +89,7 @@
     clock: timer.Timer
     client: http_client.Client
     store: pairs.KeyValueStore
+    clients: listener.Clients
     server: peer.Server
     peers: peer.Client
     runner: view_runner.Runner
@@ -122,7 +126,8 @@
     async with anyio.create_task_group() as task_group:
         tasks = isolation.Tasks(task_group)
         peers = peer.Client(tasks)
-        server = peer.Server()
+        clients = listener.make(process, clock.now)
+        server = peer.Server(clients=clients)
         direct_store = platform.make_store(process.store, store_client)
         view = fleetview.View()
         connector = endpoint_connector.Connector(
@@ -149,7 +154,12 @@
             process, view, peers, clock, tasks, origins=origins
         )
         stop_requested = anyio.Event()
-        tunnels = tunnel_server.Server(view, connector, stop_requested.is_set)
+        tunnels = tunnel_server.Server(
+            view,
+            connector,
+            stop_requested.is_set,
+            max_tunnels=tunnel_server.max_tunnels(process.descriptors),
+        )
         history = software_history.History()
         software = software_records.Keeper(
             process.name, store, view, history, clock.now
@@ -170,6 +180,7 @@
             clock=clock,
             client=client,
             store=store,
+            clients=clients,
             server=server,
             peers=peers,
             runner=runner,
@@ -208,12 +219,13 @@
             await client.evict_idle()
             await store_client.evict_idle()
 
+        clock.subscribe("clients", refusals.LOG_PERIOD_S, clients.refusals.tick)
         clock.subscribe("idle", IDLE_CHECK_PERIOD_S, close_idle)
         settings_watch = _SettingsWatch(platform, process)
         clock.subscribe("settings", SETTINGS_POLL_PERIOD_S, settings_watch.poll)
         task_group.start_soon(_handle_signals, started, settings_watch)
         task_group.start_soon(server.serve, process.ip, process.peer_port)
-        task_group.start_soon(_serve_metrics, process)
+        task_group.start_soon(_serve_metrics, process, clients)
         task_group.start_soon(clock.run)
         yield started
         with anyio.move_on_after(DEREGISTER_TIMEOUT_S):
@@ -284,7 +296,9 @@
                 node.stop_requested.set()
 
 
-async def _serve_metrics(process: deployment.Process) -> None:
+async def _serve_metrics(
+    process: deployment.Process, clients: listener.Clients
+) -> None:
     async def handle(exchange: http_server.Exchange) -> None:
         accept = exchange.request.get_header(b"accept") or "text/plain"
         body, headers = metrics.render(accept)
@@ -293,6 +307,9 @@
 
     address = f"{process.ip}:{process.metrics_port}"
     try:
-        await http_server.Server(handle).serve(address)
+        server = http_server.Server(
+            handle, clients=clients, name=listener.METRICS
+        )
+        await server.serve(address)
     except OSError as error:
         logs.event("metrics_not_served", level="error", cause=repr(error))
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -9,12 +9,10 @@
 from collections.abc import Callable
 import itertools
 import ssl
-import struct
 from typing import Any
 
 import anyio
 from anyio import abc
-from anyio.streams import tls as anyio_tls
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
@@ -22,14 +20,17 @@
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import metrics
+from ibisknot import peer_calls
+from ibisknot import peer_frames
 from ibisknot import traces
+from ibisknot.client_limits import budget
+from ibisknot.client_limits import listener
 from ibisknot.gen.peer import ttypes
 
-MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_FRAME_BYTES = peer_frames.MAX_FRAME_BYTES
 CONNECT_TIMEOUT_S = 1.0
 UNRESPONSIVE_TIMEOUT_S = 1.0
 """Time without a response after which a connection is replaced."""
-_LENGTH = struct.Struct("!I")
 _STREAM_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -68,46 +69,22 @@
     return message
 
 
-async def receive_frame(stream: abc.ByteStream, received: bytearray) -> bytes:
-    """Returns the next frame's content.
-
-    Args:
-        stream: The connection.
-        received: Buffer of the bytes that were received and not yet returned.
-
-    Raises:
-        PeerError: The frame is over the limit.
-    """
-
-    async def fill(size: int) -> None:
-        while len(received) < size:
-            received.extend(await stream.receive())
-
-    await fill(_LENGTH.size)
-    (size,) = _LENGTH.unpack(received[: _LENGTH.size])
-    if size > MAX_FRAME_BYTES:
-        raise errors.PeerError(f"a frame of {size} bytes is over the limit")
-    end = _LENGTH.size + size
-    await fill(end)
-    frame = bytes(received[_LENGTH.size : end])
-    del received[:end]
-    return frame
-
-
 async def send_frame(
     stream: abc.ByteStream, lock: anyio.Lock, envelope: ttypes.Envelope
 ) -> None:
     """Sends an envelope; the lock keeps frames of one connection apart."""
     frame = encode(envelope)
     async with lock:
-        await stream.send(_LENGTH.pack(len(frame)) + frame)
-    metrics.count_bytes(envelope.method, sent=_LENGTH.size + len(frame))
+        await stream.send(peer_frames.LENGTH.pack(len(frame)) + frame)
+    metrics.count_bytes(
+        envelope.method, sent=peer_frames.LENGTH.size + len(frame)
+    )
 
 
 def _decode_envelope(frame: bytes) -> ttypes.Envelope:
     """Decodes a received frame and counts its bytes."""
     envelope = decode(frame, ttypes.Envelope)
-    size = _LENGTH.size + len(frame)
+    size = peer_frames.LENGTH.size + len(frame)
     metrics.count_bytes(envelope.method, received=size)
     return envelope
 
@@ -120,10 +97,17 @@
         handlers: Request type and handler of each method, by name.
         stream_handlers: Handlers that take over a connection, by the method
             of its first call.
+        clients: Limits of the clients of all listeners.
     """
 
-    def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        tls: ssl.SSLContext | None = None,
+        clients: listener.Clients | None = None,
+    ) -> None:
         self.tls = tls
+        self.clients = clients or listener.unlimited()
         self.handlers: dict[str, tuple[type[Any], Handler]] = {}
         self.stream_handlers: dict[str, StreamHandler] = {}
 
@@ -139,31 +123,32 @@
 
     async def serve(self, address: str, port: int) -> None:
         """Listens at an address and port until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=address, local_port=port
+        quota = self.clients.quota(listener.PEERS)
+        accepting = listener.Listener(
+            self.clients, quota, self._serve_connection
         )
-        async with listener:
-            await listener.serve(self._serve_connection)
+        async with anyio.create_task_group() as task_group:
+            with listener.listen(address, port) as raw_socket:
+                await accepting.serve(raw_socket, task_group)
 
-    async def _serve_connection(self, stream: abc.ByteStream) -> None:
+    async def _serve_connection(
+        self, stream: abc.ByteStream, account: budget.Account | None = None
+    ) -> None:
         """Handles each call of a connection in a task until it is closed.
 
         A malformed frame closes the connection.
         """
-        lock = anyio.Lock()
-        received = bytearray()
+        if account is None:
+            quota = self.clients.quota(listener.PEERS)
+            account = budget.Account(quota, "", lambda _cause: None)
         try:
             if self.tls is not None:
-                stream = await _wrap_tls(stream, self.tls, server_side=True)
+                stream = await peer_frames.wrap_tls(
+                    stream, self.tls, CONNECT_TIMEOUT_S, server_side=True
+                )
             async with stream, anyio.create_task_group() as task_group:
-                while True:
-                    frame = await receive_frame(stream, received)
-                    envelope = _decode_envelope(frame)
-                    if envelope.method in self.stream_handlers:
-                        take_over = self.stream_handlers[envelope.method]
-                        await take_over(stream, received, envelope)
-                        return
-                    task_group.start_soon(self._respond, stream, lock, envelope)
+                calls = peer_calls.Calls(stream, self.clients.limit, account)
+                await self._receive_calls(calls, task_group)
         except* (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
@@ -172,17 +157,39 @@
         ):
             pass
         except* errors.PeerError as group_error:
+            self.clients.refusals.record(
+                listener.PEERS, "malformed", account.address
+            )
             logs.event(
                 "peer_connection_refused",
                 level="warning",
                 error=repr(group_error.exceptions[0]),
             )
 
+    async def _receive_calls(
+        self, calls: peer_calls.Calls, task_group: abc.TaskGroup
+    ) -> None:
+        """Starts a task for each call, until a handler takes over."""
+        received = bytearray()
+        while True:
+            frame = await peer_frames.receive_frame(
+                calls.stream, received, calls.charge
+            )
+            envelope = _decode_envelope(frame)
+            if envelope.method in self.stream_handlers:
+                calls.limit.begin_work(calls.account)
+                take_over = self.stream_handlers[envelope.method]
+                await take_over(calls.stream, received, envelope)
+                return
+            calls.begin(len(frame))
+            task_group.start_soon(self._respond, calls, envelope, len(frame))
+            await calls.wait_for_room()
+
     async def _respond(
         self,
-        stream: abc.ByteStream,
-        lock: anyio.Lock,
+        calls: peer_calls.Calls,
         request: ttypes.Envelope,
+        frame_bytes: int,
     ) -> None:
         """Handles a call and sends its result or error, unless one-way."""
         response = ttypes.Envelope(
@@ -192,24 +199,27 @@
             payload=b"",
         )
         try:
-            response.payload = await self._dispatch(request)
-        except errors.IbisknotError as error:
-            response.error_code = error.code
-            response.error_message = error.message
-        except Exception as error:
-            logs.event(
-                "peer_handler_failed",
-                level="error",
-                method=request.method,
-                error=repr(error),
-            )
-            response.error_code = errors.IbisknotError.code
-            response.error_message = f"{request.method} failed"
-        if request.kind == ttypes.Kind.REQUEST:
             try:
-                await send_frame(stream, lock, response)
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                pass
+                response.payload = await self._dispatch(request)
+            except errors.IbisknotError as error:
+                response.error_code = error.code
+                response.error_message = error.message
+            except Exception as error:
+                logs.event(
+                    "peer_handler_failed",
+                    level="error",
+                    method=request.method,
+                    error=repr(error),
+                )
+                response.error_code = errors.IbisknotError.code
+                response.error_message = f"{request.method} failed"
+            if request.kind == ttypes.Kind.REQUEST:
+                await calls.send(
+                    lambda: send_frame(calls.stream, calls.lock, response),
+                    len(response.payload),
+                )
+        finally:
+            calls.end(frame_bytes, completed=request.method in self.handlers)
 
     async def _dispatch(self, request: ttypes.Envelope) -> bytes:
         """Runs the handler of a call and returns the encoded response.
@@ -227,30 +237,6 @@
         return encode(response if response is not None else ttypes.Empty())
 
 
-async def _wrap_tls(
-    stream: abc.ByteStream, context: ssl.SSLContext, *, server_side: bool
-) -> abc.ByteStream:
-    """Does the TLS handshake; closes the stream if it fails.
-
-    Raises:
-        OSError: The peer has no valid certificate.
-        TimeoutError: The handshake took too long.
-    """
-    try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
-            # Frames have a length, so truncation is detected without a
-            # closing handshake, which fails on a broken connection.
-            return await anyio_tls.TLSStream.wrap(
-                stream,
-                server_side=server_side,
-                ssl_context=context,
-                standard_compatible=False,
-            )
-    except BaseException:
-        await anyio.aclose_forcefully(stream)
-        raise
-
-
 class _Connection:
     """One multiplexed connection to a peer.
 
@@ -298,7 +284,7 @@
         received = bytearray()
         try:
             while True:
-                frame = await receive_frame(self.stream, received)
+                frame = await peer_frames.receive_frame(self.stream, received)
                 envelope = _decode_envelope(frame)
                 self.unanswered_since_s = None
                 pending = self.pending_calls.pop(envelope.id, None)
@@ -379,7 +365,9 @@
                 )
                 if self.tls is None:
                     return stream
-                return await _wrap_tls(stream, self.tls, server_side=False)
+                return await peer_frames.wrap_tls(
+                    stream, self.tls, CONNECT_TIMEOUT_S, server_side=False
+                )
         except (
             OSError,
             TimeoutError,
@@ -421,7 +409,7 @@
         )
         try:
             await send_frame(stream, anyio.Lock(), envelope)
-            frame = await receive_frame(stream, received)
+            frame = await peer_frames.receive_frame(stream, received)
             response = decode(_decode_envelope(frame).payload, response_type)
         except BaseException as error:
             with anyio.CancelScope(shield=True):
--- a/src/ibisknot/tunnel_server.py
+++ b/src/ibisknot/tunnel_server.py
@@ -15,10 +15,13 @@
 from ibisknot import metrics
 from ibisknot import peer
 from ibisknot import tunnel
+from ibisknot.client_limits import budget
 from ibisknot.gen.fleet import ttypes
 from ibisknot.gen.peer import ttypes as peer_ttypes
 
 MAX_TUNNELS = 256
+TUNNEL_DIVISOR = 8
+"""Tunnels may be one in this many of the usable descriptors."""
 DRAIN_POLL_PERIOD_S = 0.05
 RECENT_S = 1.0
 """Age up to which received data shows that this process has links."""
@@ -35,6 +38,7 @@
             off itself.
         open_tunnels: Number of open tunnels.
         is_stopping: Returns whether no further tunnel is to be opened.
+        max_tunnels: Largest number of open tunnels.
     """
 
     def __init__(
@@ -42,10 +46,13 @@
         view: fleetview.View,
         connector: endpoint_connector.Connector,
         is_stopping: Callable[[], bool],
+        *,
+        max_tunnels: int = MAX_TUNNELS,
     ) -> None:
         self.view = view
         self.connector = connector
         self.is_stopping = is_stopping
+        self.max_tunnels = max_tunnels
         self.open_tunnels = 0
         self.rng = random.Random()
 
@@ -87,25 +94,32 @@
     async def _connect(
         self, address: str
     ) -> tuple[int, abc.SocketStream | None]:
-        """Connects directly; counts the tunnel if that succeeds."""
+        """Connects directly; counts the tunnel if that succeeds.
+
+        It counts while it is being opened, too.
+        """
         is_listed = any(
             e.address == address for e in self.view.endpoints.values()
         )
         if (
             not is_listed
             or self.is_stopping()
-            or self.open_tunnels >= MAX_TUNNELS
+            or self.open_tunnels >= self.max_tunnels
         ):
             return State.REFUSED, None
         if endpoint_paths.is_cut_off(self.connector.paths):
             return State.CUT_OFF, None
+        self.open_tunnels += 1
+        endpoint = None
         try:
             endpoint = await self.connector.connect_directly(address)
         except errors.EndpointError:
             if await self._reaches_others(address):
                 return State.UNREACHABLE, None
             return State.CUT_OFF, None
-        self.open_tunnels += 1
+        finally:
+            if endpoint is None:
+                self.open_tunnels -= 1
         return State.OPENED, endpoint
 
     async def _reaches_others(self, address: str) -> bool:
@@ -197,3 +211,16 @@
     except http11.CONNECTION_ERRORS:
         # The caller has left.
         return
+
+
+def max_tunnels(descriptors: int) -> int:
+    """Returns the largest number of tunnels of a process.
+
+    Args:
+        descriptors: Its limit of descriptors.
+
+    >>> max_tunnels(1638), max_tunnels(4100)
+    (179, 256)
+    """
+    usable = budget.usable_descriptors(descriptors)
+    return min(MAX_TUNNELS, max(1, usable // TUNNEL_DIVISOR))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,6 +9,7 @@
 from ibisknot import http_call
 from ibisknot import http_client
 from ibisknot import http_server
+from ibisknot.client_limits import listener
 
 Check = Callable[[str, http_server.Server], Awaitable[None]]
 
@@ -224,3 +225,30 @@
                 await stream.receive()
 
     _run(http_server.Server(_echo), check)
+
+
+def test_refusal_of_a_connection_whose_response_has_ended() -> None:
+    """Guards against a listener that ends with the connection it closes."""
+
+    async def main() -> None:
+        clients = listener.unlimited()
+        server = http_server.Server(_echo, clients=clients)
+        server.quota.max_connections = 1
+        with listener.listen("127.0.0.1", 0) as raw_socket:
+            port = raw_socket.getsockname()[1]
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(server.serve, f"127.0.0.1:{port}")
+            while server.accept_scope is None:
+                await anyio.sleep(0.01)
+            malformed = await anyio.connect_tcp("127.0.0.1", port)
+            await malformed.send(b"nonsense\r\n\r\n")
+            assert (await malformed.receive()).startswith(b"HTTP/1.1 400")
+            response = await _send_bytes(
+                f"127.0.0.1:{port}",
+                b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+            )
+            assert response.startswith(b"HTTP/1.1 200")
+            await malformed.aclose()
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -6,13 +6,16 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = sorted(
+    path.parent.name
+    for path in (ROOT / "src/ibisknot").glob("*/__init__.py")
+    if path.parent.name != "gen"
+)
 SOURCES = [
     path
     for folder in (
         "src/ibisknot",
-        "src/ibisknot/bench",
-        "src/ibisknot/platform",
-        "src/ibisknot/standins",
+        *(f"src/ibisknot/{package}" for package in PACKAGES),
         "tests",
         "examples",
         "benchmarks",
@@ -28,7 +31,7 @@
             p.stem
             for p in (ROOT / "src/ibisknot" / package.lstrip(".")).iterdir()
         }
-        for package in ("", ".bench", ".platform", ".standins")
+        for package in ("", *(f".{name}" for name in PACKAGES))
     }
     imported: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
