Free memory of the largest client first, and keep readiness admitted

A small request was the largest consumer when idle connections alone had used up the budget, and a readiness check was refused when callers had. Memory is now taken from connections that hold more than a connection costs, the largest first, then from those without progress. The readiness and metrics listeners are admitted without memory; their number of connections bounds them.

Small frames of peers are taken from the buffer without a copy of its rest. Endpoints' connections get a receive buffer of 64 KiB, so that what is received at once for a slow reader is bounded.

--- a/src/ibisknot/client_limits/budget.py
+++ b/src/ibisknot/client_limits/budget.py
@@ -39,6 +39,8 @@
     Attributes:
         name: Name of the listener.
         max_connections: Largest number of connections.
+        is_essential: Whether its connections are admitted, and served with
+            little memory, also when other listeners have used up the budget.
         max_held_bytes: Largest total of `held_bytes`.
         held_bytes: That total now.
         accounts: The open connections.
@@ -50,6 +52,7 @@
 
     name: str
     max_connections: int
+    is_essential: bool = False
     max_held_bytes: int = sys.maxsize
     held_bytes: int = 0
     accounts: set["Account"] = dataclasses.field(default_factory=set)
@@ -117,7 +120,12 @@
         if is_full and not self._close_idle(quota, CONNECTIONS):
             return None
         while self.used_bytes + CONNECTION_BYTES > self.max_bytes:
-            if not self._close_idle(quota, MEMORY):
+            largest = self._sort_large(list(self.quotas.values()))[-1:]
+            if largest:
+                self.close(largest[0], MEMORY)
+            elif not self._close_idle_of_any():
+                if quota.is_essential:
+                    break
                 return None
         account = Account(quota, address, close)
         self.used_bytes += CONNECTION_BYTES
@@ -192,60 +200,83 @@
                 waiting = account.quota.idle
             waiting[account] = None
 
-    def _close_idle(self, quota: Quota, cause: str) -> bool:
+    def _close_idle(
+        self, quota: Quota, cause: str, spared: Account | None = None
+    ) -> bool:
         """Closes the connection that has the least claim to stay.
 
         Clients that have never completed a request come first; among them,
         those of an address that has most of the quota; among those, the one
         without progress for the longest time.
+
+        Args:
+            quota: The listener of which one is closed.
+            cause: Cause for the log.
+            spared: Is not closed.
         """
         share = quota.max_connections // ADDRESS_DIVISOR
         for accounts in (quota.untried, quota.idle):
-            if not accounts:
-                continue
-            first = next(iter(accounts))
-            if quota.by_address[first.address] <= share:
-                first = next(
-                    (
-                        a
-                        for a in accounts
-                        if quota.by_address[a.address] > share
-                    ),
-                    first,
-                )
-            self.close(first, cause)
-            return True
+            chosen: Account | None = None
+            for account in accounts:
+                if account is spared:
+                    continue
+                chosen = chosen or account
+                if quota.by_address[account.address] > share:
+                    chosen = account
+                    break
+            if chosen is not None:
+                self.close(chosen, cause)
+                return True
         return False
 
+    def _close_idle_of_any(self, spared: Account | None = None) -> bool:
+        """Closes a connection of the listener that has most."""
+        quotas = [q for q in self.quotas.values() if not q.is_essential]
+        quotas.sort(key=lambda q: -len(q.accounts))
+        return any(self._close_idle(q, MEMORY, spared) for q in quotas)
+
+    def _sort_large(self, quotas: list[Quota]) -> list[Account]:
+        """Returns those that hold more than a connection costs.
+
+        The largest one, which is not being handled either, is the last.
+        """
+        large = [
+            account
+            for quota in quotas
+            for accounts in (quota.untried, quota.idle)
+            for account in accounts
+            if account.held_bytes > CONNECTION_BYTES
+        ]
+        large.sort(key=lambda a: (a.held_bytes, not a.has_completed))
+        return large
+
     def _relieve(self, account: Account) -> bool:
         """Closes the largest accounts that are not being handled.
 
+        If none is larger than the connections themselves, those without
+        progress are closed.
+
         Returns:
             Whether `account` may stay.
         """
         quota = account.quota
+        is_quota_full = quota.held_bytes > quota.max_held_bytes
+        quotas = [quota] if is_quota_full else list(self.quotas.values())
+        large = self._sort_large(quotas)
         target_bytes = self.max_bytes - self.max_bytes // RELIEF_DIVISOR
-        quotas = list(self.quotas.values())
-        if quota.held_bytes > quota.max_held_bytes:
-            quotas = [quota]
-        waiting = [
-            other
-            for one in quotas
-            for accounts in (one.untried, one.idle)
-            for other in accounts
-        ]
-        waiting.sort(key=lambda a: (a.held_bytes, not a.has_completed))
-        while waiting and (
+        while large and (
             self.used_bytes > target_bytes
             or quota.held_bytes > quota.max_held_bytes
         ):
-            largest = waiting.pop()
+            largest = large.pop()
             if largest is account:
                 return False
-            if largest.held_bytes < account.held_bytes:
-                break
             self.close(largest, MEMORY)
-        return not self.is_full(quota)
+        while self.is_full(quota) and not is_quota_full:
+            if not self._close_idle_of_any(account):
+                break
+        is_small = account.held_bytes <= CONNECTION_BYTES
+        return not self.is_full(quota) or (quota.is_essential and is_small)
 
     def close(self, account: Account, cause: str) -> None:
         """Closes a connection and releases its account."""
--- a/src/ibisknot/client_limits/listener.py
+++ b/src/ibisknot/client_limits/listener.py
@@ -82,6 +82,8 @@
     usable = budget.usable_descriptors(process.descriptors)
     for name, divisor in CONNECTION_DIVISORS.items():
         limit.add_quota(name, usable // divisor)
+    for name in (READINESS, METRICS):
+        limit.quotas[name].is_essential = True
     peers = limit.quotas[PEERS]
     peers.max_held_bytes = process.memory_bytes // PEER_MEMORY_DIVISOR
     return Clients(limit, refusals.Refusals(now))
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -20,6 +20,11 @@
 Headers = list[tuple[bytes, bytes]]
 
 READ_BYTES = 64 * 1024
+ENDPOINT_BUFFER_BYTES = 64 * 1024
+"""Set size of the buffer in which a connection receives responses.
+
+It bounds what is received at once for a caller that reads slowly.
+"""
 TCP_USER_TIMEOUT_MS = 5000
 """A connection ends when sent data stays unacknowledged for this time."""
 KEEPALIVE_IDLE_S = 2
@@ -218,6 +223,9 @@
         message = f"connecting to {address} failed: {error!r}"
         raise errors.EndpointError(message, ran=errors.NOT_RUN) from None
     set_socket_options(stream)
+    stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, ENDPOINT_BUFFER_BYTES
+    )
     return stream
 
 
--- a/src/ibisknot/peer_frames.py
+++ b/src/ibisknot/peer_frames.py
@@ -46,6 +46,12 @@
     if size > MAX_FRAME_BYTES:
         raise errors.PeerError(f"a frame of {size} bytes is over the limit")
     end = LENGTH.size + size
+    if len(received) >= end:
+        with memoryview(received) as view:
+            frame = bytes(view[LENGTH.size : end])
+        del received[:end]
+        charge(-end)
+        return frame
     # One buffer that grows to megabytes would be moved in memory again and
     # again, and leave gaps there.
     blocks = [received]
