--- a/tests/test_peer_compression.py
+++ b/tests/test_peer_compression.py
@@ -11,6 +11,7 @@
 from ibisknot import errors
 from ibisknot import metrics
 from ibisknot import peer
+from ibisknot import peer_calls
 from ibisknot import tunnel
 from ibisknot.gen.fleet import ttypes as fleet_types
 from ibisknot.gen.peer import ttypes
@@ -29,12 +30,12 @@
         self.compressions: list[int | None] = []
 
     async def _respond(
-        self, stream: abc.ByteStream, lock: anyio.Lock, request: Any
+        self, calls: peer_calls.Calls, request: Any, frame_bytes: int
     ) -> None:
         self.compressions.append(request.compression)
         if self.is_earlier:
             request.takes_compressed = None
-        await super()._respond(stream, lock, request)
+        await super()._respond(calls, request, frame_bytes)
 
 
 async def _call_thrice(scope: str, *, is_earlier: bool = False) -> _Server:
