Take a load difference of one slot for chance

Differences of up to one slot now count as no gain.

A higher price was ruled out, as it would also keep requests at home that gain several slots.

--- a/src/ibisknot/locality/decision.py
+++ b/src/ibisknot/locality/decision.py
@@ -32,6 +32,8 @@
             endpoint than at an empty one.
         batch_full_load_fraction: Fraction of its duration by which a batch
             item takes longer at a full endpoint than at an empty one.
+        min_load_difference: Difference of loads up to which nothing is gained;
+            it is a little more than one of eight slots.
         leave_factor: Multiple of the cost from which on a gain begins the use
             of another data centre.
         return_factor: Multiple of the cost below which a gain ends it.
@@ -44,6 +46,7 @@
     output_token_bytes: float = 200.0
     online_full_load_s: float = 0.05
     batch_full_load_fraction: float = 0.3
+    min_load_difference: float = 0.15
     leave_factor: float = 1.5
     return_factor: float = 0.75
 
@@ -226,8 +229,11 @@
     flow = Flow(demand.kind, demand.home, other)
     is_open = flow in state.flows
     factor = policy.return_factor if is_open else policy.leave_factor
-    gain_s = full_load_s(demand, policy) * (home_load - other_load)
-    return price_s(demand, policy) * factor - gain_s
+    full_s = full_load_s(demand, policy)
+    cost_s = max(
+        price_s(demand, policy) * factor, full_s * policy.min_load_difference
+    )
+    return cost_s - full_s * (home_load - other_load)
 
 
 def is_home_enough(
