Place work by the measured speed of each endpoint

Endpoints differ in speed by a factor of two, and one can become slow while its probes are good. Nothing but the load decided where a request went. Holders now report the mean gap between events with each released ticket (PlaceReturned.event_gap_s, first_event_s), and each scheduler keeps, per endpoint and start, the decayed ratio to what is usual at the same load. Online requests leave out endpoints that are 1.5 times slower while others have a slot, except one request in 2 s, and revoke batch only to avoid one that is 3 times slower. A batch item's expected end uses the ratio; long items go to fast endpoints, and an item that cannot end in time at a slow one waits for another. Responses whose caller reads slowly are not measured.

Ruled out: what is usual as a plain mean. One of four endpoints that is 6 times slower made the others look twice as fast and itself 2.7 times slower only. Responses are cut at twice the usual gap, and the median of the endpoints corrects the rest.

--- a/src/ibisknot/_admission_state.py
+++ b/src/ibisknot/_admission_state.py
@@ -9,6 +9,7 @@
 from ibisknot import request_limits
 from ibisknot import routing
 from ibisknot.contention import room
+from ibisknot.speeds import table
 
 ONLINE = "online"
 BATCH = "batch"
@@ -185,6 +186,7 @@
         batch_room: Whether batch requests lack slots.
         memory_tokens: Tokens that the memory of each endpoint holds; 0 if that
             is not stated.
+        speeds: How fast the endpoints are.
     """
 
     policy: Policy = dataclasses.field(default_factory=Policy)
@@ -199,6 +201,7 @@
     ended_s: dict[str, float] = dataclasses.field(default_factory=dict)
     batch_room: room.Room = dataclasses.field(default_factory=room.Room)
     memory_tokens: int = 0
+    speeds: table.Table = dataclasses.field(default_factory=table.Table)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -248,12 +251,15 @@
         first_token_s: Seconds from dispatch to the first token.
         token_gap_s: Mean seconds between tokens.
         tokens: Tokens that were generated.
+        event_gap_s: Mean seconds between events, for the speed of endpoints
+            whose slots are stated; None if it is unknown.
     """
 
     outcome: str = OK
     first_token_s: float = 0.0
     token_gap_s: float = 0.0
     tokens: int = 0
+    event_gap_s: float | None = None
 
 
 def queue_of(group: Group, kind: str) -> _fair_queue.FairQueue:
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -9,6 +9,9 @@
 from ibisknot import request_limits
 from ibisknot import routing
 from ibisknot.contention import memory
+from ibisknot.contention import ranking
+from ibisknot.contention import room
+from ibisknot.speeds import choice
 
 ONLINE_LIMIT_FRACTION = 0.5
 """Fraction of an endpoint's limit up to which online is consolidated there.
@@ -263,8 +266,16 @@
         # cannot be kept are used, so that an endpoint can end its limit.
         free = _spare_endpoints(free, now) or free
         free = _online_first_endpoints(free) or free
-        if not free and group.policy.revokes_batch:
-            free = _revoke_for_online(group, shared, now, request, actions)
+        speeds = group.speeds
+        fast = choice.for_online(speeds, free, now) or choice.for_online(
+            speeds, free, now, choice.VERY_SLOW
+        )
+        if not fast and group.policy.revokes_batch:
+            others = choice.for_online(speeds, shared, now, choice.VERY_SLOW)
+            fast = _revoke_for_online(
+                group, others or shared, now, request, actions
+            )
+        free = fast or free
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
@@ -366,7 +377,7 @@
         _queue_order.choose_batch(group, now),
         now,
     )
-    for request in order:
+    for request in _in_time_first(group, order, now):
         usable = _usable_endpoints(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
@@ -380,12 +391,42 @@
             # A limit counts requests, and a batch item runs for as long as
             # many online requests.
             free = _limited_endpoints(free) or free
+            free = choice.for_batch(group.speeds, free, request, now)
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
     return False
 
 
+def _in_time_first(
+    group: _admission_state.Group,
+    order: list[_fair_queue.QueuedRequest],
+    now: float,
+) -> list[_fair_queue.QueuedRequest]:
+    """Puts another batch request first if the next one would end too late.
+
+    That is one that could be on time at a faster endpoint than those that
+    have a slot now.
+    """
+    if len(order) != 1 or ranking.slack_s(order[0], now) < 0.0:
+        return order
+    usable = _usable_endpoints(group, now)
+    free = _with_batch_slot(usable, now, group.policy)
+    is_short = room.is_short(group.batch_room, now)
+    if not is_short and not choice.all_slow(group.speeds, free, now):
+        return order
+    if choice.in_time(group.speeds, free, order[0], now):
+        return order
+    others = [
+        r
+        for r in group.batch_queue.all_requests()
+        if choice.in_time(group.speeds, free, r, now)
+    ]
+    if not others:
+        return order
+    return [_queue_order.choose_batch(group, now)(others)]
+
+
 def _with_batch_slot(
     usable: list[_admission_state.Endpoint],
     now: float,
@@ -428,7 +469,10 @@
         running_at_grant=len(endpoint.tickets),
         crash_suspect=request.crash_suspect,
         due_s=request.due_s,
-        expected_end_s=now + request.expected_duration_s,
+        expected_end_s=now
+        + choice.duration_s(
+            group.speeds, endpoint.name, request.expected_duration_s, now
+        ),
         exclusive=request.crash_suspect and not endpoint.tickets,
     )
     if request.crash_suspect:
@@ -436,5 +480,6 @@
     breaker.record_sent(endpoint.circuit)
     request_limits.consume(endpoint.bucket, now)
     routing.record_prompt(endpoint.view, request.prompt_blocks)
+    choice.record_grant(group.speeds, request, endpoint.name, now)
     _admission_state.add_ticket(endpoint, now, ticket)
     actions.append(_admission_state.Grant(ticket))
--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 
+from ibisknot import admission
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import leaving_endpoints
 from ibisknot import stream_origins
 from ibisknot import ticket_types
 from ibisknot.gen.fleet import ttypes
+from ibisknot.speeds import speed_samples
 
 State = ttypes.PlaceState
 
@@ -109,6 +111,39 @@
     return [place(ticket, now) for ticket in tickets]
 
 
+def returned(ticket: ticket_types.Ticket, outcome: str) -> ttypes.PlaceReturned:
+    """Returns the message that a ticket is released.
+
+    It says how fast the endpoint was, as far as that is known.
+    """
+    return ttypes.PlaceReturned(
+        group=ticket.request.service,
+        id=ticket.id,
+        endpoint=ticket.endpoint.name,
+        outcome=outcome,
+        event_gap_s=speed_samples.event_gap_s(ticket.pace),
+        first_event_s=speed_samples.first_event_s(ticket.pace),
+    )
+
+
+def cancelled(
+    request: ticket_types.TicketRequest, ticket_id: str, declined: str
+) -> ttypes.PlaceReturned:
+    """Returns the message that a request needs no ticket any more.
+
+    Args:
+        request: The request.
+        ticket_id: Id of its ticket.
+        declined: Endpoint of a grant that was declined, or empty.
+    """
+    return ttypes.PlaceReturned(
+        group=request.service,
+        id=ticket_id,
+        endpoint=declined,
+        outcome=admission.CANCELLED,
+    )
+
+
 def origin(ticket: ticket_types.Ticket) -> stream_origins.Origin:
     """Returns which software a ticket lets begin a stream."""
     return stream_origins.Origin(
--- a/src/ibisknot/_scheduler_log.py
+++ b/src/ibisknot/_scheduler_log.py
@@ -2,7 +2,9 @@
 
 from ibisknot import _service
 from ibisknot import logs
+from ibisknot.contention import room
 from ibisknot.gen.fleet import ttypes
+from ibisknot.speeds import table
 
 BURST_S = 1.0
 """Lines say which fraction of a burst of this time may be saved up."""
@@ -38,3 +40,27 @@
         accruing=round(accruing, 2),
         view_age_s=round(view_age_s, 3),
     )
+
+
+def changes(service: _service.Service, now: float) -> None:
+    """Logs endpoints that became slow or recovered, and a lack of slots.
+
+    Called with each tick, which bounds the number of lines.
+    """
+    speeds = service.group.speeds
+    if speeds.changed:
+        name = speeds.changed.pop()
+        estimate = speeds.estimates.get(name, table.Estimate())
+        logs.event(
+            "endpoint_slow" if estimate.is_slow else "endpoint_speed_regained",
+            endpoint=name,
+            slowness=round(table.slowness(speeds, now, name), 2),
+        )
+    is_short = room.is_short(service.group.batch_room, now)
+    if is_short != service.was_short:
+        service.was_short = is_short
+        logs.event(
+            "batch_room_short" if is_short else "batch_room_regained",
+            service=service.name,
+            waiting=service.group.batch_queue.size,
+        )
--- a/src/ibisknot/_service.py
+++ b/src/ibisknot/_service.py
@@ -9,6 +9,7 @@
 from ibisknot import serving
 from ibisknot.contention import memory
 from ibisknot.gen.fleet import ttypes
+from ibisknot.speeds import table
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,6 +35,7 @@
         requesters: Requester of each queued request, by its id.
         granted_s: Monotonic time of each grant or adoption, by ticket id.
         last_request_s: Monotonic time of the last request received here.
+        was_short: Whether batch items lacked slots at the last tick.
     """
 
     name: str
@@ -44,6 +46,7 @@
     requesters: dict[str, Requester] = dataclasses.field(default_factory=dict)
     granted_s: dict[str, float] = dataclasses.field(default_factory=dict)
     last_request_s: float = -math.inf
+    was_short: bool = False
 
     def software_versions(self) -> dict[str, str]:
         """Returns the version of each active endpoint's software."""
@@ -107,6 +110,10 @@
             remaining_objective_s=request.objective_s,
         )
 
+    def set_starts(self, started_ms: dict[str, int]) -> None:
+        """Sets the starts of the endpoints, in Unix milliseconds, by name."""
+        table.set_starts(self.group.speeds, started_ms)
+
     def apply_configuration(
         self, configuration: serving.Configuration | None
     ) -> None:
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -16,6 +16,7 @@
 from ibisknot import breaker
 from ibisknot import request_limits
 from ibisknot import routing
+from ibisknot.speeds import table
 
 ONLINE = _admission_state.ONLINE
 BATCH = _admission_state.BATCH
@@ -155,6 +156,7 @@
         return cancel_request(group, now, ticket_id)
     _admission_state.remove_ticket(group, now, ticket)
     _record_measurement(group, now, ticket, measurement)
+    _record_speed(group, now, ticket, measurement)
     return _decisions.decide(group, now)
 
 
@@ -264,6 +266,7 @@
         return False
     if recorded is not None:
         _admission_state.remove_ticket(group, now, recorded)
+    ticket.running_at_grant = len(endpoint.tickets)
     _admission_state.add_ticket(endpoint, now, ticket)
     return True
 
@@ -331,6 +334,26 @@
     return (online + group.online_queue.size) / max(1.0, limit)
 
 
+def _record_speed(
+    group: _admission_state.Group,
+    now: float,
+    ticket: _admission_state.Ticket,
+    measurement: _admission_state.Measurement,
+) -> None:
+    """Records how fast an endpoint was while a ticket was held."""
+    endpoint = group.endpoints.get(ticket.endpoint)
+    if endpoint is None or measurement.event_gap_s is None:
+        return
+    table.record(
+        group.speeds,
+        now,
+        endpoint.name,
+        kind=ticket.kind,
+        load=(ticket.running_at_grant + len(endpoint.tickets)) / 2 + 1,
+        gap_s=measurement.event_gap_s,
+    )
+
+
 def _record_measurement(
     group: _admission_state.Group,
     now: float,
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -11,7 +11,6 @@
 from ibisknot import batch_records
 from ibisknot import errors
 from ibisknot import event_stream
-from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import forward
 from ibisknot import http11
@@ -25,6 +24,7 @@
 from ibisknot import run_times
 from ibisknot import serving
 from ibisknot import ticket_types
+from ibisknot.speeds import speed_samples
 
 TICKET_WAIT_S = 10.0
 MIN_STALL_TIMEOUT_S = 2.0
@@ -263,7 +263,9 @@
         try:
             with anyio.CancelScope() as scope:
                 async with anyio.create_task_group() as task_group:
-                    task_group.start_soon(_cancel_on_revoke, ticket, scope)
+                    task_group.start_soon(
+                        ticket_types.cancel_on_revoke, ticket, scope
+                    )
                     result = await self._send(task, ticket)
                     outcome = admission.OK
                     task_group.cancel_scope.cancel()
@@ -295,6 +297,7 @@
             EndpointError: The attempt failed.
         """
         task.attempts += 1
+        speed_samples.start(ticket.pace, self.clock())
         async with self.client.send(self._make_call(task, ticket)) as answer:
             endpoint = ticket.endpoint.name
             self.tickets.record_limit(
@@ -318,7 +321,7 @@
                 )
             started_s = self.clock()
             is_from_start = not task.event_data
-            await self._receive_events(task, ticket.endpoint, answer)
+            await self._receive_events(task, ticket, answer)
             if is_from_start:
                 run_s = self.clock() - started_s
                 self._record_run_time(task, run_s)
@@ -372,7 +375,7 @@
     async def _receive_events(
         self,
         task: Task,
-        source: fleet_endpoint.Endpoint,
+        ticket: ticket_types.Ticket,
         answer: http_response.Response,
     ) -> None:
         """Appends a response's events to the task; skips repeated ones.
@@ -386,6 +389,7 @@
                 events = event_stream.feed_strictly(splitter, chunk)
             except ValueError as error:
                 raise errors.TruncatedStreamError(str(error)) from None
+            speed_samples.record_events(ticket.pace, self.clock(), len(events))
             for event in events:
                 if event.id is None:
                     continue
@@ -399,7 +403,7 @@
                 if task.output_bytes > self.max_output_bytes:
                     self._discard_output(task)
                 task.event_data.append(event.data)
-                task.software_version = source.software_version
+                task.software_version = ticket.endpoint.software_version
                 task.last_event_id = event.id
                 answer.record_progress()
         if splitter.incomplete:
@@ -488,13 +492,6 @@
     return min(MAX_STALL_TIMEOUT_S, MIN_STALL_TIMEOUT_S * 2.0**stalls)
 
 
-async def _cancel_on_revoke(
-    ticket: ticket_types.Ticket, scope: anyio.CancelScope
-) -> None:
-    await ticket.revoked.wait()
-    scope.cancel()
-
-
 def _encode_headers(headers: list[tuple[str, str]]) -> http11.Headers:
     """Encodes an item's headers in UTF-8, as callers of requests send them."""
     return [(k.encode(), http11.encode_header_value(v)) for k, v in headers]
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -24,6 +24,7 @@
 from ibisknot import serving
 from ibisknot import ticket_types
 from ibisknot import timer
+from ibisknot.speeds import speed_samples
 
 MIN_STALL_TIMEOUT_S = 1.6
 """Time without progress after which a retry at another endpoint begins.
@@ -254,6 +255,7 @@
         if self._may_run_again(task, pending_runs=1):
             call.read_timeout_s = stall_timeout_s(task.route)
             call.needs_useful_data = task.route.resumable
+        speed_samples.start(ticket.pace, self.clock.now())
         try:
             async with self.client.send(call) as response:
                 headers = response.headers
@@ -392,13 +394,17 @@
         resumable = task.route.resumable and response.status == 200
         is_stream = resumable or _is_event_stream(response)
         async for chunk in response.chunks():
+            received_s = self.clock.now()
             if is_stream:
                 event_stream.follow(task.boundary, chunk)
+                speed_samples.record_chunk(ticket.pace, received_s, chunk)
             if resumable:
                 if await self._relay_events(task, ticket.endpoint, chunk):
                     response.record_progress()
             elif chunk:
                 await exchange.send(chunk)
+            paused_s = self.clock.now() - received_s
+            speed_samples.record_pause(ticket.pace, paused_s)
         if event_stream.is_within_event(task.boundary):
             raise errors.TruncatedStreamError("the stream ends within an event")
         await exchange.finish()
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -164,9 +164,10 @@
             waited_s = self.clock.now() - started_s
             metrics.TICKET_WAIT_S.observe({"kind": request.kind}, waited_s)
             if ticket is None:
-                self._notify_released(
-                    ticket_id, request, pending.declined, admission.CANCELLED
+                message = _placement_messages.cancelled(
+                    request, ticket_id, pending.declined
                 )
+                self._notify_released(message)
             else:
                 _ticket_log.acquired(ticket, waited_s)
 
@@ -339,7 +340,7 @@
         self.fallback.record_outcome(name, outcome, self.clock.now())
         metrics.ENDPOINT_CALLS.inc({"outcome": outcome})
         _ticket_log.released(ticket, outcome)
-        self._notify_released(ticket.id, ticket.request, name, outcome)
+        self._notify_released(_placement_messages.returned(ticket, outcome))
 
     def record_limit(
         self, endpoint: fleet_endpoint.Endpoint, rate_per_s: float | None
@@ -380,16 +381,7 @@
             return None
         return self.limits.to_wire(self.clock.now())
 
-    def _notify_released(
-        self,
-        ticket_id: str,
-        request: ticket_types.TicketRequest,
-        name: str,
-        outcome: str,
-    ) -> None:
-        message = ttypes.PlaceReturned(
-            group=request.service, id=ticket_id, endpoint=name, outcome=outcome
-        )
+    def _notify_released(self, message: ttypes.PlaceReturned) -> None:
         for member in self.schedulers():
             self._notify(member, "place_returned", message)
 
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -129,6 +129,7 @@
         found = fleetview.active_endpoints(self.view, service.name)
         names = {endpoint.name for endpoint in found}
         versions = {e.name: e.software_version for e in found}
+        service.set_starts({e.name: e.born_ms for e in found})
         if versions == service.software_versions():
             return
         slots = {endpoint.name: endpoint.slots for endpoint in found}
@@ -355,7 +356,9 @@
             and message.outcome == admission.OK
         ):
             overload.record_hold_time(service.hold_time, now - granted_s)
-        result = admission.Measurement(outcome=message.outcome)
+        result = admission.Measurement(
+            outcome=message.outcome, event_gap_s=message.event_gap_s
+        )
         self._apply(
             service,
             admission.release_ticket(service.group, now, message.id, result),
@@ -410,6 +413,7 @@
             if now - service.last_request_s > ACTIVE_TIMEOUT_S:
                 service.group.policy = STANDBY_POLICY
             self._apply(service, admission.tick(service.group, now))
+            _scheduler_log.changes(service, now)
 
     def _add_accrued(self, accrued_s: float) -> None:
         """Adds time for which the limits of endpoints accrue here."""
--- /dev/null
+++ b/src/ibisknot/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Places work by how fast each endpoint is, also when one becomes slow."""
--- a/src/ibisknot/ticket_types.py
+++ b/src/ibisknot/ticket_types.py
@@ -8,6 +8,7 @@
 from ibisknot import fleet_endpoint
 from ibisknot import serving
 from ibisknot.gen.fleet import ttypes
+from ibisknot.speeds import speed_samples
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,6 +67,7 @@
         acquired_s: Monotonic time at which it was acquired.
         number: Orders the grants of a stream, also those that its holder has
             not accepted; a later one has a higher number.
+        pace: When the events of the response have arrived.
     """
 
     id: str
@@ -76,6 +78,9 @@
     revoked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     acquired_s: float = 0.0
     number: int = 0
+    pace: speed_samples.Pace = dataclasses.field(
+        default_factory=speed_samples.Pace
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,3 +97,9 @@
     answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     answer: ttypes.PlaceAnswer | None = None
     declined: str = ""
+
+
+async def cancel_on_revoke(ticket: Ticket, scope: anyio.CancelScope) -> None:
+    """Cancels a scope when a ticket is revoked."""
+    await ticket.revoked.wait()
+    scope.cancel()
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -19,6 +19,7 @@
 GIVE_UP_S = 40.0
 TICK_S = 0.05
 LATE_VALUE = 0.1
+GAP_S = 0.03
 TOKENS_PER_S = 270.0
 
 
@@ -69,6 +70,9 @@
         duration_s: Seconds for which requests arrive.
         mean_run_s: Mean run time of an item.
         seed: Seed of the random numbers.
+        speeds: Speed of each endpoint, relative to the mean.
+        slowdown: Fraction by which the gaps grow with each running request.
+        reports_gaps: Whether holders report the gaps between events.
     """
 
     batch_fraction: float = 0.9
@@ -80,6 +84,9 @@
     duration_s: float = 60.0
     mean_run_s: float = 3.0
     seed: int = 1
+    speeds: tuple[float, ...] = (1.0, 1.0, 1.0, 1.0)
+    slowdown: float = 0.0
+    reports_gaps: bool = False
 
 
 class World:
@@ -89,6 +96,8 @@
         items: All batch items.
         online_waits_s: Seconds that each online request waited for its ticket.
         revocations: Number of revoked tickets.
+        paces: Seconds per second of work of each ticket, by its id.
+        online_ends_s: Seconds from each online request to its end.
     """
 
     def __init__(self, load: Load, policy: admission.Policy) -> None:
@@ -101,6 +110,8 @@
         self.online_arrived_s: dict[str, float] = {}
         self.online_waits_s: list[float] = []
         self.revocations = 0
+        self.paces: dict[str, float] = {}
+        self.online_ends_s: list[float] = []
         slots = {f"e{n}": 8 for n in range(load.endpoints)}
         admission.set_endpoints(self.group, 0.0, slots, slots=slots)
 
@@ -193,8 +204,13 @@
             if item.asks != int(ask) or item.granted_s is None:
                 return []
             item.ended_s = now
+        else:
+            self.online_ends_s.append(now - self.online_arrived_s[ticket_id])
+        gap_s = None
+        if self.load.reports_gaps:
+            gap_s = GAP_S * self.paces[ticket_id] * self.rng.uniform(0.8, 1.2)
         return admission.release_ticket(
-            self.group, now, ticket_id, admission.Measurement()
+            self.group, now, ticket_id, admission.Measurement(event_gap_s=gap_s)
         )
 
     def apply(self, actions: list[admission.Action], now: float) -> None:
@@ -209,14 +225,20 @@
 
     def start(self, ticket: admission.Ticket, now: float) -> None:
         """Starts a granted request."""
+        running = len(self.group.endpoints[ticket.endpoint].tickets)
+        speed = self.load.speeds[int(ticket.endpoint[1:])]
+        # The mean load is 6 of 8 slots.
+        pace = (1.0 + self.load.slowdown * (running - 6)) / speed
+        self.paces[ticket.id] = pace
         if ticket.kind == admission.ONLINE:
             waited_s = now - self.online_arrived_s[ticket.id]
             self.online_waits_s.append(waited_s)
-            self.push(now + ONLINE_HOLD_S, "end", ticket.id)
+            self.push(now + ONLINE_HOLD_S * pace, "end", ticket.id)
             return
         item = self.items[int(ticket.id.partition("/")[0])]
         item.granted_s = now
-        self.push(now + item.run_s - item.done_s + PROMPT_S, "end", ticket.id)
+        left_s = (item.run_s - item.done_s) * pace
+        self.push(now + left_s + PROMPT_S, "end", ticket.id)
 
     def revoke(self, ticket_id: str, now: float) -> None:
         """Stops an item, which asks again and keeps what it has done."""
@@ -224,7 +246,9 @@
         item = self.items[int(index)]
         assert item.granted_s is not None
         self.revocations += 1
-        item.done_s += max(0.0, now - item.granted_s - PROMPT_S)
+        item.done_s += (
+            max(0.0, now - item.granted_s - PROMPT_S) / self.paces[ticket_id]
+        )
         item.granted_s = None
         self.push(now + 0.01, "cancelled", ticket_id)
         self.push(now + 0.01 + RESEND_S, "ask", index)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -156,6 +156,7 @@
         rng: Chooses among the services of a route.
         requests: The requests for tickets.
         origins: The software that began streams, by the streams' ids.
+        released: The released tickets.
     """
 
     def __init__(self, endpoints: list[ScriptedEndpoint]) -> None:
@@ -164,6 +165,7 @@
         self.origins: dict[str, stream_origins.Origin] = {}
         self.remaining = list(endpoints)
         self.outcomes: list[str] = []
+        self.released: list[ticket_types.Ticket] = []
         self.gates: list[anyio.Event] = []
         self.limits: dict[str, float | None] = {}
         self.leaving_names: list[str] = []
@@ -220,6 +222,7 @@
     def release(self, ticket: ticket_types.Ticket, outcome: str) -> None:
         """Records the outcome."""
         self.outcomes.append(outcome)
+        self.released.append(ticket)
 
 
 def make_route(**changed: object) -> serving.Route:
