--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -442,6 +442,8 @@
 
 def _may_grant_batch(group: _admission_state.Group, now: float) -> bool:
     """Returns whether it is worthwhile to order the batch requests."""
+    if not group.batch_queue.size:
+        return False
     usable = _usable_endpoints(group, now)
     if _with_batch_slot(usable, now, group.policy):
         return True
--- a/src/ibisknot/_scheduler_log.py
+++ b/src/ibisknot/_scheduler_log.py
@@ -2,6 +2,7 @@
 
 from ibisknot import _service
 from ibisknot import logs
+from ibisknot import metrics
 from ibisknot.contention import room
 from ibisknot.gen.fleet import ttypes
 from ibisknot.speeds import table
@@ -50,15 +51,17 @@
     speeds = service.group.speeds
     if speeds.changed:
         name = speeds.changed.pop()
-        estimate = speeds.estimates.get(name, table.Estimate())
+        is_slow = table.may_be_slow(speeds, name)
+        metrics.ENDPOINTS_SLOW.add({"service": service.name}, int(is_slow))
         logs.event(
-            "endpoint_slow" if estimate.is_slow else "endpoint_speed_regained",
+            "endpoint_slow" if is_slow else "endpoint_speed_regained",
             endpoint=name,
             slowness=round(table.slowness(speeds, now, name), 2),
         )
     is_short = room.is_short(service.group.batch_room, now)
     if is_short != service.was_short:
         service.was_short = is_short
+        metrics.BATCH_ROOM_SHORT.add({"service": service.name}, int(is_short))
         logs.event(
             "batch_room_short" if is_short else "batch_room_regained",
             service=service.name,
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -51,6 +51,14 @@
 TICKETS_REVOKED = aioprometheus.Counter(
     "ibisknot_places_revoked_total", "Places that a scheduler revoked."
 )
+ENDPOINTS_SLOW = aioprometheus.Counter(
+    "ibisknot_endpoints_slow_total",
+    "Times that a scheduler began to see an endpoint as slow.",
+)
+BATCH_ROOM_SHORT = aioprometheus.Counter(
+    "ibisknot_batch_room_short_total",
+    "Times that batch items began to lack slots, by service.",
+)
 PARTS_REFUSED = aioprometheus.Counter(
     "ibisknot_prompt_parts_refused_total",
     "Sets of prompt parts that this process began to refuse.",
--- a/src/ibisknot/speeds/choice.py
+++ b/src/ibisknot/speeds/choice.py
@@ -42,7 +42,8 @@
     return [
         e
         for e in endpoints
-        if table.slowness(speeds, now, e.name) < limit
+        if not table.may_be_slow(speeds, e.name)
+        or table.slowness(speeds, now, e.name) < limit
         or now - speeds.last_online_s.get(e.name, now) >= PROBE_PERIOD_S
     ]
 
@@ -56,7 +57,9 @@
     if len(speeds.estimates) < MIN_ENDPOINTS or not endpoints:
         return False
     return all(
-        table.slowness(speeds, now, e.name) >= table.SLOW for e in endpoints
+        table.may_be_slow(speeds, e.name)
+        and table.slowness(speeds, now, e.name) >= table.SLOW
+        for e in endpoints
     )
 
 
--- a/src/ibisknot/speeds/table.py
+++ b/src/ibisknot/speeds/table.py
@@ -214,6 +214,12 @@
     return float(estimate.weight * 0.5 ** (elapsed_s / HALF_LIFE_S))
 
 
+def may_be_slow(table: Table, name: str) -> bool:
+    """Returns whether an endpoint counted as slow at its last sample."""
+    estimate = table.estimates.get(name)
+    return estimate is not None and estimate.is_slow
+
+
 def slowness(table: Table, now: float, name: str) -> float:
     """Returns the expected event gap of an endpoint, relative to the usual one.
 
