--- a/src/ibisknot/_scheduler_log.py
+++ b/src/ibisknot/_scheduler_log.py
@@ -2,8 +2,11 @@
 
 from ibisknot import _service
 from ibisknot import logs
+from ibisknot import metrics
+from ibisknot.contention import room
 from ibisknot.gen.fleet import ttypes
 from ibisknot.locality import decision
+from ibisknot.speeds import table
 
 BURST_S = 1.0
 """Lines say which fraction of a burst of this time may be saved up."""
@@ -56,3 +59,29 @@
             data_centre=change.flow.home,
             other=change.flow.other,
         )
+
+
+def changes(service: _service.Service, now: float) -> None:
+    """Logs endpoints that became slow or recovered, and a lack of slots.
+
+    Called with each tick, which bounds the number of lines.
+    """
+    speeds = service.group.speeds
+    if speeds.changed:
+        name = speeds.changed.pop()
+        is_slow = table.may_be_slow(speeds, name)
+        metrics.ENDPOINTS_SLOW.add({"service": service.name}, int(is_slow))
+        logs.event(
+            "endpoint_slow" if is_slow else "endpoint_speed_regained",
+            endpoint=name,
+            slowness=round(table.slowness(speeds, now, name), 2),
+        )
+    is_short = room.is_short(service.group.batch_room, now)
+    if is_short != service.was_short:
+        service.was_short = is_short
+        metrics.BATCH_ROOM_SHORT.add({"service": service.name}, int(is_short))
+        logs.event(
+            "batch_room_short" if is_short else "batch_room_regained",
+            service=service.name,
+            waiting=service.group.batch_queue.size,
+        )
