Check the style of all packages

The test of imports and sizes named the packages one by one, so that a new package was not checked, and its modules were taken for names. It now takes every package below src/ibisknot but the generated one. The check that the product does not import its bench covers the new packages as well.

--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -6,13 +6,15 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = [""] + [
+    f".{path.parent.name}"
+    for path in sorted((ROOT / "src/ibisknot").glob("*/__init__.py"))
+    if path.parent.name != "gen"
+]
 SOURCES = [
     path
     for folder in (
-        "src/ibisknot",
-        "src/ibisknot/bench",
-        "src/ibisknot/platform",
-        "src/ibisknot/standins",
+        *(f"src/ibisknot{p.replace('.', '/')}" for p in PACKAGES),
         "tests",
         "examples",
         "benchmarks",
@@ -28,7 +30,7 @@
             p.stem
             for p in (ROOT / "src/ibisknot" / package.lstrip(".")).iterdir()
         }
-        for package in ("", ".bench", ".platform", ".standins")
+        for package in PACKAGES
     }
     imported: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
@@ -60,7 +62,12 @@
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in SOURCES if path.parent.name in ("ibisknot", "platform")],
+    [
+        path
+        for path in SOURCES
+        if path.is_relative_to(ROOT / "src")
+        and path.parent.name not in ("bench", "standins")
+    ],
     ids=lambda path: path.name,
 )
 def test_product_does_not_import_its_bench(path: pathlib.Path) -> None:
