Keep to the requests that cold endpoints take

An endpoint is slow after its start and crashes if it gets requests much faster than its service states. The bound holds for the sum over all processes and across a change of the scheduler.

The buckets of the limits that endpoints name did not keep it: each new scheduler begins with a request, a burst is worth two seconds, and each process without a scheduler saves up a request, so that many of them send at once. While an endpoint is cold its bucket therefore starts empty, counts the grants of the last second, saves up two requests at most and grants no more than these and the rate within 1.1 s. A process without a scheduler saves up nothing. A request whose endpoint has turned cold since its grant is not sent.

Until when an endpoint is cold is kept in the view, from its entries.

Online requests go to warm endpoints first, and batch yields there before a cold one is used.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -219,6 +219,20 @@
     return [e for e in endpoints if request_limits.is_spare(e.bucket, now)]
 
 
+def _warm_endpoints(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that are not cold."""
+    return [e for e in endpoints if not request_limits.is_cold(e.bucket)]
+
+
+def _cold_endpoints(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that are cold."""
+    return [e for e in endpoints if request_limits.is_cold(e.bucket)]
+
+
 def _limited_endpoints(
     endpoints: list[_admission_state.Endpoint],
 ) -> list[_admission_state.Endpoint]:
@@ -247,19 +261,38 @@
             _revoke_on_reserved(group, actions)
             continue
         shared = _shareable_endpoints(usable)
-        free = [e for e in shared if _has_free_slot(e)]
-        # Requests that limits allow are kept for the next wave. Those that
-        # cannot be kept are used, so that an endpoint can end its limit.
-        free = _spare_endpoints(free, now) or free
-        free = _online_first_endpoints(free) or free
-        if not free and group.policy.revokes_batch:
-            free = _revoke_one_batch(shared, now, actions)
+        warm = _warm_endpoints(shared)
+        free = _free_for_online(group, warm, now, actions)
+        if not free and len(warm) < len(shared):
+            # A cold endpoint is slow: batch yields at a warm one first.
+            cold = _cold_endpoints(shared)
+            free = _free_for_online(group, cold, now, actions)
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
     return False
 
 
+def _free_for_online(
+    group: _admission_state.Group,
+    endpoints: list[_admission_state.Endpoint],
+    now: float,
+    actions: list[_admission_state.Action],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints to choose from for an online request.
+
+    If none has a free slot, a batch ticket is revoked.
+    """
+    free = [e for e in endpoints if _has_free_slot(e)]
+    # Requests that limits allow are kept for the next wave. Those that cannot
+    # be kept are used, so that an endpoint can end its limit.
+    free = _spare_endpoints(free, now) or free
+    free = _online_first_endpoints(free) or free
+    if not free and group.policy.revokes_batch:
+        free = _revoke_one_batch(endpoints, now, actions)
+    return free
+
+
 def _revoke_one_batch(
     endpoints: list[_admission_state.Endpoint],
     now: float,
@@ -396,6 +429,13 @@
                 for e in _shareable_endpoints(usable)
                 if e.batch_count() < _batch_limit(e, now, group.policy)
             ]
+            if not _warm_endpoints(usable):
+                # Online requests come first where nothing else serves them.
+                free = [
+                    e
+                    for e in free
+                    if not request_limits.keeps_for_online(e.bucket)
+                ]
             # A limit counts requests, and a batch item runs for as long as
             # many online requests.
             free = _limited_endpoints(free) or free
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -58,6 +58,7 @@
     slots: Mapping[str, int] | None = None,
     data_centres: Mapping[str, str] | None = None,
     software_versions: Mapping[str, str] | None = None,
+    cold: Mapping[str, request_limits.ColdLimit] | None = None,
     capacities: dict[str, Capacity] | None = None,
 ) -> list[_admission_state.Action]:
     """Sets the active endpoints; other endpoints drain.
@@ -71,6 +72,8 @@
         data_centres: Data centre of each endpoint for which it is known.
         software_versions: Version of the software of each endpoint for which
             it is known.
+        cold: What the cold ones among the endpoints take. It must be known
+            before the first request is granted.
         capacities: What was learnt of endpoints, by their names; that of new
             endpoints is added.
     """
@@ -99,6 +102,9 @@
     for name, version in (software_versions or {}).items():
         if name in group.endpoints:
             group.endpoints[name].software_version = version
+    for name, limit in (cold or {}).items():
+        if name in group.endpoints:
+            _set_cold(group.endpoints[name], limit, now)
     return _decisions.decide(group, now)
 
 
@@ -206,6 +212,8 @@
     endpoint = _admission_state.find_endpoint(group, ticket.endpoint)
     if endpoint is not None and counts_against_limit:
         request_limits.consume(endpoint.bucket, now)
+    elif endpoint is not None:
+        request_limits.record_sent(endpoint.bucket, now)
     return _decisions.decide(group, now)
 
 
@@ -231,14 +239,41 @@
             )
 
 
+def _set_cold(
+    endpoint: _admission_state.Endpoint,
+    limit: request_limits.ColdLimit,
+    now: float,
+) -> None:
+    endpoint.bucket = request_limits.set_cold(
+        endpoint.bucket,
+        limit,
+        now,
+        granted_s=[t.granted_s for t in endpoint.tickets.values()],
+    )
+
+
 def set_request_limit(
-    group: _admission_state.Group, now: float, name: str, rate_per_s: float
+    group: _admission_state.Group,
+    now: float,
+    name: str,
+    rate_per_s: float,
+    cold: request_limits.ColdLimit | None = None,
 ) -> list[_admission_state.Action]:
     """Sets the requests a second that an endpoint takes, or infinity.
 
     They accrue by `add_accrued`.
+
+    Args:
+        group: The admission group.
+        now: Monotonic time in seconds.
+        name: Name of the endpoint.
+        rate_per_s: Requests a second that it names; infinite if none.
+        cold: What it takes while it is cold; None if it is warm.
     """
     endpoint = _admission_state.find_endpoint(group, name)
+    if endpoint is not None and cold is not None:
+        _set_cold(endpoint, cold, now)
+        return _decisions.decide(group, now)
     if endpoint is None or (endpoint.bucket is None and rate_per_s == math.inf):
         return []
     endpoint.bucket = request_limits.set_rate(
--- a/src/ibisknot/deployment.py
+++ b/src/ibisknot/deployment.py
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Bounds:
-    """Time limits that the deployment guarantees or allows, in seconds.
+    """Limits that the deployment guarantees or allows, times in seconds.
 
     Attributes:
         drain_s: Time after which a draining endpoint gets no new requests.
@@ -19,6 +19,9 @@
         settle_s: Time after which every process answers for a new batch job.
         evacuation_s: Time after which the endpoints of an evacuated data centre
             get no new requests.
+        cold_overage: Requests that a cold endpoint may get within one second,
+            as a multiple of those that it takes.
+        cold_slack: Requests that it may get in addition.
     """
 
     drain_s: float = 2.0
@@ -28,6 +31,8 @@
     cancel_s: float = 3.0
     settle_s: float = 1.0
     evacuation_s: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/ibisknot/fallback.py
+++ b/src/ibisknot/fallback.py
@@ -15,6 +15,8 @@
 from ibisknot import request_limits
 from ibisknot import serving
 from ibisknot import token_level
+from ibisknot.warmup import cold_limits
+from ibisknot.warmup import own_share
 
 FLEET_RESERVE_TOKENS = 9.0
 """Tokens of each organisation that all gateways together grant in advance."""
@@ -35,6 +37,8 @@
         used_s: Monotonic time at which the share was last used here.
         buckets: This process's share of the requests that an endpoint takes,
             by endpoint name.
+        shares: This process's share of what cold endpoints take, by endpoint
+            name.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         self.accrued_s = 0.0
         self.used_s = -math.inf
         self.buckets: dict[str, request_limits.Bucket] = {}
+        self.shares: dict[str, own_share.Share] = {}
 
     def add_accrued(self, accrued_s: float, now: float) -> None:
         """Adds time of this process's share that it uses itself.
@@ -63,6 +68,29 @@
         self.accrued_s += accrued_s
         for bucket in self.buckets.values():
             request_limits.add_accrued(bucket, accrued_s, 1.0)
+        self._update_shares(accrued_s, now)
+
+    def _update_shares(self, accrued_s: float, now: float) -> None:
+        """Adds time to the shares of the endpoints that are cold.
+
+        A new share begins anywhere, so that the processes' turns come one
+        after the other.
+        """
+        cold = cold_limits.current(self.view, now)
+        for name in self.shares.keys() - cold.keys():
+            del self.shares[name]
+        for name, limit in cold.items():
+            share = self.shares.get(name)
+            if share is None:
+                share = own_share.Share(self.rng.random())
+                self.shares[name] = share
+            own_share.add_accrued(
+                share,
+                accrued_s,
+                limit.rate_per_s,
+                now,
+                processes=len(self.view.members),
+            )
 
     def record_outcome(self, endpoint: str, outcome: str, now: float) -> None:
         """Records how a request to an endpoint ended."""
@@ -96,13 +124,16 @@
     def count_request(self, endpoint: str, now: float) -> None:
         """Counts a request that this process sends to an endpoint."""
         request_limits.consume(self.buckets.get(endpoint), now)
+        own_share.consume(self.shares.get(endpoint))
 
     def _allows(self, endpoint: str, now: float) -> bool:
-        """Returns whether circuit and limit of an endpoint allow a request."""
+        """Returns whether circuit and limits of an endpoint allow a request."""
         bucket = self.buckets.get(endpoint)
-        return breaker.allows(
-            self._circuit(endpoint), now
-        ) and request_limits.allows(bucket, now)
+        return (
+            breaker.allows(self._circuit(endpoint), now)
+            and request_limits.allows(bucket, now)
+            and own_share.allows(self.shares.get(endpoint), now)
+        )
 
     def _circuit(self, name: str) -> breaker.Breaker:
         """Returns the circuit breaker of an endpoint."""
@@ -141,6 +172,9 @@
             and endpoint.name not in excluded
             and self._allows(endpoint.name, now)
         ]
+        candidates = [
+            e for e in candidates if e.name not in self.shares
+        ] or candidates
         # Other processes may not know of a limit yet.
         candidates = [
             e for e in candidates if e.name not in self.buckets
--- a/src/ibisknot/fleet_endpoint.py
+++ b/src/ibisknot/fleet_endpoint.py
@@ -21,6 +21,9 @@
         software_version: Version of the engine's software, empty if unknown.
             It is not part of the digest, because it changes only with
             `born_ms`.
+        cold_s: Seconds for which it stays cold, from the read of its entry;
+            None if the entry does not say so readably.
+        revision: The store's revision of its entry.
     """
 
     name: str
@@ -31,3 +34,7 @@
     leaving: bool
     born_ms: int = 0
     software_version: str = dataclasses.field(default="", repr=False)
+    cold_s: float | None = dataclasses.field(
+        default=0.0, repr=False, compare=False
+    )
+    revision: int = dataclasses.field(default=0, repr=False, compare=False)
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 import xxhash
@@ -16,6 +17,7 @@
 from ibisknot import pairs
 from ibisknot import serving
 from ibisknot.evacuation import known
+from ibisknot.warmup import observation
 
 NEVER_S = -1e9
 """Monotonic time of what has not happened yet."""
@@ -89,6 +91,9 @@
         store_recovered_s: Monotonic time at which the entries were first read
             after a store outage.
         evacuations: The data centres whose endpoints get no requests.
+        observations: Until when the endpoints of services with a warm-up are
+            cold, by endpoint name.
+        bounds: Limits that the deployment guarantees.
     """
 
     configuration: serving.Configuration | None = None
@@ -107,6 +112,12 @@
     members_read_s: float = NEVER_S
     store_recovered_s: float = NEVER_S
     evacuations: known.Known = known.Known()
+    observations: dict[str, observation.Seen] = dataclasses.field(
+        default_factory=dict
+    )
+    bounds: deployment.Bounds = dataclasses.field(
+        default_factory=deployment.Bounds
+    )
 
 
 def adopt_configuration(
@@ -234,12 +245,45 @@
     """Returns a signed 64-bit hash of the endpoints, which peers compare.
 
     The hash covers the class and field names of an endpoint, so that these
-    must be the same in all builds of a fleet.
+    must be the same in all builds of a fleet. What it covers of cold endpoints
+    is added only where there are any.
     """
     text = repr(sorted(view.endpoints.items()))
+    cold = observation.digest_rows(view.endpoints.values(), warm_ups(view))
+    if cold:
+        text += repr(cold)
     return xxhash.xxh3_64_intdigest(text.encode()) - (1 << 63)
 
 
+def warm_ups(view: View) -> Mapping[str, serving.WarmUp]:
+    """Returns the warm-ups of the services that have one, by service."""
+    return {} if view.configuration is None else view.configuration.warm_ups
+
+
+def observe_warm_ups(
+    view: View, now: float, unix_s: float
+) -> list[fleet_endpoint.Endpoint]:
+    """Records until when the endpoints are cold.
+
+    Args:
+        view: The view to change.
+        now: Monotonic time in seconds.
+        unix_s: Unix time in seconds.
+
+    Returns:
+        The endpoints whose entries do not say so readably, for the log.
+    """
+    if not warm_ups(view) and not view.observations:
+        return []
+    age_s = now - view.endpoints_read_s
+    return observation.observe(
+        view.observations,
+        view.endpoints.values(),
+        warm_ups(view),
+        observation.Read(now, view.endpoints_read_s, (unix_s - age_s) * 1000),
+    )
+
+
 def adopt_members(
     view: View,
     now: float,
--- a/src/ibisknot/leaving_endpoints.py
+++ b/src/ibisknot/leaving_endpoints.py
@@ -11,6 +11,7 @@
 from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import logs
+from ibisknot.warmup import cold_limits
 
 MAX_ENDPOINTS = 4096
 """Endpoints that are remembered, the last ones that were seen to leave."""
@@ -59,17 +60,23 @@
         )
 
     def checker(self, endpoint: fleet_endpoint.Endpoint) -> Callable[[], None]:
-        """Returns a function that refuses requests to an evacuated endpoint.
+        """Returns a function that refuses requests that must go elsewhere.
 
-        A request may have got its ticket before the evacuation was known. The
-        function raises EndpointRefusedError.
+        A request may have got its ticket before it was known that its
+        endpoint is evacuated, or that it has turned cold. The function raises
+        EndpointRefusedError.
         """
+        cold_until_s = cold_limits.until_s(self.view, endpoint.name)
 
         def check() -> None:
             if fleetview.is_evacuated(self.view, endpoint):
                 raise errors.EndpointRefusedError(
                     f"{endpoint.name} is evacuated"
                 )
+            if cold_limits.has_turned_cold(self.view, endpoint, cold_until_s):
+                raise errors.EndpointRefusedError(
+                    f"{endpoint.name} has turned cold"
+                )
 
         return check
 
--- a/src/ibisknot/platform/configuration.py
+++ b/src/ibisknot/platform/configuration.py
@@ -7,8 +7,12 @@
 from ibisknot import api_keys
 from ibisknot import errors
 from ibisknot import http_server
+from ibisknot import logs
 from ibisknot import serving
 
+MAX_COLD_START_S = 3600.0
+MAX_COLD_PER_S = 1e6
+MAX_LOGGED_CHARACTERS = 60
 _KINDS = {
     "safe": serving.SAFE,
     "unsafe": serving.UNSAFE,
@@ -44,6 +48,8 @@
 
 class _Service(msgspec.Struct):
     Name: str
+    ColdStartS: Any = None
+    ColdPerS: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -105,9 +111,44 @@
             header_timeout_s=config.Limits.HeaderTimeoutMs / 1000,
             idle_timeout_s=config.Limits.IdleTimeoutMs / 1000,
         ),
+        warm_ups=_decode_warm_ups(config.Services),
     )
 
 
+def _decode_warm_ups(services: list[_Service]) -> dict[str, serving.WarmUp]:
+    """Returns the warm-ups of the services that state both fields.
+
+    A service with a value that cannot be used is not limited.
+    """
+    warm_ups = {}
+    for service in services:
+        duration_s, rate_per_s = service.ColdStartS, service.ColdPerS
+        if duration_s is None and rate_per_s is None:
+            continue
+        if _is_in_range(duration_s, MAX_COLD_START_S) and _is_in_range(
+            rate_per_s, MAX_COLD_PER_S
+        ):
+            warm_ups[service.Name] = serving.WarmUp(
+                float(duration_s), float(rate_per_s)
+            )
+            continue
+        logs.event(
+            "warm_up_unreadable",
+            level="warning",
+            service=service.Name,
+            duration_s=repr(duration_s)[:MAX_LOGGED_CHARACTERS],
+            rate_per_s=repr(rate_per_s)[:MAX_LOGGED_CHARACTERS],
+        )
+    return warm_ups
+
+
+def _is_in_range(value: object, largest: float) -> bool:
+    """Returns whether a value is a number above 0 and not above a limit."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 0 < value <= largest
+
+
 def _decode_route(raw: _Route) -> serving.Route:
     targets = [serving.Target(s.Service, s.Weight) for s in raw.TrafficSplit]
     if not targets and raw.Service is not None:
--- a/src/ibisknot/platform/entries.py
+++ b/src/ibisknot/platform/entries.py
@@ -11,6 +11,7 @@
 MAX_BORN_MS = 1 << 53
 """Largest integer that every JSON decoder keeps exactly."""
 MAX_PORT = 65_535
+MAX_COLD_MS = 3_600_000
 _IS_DRAINING = {"ready": False, "draining": True}
 
 
@@ -23,7 +24,8 @@
     # Version of the engine's software, not of its weights.
     Version: str
     # Remaining time in which the engine runs slowly after its start.
-    ColdRemainingMs: float
+    # Text and null are of an engine in error, other types of another writer.
+    ColdRemainingMs: float | str | bool | None
     # Number of the engine's heartbeat; only engines write it.
     Seq: int
     # Start time of the engine in Unix milliseconds.
@@ -52,6 +54,8 @@
         leaving=_IS_DRAINING[entry.State],
         born_ms=entry.born,
         software_version=entry.Version,
+        cold_s=_cold_s(entry.ColdRemainingMs),
+        revision=pair.revision,
     )
 
 
@@ -65,6 +69,17 @@
     )
 
 
+def _cold_s(value: float | str | bool | None) -> float | None:
+    """Returns the remaining cold time in seconds; None if it is unreadable.
+
+    >>> [_cold_s(value) for value in (1500, -1, 3.7e6, "1", True, None)]
+    [1.5, None, None, None, None, None]
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value / 1000 if 0 <= value <= MAX_COLD_MS else None
+
+
 def _is_address(text: str) -> bool:
     """Returns whether a text is a host with a port.
 
--- a/src/ibisknot/platform/settings.py
+++ b/src/ibisknot/platform/settings.py
@@ -33,6 +33,8 @@
     CancelMs: float = 3000
     SettleMs: float = 1000
     EvacMs: float = 5000
+    ColdOverage: float = 1.5
+    ColdSlack: float = 5
 
 
 class _Platform(msgspec.Struct):
@@ -137,5 +139,7 @@
             cancel_s=bounds.CancelMs / 1000,
             settle_s=bounds.SettleMs / 1000,
             evacuation_s=bounds.EvacMs / 1000,
+            cold_overage=bounds.ColdOverage,
+            cold_slack=bounds.ColdSlack,
         ),
     )
--- a/src/ibisknot/request_limits.py
+++ b/src/ibisknot/request_limits.py
@@ -4,6 +4,8 @@
 the endpoint names another one or none. The functions do no input or output.
 """
 
+import collections
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -20,6 +22,14 @@
 Without any it could not say that its limit has ended.
 """
 INITIAL_LEVEL = 1.0
+COLD_WINDOW_S = 1.1
+"""Window of the bound on a cold endpoint's requests, and some variation of the
+time that they take to arrive."""
+COLD_BATCH_LEVEL = 1.5
+"""Level of a cold endpoint's bucket from which it has a request for batch.
+
+Below it the next request is left to an online one.
+"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +47,19 @@
     named_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdLimit:
+    """What an endpoint takes while it is cold.
+
+    Attributes:
+        rate_per_s: Requests a second.
+        burst: Requests that may be sent at once.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """Requests that may be sent to an endpoint.
@@ -49,6 +72,10 @@
         updated_s: Monotonic time of `level`.
         accrues_by_time: Whether the level rises as time passes, and not only
             by `add_accrued`.
+        max_in_window: Requests within `COLD_WINDOW_S` after which no other one
+            may be sent to a cold endpoint; infinite while it is warm.
+        sent_s: Monotonic times of the last requests to a cold endpoint.
+        cap: Level that may be saved up here, a part of `capacity`.
     """
 
     rate_per_s: float
@@ -56,6 +83,11 @@
     level: float
     updated_s: float
     accrues_by_time: bool = True
+    max_in_window: float = math.inf
+    sent_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    cap: float = math.inf
 
 
 def set_rate(
@@ -81,9 +113,70 @@
     bucket.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
     bucket.capacity = max(MIN_BURST, bucket.rate_per_s * BURST_S)
     bucket.level = min(bucket.level, bucket.capacity)
+    bucket.max_in_window = math.inf
+    bucket.sent_s.clear()
     return bucket
 
 
+def set_cold(
+    bucket: Bucket | None,
+    limit: ColdLimit,
+    now: float,
+    *,
+    granted_s: Iterable[float] = (),
+) -> Bucket:
+    """Returns the bucket of an endpoint that is cold.
+
+    Nothing is saved up when it turns cold, and requests of the last moment
+    count, because they may not have been sent yet.
+
+    Args:
+        bucket: The bucket before, or None if there was no limit.
+        limit: What the endpoint takes.
+        now: Monotonic time in seconds.
+        granted_s: Monotonic times at which its requests were granted.
+
+    >>> bucket = set_cold(None, ColdLimit(3.0, 2.0), 10.0, granted_s=[8.0, 9.5])
+    >>> bucket.level, is_cold(bucket)
+    (-1.0, True)
+    """
+    if bucket is None:
+        bucket = Bucket(0.0, 0.0, 0.0, now, accrues_by_time=False)
+    if not is_cold(bucket):
+        recent_s = sorted(t for t in granted_s if now - t < COLD_WINDOW_S)
+        bucket.sent_s.extend(recent_s)
+        bucket.level = -float(len(recent_s))
+    bucket.rate_per_s = limit.rate_per_s
+    bucket.capacity = limit.burst
+    bucket.max_in_window = limit.rate_per_s + limit.burst
+    bucket.level = max(-bucket.capacity, min(bucket.level, bucket.capacity))
+    return bucket
+
+
+def is_cold(bucket: Bucket | None) -> bool:
+    """Returns whether a bucket is that of a cold endpoint."""
+    return bucket is not None and bucket.max_in_window < math.inf
+
+
+def record_sent(bucket: Bucket | None, now: float) -> None:
+    """Records a request to an endpoint, which may be cold."""
+    if bucket is not None and is_cold(bucket):
+        bucket.sent_s.append(now)
+
+
+def _has_full_window(bucket: Bucket, now: float) -> bool:
+    while bucket.sent_s and now - bucket.sent_s[0] >= COLD_WINDOW_S:
+        bucket.sent_s.popleft()
+    return len(bucket.sent_s) + 1 > bucket.max_in_window
+
+
+def keeps_for_online(bucket: Bucket | None) -> bool:
+    """Returns whether a batch request would take an online request's turn."""
+    if bucket is None or not is_cold(bucket):
+        return False
+    return bucket.level < min(COLD_BATCH_LEVEL, bucket.cap)
+
+
 def set_share(
     bucket: Bucket | None, rate_per_s: float, now: float, *, processes: int
 ) -> Bucket | None:
@@ -131,7 +224,7 @@
     if bucket is None:
         return True
     _refill(bucket, now)
-    return bucket.level >= 1.0
+    return bucket.level >= 1.0 and not _has_full_window(bucket, now)
 
 
 def is_spare(bucket: Bucket | None, now: float) -> bool:
@@ -152,6 +245,7 @@
     if bucket is not None:
         _refill(bucket, now)
         bucket.level = max(-bucket.capacity, bucket.level - 1.0)
+        record_sent(bucket, now)
 
 
 def add_accrued(
@@ -165,7 +259,12 @@
         burst_fraction: Fraction of the capacity that may be saved up here.
     """
     level = bucket.level + accrued_s * bucket.rate_per_s
-    bucket.level = min(level, bucket.capacity * burst_fraction)
+    cap = bucket.capacity * burst_fraction
+    if is_cold(bucket) and burst_fraction > 0.0:
+        # The burst is small, and a part of the fleet needs one request of it.
+        cap = max(1.0, cap)
+    bucket.cap = cap
+    bucket.level = min(level, cap)
 
 
 def is_newer(known: NamedLimit | None, named: NamedLimit) -> bool:
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -129,6 +129,7 @@
         versions = {e.name: e.software_version for e in found}
         if versions == service.software_versions():
             return
+        self.limits.update_cold()
         slots = {endpoint.name: endpoint.slots for endpoint in found}
         now = self.clock.now()
         self._apply(
@@ -140,22 +141,19 @@
                 slots=slots,
                 data_centres={e.name: e.data_centre for e in found},
                 software_versions=versions,
+                cold=self.limits.cold,
             ),
         )
         # A limit may have arrived before its endpoint.
         self.limits.apply(names)
 
     def _set_request_limit(
-        self, service_name: str, name: str, rate_per_s: float
+        self, service_name: str, change: scheduler_limits.Change
     ) -> None:
-        """Sets the requests a second that an endpoint takes."""
+        """Applies a change of the requests a second that an endpoint takes."""
         service = self.service(service_name)
         self._update_endpoints(service)
-        now = self.clock.now()
-        actions = admission.set_request_limit(
-            service.group, now, name, rate_per_s
-        )
-        self._apply(service, actions)
+        self._apply(service, change(service.group, self.clock.now()))
 
     async def on_request(self, request: ttypes.PlaceAsk) -> ttypes.PlaceAnswer:
         """Peer method: grants, queues or refuses a request for a ticket.
--- a/src/ibisknot/scheduler_limits.py
+++ b/src/ibisknot/scheduler_limits.py
@@ -3,14 +3,20 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from ibisknot import admission
 from ibisknot import endpoint_limits
 from ibisknot import fleetview
+from ibisknot import logs
 from ibisknot import peer
+from ibisknot import request_limits
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
+from ibisknot.warmup import cold_limits
 
-SetLimit = Callable[[str, str, float], None]
-"""Sets the requests a second of a service's endpoint, by their names."""
+Change = Callable[[admission.Group, float], list[admission.Action]]
+"""Changes a limit of a group at a monotonic time in seconds."""
+SetLimit = Callable[[str, Change], None]
+"""Changes the limit of an endpoint of a service, by the service's name."""
 
 
 class Limits:
@@ -19,6 +25,8 @@
     Attributes:
         table: The limits, by endpoint.
         set_limit: Applies a limit.
+        cold: What the endpoints that are cold take, by name, as it was last
+            applied.
     """
 
     def __init__(
@@ -28,6 +36,7 @@
         self.clock = clock
         self.table = endpoint_limits.Table(view)
         self.set_limit = set_limit
+        self.cold: dict[str, request_limits.ColdLimit] = {}
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer method."""
@@ -39,6 +48,7 @@
 
     def adopt(self, limits: list[ttypes.EndpointLimit] | None) -> None:
         """Adopts and applies the limits that a process knows."""
+        self.update_cold()
         if limits:
             self.apply(self.table.adopt(limits, self.clock.now()))
 
@@ -47,9 +57,38 @@
         for name in names:
             endpoint = self.view.endpoints.get(name)
             if endpoint is not None:
-                rate_per_s = self.table.rate_per_s(name)
-                self.set_limit(endpoint.service, name, rate_per_s)
+                self.set_limit(endpoint.service, self._change(name))
+
+    def _change(self, name: str) -> Change:
+        """Returns the function that applies what is known of an endpoint."""
+        rate_per_s = self.table.rate_per_s(name)
+        cold = self.cold.get(name)
+        if cold is not None:
+            rate_per_s = min(cold.rate_per_s, rate_per_s)
+            cold = request_limits.ColdLimit(rate_per_s, cold.burst)
+        return lambda group, now: admission.set_request_limit(
+            group, now, name, rate_per_s, cold
+        )
+
+    def update_cold(self) -> None:
+        """Applies the limits of endpoints that have turned cold or warm."""
+        before = self.cold
+        self.cold = cold_limits.current(self.view, self.clock.now())
+        if self.cold == before:
+            return
+        names = before.keys() | self.cold.keys()
+        changed = [n for n in names if before.get(n) != self.cold.get(n)]
+        logs.event(
+            "cold_endpoints_changed",
+            cold=sorted(self.cold),
+            changed=sorted(changed),
+        )
+        self.apply(changed)
 
     def forget_gone(self) -> None:
-        """Forgets the limits of endpoints that left or started again."""
+        """Forgets the limits of endpoints that left or started again.
+
+        Those that have turned warm are applied as well.
+        """
+        self.update_cold()
         self.apply(self.table.forget_gone())
--- a/src/ibisknot/serving.py
+++ b/src/ibisknot/serving.py
@@ -86,6 +86,19 @@
         return rng.choices(self.targets, weights)[0].service
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WarmUp:
+    """How a service's endpoints are treated while they are cold.
+
+    Attributes:
+        duration_s: Seconds for which an endpoint is cold after its start.
+        rate_per_s: Requests a second that a cold endpoint takes.
+    """
+
+    duration_s: float
+    rate_per_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Organisation:
     """An organisation with its rate limit over the whole fleet.
@@ -122,6 +135,8 @@
             of their API keys.
         requires_key: Whether routes require an API key at all.
         limits: Limits of the HTTP server.
+        warm_ups: Warm-up of the services whose endpoints are cold after their
+            start, by service.
     """
 
     version: int
@@ -131,6 +146,7 @@
     organisations_by_key_hash: dict[str, str]
     requires_key: bool
     limits: http_server.Limits
+    warm_ups: dict[str, WarmUp] = dataclasses.field(default_factory=dict)
 
     def find_organisation(self, key: str | None) -> str | None:
         """Returns the name of the organisation that owns an API key."""
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import time
 
 from ibisknot import deployment
 from ibisknot import errors
@@ -236,10 +237,24 @@
             entries=entries,
             decode=self.layout.decode_endpoint,
         )
+        if adopted:
+            self._observe_warm_ups()
         if adopted and self.view.endpoints != before:
             _log_endpoint_changes(before, self.view.endpoints, revision, age_s)
             self._run_callbacks(self.change_callbacks)
 
+    def _observe_warm_ups(self) -> None:
+        """Records which endpoints are cold; logs those that do not say so."""
+        for endpoint in fleetview.observe_warm_ups(
+            self.view, self.clock.now(), time.time()
+        ):
+            logs.event(
+                "cold_time_unreadable",
+                level="warning",
+                endpoint=endpoint.name,
+                born_ms=endpoint.born_ms,
+            )
+
     def _run_callbacks(self, callbacks: list[Callable[[], None]]) -> None:
         for callback in callbacks:
             callback()
@@ -330,6 +345,7 @@
                 revision=revision,
                 source=source,
             )
+            self._observe_warm_ups()
             self._run_callbacks(self.configuration_callbacks)
             if self._is_publisher() or (source == STORE and not is_first):
                 self.task_group.start_soon(self.exchange.publish)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -32,12 +32,17 @@
 
 def test_settings_are_decoded_into_the_product_fields() -> None:
     """Guards against a field that is decoded into the wrong one."""
-    process = settings.decode(_settings_text())
+    added = "SettleMs = 1000\nEvacMs = 4000\nColdOverage = 1.25\nColdSlack = 3"
+    text = _settings_text().replace("SettleMs = 1000", added)
+    process = settings.decode(text)
     assert process.kind == deployment.GATEWAY
     assert process.peer_address == "10.0.0.1:7360"
     assert process.seeds == ("10.0.0.2:7360",)
     assert process.bounds.drain_s == 2.0
     assert process.bounds.grace_s == 8.0
+    assert process.bounds.evacuation_s == 4.0
+    assert process.bounds.cold_overage == 1.25
+    assert process.bounds.cold_slack == 3.0
     assert process.memory_bytes == 300 * 1024 * 1024
 
 
