Run requests only in the regions that are allowed

A route and an organisation may name regions. If no endpoint may serve it, it is refused at once.

The process that has the request decides, because it knows route and organisation; schedulers get the endpoints elsewhere as ones to avoid, and a grant there is declined. A field of the request to a scheduler was not added: the fleets have one region each, in which all endpoints are allowed or none.

Requests without a restriction are served as before.

--- a/src/ibisknot/_placement_messages.py
+++ b/src/ibisknot/_placement_messages.py
@@ -128,7 +128,7 @@
 ) -> ticket_types.Ticket | None:
     """Returns the ticket of a grant, or None if it must be declined."""
     endpoint = view.endpoints.get(answer.endpoint)
-    if endpoint is None or leaving.is_leaving(endpoint):
+    if endpoint is None or not leaving.allows(request, endpoint):
         # The scheduler's view is older than this process's.
         return None
     version = endpoint.software_version
--- a/src/ibisknot/batch_drain.py
+++ b/src/ibisknot/batch_drain.py
@@ -46,7 +46,7 @@
 
 async def _hand_over(worker: batch_worker.Worker, job: batch_job.Job) -> None:
     """Hands over a job, except for the items that run here."""
-    others = worker.other_workers()
+    others = worker.other_workers(job.progress.meta)
     if not others:
         return
     while True:
--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -231,6 +231,7 @@
                     expected_tokens, len(task.event_data)
                 ),
                 software_version=task.software_version,
+                allowed_regions=serving.regions_of(route, task.organisation),
             )
         )
 
@@ -282,8 +283,7 @@
         finally:
             self.tickets.release(ticket, outcome)
         if result is None and not ticket.revoked.is_set():
-            pause_s = RETRY_PAUSE_S * (1 + task.failures)
-            await anyio.sleep(pause_s)
+            await anyio.sleep(RETRY_PAUSE_S * (1 + task.failures))
         return result
 
     async def _send(
@@ -332,8 +332,7 @@
         """Returns the request that continues an item after its last event."""
         item = task.item
         own_headers = self.item_headers(item.id, task.host)
-        own_names = {name.lower() for name, _ in own_headers}
-        own_names.add(LAST_EVENT_ID_HEADER)
+        own_names = {n.lower() for n, _ in own_headers} | {LAST_EVENT_ID_HEADER}
         caller_headers = [
             h
             for h in _encode_headers(item.headers)
@@ -364,6 +363,7 @@
             ),
             body=item.body,
             check_sendable=self.tickets.leaving.checker(ticket.endpoint),
+            allowed_regions=ticket.request.allowed_regions,
             is_own_response=lambda h: self.dialect.is_response_to(item.id, h),
             read_timeout_s=stall_timeout_s(task.stalls),
             needs_useful_data=True,
--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -28,6 +28,7 @@
 CANCEL_RETRY_PAUSE_S = 0.02
 STORE_RETRY_AFTER_S = 0.8
 OVER_LIMIT_RETRY_AFTER_S = 1.0
+NO_WORKER_RETRY_AFTER_S = 1.0
 MAX_PARTS = 24
 """Values that hold a job's items; one write takes 32 entries in all."""
 MAX_COUNTED_JOBS = 64
@@ -80,6 +81,7 @@
             KeyValueRefusedError: The store refuses the job.
             NotFoundError: Another organisation has a job with this id.
             RateLimitError: Too many tokens of the organisation are waiting.
+            OverloadedError: No worker is in the regions that are allowed.
             KeyValueError: The store is unavailable and nothing was written.
             KeyValueUnknownError: It is unknown whether the job was accepted.
         """
@@ -88,6 +90,7 @@
         if cached is not None:
             self._check_access(cached, organisation)
             return
+        self._check_regions(route, organisation)
         is_outcome_unknown = False
         while True:
             try:
@@ -116,6 +119,20 @@
                 raise errors.KeyValueUnknownError(message)
             await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
 
+    def _check_regions(self, route: serving.Route, organisation: str) -> None:
+        """Refuses a job that no worker may run.
+
+        Raises:
+            OverloadedError: No worker is in the regions that are allowed.
+        """
+        if job_owners.allowed_workers(self.view, route.name, organisation):
+            return
+        if job_owners.worker_names(self.view):
+            raise errors.OverloadedError(
+                f"no worker may run jobs of {route.name}",
+                retry_after_s=NO_WORKER_RETRY_AFTER_S,
+            )
+
     def _split(self, submission: batch_records.Submission) -> list[bytes]:
         """Encodes a job's items in parts that the store can hold.
 
@@ -209,6 +226,9 @@
         guard: pairs.Guard,
     ) -> bool:
         """Writes a job's records; returns whether the job is stored now."""
+        workers = job_owners.allowed_workers(
+            self.view, route.name, organisation
+        )
         meta = batch_records.JobMeta(
             id=submission.id,
             organisation=organisation,
@@ -220,9 +240,7 @@
         )
         progress = batch_records.Progress(
             meta=meta,
-            owner=job_owners.choose_owner(
-                submission.id, job_owners.worker_names(self.view)
-            ),
+            owner=job_owners.choose_owner(submission.id, workers),
             listed=[],
             waiting_tokens=submission.total_tokens(),
         )
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -299,7 +299,7 @@
         self, pair: pairs.Pair, progress: batch_records.Progress
     ) -> None:
         """Gives a job that arrives while this worker drains to another one."""
-        others = self.other_workers()
+        others = self.other_workers(progress.meta)
         if not others:
             return
         owner = job_owners.choose_owner(progress.meta.id, others)
@@ -310,7 +310,11 @@
         """Returns whether this worker succeeds a job's departed owner."""
         if self.is_draining or not self._is_departed(progress.owner):
             return False
-        successor = job_owners.choose_owner(progress.meta.id, self._workers())
+        meta = progress.meta
+        workers = job_owners.allowed_workers(
+            self.view, meta.route, meta.organisation
+        )
+        successor = job_owners.choose_owner(meta.id, workers)
         return successor == self.process.name
 
     def _is_departed(self, worker: str) -> bool:
@@ -339,9 +343,12 @@
             return member.started_ms > started_ms
         return self._is_departed(progress.kept_by)
 
-    def other_workers(self) -> list[str]:
-        """Returns the names of the fleet's other workers."""
-        return [w for w in self._workers() if w != self.process.name]
+    def other_workers(self, meta: batch_records.JobMeta) -> list[str]:
+        """Returns the names of the other workers that may run a job."""
+        workers = job_owners.allowed_workers(
+            self.view, meta.route, meta.organisation
+        )
+        return [w for w in workers if w != self.process.name]
 
     def _workers(self) -> list[str]:
         return job_owners.worker_names(self.view)
--- a/src/ibisknot/deployment.py
+++ b/src/ibisknot/deployment.py
@@ -55,6 +55,7 @@
         lease_minimum_s: Shortest lease that the key-value service grants.
         memory_bytes: Memory limit, above which the process is killed.
         descriptors: Limit of open file descriptors.
+        regions: Region of each data centre for which it is stated.
     """
 
     name: str
@@ -72,6 +73,7 @@
     memory_bytes: int
     descriptors: int
     bounds: Bounds
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def peer_address(self) -> str:
--- a/src/ibisknot/endpoint_connector.py
+++ b/src/ibisknot/endpoint_connector.py
@@ -21,6 +21,7 @@
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import peer
+from ibisknot import regions
 from ibisknot import timer
 from ibisknot import tunnel
 from ibisknot import tunnel_helpers
@@ -126,24 +127,28 @@
         self.paths.received_s = self.clock.now()
 
     async def connect(
-        self, address: str, max_s: float | None
+        self,
+        address: str,
+        max_s: float | None,
+        allowed: regions.Allowed = None,
     ) -> http_call.Connection:
         """Opens a connection to an endpoint.
 
         Args:
             address: Address of the endpoint, `host:port`.
             max_s: Seconds after which a tunnel may end.
+            allowed: Regions of the processes that may open one.
 
         Raises:
             PathLostError: Neither this process nor a helper has a path.
             EndpointError: The endpoint is not reachable.
         """
         if not endpoint_paths.is_lost(self.paths, address):
-            return await self._connect_by_race(address, max_s)
+            return await self._connect_by_race(address, max_s, allowed)
         if endpoint_paths.takes_probe(self.paths, self.clock.now()):
             self.task_group.start_soon(self._probe, address)
         race = _Race(anyio.CancelScope(), self.clock.now())
-        stream = await self._open_tunnel(address, max_s, race)
+        stream = await self._open_tunnel(address, max_s, race, allowed)
         if stream is not None:
             return http_call.Connection(stream, is_direct=False)
         raise self._failure(address, race)
@@ -172,12 +177,14 @@
     # Races ------------------------------------------------------------------
 
     async def _connect_by_race(
-        self, address: str, max_s: float | None
+        self, address: str, max_s: float | None, allowed: regions.Allowed
     ) -> http_call.Connection:
         async with anyio.create_task_group() as task_group:
             race = _Race(task_group.cancel_scope, self.clock.now())
             task_group.start_soon(self._race_directly, address, race)
-            task_group.start_soon(self._race_by_tunnel, address, max_s, race)
+            task_group.start_soon(
+                self._race_by_tunnel, address, max_s, race, allowed
+            )
         if race.winner is not None:
             return race.winner
         raise self._failure(address, race)
@@ -192,14 +199,18 @@
         await _offer(race, stream, is_direct=True)
 
     async def _race_by_tunnel(
-        self, address: str, max_s: float | None, race: _Race
+        self,
+        address: str,
+        max_s: float | None,
+        race: _Race,
+        allowed: regions.Allowed,
     ) -> None:
         """Opens a tunnel if the direct attempt fails or takes long."""
         with anyio.move_on_after(TUNNEL_DELAY_S):
             await race.direct_failed.wait()
         if self._has_connected_since(race.started_s):
             return
-        stream = await self._open_tunnel(address, max_s, race)
+        stream = await self._open_tunnel(address, max_s, race, allowed)
         if stream is None:
             return
         if race.direct_error is not None:
@@ -235,7 +246,9 @@
             m for m in self.view.members.values() if m.name != self.own_name
         ]
 
-    def _helpers_for(self, address: str) -> list[fleetview.Member]:
+    def _helpers_for(
+        self, address: str, allowed: regions.Allowed
+    ) -> list[fleetview.Member]:
         near = {
             e.data_centre
             for e in self.view.endpoints.values()
@@ -243,7 +256,11 @@
         }
         ordered = tunnel_helpers.in_order(
             self.helpers,
-            self._other_members(),
+            [
+                m
+                for m in self._other_members()
+                if regions.serves(self.view, m.data_centre, allowed)
+            ],
             self.clock.now(),
             near=frozenset(near | {self.data_centre}),
             rng=self.rng,
@@ -251,7 +268,11 @@
         return ordered[:MAX_HELPERS]
 
     async def _open_tunnel(
-        self, address: str, max_s: float | None, race: _Race
+        self,
+        address: str,
+        max_s: float | None,
+        race: _Race,
+        allowed: regions.Allowed = None,
     ) -> abc.ByteStream | None:
         """Opens a tunnel through the first helper that can.
 
@@ -259,7 +280,7 @@
             The tunnel, or None; `race.is_confirmed` says whether a helper
             with links does not reach the endpoint.
         """
-        members = self._helpers_for(address)
+        members = self._helpers_for(address, allowed)
         failed = [anyio.Event() for _ in members]
         inner = _Race(anyio.CancelScope(), race.started_s)
 
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -94,6 +94,7 @@
         observations: Until when the endpoints of services with a warm-up are
             cold, by endpoint name.
         bounds: Limits that the deployment guarantees.
+        regions: Region of each data centre for which it is known.
     """
 
     configuration: serving.Configuration | None = None
@@ -118,6 +119,7 @@
     bounds: deployment.Bounds = dataclasses.field(
         default_factory=deployment.Bounds
     )
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def adopt_configuration(
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -183,6 +183,7 @@
             software_version=task.software_version,
             stream_id=_forward_task.stream_id(task),
             attempt=task.attempts,
+            allowed_regions=serving.regions_of(task.route, task.organisation),
         )
         try:
             return await self.tickets.acquire(ticket_request)
@@ -222,6 +223,7 @@
             max_s=max(MIN_REMAINING_S, task.deadline_s - self.clock.now()),
             body=request.body,
             check_sendable=self.tickets.leaving.checker(ticket.endpoint),
+            allowed_regions=ticket.request.allowed_regions,
             is_own_response=lambda h: self.dialect.is_response_to(
                 request_id, h
             ),
--- a/src/ibisknot/http_call.py
+++ b/src/ibisknot/http_call.py
@@ -34,7 +34,8 @@
 
     Attributes:
         connect: Opens a connection to an address, which the relaying process
-            may end after some seconds; raises EndpointError.
+            may end after some seconds, if it is in one of some regions; raises
+            EndpointError.
         check_soon: Starts a check of the path to an address.
         is_lost: Returns whether the path to an address was lost, after a
             check if that is not known.
@@ -43,7 +44,9 @@
         is_silent: Returns whether no server has sent data for some seconds.
     """
 
-    connect: Callable[[str, float | None], Awaitable[Connection]]
+    connect: Callable[
+        [str, float | None, frozenset[str] | None], Awaitable[Connection]
+    ]
     check_soon: Callable[[str], None]
     is_lost: Callable[[str], Awaitable[bool]]
     is_known_lost: Callable[[str], bool]
@@ -90,6 +93,8 @@
             EndpointError if it must not be sent any more. None if it always
             may.
         max_s: Seconds after which a process that relays the call may end it.
+        allowed_regions: Regions of the processes that may relay it; None for
+            any.
         progress: Progress of the call.
     """
 
@@ -101,6 +106,7 @@
     encode_headers: Callable[[], http11.Headers] | None = None
     check_sendable: Callable[[], None] | None = None
     max_s: float | None = None
+    allowed_regions: frozenset[str] | None = None
     is_own_response: Callable[[http11.Headers], bool] | None = None
     read_timeout_s: float | None = None
     needs_useful_data: bool = False
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -199,7 +199,9 @@
         self.opened_count += 1
         call.progress.connection_opened = True
         if self.paths is not None:
-            return await self.paths.connect(call.address, call.max_s)
+            return await self.paths.connect(
+                call.address, call.max_s, call.allowed_regions
+            )
         stream = await http11.connect(
             call.address, self.connect_timeout_s, local_host=self.local_host
         )
--- a/src/ibisknot/job_owners.py
+++ b/src/ibisknot/job_owners.py
@@ -8,6 +8,7 @@
 from ibisknot import fleetview
 from ibisknot import logs
 from ibisknot import peer
+from ibisknot import regions
 from ibisknot.gen.fleet import ttypes
 
 NOTIFY_TIMEOUT_S = 0.3
@@ -26,6 +27,24 @@
     ]
 
 
+def allowed_workers(
+    view: fleetview.View, route: str, organisation: str
+) -> list[str]:
+    """Returns the workers to which the items of a job may go.
+
+    Args:
+        view: Has the workers and the configuration.
+        route: Name of the job's route.
+        organisation: Name of its organisation.
+    """
+    allowed = regions.of_job(view.configuration, route, organisation)
+    return [
+        name
+        for name in worker_names(view)
+        if regions.serves(view, view.members[name].data_centre, allowed)
+    ]
+
+
 def candidates(workers: list[str]) -> list[str]:
     """Returns the workers that may be given jobs.
 
--- a/src/ibisknot/leaving_endpoints.py
+++ b/src/ibisknot/leaving_endpoints.py
@@ -11,6 +11,8 @@
 from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import logs
+from ibisknot import regions
+from ibisknot import ticket_types
 from ibisknot.warmup import cold_limits
 
 MAX_ENDPOINTS = 4096
@@ -95,6 +97,46 @@
             if e.service == service and not e.leaving and self.is_leaving(e)
         )
 
+    def excluded(self, request: ticket_types.TicketRequest) -> frozenset[str]:
+        """Returns the endpoints of its service that a request must not use."""
+        names = self.names(request.service)
+        if request.allowed_regions is None:
+            return names
+        return names | {
+            e.name
+            for e in self.view.endpoints.values()
+            if e.service == request.service and not self.allows(request, e)
+        }
+
+    def allows(
+        self,
+        request: ticket_types.TicketRequest,
+        endpoint: fleet_endpoint.Endpoint,
+    ) -> bool:
+        """Returns whether a request may use an endpoint."""
+        return not self.is_leaving(endpoint) and regions.serves(
+            self.view, endpoint.data_centre, request.allowed_regions
+        )
+
+    def check(self, request: ticket_types.TicketRequest) -> None:
+        """Refuses a request at once that no endpoint can take.
+
+        Raises:
+            OverloadedError: No endpoint takes it.
+            SoftwareGoneError: None with the software that it needs does.
+        """
+        if request.allowed_regions is not None and not any(
+            self.allows(request, endpoint)
+            for endpoint in self.view.endpoints.values()
+            if endpoint.service == request.service
+        ):
+            names = ", ".join(sorted(request.allowed_regions)) or "none"
+            raise errors.OverloadedError(
+                f"no endpoint of {request.service} in the regions {names}",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        self.check_service(request.service, request.software_version)
+
     def check_service(self, service: str, software: str | None) -> None:
         """Refuses a request at once that no endpoint can take.
 
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -124,7 +124,7 @@
         peers = peer.Client(tasks)
         server = peer.Server()
         direct_store = platform.make_store(process.store, store_client)
-        view = fleetview.View(bounds=process.bounds)
+        view = fleetview.View(bounds=process.bounds, regions=process.regions)
         connector = endpoint_connector.Connector(
             view, process.name, process.data_centre, peers, clock, tasks
         )
--- a/src/ibisknot/placement.py
+++ b/src/ibisknot/placement.py
@@ -186,9 +186,7 @@
         number = 0
         while True:
             waited_s = self.clock.now() - started_s
-            self.leaving.check_service(
-                request.service, request.software_version
-            )
+            self.leaving.check(request)
             if waited_s >= request.max_wait_s:
                 message = f"no endpoint of {request.service} was free in time"
                 raise errors.OverloadedError(message, retry_after_s=1.0)
@@ -260,7 +258,7 @@
             now=self.clock.now(),
             number=number,
             accrued_s=accrued_s,
-            leaving=self.leaving.names(request.service),
+            leaving=self.leaving.excluded(request),
             limits=self._limits_for(member),
         )
         try:
@@ -318,7 +316,7 @@
             request.service,
             now,
             avoid=request.avoid,
-            excluded=self.leaving.names(request.service),
+            excluded=self.leaving.excluded(request),
             in_flight=in_flight,
             software_version=request.software_version,
         )
--- a/src/ibisknot/platform/configuration.py
+++ b/src/ibisknot/platform/configuration.py
@@ -44,6 +44,7 @@
     MaxWaitS: float = 0
     # Tokens that a tenant's batch items may have waiting.
     MaxCount: int = 0
+    AllowedRegions: list[str] | None = None
 
 
 class _Service(msgspec.Struct):
@@ -58,6 +59,7 @@
     Priority: int | None = None
     RatePerS: float = 0
     Burst: float = 0
+    AllowedRegions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -95,7 +97,11 @@
         services=frozenset(s.Name for s in config.Services),
         organisations={
             t.Name: serving.Organisation(
-                t.Name, t.RatePerS, t.Burst, t.Priority
+                t.Name,
+                t.RatePerS,
+                t.Burst,
+                t.Priority,
+                frozenset(t.AllowedRegions or ()),
             )
             for t in config.Tenants or []
         },
@@ -169,4 +175,5 @@
         completion_target_s=raw.CompletionTargetMs / 1000,
         max_item_age_s=raw.MaxWaitS,
         max_waiting_tokens=raw.MaxCount,
+        allowed_regions=frozenset(raw.AllowedRegions or ()),
     )
--- a/src/ibisknot/platform/settings.py
+++ b/src/ibisknot/platform/settings.py
@@ -56,6 +56,8 @@
     Limits: _Limits = msgspec.field(default_factory=_Limits)
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     Seeds: list[str] = []
+    Region: str = ""
+    Zones: Any = None
 
 
 def path_from_environment() -> str:
@@ -110,6 +112,22 @@
     return _make_process(file)
 
 
+def _regions(file: _File) -> dict[str, str]:
+    """Returns the regions of the data centres that the file names.
+
+    Entries that are no names are left out.
+    """
+    zones = file.Zones if isinstance(file.Zones, dict) else {}
+    regions = {
+        zone: region
+        for zone, region in zones.items()
+        if isinstance(region, str) and region
+    }
+    if file.Region:
+        regions.setdefault(file.Zone, file.Region)
+    return regions
+
+
 def _make_process(file: _File) -> deployment.Process:
     port = file.PortRange[0]
     # A seed is the control address of a VM. The port for peers is the same on
@@ -142,4 +160,5 @@
             cold_overage=bounds.ColdOverage,
             cold_slack=bounds.ColdSlack,
         ),
+        regions=_regions(file),
     )
--- a/src/ibisknot/serving.py
+++ b/src/ibisknot/serving.py
@@ -50,6 +50,7 @@
             are given up; 0 means never.
         max_waiting_tokens: Tokens that an organisation's batch items may have
             waiting; 0 means no limit.
+        allowed_regions: Regions in which requests may run; empty for any.
     """
 
     name: str
@@ -67,6 +68,7 @@
     completion_target_s: float = 0.0
     max_item_age_s: float = 0.0
     max_waiting_tokens: int = 0
+    allowed_regions: frozenset[str] = frozenset()
 
     def is_idempotent(self) -> bool:
         """Returns whether a request may be run more than once."""
@@ -108,12 +110,14 @@
         rate_per_s: Requests per second; 0 means no limit.
         burst: Requests that may start at once.
         priority: Priority of its requests, or None for the route's.
+        allowed_regions: Regions in which its requests may run; empty for any.
     """
 
     name: str
     rate_per_s: float = 0.0
     burst: float = 0.0
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
     def allowance(self) -> rates.Allowance | None:
         """Returns the rate and burst, or None without a limit."""
@@ -122,6 +126,26 @@
         return rates.Allowance(self.rate_per_s, max(1.0, self.burst))
 
 
+def regions_of(
+    route: Route | None, organisation: Organisation | None
+) -> frozenset[str] | None:
+    """Returns the regions that a route and an organisation both allow.
+
+    None allows any region, and an empty set none.
+
+    >>> north, both = frozenset({"n"}), frozenset({"n", "s"})
+    >>> regions_of(None, Organisation("o"))
+    >>> regions_of(None, Organisation("o", allowed_regions=north))
+    frozenset({'n'})
+    """
+    named = [
+        restricted.allowed_regions
+        for restricted in (route, organisation)
+        if restricted is not None and restricted.allowed_regions
+    ]
+    return frozenset.intersection(*named) if named else None
+
+
 @dataclasses.dataclass(slots=True)
 class Configuration:
     """One version of the operator's serving configuration.
--- a/src/ibisknot/ticket_types.py
+++ b/src/ibisknot/ticket_types.py
@@ -33,6 +33,7 @@
         stream_id: Id of the caller's request that brings the first event of
             the stream; empty if it cannot be resumed.
         attempt: Number of the attempt for which the ticket is.
+        allowed_regions: Regions in which it may run; None for any.
     """
 
     service: str
@@ -53,6 +54,7 @@
     software_version: str | None = None
     stream_id: str = ""
     attempt: int = 0
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/tests/test_forward_paths.py
+++ b/tests/test_forward_paths.py
@@ -15,7 +15,10 @@
 
 
 def _paths(
-    connect: Callable[[str, float | None], Awaitable[http_call.Connection]],
+    connect: Callable[
+        [str, float | None, frozenset[str] | None],
+        Awaitable[http_call.Connection],
+    ],
 ) -> http_call.Paths:
     """Returns paths of which every one that breaks was lost."""
 
@@ -32,7 +35,9 @@
     )
 
 
-async def _connect(address: str, _max_s: float | None) -> http_call.Connection:
+async def _connect(
+    address: str, _max_s: float | None, _allowed: frozenset[str] | None
+) -> http_call.Connection:
     stream = await http11.connect(address, scripted.CONNECT_TIMEOUT_S)
     return http_call.Connection(stream)
 
@@ -51,7 +56,7 @@
     """
 
     async def refuse(
-        _address: str, _max_s: float | None
+        _address: str, _max_s: float | None, _allowed: frozenset[str] | None
     ) -> http_call.Connection:
         raise errors.PathLostError("no path", ran=errors.NOT_RUN)
 
@@ -94,12 +99,12 @@
     calls: list[str] = []
 
     async def connect_once(
-        address: str, max_s: float | None
+        address: str, max_s: float | None, allowed: frozenset[str] | None
     ) -> http_call.Connection:
         calls.append(address)
         if len(calls) > 1:
             raise errors.PathLostError("no path", ran=errors.NOT_RUN)
-        return await _connect(address, max_s)
+        return await _connect(address, max_s, allowed)
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, _ = await scripted.send_request(address)
