--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -3,6 +3,7 @@
 from ibisknot import _admission_state
 from ibisknot import _batch_revocation
 from ibisknot import _endpoint_choice
+from ibisknot import _endpoint_filters
 from ibisknot import _fair_queue
 from ibisknot import _queue_order
 from ibisknot import breaker
@@ -14,12 +15,6 @@
 from ibisknot.locality import endpoint_delays
 from ibisknot.speeds import choice
 
-ONLINE_LIMIT_FRACTION = 0.5
-"""Fraction of an endpoint's limit up to which online is consolidated there.
-
-Online requests that are spread over all endpoints share each of them with a
-full batch. Consolidated on a few, they leave the other endpoints to batch.
-"""
 IDLE_ONLINE_PEAK = 0.5
 """Decayed peak of online requests below which no endpoint prefers them.
 
@@ -75,7 +70,7 @@
     while _grant_batch(group, now, choose_for_batch, actions):
         pass
     if group.policy.revokes_batch and group.batch_queue.size:
-        shared = _shareable_endpoints(_usable_endpoints(group, now))
+        shared = _endpoint_filters.shareable(_usable_endpoints(group, now))
         _batch_revocation.revoke_late(group, shared, now, actions)
     return actions
 
@@ -196,47 +191,9 @@
         if online < IDLE_ONLINE_PEAK:
             return
         endpoint.prefers_online = True
-        online -= endpoint.capacity.limit * ONLINE_LIMIT_FRACTION
-
-
-def _online_first_endpoints(
-    endpoints: list[_admission_state.Endpoint],
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints that prefer online and can take more of it."""
-    return [
-        e
-        for e in endpoints
-        if e.prefers_online
-        and e.online_count() < e.capacity.limit * ONLINE_LIMIT_FRACTION
-    ]
-
-
-def _empty_endpoints(
-    endpoints: list[_admission_state.Endpoint],
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints without tickets; crash suspects need one."""
-    return [e for e in endpoints if not e.tickets]
-
-
-def _shareable_endpoints(
-    endpoints: list[_admission_state.Endpoint],
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints where requests may run beside others."""
-    return [e for e in endpoints if not e.reserved and not e.has_exclusive()]
-
-
-def _spare_endpoints(
-    endpoints: list[_admission_state.Endpoint], now: float
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints at which a request costs no later one."""
-    return [e for e in endpoints if request_limits.is_spare(e.bucket, now)]
-
-
-def _limited_endpoints(
-    endpoints: list[_admission_state.Endpoint],
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints that name a limit on requests."""
-    return [e for e in endpoints if e.bucket is not None]
+        online -= (
+            endpoint.capacity.limit * _endpoint_filters.ONLINE_LIMIT_FRACTION
+        )
 
 
 def _grant_online(
@@ -258,35 +215,54 @@
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
-            free = _empty_endpoints(usable)
+            free = _endpoint_filters.empty(usable)
             if free:
                 _grant(group, now, request, choose(free, request), actions)
                 return True
             _batch_revocation.revoke_on_reserved(group, actions)
             continue
-        shared = _shareable_endpoints(usable)
-        free = [e for e in shared if _batch_revocation.has_free_slot(e)]
-        free = _with_memory(group, free, request)
-        # Requests that limits allow are kept for the next wave. Those that
-        # cannot be kept are used, so that an endpoint can end its limit.
-        free = _spare_endpoints(free, now) or free
-        free = _online_first_endpoints(free) or free
-        speeds = group.speeds
-        fast = choice.for_online(speeds, free, now) or choice.for_online(
-            speeds, free, now, choice.VERY_SLOW
-        )
-        if not fast and group.policy.revokes_batch:
-            others = choice.for_online(speeds, shared, now, choice.VERY_SLOW)
-            fast = _revoke_for_online(
-                group, others or shared, now, request, actions
-            )
-        free = fast or free
+        shared = _endpoint_filters.shareable(usable)
+        warm = _endpoint_filters.warm(shared)
+        free = _free_for_online(group, warm, now, request, actions)
+        if not free and len(warm) < len(shared):
+            # A cold endpoint is slow: batch yields at a warm one first.
+            cold = _endpoint_filters.cold(shared)
+            free = _free_for_online(group, cold, now, request, actions)
         if free:
             _grant(group, now, request, choose(free, request), actions)
             return True
     return False
 
 
+def _free_for_online(
+    group: _admission_state.Group,
+    endpoints: list[_admission_state.Endpoint],
+    now: float,
+    request: _fair_queue.QueuedRequest,
+    actions: list[_admission_state.Action],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints to choose from for an online request.
+
+    If none has a free slot, a batch ticket is revoked.
+    """
+    free = [e for e in endpoints if _batch_revocation.has_free_slot(e)]
+    free = _with_memory(group, free, request)
+    # Requests that limits allow are kept for the next wave. Those that cannot
+    # be kept are used, so that an endpoint can end its limit.
+    free = _endpoint_filters.spare(free, now) or free
+    free = _endpoint_filters.online_first(free) or free
+    speeds = group.speeds
+    fast = choice.for_online(speeds, free, now) or choice.for_online(
+        speeds, free, now, choice.VERY_SLOW
+    )
+    if not fast and group.policy.revokes_batch:
+        others = choice.for_online(speeds, endpoints, now, choice.VERY_SLOW)
+        fast = _revoke_for_online(
+            group, others or endpoints, now, request, actions
+        )
+    return fast or free
+
+
 def _with_memory(
     group: _admission_state.Group,
     endpoints: list[_admission_state.Endpoint],
@@ -318,7 +294,7 @@
     if group.memory_tokens == memory.UNSTATED or len(order) != 1:
         return order, ""
     first = order[0]
-    shared = _shareable_endpoints(_usable_endpoints(group, now, first))
+    shared = _endpoint_filters.shareable(_usable_endpoints(group, now, first))
     kept = memory.kept_endpoint(shared, first, group.memory_tokens)
     if not kept:
         return order, ""
@@ -387,15 +363,22 @@
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
-            free = _empty_endpoints(usable)
+            free = _endpoint_filters.empty(usable)
             if not free:
                 _batch_revocation.revoke_on_reserved(group, actions)
         else:
             free = _with_batch_slot(usable, now, group.policy)
+            if not _endpoint_filters.warm(usable):
+                # Online requests come first where nothing else serves them.
+                free = [
+                    e
+                    for e in free
+                    if not request_limits.keeps_for_online(e.bucket)
+                ]
             free = _with_memory(group, free, request)
             # A limit counts requests, and a batch item runs for as long as
             # many online requests.
-            free = _limited_endpoints(free) or free
+            free = _endpoint_filters.limited(free) or free
             free = choice.for_batch(group.speeds, free, request, now)
         if free:
             _grant(group, now, request, choose(free, request), actions)
@@ -440,7 +423,7 @@
     """Returns the endpoints that may have one more batch ticket."""
     return [
         e
-        for e in _shareable_endpoints(usable)
+        for e in _endpoint_filters.shareable(usable)
         if e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
     ]
 
--- /dev/null
+++ b/src/ibisknot/_endpoint_filters.py
@@ -0,0 +1,65 @@
+"""Selects the endpoints that suit a request."""
+
+from ibisknot import _admission_state
+from ibisknot import request_limits
+
+ONLINE_LIMIT_FRACTION = 0.5
+"""Fraction of an endpoint's limit up to which online is consolidated there.
+
+Online requests that are spread over all endpoints share each of them with a
+full batch. Consolidated on a few, they leave the other endpoints to batch.
+"""
+
+
+def online_first(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that prefer online and can take more of it."""
+    return [
+        e
+        for e in endpoints
+        if e.prefers_online
+        and e.online_count() < e.capacity.limit * ONLINE_LIMIT_FRACTION
+    ]
+
+
+def empty(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints without tickets; crash suspects need one."""
+    return [e for e in endpoints if not e.tickets]
+
+
+def shareable(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints where requests may run beside others."""
+    return [e for e in endpoints if not e.reserved and not e.has_exclusive()]
+
+
+def spare(
+    endpoints: list[_admission_state.Endpoint], now: float
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints at which a request costs no later one."""
+    return [e for e in endpoints if request_limits.is_spare(e.bucket, now)]
+
+
+def limited(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that name a limit on requests."""
+    return [e for e in endpoints if e.bucket is not None]
+
+
+def warm(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that are not cold."""
+    return [e for e in endpoints if not request_limits.is_cold(e.bucket)]
+
+
+def cold(
+    endpoints: list[_admission_state.Endpoint],
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints that are cold."""
+    return [e for e in endpoints if request_limits.is_cold(e.bucket)]
--- a/src/ibisknot/deployment.py
+++ b/src/ibisknot/deployment.py
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Bounds:
-    """Time limits that the deployment guarantees or allows, in seconds.
+    """Limits that the deployment guarantees or allows, times in seconds.
 
     Attributes:
         drain_s: Time after which a draining endpoint gets no new requests.
@@ -17,6 +17,11 @@
         status_s: Time for which the results of an ended job stay readable.
         cancel_s: Time after which no item of an ended job reaches an endpoint.
         settle_s: Time after which every process answers for a new batch job.
+        evacuation_s: Time after which the endpoints of an evacuated data centre
+            get no new requests.
+        cold_overage: Requests that a cold endpoint may get within one second,
+            as a multiple of those that it takes.
+        cold_slack: Requests that it may get in addition.
     """
 
     drain_s: float = 2.0
@@ -25,6 +30,9 @@
     status_s: float = 120.0
     cancel_s: float = 3.0
     settle_s: float = 1.0
+    evacuation_s: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +56,7 @@
         memory_bytes: Memory limit, above which the process is killed.
         descriptors: Limit of open file descriptors.
         data_folder: Folder on the VM's disk, or None without one.
+        regions: Region of each data centre for which it is stated.
     """
 
     name: str
@@ -66,6 +75,7 @@
     descriptors: int
     bounds: Bounds
     data_folder: str | None = None
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def peer_address(self) -> str:
--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 import xxhash
@@ -15,6 +16,8 @@
 from ibisknot import fleet_endpoint
 from ibisknot import pairs
 from ibisknot import serving
+from ibisknot.evacuation import known
+from ibisknot.warmup import observation
 
 NEVER_S = -1e9
 """Monotonic time of what has not happened yet."""
@@ -93,6 +96,11 @@
         store_recovered_s: Monotonic time at which the entries, and that at
             which the members, were first read after a store outage; the later
             one.
+        evacuations: The data centres whose endpoints get no requests.
+        observations: Until when the endpoints of services with a warm-up are
+            cold, by endpoint name.
+        bounds: Limits that the deployment guarantees.
+        regions: Region of each data centre for which it is known.
     """
 
     configuration: serving.Configuration | None = None
@@ -110,6 +118,14 @@
     members_revision: int = 0
     members_read_s: float = NEVER_S
     store_recovered_s: float = NEVER_S
+    evacuations: known.Known = known.Known()
+    observations: dict[str, observation.Seen] = dataclasses.field(
+        default_factory=dict
+    )
+    bounds: deployment.Bounds = dataclasses.field(
+        default_factory=deployment.Bounds
+    )
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def adopt_configuration(
@@ -237,12 +253,45 @@
     """Returns a signed 64-bit hash of the endpoints, which peers compare.
 
     The hash covers the class and field names of an endpoint, so that these
-    must be the same in all builds of a fleet.
+    must be the same in all builds of a fleet. What it covers of cold endpoints
+    is added only where there are any.
     """
     text = repr(sorted(view.endpoints.items()))
+    cold = observation.digest_rows(view.endpoints.values(), warm_ups(view))
+    if cold:
+        text += repr(cold)
     return xxhash.xxh3_64_intdigest(text.encode()) - (1 << 63)
 
 
+def warm_ups(view: View) -> Mapping[str, serving.WarmUp]:
+    """Returns the warm-ups of the services that have one, by service."""
+    return {} if view.configuration is None else view.configuration.warm_ups
+
+
+def observe_warm_ups(
+    view: View, now: float, unix_s: float
+) -> list[fleet_endpoint.Endpoint]:
+    """Records until when the endpoints are cold.
+
+    Args:
+        view: The view to change.
+        now: Monotonic time in seconds.
+        unix_s: Unix time in seconds.
+
+    Returns:
+        The endpoints whose entries do not say so readably, for the log.
+    """
+    if not warm_ups(view) and not view.observations:
+        return []
+    age_s = now - view.endpoints_read_s
+    return observation.observe(
+        view.observations,
+        view.endpoints.values(),
+        warm_ups(view),
+        observation.Read(now, view.endpoints_read_s, (unix_s - age_s) * 1000),
+    )
+
+
 def adopt_members(
     view: View,
     now: float,
@@ -328,15 +377,23 @@
 
 
 def active_endpoints(view: View, service: str) -> list[fleet_endpoint.Endpoint]:
-    """Returns a service's endpoints that are not draining, sorted by name."""
+    """Returns a service's endpoints that take requests, sorted by name.
+
+    Those that are draining or in an evacuated data centre are left out.
+    """
     endpoints = [
         e
         for e in view.endpoints.values()
-        if e.service == service and not e.leaving
+        if e.service == service and not e.leaving and not is_evacuated(view, e)
     ]
     return sorted(endpoints, key=lambda endpoint: endpoint.name)
 
 
+def is_evacuated(view: View, endpoint: fleet_endpoint.Endpoint) -> bool:
+    """Returns whether an endpoint is in an evacuated data centre."""
+    return endpoint.data_centre in view.evacuations.data_centres
+
+
 def by_precedence(members: Iterable[Member]) -> list[Member]:
     """Returns the members in order of precedence, for example as schedulers.
 
--- a/src/ibisknot/http_call.py
+++ b/src/ibisknot/http_call.py
@@ -34,7 +34,8 @@
 
     Attributes:
         connect: Opens a connection to an address, which the relaying process
-            may end after some seconds; raises EndpointError.
+            may end after some seconds, if it is in one of some regions; raises
+            EndpointError.
         check_soon: Starts a check of the path to an address.
         is_lost: Returns whether the path to an address was lost, after a
             check if that is not known.
@@ -43,7 +44,9 @@
         is_silent: Returns whether no server has sent data for some seconds.
     """
 
-    connect: Callable[[str, float | None], Awaitable[Connection]]
+    connect: Callable[
+        [str, float | None, frozenset[str] | None], Awaitable[Connection]
+    ]
     check_soon: Callable[[str], None]
     is_lost: Callable[[str], Awaitable[bool]]
     is_known_lost: Callable[[str], bool]
@@ -86,7 +89,12 @@
             received data counts.
         encode_headers: Returns the headers when the request is sent, or None
             if `headers` has them.
+        check_sendable: Called when the call is about to be sent; raises
+            EndpointError if it must not be sent any more. None if it always
+            may.
         max_s: Seconds after which a process that relays the call may end it.
+        allowed_regions: Regions of the processes that may relay it; None for
+            any.
         progress: Progress of the call.
     """
 
@@ -96,7 +104,9 @@
     headers: http11.Headers = dataclasses.field(default_factory=list)
     body: bytes = b""
     encode_headers: Callable[[], http11.Headers] | None = None
+    check_sendable: Callable[[], None] | None = None
     max_s: float | None = None
+    allowed_regions: frozenset[str] | None = None
     is_own_response: Callable[[http11.Headers], bool] | None = None
     read_timeout_s: float | None = None
     needs_useful_data: bool = False
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -26,6 +26,7 @@
 from ibisknot import prompt_crash_records
 from ibisknot import software_history
 from ibisknot import software_records
+from ibisknot import store_layout
 from ibisknot import store_relay
 from ibisknot import stream_lookup
 from ibisknot import stream_origins
@@ -59,7 +60,7 @@
     settings_path: str
     load_settings: Callable[[str], deployment.Process]
     make_store: Callable[[str, http_client.Client], pairs.KeyValueStore]
-    layout: view_runner.Layout
+    layout: store_layout.Layout
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,7 +132,7 @@
         clients = listener.make(process, clock.now)
         server = peer.Server(clients=clients)
         direct_store = platform.make_store(process.store, store_client)
-        view = fleetview.View()
+        view = fleetview.View(bounds=process.bounds, regions=process.regions)
         peers.scope_of = scopes.of_members(view, process.data_centre)
         connector = endpoint_connector.Connector(
             view, process.name, process.data_centre, peers, clock, tasks
--- a/src/ibisknot/operator_watch.py
+++ b/src/ibisknot/operator_watch.py
@@ -33,6 +33,8 @@
             the shortest time to wait in seconds.
         on_current: Called when all changes up to some moment are known, with
             the seconds since then.
+        on_listing: Called with each read of all keys, before they are applied:
+            a key that it lacks was deleted.
         is_following: Whether all keys were read and their changes are being
             waited for.
         wait_scope: Cancelled to end the wait for changes; None before it.
@@ -47,6 +49,7 @@
         is_needed: Callable[[], bool],
         on_reachability: Callable[[bool, str], None],
         on_current: Callable[[float], None],
+        on_listing: Callable[[pairs.Listing], None],
         wait_for_store: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         self.store = store
@@ -55,6 +58,7 @@
         self.is_needed = is_needed
         self.on_reachability = on_reachability
         self.on_current = on_current
+        self.on_listing = on_listing
         self.wait_for_store = wait_for_store
         self.is_following = False
         self.wait_scope: anyio.CancelScope | None = None
@@ -120,6 +124,7 @@
     async def _read_all(self) -> int:
         """Applies all keys; returns the store's revision."""
         listing = await self.store.list_prefix(self.prefix)
+        self.on_listing(listing)
         for pair in listing.pairs:
             self.apply(pairs.Change(pair.key, pair.value, pair.revision))
         return listing.revision
--- a/src/ibisknot/platform/configuration.py
+++ b/src/ibisknot/platform/configuration.py
@@ -10,10 +10,11 @@
 from ibisknot import logs
 from ibisknot import serving
 
+MAX_COLD_START_S = 3600.0
+MAX_COLD_PER_S = 1e6
 MAX_MEMORY_TOKENS = 1_000_000_000
 """Larger statements of an endpoint's memory are ignored."""
-MAX_LOGGED_VALUE = 80
-
+MAX_LOGGED_CHARACTERS = 60
 KEY = "op/config"
 """Key of the operator's newest value."""
 KINDS = {
@@ -47,11 +48,14 @@
     MaxWaitS: float = 0
     # Tokens that a tenant's batch items may have waiting.
     MaxCount: int = 0
+    AllowedRegions: list[str] | None = None
 
 
 class _Service(msgspec.Struct):
     Name: str
     Engine: Any = None
+    ColdStartS: Any = None
+    ColdPerS: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -60,6 +64,7 @@
     Priority: int | None = None
     RatePerS: float = 0
     Burst: float = 0
+    AllowedRegions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -96,7 +101,11 @@
         services=frozenset(s.Name for s in config.Services),
         organisations={
             t.Name: serving.Organisation(
-                t.Name, t.RatePerS, t.Burst, t.Priority
+                t.Name,
+                t.RatePerS,
+                t.Burst,
+                t.Priority,
+                frozenset(t.AllowedRegions or ()),
             )
             for t in config.Tenants or []
         },
@@ -113,9 +122,44 @@
             idle_timeout_s=config.Limits.IdleTimeoutMs / 1000,
         ),
         memory_tokens=_decode_memory(config.Services),
+        warm_ups=_decode_warm_ups(config.Services),
     )
 
 
+def _decode_warm_ups(services: list[_Service]) -> dict[str, serving.WarmUp]:
+    """Returns the warm-ups of the services that state both fields.
+
+    A service with a value that cannot be used is not limited.
+    """
+    warm_ups = {}
+    for service in services:
+        duration_s, rate_per_s = service.ColdStartS, service.ColdPerS
+        if duration_s is None and rate_per_s is None:
+            continue
+        if _is_in_range(duration_s, MAX_COLD_START_S) and _is_in_range(
+            rate_per_s, MAX_COLD_PER_S
+        ):
+            warm_ups[service.Name] = serving.WarmUp(
+                float(duration_s), float(rate_per_s)
+            )
+            continue
+        logs.event(
+            "warm_up_unreadable",
+            level="warning",
+            service=service.Name,
+            duration_s=repr(duration_s)[:MAX_LOGGED_CHARACTERS],
+            rate_per_s=repr(rate_per_s)[:MAX_LOGGED_CHARACTERS],
+        )
+    return warm_ups
+
+
+def _is_in_range(value: object, largest: float) -> bool:
+    """Returns whether a value is a number above 0 and not above a limit."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 0 < value <= largest
+
+
 def _decode_memory(services: list[_Service]) -> dict[str, int]:
     """Returns the tokens that an endpoint of each service holds, if stated."""
     stated = {}
@@ -123,15 +167,14 @@
         if not isinstance(service.Engine, dict):
             continue
         tokens: Any = service.Engine.get("KvCapacityTokens")
-        is_number = isinstance(tokens, int | float) and tokens is not True
-        if is_number and 0 < tokens <= MAX_MEMORY_TOKENS:
+        if _is_in_range(tokens, MAX_MEMORY_TOKENS):
             stated[service.Name] = int(tokens)
         elif tokens is not None:
             logs.event(
                 "engine_memory_ignored",
                 level="warning",
                 service=service.Name,
-                value=repr(tokens)[:MAX_LOGGED_VALUE],
+                value=repr(tokens)[:MAX_LOGGED_CHARACTERS],
             )
     return stated
 
@@ -156,4 +199,5 @@
         completion_target_s=raw.CompletionTargetMs / 1000,
         max_item_age_s=raw.MaxWaitS,
         max_waiting_tokens=raw.MaxCount,
+        allowed_regions=frozenset(raw.AllowedRegions or ()),
     )
--- a/src/ibisknot/platform/programs.py
+++ b/src/ibisknot/platform/programs.py
@@ -14,7 +14,7 @@
 from ibisknot import logs
 from ibisknot import node
 from ibisknot import pairs
-from ibisknot import view_runner
+from ibisknot import store_layout
 from ibisknot import worker_program
 from ibisknot import worker_retirement
 from ibisknot.platform import configuration
@@ -44,13 +44,14 @@
 RETIREMENT_DIALECT = worker_retirement.Dialect(
     decode_order=retirement.decode_order, encode_status=retirement.encode_status
 )
-LAYOUT = view_runner.Layout(
+LAYOUT = store_layout.Layout(
     operator_prefix="op/",
     configuration_key=configuration.KEY,
     endpoints_prefix=entries.KEY_PREFIX,
     members_prefix="ibisknot/members/",
     decode_configuration=configuration.decode,
     decode_endpoint=entries.decode,
+    evacuations_prefix="op/evacuate/",
 )
 
 
--- a/src/ibisknot/platform/settings.py
+++ b/src/ibisknot/platform/settings.py
@@ -32,6 +32,9 @@
     StatusS: float = 120
     CancelMs: float = 3000
     SettleMs: float = 1000
+    EvacMs: float = 5000
+    ColdOverage: float = 1.5
+    ColdSlack: float = 5
 
 
 class _Platform(msgspec.Struct):
@@ -54,6 +57,8 @@
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     Seeds: list[str] = []
     DataDir: str | None = None
+    Region: str = ""
+    Zones: Any = None
 
 
 def path_from_environment() -> str:
@@ -108,6 +113,22 @@
     return _make_process(file)
 
 
+def _regions(file: _File) -> dict[str, str]:
+    """Returns the regions of the data centres that the file names.
+
+    Entries that are no names are left out.
+    """
+    zones = file.Zones if isinstance(file.Zones, dict) else {}
+    regions = {
+        zone: region
+        for zone, region in zones.items()
+        if isinstance(region, str) and region
+    }
+    if file.Region:
+        regions.setdefault(file.Zone, file.Region)
+    return regions
+
+
 def _make_process(file: _File) -> deployment.Process:
     port = file.PortRange[0]
     # A seed is the control address of a VM. The port for peers is the same on
@@ -137,5 +158,9 @@
             status_s=bounds.StatusS,
             cancel_s=bounds.CancelMs / 1000,
             settle_s=bounds.SettleMs / 1000,
+            evacuation_s=bounds.EvacMs / 1000,
+            cold_overage=bounds.ColdOverage,
+            cold_slack=bounds.ColdSlack,
         ),
+        regions=_regions(file),
     )
--- a/src/ibisknot/serving.py
+++ b/src/ibisknot/serving.py
@@ -50,6 +50,7 @@
             are given up; 0 means never.
         max_waiting_tokens: Tokens that an organisation's batch items may have
             waiting; 0 means no limit.
+        allowed_regions: Regions in which requests may run; empty for any.
     """
 
     name: str
@@ -67,6 +68,7 @@
     completion_target_s: float = 0.0
     max_item_age_s: float = 0.0
     max_waiting_tokens: int = 0
+    allowed_regions: frozenset[str] = frozenset()
 
     def is_idempotent(self) -> bool:
         """Returns whether a request may be run more than once."""
@@ -86,6 +88,19 @@
         return rng.choices(self.targets, weights)[0].service
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WarmUp:
+    """How a service's endpoints are treated while they are cold.
+
+    Attributes:
+        duration_s: Seconds for which an endpoint is cold after its start.
+        rate_per_s: Requests a second that a cold endpoint takes.
+    """
+
+    duration_s: float
+    rate_per_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Organisation:
     """An organisation with its rate limit over the whole fleet.
@@ -95,12 +110,14 @@
         rate_per_s: Requests per second; 0 means no limit.
         burst: Requests that may start at once.
         priority: Priority of its requests, or None for the route's.
+        allowed_regions: Regions in which its requests may run; empty for any.
     """
 
     name: str
     rate_per_s: float = 0.0
     burst: float = 0.0
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
     def allowance(self) -> rates.Allowance | None:
         """Returns the rate and burst, or None without a limit."""
@@ -109,6 +126,26 @@
         return rates.Allowance(self.rate_per_s, max(1.0, self.burst))
 
 
+def regions_of(
+    route: Route | None, organisation: Organisation | None
+) -> frozenset[str] | None:
+    """Returns the regions that a route and an organisation both allow.
+
+    None allows any region, and an empty set none.
+
+    >>> north, both = frozenset({"n"}), frozenset({"n", "s"})
+    >>> regions_of(None, Organisation("o"))
+    >>> regions_of(None, Organisation("o", allowed_regions=north))
+    frozenset({'n'})
+    """
+    named = [
+        restricted.allowed_regions
+        for restricted in (route, organisation)
+        if restricted is not None and restricted.allowed_regions
+    ]
+    return frozenset.intersection(*named) if named else None
+
+
 @dataclasses.dataclass(slots=True)
 class Configuration:
     """One version of the operator's serving configuration.
@@ -124,6 +161,8 @@
         limits: Limits of the HTTP server.
         memory_tokens: Tokens that the memory of one endpoint holds, by the
             service's name; services without a statement are missing.
+        warm_ups: Warm-up of the services whose endpoints are cold after their
+            start, by service.
     """
 
     version: int
@@ -134,6 +173,7 @@
     requires_key: bool
     limits: http_server.Limits
     memory_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    warm_ups: dict[str, WarmUp] = dataclasses.field(default_factory=dict)
 
     def find_organisation(self, key: str | None) -> str | None:
         """Returns the name of the organisation that owns an API key."""
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -5,14 +5,13 @@
 """
 
 from collections.abc import Callable
-import dataclasses
+import time
 
 import anyio
 
 from ibisknot import _view_log
 from ibisknot import deployment
 from ibisknot import errors
-from ibisknot import fleet_endpoint
 from ibisknot import fleetview
 from ibisknot import isolation
 from ibisknot import logs
@@ -20,9 +19,10 @@
 from ibisknot import pairs
 from ibisknot import peer
 from ibisknot import registration
-from ibisknot import serving
+from ibisknot import store_layout
 from ibisknot import timer
 from ibisknot import view_exchange
+from ibisknot.evacuation import follower
 from ibisknot.outage import probing
 
 POLL_CHECK_PERIOD_S = 0.2
@@ -46,29 +46,6 @@
 """
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Layout:
-    """Keys and encodings of the fleet's state in the store.
-
-    Attributes:
-        operator_prefix: Prefix of all keys that the operator writes.
-        configuration_key: Key of the newest configuration.
-        endpoints_prefix: Prefix of the endpoints' entries.
-        members_prefix: Prefix of the member entries that processes write.
-        decode_configuration: Decodes a configuration; raises BadRequestError
-            if it is malformed.
-        decode_endpoint: Decodes an endpoint's entry; returns None if it is
-            malformed.
-    """
-
-    operator_prefix: str
-    configuration_key: str
-    endpoints_prefix: str
-    members_prefix: str
-    decode_configuration: Callable[[bytes], serving.Configuration]
-    decode_endpoint: Callable[[pairs.Pair], fleet_endpoint.Endpoint | None]
-
-
 class Runner:
     """Keeps the view up to date, and publishes it to peers.
 
@@ -81,11 +58,13 @@
         view: The view that is kept up to date.
         registration: Keeps this process's member entry in the store.
         own_member: This process as a member of the fleet.
-        change_callbacks: Called after endpoints or members changed.
+        change_callbacks: Called after endpoints, members or evacuations
+            changed.
         configuration_callbacks: Called after a configuration was adopted.
         operator_callbacks: Called with each change of another operator key.
         exchange: Exchanges views with peers.
         operator_watch: Follows the operator's keys.
+        evacuations: Keeps the evacuated data centres up to date.
         next_poll_s: Monotonic time before which the entries are not read
             again, after a failed read.
         next_members_poll_s: Monotonic time before which the members are not
@@ -103,7 +82,7 @@
         store: pairs.KeyValueStore,
         direct_store: pairs.KeyValueStore,
         view: fleetview.View,
-        layout: Layout,
+        layout: store_layout.Layout,
         peers: peer.Client,
         clock: timer.Timer,
         task_group: isolation.TaskStarter,
@@ -123,6 +102,9 @@
         self.change_callbacks: list[Callable[[], None]] = []
         self.configuration_callbacks: list[Callable[[], None]] = []
         self.operator_callbacks: list[Callable[[pairs.Change], None]] = []
+        self.evacuations = follower.Follower(
+            view, layout.evacuations_prefix, STORE, self._on_evacuations
+        )
         self.exchange = view_exchange.Exchange(
             self.own_member.name,
             self._seed_addresses,
@@ -132,6 +114,7 @@
                 self._adopt_confirmation,
                 self._adopt_entries,
                 self._adopt_members,
+                self.evacuations.on_news,
             ),
             peers,
             clock,
@@ -143,6 +126,7 @@
             is_needed=self._needs_own_watch,
             on_reachability=self._record_reachability,
             on_current=self._confirm_configuration,
+            on_listing=self.evacuations.on_listing,
             wait_for_store=self._wait_for_store,
         )
         self.next_poll_s = 0.0
@@ -257,12 +241,26 @@
             entries=entries,
             decode=self.layout.decode_endpoint,
         )
+        if adopted:
+            self._observe_warm_ups()
         if adopted and self.view.endpoints != before:
             _view_log.endpoint_changes(
                 before, self.view.endpoints, revision, age_s
             )
             self._run_callbacks(self.change_callbacks)
 
+    def _observe_warm_ups(self) -> None:
+        """Records which endpoints are cold; logs those that do not say so."""
+        for endpoint in fleetview.observe_warm_ups(
+            self.view, self.clock.now(), time.time()
+        ):
+            logs.event(
+                "cold_time_unreadable",
+                level="warning",
+                endpoint=endpoint.name,
+                born_ms=endpoint.born_ms,
+            )
+
     def _run_callbacks(self, callbacks: list[Callable[[], None]]) -> None:
         for callback in callbacks:
             callback()
@@ -378,6 +376,7 @@
                 revision=revision,
                 source=source,
             )
+            self._observe_warm_ups()
             self._run_callbacks(self.configuration_callbacks)
             if self._is_publisher() or (source == STORE and not is_first):
                 self.task_group.start_soon(self._publish_in_turn)
@@ -470,9 +469,20 @@
         )
 
     def _apply_operator_change(self, change: pairs.Change) -> None:
-        """Adopts a new configuration; passes other changes to callbacks."""
+        """Adopts a new configuration or evacuation.
+
+        Other changes are passed to callbacks.
+        """
+        if self.evacuations.on_change(change):
+            return
         if change.key != self.layout.configuration_key:
             for callback in self.operator_callbacks:
                 callback(change)
         elif change.value is not None:
             self.adopt_configuration(change.revision, change.value, STORE)
+
+    def _on_evacuations(self, source: str) -> None:
+        """Reports changed evacuations, and publishes them to peers."""
+        self._run_callbacks(self.change_callbacks)
+        if self._is_publisher() or source == STORE:
+            self.task_group.start_soon(self.exchange.publish)
--- a/tests/view_world.py
+++ b/tests/view_world.py
@@ -7,6 +7,7 @@
 from ibisknot import deployment
 from ibisknot import http_server
 from ibisknot import serving
+from ibisknot import store_layout
 from ibisknot import view_runner
 from ibisknot.gen.fleet import ttypes
 
@@ -43,7 +44,7 @@
             self.store,
             self.store,
             self.view,
-            view_runner.Layout(
+            store_layout.Layout(
                 "o/",
                 "o/c",
                 "e/",
