--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -33,6 +33,7 @@
         half_closes: Whether each ends its direction after its last byte.
         reconnects: Whether a client that was closed comes back.
         resets: Whether the clients leave with a reset.
+        piece_bytes: What a client sends at once, at most.
     """
 
     address: tuple[str, int]
@@ -45,6 +46,7 @@
     half_closes: bool = False
     reconnects: bool = True
     resets: bool = True
+    piece_bytes: int = SEND_BYTES
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,7 +139,7 @@
                 self._finish(client)
                 return
             client.pending = memoryview(self.block)
-        sent = client.stream.send(client.pending)
+        sent = client.stream.send(client.pending[: pattern.piece_bytes])
         client.pending = client.pending[sent:]
         client.sent_bytes += sent
         self.usage.sent_bytes += sent
