Do not let a read wait for a silent store at its deadline

Cause, seen in a run with real processes: in an outage without answers, a read with a wait of 2 s was refused after 3 s, since its last attempt at the store waited for its time-out.

Change: that attempt takes 0.3 s at most while no process reaches the store.

--- a/src/ibisknot/job_reader.py
+++ b/src/ibisknot/job_reader.py
@@ -36,6 +36,8 @@
 """Longest time for which a caller may wait for results."""
 RETRY_PAUSE_S = 0.2
 """Pause before a failed read is repeated in the time that its caller waits."""
+OUTAGE_READ_S = 0.3
+"""Time for the last attempt of a read in an outage, at its deadline."""
 RETRY_AFTER_S = 0.5
 SILENT_PAUSE_S = 2.0
 """Time for which a worker that did not answer is not asked."""
@@ -187,7 +189,8 @@
             KeyValueError: The store does not respond.
         """
         cached = self.cached_jobs.get(job_id)
-        if cached is None or not cached.is_complete():
+        is_complete = cached is not None and cached.is_complete()
+        if not is_complete:
             wait_s = max(0.0, deadline_s - self.clock())
             request = ttypes.JobRead(
                 job=job_id, first_index=first_index, wait_s=wait_s
@@ -199,11 +202,18 @@
                 check_access(job_id, page.organisation, organisation)
                 results = batch_records.decode_results(page.results)
                 return page.total, results
-            if self.is_outage() and self.clock() + RETRY_PAUSE_S < deadline_s:
-                raise errors.KeyValueError("no process reaches the store")
-        return await self._read_from_store(
-            job_id, organisation, first_index, deadline_s
-        )
+        if is_complete or not self.is_outage():
+            return await self._read_from_store(
+                job_id, organisation, first_index, deadline_s
+            )
+        if self.clock() + RETRY_PAUSE_S < deadline_s:
+            raise errors.KeyValueError("no process reaches the store")
+        # The view may be old although the store answers.
+        with anyio.move_on_after(OUTAGE_READ_S):
+            return await self._read_from_store(
+                job_id, organisation, first_index, deadline_s
+            )
+        raise errors.KeyValueError("no process reaches the store")
 
     # Workers --------------------------------------------------------------
 
--- a/tests/test_job_reader.py
+++ b/tests/test_job_reader.py
@@ -186,6 +186,42 @@
     job_world.run(scenario)
 
 
+def test_read_in_an_outage_does_not_wait_for_a_silent_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a refusal that comes after the caller's time-out."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w0"))
+        world.peers.unresponsive.add("w0:1")
+        world.reader.is_outage = lambda: True
+
+        async def give_no_answer(_key: str) -> None:
+            await anyio.sleep_forever()
+
+        monkeypatch.setattr(world.store, "get", give_no_answer)
+        with pytest.raises(errors.KeyValueError):
+            await world.read()
+
+    job_world.run(scenario)
+
+
+def test_complete_job_is_read_from_the_cache_in_an_outage() -> None:
+    """Guards against known results that wait for the end of an outage."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        for index in (0, 1, 2):
+            await world.finish_item(index)
+        world.peers.unresponsive.add("w0:1")
+        assert len(await world.read()) == 3
+        world.store.is_down = True
+        world.reader.is_outage = lambda: True
+        assert len(await world.read(wait_s=5.0)) == 3
+
+    job_world.run(scenario)
+
+
 def test_failed_read_is_repeated_while_its_caller_waits() -> None:
     """Guards against a caller who gets no results until it asks again."""
 
