Retain members that lapsed in an outage for the time of a lease

Cause, seen in a run with real processes on an overloaded machine: two workers had written their entries again 2.6 s and 3.4 s after the store was back, and had left every view after 2.2 s for about a second.

Change: lapsed members are retained for 4 s after an outage, which a worker's renewal and the time-out of a call fit. Endpoints are retained as before. A worker that is killed in an outage is missed that much later.

--- a/src/ibisknot/fleetview.py
+++ b/src/ibisknot/fleetview.py
@@ -25,6 +25,8 @@
 """
 REREGISTRATION_S = 2.2
 """Time in which endpoints write entries again that expired in an outage."""
+MEMBER_REREGISTRATION_S = 4.0
+"""The same for members, which may first wait for the time-out of a call."""
 POLL_PERIOD_S = 0.4
 """Age of the entries at which the first process reads them again."""
 POLL_STAGGER_S = 0.15
@@ -252,7 +254,7 @@
     """Adopts a listing of the fleet's processes if it is newer.
 
     Members that are missing from the listing are retained for
-    `REREGISTRATION_S` after a store outage.
+    `MEMBER_REREGISTRATION_S` after a store outage.
 
     Args:
         view: The view to change.
@@ -270,7 +272,7 @@
     if revision == view.members_revision:
         return False
     listed = {member.name: member for member in members}
-    if now - view.store_recovered_s < REREGISTRATION_S:
+    if now - view.store_recovered_s < MEMBER_REREGISTRATION_S:
         listed = view.members | listed
     view.members_revision = revision
     changed = listed != view.members
