--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -203,6 +203,7 @@
     actions: list[_admission_state.Action],
 ) -> bool:
     """Grants one queued online request if possible; returns whether it did."""
+    has_cold = _endpoint_filters.has_cold(group)
     order, kept = _keep_memory(
         group,
         _queue_order.online_order(group, now),
@@ -222,9 +223,9 @@
             _batch_revocation.revoke_on_reserved(group, actions)
             continue
         shared = _endpoint_filters.shareable(usable)
-        warm = _endpoint_filters.warm(shared)
+        warm = _endpoint_filters.warm(shared) if has_cold else shared
         free = _free_for_online(group, warm, now, request, actions)
-        if not free and len(warm) < len(shared):
+        if not free and has_cold:
             # A cold endpoint is slow: batch yields at a warm one first.
             cold = _endpoint_filters.cold(shared)
             free = _free_for_online(group, cold, now, request, actions)
@@ -351,6 +352,7 @@
         return False
     if not _may_grant_batch(group, now):
         return False
+    has_cold = _endpoint_filters.has_cold(group)
     order, kept = _keep_memory(
         group,
         _queue_order.batch_order(group, now),
@@ -368,7 +370,7 @@
                 _batch_revocation.revoke_on_reserved(group, actions)
         else:
             free = _with_batch_slot(usable, now, group.policy)
-            if not _endpoint_filters.warm(usable):
+            if has_cold and not _endpoint_filters.warm(usable):
                 # Online requests come first where nothing else serves them.
                 free = [
                     e
--- a/src/ibisknot/_endpoint_filters.py
+++ b/src/ibisknot/_endpoint_filters.py
@@ -51,6 +51,13 @@
     return [e for e in endpoints if e.bucket is not None]
 
 
+def has_cold(group: _admission_state.Group) -> bool:
+    """Returns whether an endpoint is cold."""
+    return any(
+        request_limits.is_cold(e.bucket) for e in group.endpoints.values()
+    )
+
+
 def warm(
     endpoints: list[_admission_state.Endpoint],
 ) -> list[_admission_state.Endpoint]:
