Keep the output of a batch item while tickets are refused

An item that had begun dropped its output with any refusal of its next ticket: also when the scheduler had just started and knew no endpoints yet, or when no slot was free for the 10 s of one request. Revoked items lost most of it, and items that were restored from the disk after a loss of power. The output is now dropped at once only if no endpoint has the software that made it, and else after 8 s of refusals, since the only such endpoint may not respond any more.

The new test fails without the change (output_resets 1). The scripted tickets now refuse other software as the scheduler does.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -27,6 +27,11 @@
 from ibisknot.speeds import speed_samples
 
 TICKET_WAIT_S = 10.0
+MAX_REFUSED_S = 8.0
+"""Time of refusals after which an item's output is dropped.
+
+The only endpoint of its software may not respond any more.
+"""
 MIN_STALL_TIMEOUT_S = 2.0
 """An attempt fails when its endpoint sends no new event for this time."""
 MAX_STALL_TIMEOUT_S = 32.0
@@ -126,11 +131,12 @@
             try:
                 ticket = await self._acquire_ticket(task, route)
             except errors.IbisknotError as error:
-                if task.software_version is not None:
+                if self._cannot_go_on(task, error):
                     batch_task.start_again(task, error.message)
                     continue
                 await anyio.sleep(error.retry_after_s or RETRY_PAUSE_S)
                 continue
+            task.refused_since_s = None
             task.is_at_endpoint = True
             try:
                 result = await self._attempt(task, ticket)
@@ -155,6 +161,23 @@
             task.without_route_since_s = self.clock()
         return self.view.configuration_confirmed_s > task.without_route_since_s
 
+    def _cannot_go_on(
+        self, task: batch_task.Task, error: errors.IbisknotError
+    ) -> bool:
+        """Returns whether no endpoint will continue an item's output.
+
+        A refusal alone does not show it: the scheduler may have just started,
+        or every slot may be taken.
+        """
+        if task.software_version is None:
+            return False
+        if isinstance(error, errors.SoftwareGoneError):
+            return True
+        now = self.clock()
+        if task.refused_since_s is None:
+            task.refused_since_s = now
+        return now - task.refused_since_s >= MAX_REFUSED_S
+
     async def _acquire_ticket(
         self, task: batch_task.Task, route: serving.Route
     ) -> ticket_types.Ticket:
--- a/src/ibisknot/batch_task.py
+++ b/src/ibisknot/batch_task.py
@@ -39,6 +39,8 @@
         failed_endpoints: Names of the endpoints to avoid next, because the
             last attempt failed there.
         is_at_endpoint: Whether the item has a ticket and runs there.
+        refused_since_s: Monotonic time of the first refusal of a ticket since
+            the last one was granted, or None.
         without_route_since_s: Monotonic time since which the route is missing.
         cancel_scope: Cancels the task.
     """
@@ -62,6 +64,7 @@
     attempts: int = 0
     failed_endpoints: set[str] = dataclasses.field(default_factory=set)
     is_at_endpoint: bool = False
+    refused_since_s: float | None = None
     without_route_since_s: float | None = None
     cancel_scope: anyio.CancelScope = dataclasses.field(
         default_factory=anyio.CancelScope
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -157,9 +157,11 @@
         requests: The requests for tickets.
         origins: The software that began streams, by the streams' ids.
         released: The released tickets.
+        refusals: Errors that the next requests get, one each; None grants.
     """
 
     def __init__(self, endpoints: list[ScriptedEndpoint]) -> None:
+        self.refusals: list[errors.IbisknotError | None] = []
         self.rng = random.Random(0)
         self.requests: list[ticket_types.TicketRequest] = []
         self.origins: dict[str, stream_origins.Origin] = {}
@@ -178,8 +180,12 @@
 
         Raises:
             OverloadedError: No endpoint remains.
+            SoftwareGoneError: None that remains has the needed software.
         """
         self.requests.append(request)
+        refusal = self.refusals.pop(0) if self.refusals else None
+        if refusal is not None:
+            raise refusal
         if self.gates:
             await self.gates.pop(0).wait()
         needed = request.software_version
@@ -187,6 +193,8 @@
             if needed in (None, endpoint.software_version):
                 self.remaining.remove(endpoint)
                 return ticket_types.Ticket("p", request, endpoint.endpoint())
+        if self.remaining:
+            raise errors.SoftwareGoneError("no endpoint has the software")
         raise errors.OverloadedError("no endpoint remains", retry_after_s=1.0)
 
     async def find_origin(
--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -1,5 +1,7 @@
 """Runs of batch items at endpoints that are slow, stalled or never end."""
 
+from collections.abc import Sequence
+
 import anyio
 from anyio import abc
 import pytest
@@ -8,6 +10,7 @@
 from ibisknot import batch_item
 from ibisknot import batch_records
 from ibisknot import batch_task
+from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http_client
 from ibisknot import http_server
@@ -31,6 +34,7 @@
     *scripts: scripted.Script,
     versions: tuple[str, ...] = (),
     item: batch_records.Item | None = None,
+    refusals: Sequence[errors.IbisknotError | None] = (),
 ) -> tuple[batch_records.ItemResult | None, batch_task.Task]:
     """Runs an item at one endpoint after another.
 
@@ -38,6 +42,7 @@
         *scripts: What the endpoints do.
         versions: Versions of their software; all `v1` if left out.
         item: The item; a plain one if left out.
+        refusals: What the first requests for tickets get; None grants.
     """
     route = scripted.make_route(kind=serving.BATCH, max_attempts=3)
     endpoints = [
@@ -54,9 +59,11 @@
         task = batch_task.Task(
             "j", 0, run_item, "r", "h", serving.Organisation("one"), clock.now()
         )
+        tickets = scripted.ScriptedTickets(endpoints)
+        tickets.refusals = list(refusals)
         async with scripted.serving_endpoints(*endpoints):
             runner = batch_item.Runner(
-                scripted.ScriptedTickets(endpoints),  # type: ignore[arg-type]
+                tickets,  # type: ignore[arg-type]
                 http_client.Client(
                     connect_timeout_s=scripted.CONNECT_TIMEOUT_S
                 ),
@@ -223,6 +230,16 @@
     assert task.software_version == "v2"
 
 
+def test_item_keeps_its_output_while_tickets_are_refused() -> None:
+    """Guards against output that is lost when no slot is free for a moment."""
+    cut = _script_cut(scripted.encode_event(1, "a"))
+    refusals = [None, errors.OverloadedError("full", retry_after_s=0.01)]
+    result, task = _run(cut, _complete, refusals=refusals)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert task.output_resets == 0
+
+
 def test_error_head_within_an_item_does_not_end_it() -> None:
     """Guards against an item that is done without its last events."""
     head = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
