--- a/idl/fleet.thrift
+++ b/idl/fleet.thrift
@@ -72,6 +72,10 @@
   1: required string sender,
   /** Whether the sender reads the compressed fields of `ViewNews`. */
   2: optional bool reads_compressed,
+  /** What the sender has, so that it is not sent again. */
+  3: optional i64 configuration_revision,
+  4: optional i64 endpoints_digest,
+  5: optional i64 members_digest,
 }
 
 /** The limit that an endpoint has named in an answer. */
--- a/src/ibisknot/gen/fleet/ttypes.py
+++ b/src/ibisknot/gen/fleet/ttypes.py
@@ -804,18 +804,27 @@
     Attributes:
      - sender
      - reads_compressed: Whether the sender reads the compressed fields of `ViewNews`.
+     - configuration_revision: What the sender has, so that it is not sent again.
+     - endpoints_digest
+     - members_digest
 
     """
 
     __slots__ = (
         'sender',
         'reads_compressed',
+        'configuration_revision',
+        'endpoints_digest',
+        'members_digest',
     )
 
 
-    def __init__(self, sender=None, reads_compressed=None,):
+    def __init__(self, sender=None, reads_compressed=None, configuration_revision=None, endpoints_digest=None, members_digest=None,):
         self.sender = sender
         self.reads_compressed = reads_compressed
+        self.configuration_revision = configuration_revision
+        self.endpoints_digest = endpoints_digest
+        self.members_digest = members_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -836,6 +845,21 @@
                     self.reads_compressed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.endpoints_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.members_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -854,6 +878,18 @@
             oprot.writeFieldBegin('reads_compressed', TType.BOOL, 2)
             oprot.writeBool(self.reads_compressed)
             oprot.writeFieldEnd()
+        if self.configuration_revision is not None:
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 3)
+            oprot.writeI64(self.configuration_revision)
+            oprot.writeFieldEnd()
+        if self.endpoints_digest is not None:
+            oprot.writeFieldBegin('endpoints_digest', TType.I64, 4)
+            oprot.writeI64(self.endpoints_digest)
+            oprot.writeFieldEnd()
+        if self.members_digest is not None:
+            oprot.writeFieldBegin('members_digest', TType.I64, 5)
+            oprot.writeI64(self.members_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4670,6 +4706,9 @@
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'reads_compressed', None, None, ),  # 2
+    (3, TType.I64, 'configuration_revision', None, None, ),  # 3
+    (4, TType.I64, 'endpoints_digest', None, None, ),  # 4
+    (5, TType.I64, 'members_digest', None, None, ),  # 5
 )
 all_structs.append(EndpointLimit)
 EndpointLimit.thrift_spec = (
--- a/src/ibisknot/view_exchange.py
+++ b/src/ibisknot/view_exchange.py
@@ -181,11 +181,18 @@
         )
 
     async def on_view_request(self, request: ttypes.ViewAsk) -> ttypes.ViewNews:
-        """Peer method: returns a full update."""
+        """Peer method: returns an update with the parts that the peer lacks.
+
+        An earlier build does not say what it has, and gets all parts.
+        """
+        view = self.view
+        known_revision = request.configuration_revision
         return self._compose_update(
-            configuration=True,
-            entries=True,
-            members=True,
+            configuration=known_revision is None
+            or known_revision < view.configuration_revision,
+            entries=request.endpoints_digest
+            != fleetview.endpoints_digest(view),
+            members=request.members_digest != fleetview.members_digest(view),
             compressed=bool(request.reads_compressed),
         )
 
@@ -337,7 +344,7 @@
         )
 
     async def _request_view(self, address: str) -> None:
-        """Requests a peer's full view and adopts what is newer.
+        """Requests the parts of a peer's view that differ, adopts the newer.
 
         Raises:
             PeerError: The peer did not respond.
@@ -345,11 +352,20 @@
         update = await self.peers.call(
             address,
             "view_ask",
-            ttypes.ViewAsk(sender=self.own_name, reads_compressed=True),
+            ttypes.ViewAsk(
+                sender=self.own_name,
+                reads_compressed=True,
+                configuration_revision=self.view.configuration_revision,
+                endpoints_digest=fleetview.endpoints_digest(self.view),
+                members_digest=fleetview.members_digest(self.view),
+            ),
             ttypes.ViewNews,
             timeout_s=PEER_TIMEOUT_S,
         )
         self._adopt_update(update)
+        # Parts that were left out are the own ones, read again later.
+        self._has_entries(update)
+        self._has_members(update)
 
     async def gossip(self, _now: float) -> None:
         """Timer callback: exchanges updates with a few random peers.
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -117,6 +117,25 @@
     assert all(m.configuration is None for m in world.sent())
 
 
+def test_requested_view_lacks_what_the_peer_has() -> None:
+    """Guards against whole views that every process requests in an outage."""
+    world, other = view_world.World("w0"), view_world.World("g0")
+    for each in (world, other):
+        each.view.encoded_configuration = b"configuration"
+        each.view.configuration_revision = 3
+    anyio.run(other.exchange._try_request_view, "w0:1")
+    (ask,) = [m for _, method, m in other.peers.calls if method == "view_ask"]
+    sent = anyio.run(world.exchange.on_view_request, ask)
+    assert view_encoding.configuration_of(sent) is None
+    assert view_encoding.entries_of(sent) is None
+    assert sent.members is None
+    earlier = anyio.run(
+        world.exchange.on_view_request, ttypes.ViewAsk(sender="g0")
+    )
+    assert view_encoding.configuration_of(earlier) == b"configuration"
+    assert earlier.members is not None
+
+
 @pytest.mark.parametrize("reads_compressed", [None, True])
 def test_parts_are_compressed_only_for_builds_that_read_it(
     reads_compressed: bool | None,
