Test what three mutations of contention and speeds got past

Of 30 mutations, the tests missed three: late items not told apart from those without spare time, no endpoint kept for a request that fits nowhere, and batch items not measured. Each has a test of its own now. The test that the order is the earlier one while there is room never had a queue; it is replaced by one that has, with room and without.

--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -120,6 +120,20 @@
     assert task.stalls == 1
 
 
+def test_speed_of_an_item_is_measured(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against tickets that are released without a measurement."""
+    released = []
+    monkeypatch.setattr(
+        scripted.ScriptedTickets,
+        "release",
+        lambda _self, ticket, _outcome: released.append(ticket),
+    )
+    _run(_complete)
+    (ticket,) = released
+    assert ticket.pace.sent_s is not None
+    assert ticket.pace.first_s is not None
+
+
 @pytest.mark.usefixtures("short_timeout")
 def test_slow_but_sound_endpoint_is_given_more_time() -> None:
     """Guards against an item that is cut at each endpoint and never ends."""
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -64,16 +64,21 @@
 
 def test_order_is_the_earlier_one_while_there_is_room() -> None:
     """Guards against another order where every item is on time anyway."""
-    ends = [
-        [
-            item.ended_s
-            for item in _play(
-                policy, batch_fraction=0.15, online_per_s=(0.1, 0.1)
-            )[0].items
-        ]
-        for policy in (EARLIER_POLICY, POLICY)
-    ]
-    assert ends[0] == ends[1]
+    for due_s, expected in ((99.0, "small"), (45.0, "large")):
+        group = admission.Group(policy=POLICY)
+        admission.set_endpoints(group, 0.0, ["e"], slots={"e": 1})
+        for request in (
+            _queued("first", due_s=99.0, duration_s=0.1),
+            _queued("large", due_s=due_s, duration_s=40.0),
+            _queued("small", due_s=due_s - 9.0, duration_s=1.0),
+        ):
+            admission.request_ticket(group, 0.0, request)
+        actions = admission.release_ticket(
+            group, 0.5, "first", admission.Measurement()
+        )
+        (grant,) = actions
+        assert isinstance(grant, admission.Grant)
+        assert grant.ticket.id == expected
 
 
 def _queued(
@@ -98,6 +103,8 @@
     choose = ranking.next_request(0.0, {})
     assert choose([late, small, large]) is large
     assert choose([late, small]) is small
+    without_spare = _queued("tight", due_s=10.2, duration_s=10.0)
+    assert choose([late, without_spare]) is without_spare
 
 
 def test_item_with_output_resumes_before_others_start() -> None:
@@ -139,6 +146,8 @@
         ({"due_s": 3.0, "end_s": 6.0}, {"due_s": 20.0, "end_s": 6.0}),
         # One that can spare the time, though it is due earlier.
         ({"due_s": 9.0, "end_s": 2.0}, {"due_s": 10.0, "end_s": 9.0}),
+        # The one that can spare more of it.
+        ({"due_s": 30.0, "end_s": 6.0}, {"due_s": 12.0, "end_s": 6.0}),
         # The one with most of its work ahead, where both become late.
         (
             {"due_s": 9.0, "end_s": 8.0, "tokens": 300},
@@ -212,6 +221,7 @@
         tickets = admission.all_tickets(group)
         if any(t.id == "large" for t in tickets):
             return
+        _ask(group, f"n{step}", 50)
         oldest = min(tickets, key=lambda t: t.granted_s)
         admission.release_ticket(
             group, 2.0 + step, oldest.id, admission.Measurement()
