--- a/src/ibisknot/client_limits/listener.py
+++ b/src/ibisknot/client_limits/listener.py
@@ -30,7 +30,7 @@
 
 The rest is for endpoints, the store and connections to peers.
 """
-PEER_MEMORY_DIVISOR = 8
+PEER_MEMORY_DIVISOR = 5
 """Messages of peers may use one part in this many of the memory."""
 DEFAULT_MAX_BYTES = 1 << 40
 DEFAULT_MAX_CONNECTIONS = 1 << 20
--- a/src/ibisknot/client_limits/refusals.py
+++ b/src/ibisknot/client_limits/refusals.py
@@ -32,8 +32,12 @@
         self.addresses: collections.Counter[str] = collections.Counter()
         self.logged_s = -LOG_PERIOD_S
 
-    def record(self, listener: str, cause: str, address: str) -> None:
-        """Counts a connection that was refused or closed."""
+    def record(self, listener: str, cause: str, address: str) -> bool:
+        """Counts a connection that was refused or closed.
+
+        Returns:
+            Whether it was logged now, so that details may be, too.
+        """
         metrics.CLIENTS_REFUSED.inc({"listener": listener, "cause": cause})
         self.counts[listener, cause] += 1
         if (
@@ -41,13 +45,13 @@
             or len(self.addresses) < self.MAX_ADDRESSES
         ):
             self.addresses[address] += 1
-        self.log_if_due()
+        return self.log_if_due()
 
-    def log_if_due(self) -> None:
+    def log_if_due(self) -> bool:
         """Logs what was counted, unless a line was logged a short time ago."""
         now = self.now()
         if not self.counts or now - self.logged_s < LOG_PERIOD_S:
-            return
+            return False
         self.logged_s = now
         logs.event(
             "clients_refused",
@@ -57,6 +61,7 @@
         )
         self.counts.clear()
         self.addresses.clear()
+        return True
 
     async def tick(self, _now: float) -> None:
         """Timer callback: logs the rest of a burst."""
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -157,14 +157,14 @@
         ):
             pass
         except* errors.PeerError as group_error:
-            self.clients.refusals.record(
+            if self.clients.refusals.record(
                 listener.PEERS, "malformed", account.address
-            )
-            logs.event(
-                "peer_connection_refused",
-                level="warning",
-                error=repr(group_error.exceptions[0]),
-            )
+            ):
+                logs.event(
+                    "peer_connection_refused",
+                    level="warning",
+                    error=repr(group_error.exceptions[0]),
+                )
 
     async def _receive_calls(
         self, calls: peer_calls.Calls, task_group: abc.TaskGroup
