Lower the least spare time of a start to 0.5 s

Ruled out: none at all, which favoured the smallest on uneven endpoints, and other bounds between starts with and without spare time, which changed nothing.

--- a/src/ibisknot/contention/ranking.py
+++ b/src/ibisknot/contention/ranking.py
@@ -13,7 +13,7 @@
 
 SPARE_FRACTION = 0.4
 """Spare time of a start, as a fraction of the expected duration."""
-MIN_SPARE_S = 1.0
+MIN_SPARE_S = 0.5
 """Least spare time of a start; with less, small items are served more often."""
 MAX_SPARE_S = 2.5
 """Largest spare time of a start: a wave of online requests lasts about 2 s.
@@ -54,7 +54,7 @@
     """Returns the spare time with which an item should start, in seconds.
 
     >>> spare_s(1.0), spare_s(4.0), spare_s(12.0)
-    (1.0, 1.6, 2.5)
+    (0.5, 1.6, 2.5)
     """
     return min(MAX_SPARE_S, max(MIN_SPARE_S, SPARE_FRACTION * duration_s))
 
