Keep batch items in the regions of their organisation

A worker's task has an organisation made from its name alone, without its allowed regions, so that only the route restricted where its items run. Take the regions from the configuration, as the choice of the job's owner does. The gateway's requests were right: they have the organisation of the configuration.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -20,6 +20,7 @@
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import placement
+from ibisknot import regions
 from ibisknot import request_metadata
 from ibisknot import run_times
 from ibisknot import serving
@@ -208,7 +209,11 @@
                     expected_tokens, len(task.event_data)
                 ),
                 software_version=task.software_version,
-                allowed_regions=serving.regions_of(route, task.organisation),
+                allowed_regions=regions.of_job(
+                    self.view.configuration,
+                    route.name,
+                    task.organisation.name,
+                ),
             )
         )
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -2,22 +2,30 @@
 
 import dataclasses
 import json
+import random
+from typing import Any
 
 import anyio
 import fake_fleet
 import platform_fleet
 import pytest
 import rate_world
+import scripted
+import test_batch_item
 import test_platform_settings
 import tunnel_world
 
 from ibisknot import admission
+from ibisknot import batch_item
+from ibisknot import batch_records
+from ibisknot import batch_task
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import job_owners
 from ibisknot import serving
 from ibisknot import ticket_types
 from ibisknot.platform import configuration
+from ibisknot.platform import programs
 from ibisknot.platform import settings
 
 NORTH = frozenset({"north"})
@@ -123,6 +131,40 @@
     assert len(job_owners.allowed_workers(view, "r", "other")) == 4
 
 
+def test_batch_item_stays_in_the_regions_of_its_organisation() -> None:
+    """Guards against items that only the regions of their route restrict."""
+    route = scripted.make_route(kind=serving.BATCH)
+    view = test_batch_item._view(route)
+    assert view.configuration is not None
+    view.configuration.organisations = {
+        "one": serving.Organisation("one", allowed_regions=NORTH)
+    }
+    asked: list[ticket_types.TicketRequest] = []
+
+    class Tickets:
+        rng = random.Random(1)
+
+        async def acquire(self, request: ticket_types.TicketRequest) -> None:
+            asked.append(request)
+
+    unused: Any = None
+    tickets: Any = Tickets()
+    runner = batch_item.Runner(
+        tickets, unused, programs.REQUEST_DIALECT, unused, unused, view, 1000
+    )
+    item = batch_records.Item("i", "/a/x", [], b"", 10)
+
+    async def main() -> None:
+        # A worker knows no more of a job's organisation than its name.
+        task = batch_task.Task(
+            "j", 0, item, "r", "h", serving.Organisation("one"), 0.0
+        )
+        await runner._acquire_ticket(task, route)
+
+    anyio.run(main)
+    assert [request.allowed_regions for request in asked] == [NORTH]
+
+
 def test_configuration_and_settings_name_regions() -> None:
     """Guards against restrictions that are not read."""
     value = platform_fleet.configuration()
