Write the progress of items only once if it is over a file's size

If the progress that is still needed was over 8 MB, each flush began the other file and wrote all of it again, four times a second. Items of jobs that wait for the store stay tracked, so that this happens in an outage. The size at which the other file is begun is now at least twice of what it began with.

--- a/src/ibisknot/progress/journal.py
+++ b/src/ibisknot/progress/journal.py
@@ -21,7 +21,11 @@
 """Two files in turn, so that one of them is always whole."""
 FLUSH_PERIOD_S = 0.25
 MAX_FILE_BYTES = 8 * 1024 * 1024
-"""Size at which the other file is begun with what is still needed."""
+"""Size at which the other file is begun with what is still needed.
+
+It is twice of that if this is more, because each flush would otherwise write
+all of it again.
+"""
 MAX_AGE_S = 120.0
 """Older progress is not used: the endpoints that made it may be gone."""
 DISK_PAUSE_S = 5.0
@@ -58,6 +62,7 @@
         tracked: The items that are kept, by job and index.
         file_index: Index of the current file in `FILE_NAMES`.
         file_bytes: Size of the current file.
+        max_bytes: Size of the current file at which the other one is begun.
         begins_file: Whether the next write begins the current file anew.
         paused_until_s: Monotonic time before which the disk is not used.
         is_writing: Whether a write is in progress.
@@ -77,6 +82,7 @@
         self.tracked: dict[records.Key, Tracked] = {}
         self.file_index = 0
         self.file_bytes = 0
+        self.max_bytes = MAX_FILE_BYTES
         self.begins_file = True
         self.paused_until_s = 0.0
         self.is_writing = False
@@ -164,9 +170,11 @@
             return
         finally:
             self.is_writing = False
+        if self.begins_file:
+            self.max_bytes = max(MAX_FILE_BYTES, 2 * len(data))
         self.file_bytes += len(data)
         self.begins_file = False
-        if self.file_bytes > MAX_FILE_BYTES:
+        if self.file_bytes > self.max_bytes:
             self._begin_other_file()
 
     def _begin_other_file(self) -> None:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -162,6 +162,22 @@
     assert {len(p.events) for p in restored.values()} == {60}
 
 
+def test_progress_over_the_size_of_a_file_is_not_written_at_each_flush(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a disk that is kept busy with what it already has."""
+    monkeypatch.setattr(journal, "MAX_FILE_BYTES", 400)
+    kept, task = _journal(tmp_path), _task()
+    kept.track(task)
+    _receive(task, *["event"] * 200)
+    _flush(kept)
+    sizes = [p.stat().st_size for p in tmp_path.iterdir()]
+    assert len(sizes) == 1
+    for _ in range(3):
+        _flush(kept)
+    assert [p.stat().st_size for p in tmp_path.iterdir()] == sizes
+
+
 def test_ended_job_is_forgotten(tmp_path: pathlib.Path) -> None:
     """Guards against memory that is never given back."""
     kept, task = _journal(tmp_path, is_open=False), _task()
