Send a cold endpoint that names a limit of zero a request at times

An endpoint that names no requests a second gets a few all the same, because only a response can end its limit. While it was cold, the lower one of the two rates was taken before that minimum, and it got none until it was warm.

--- a/src/ibisknot/scheduler_limits.py
+++ b/src/ibisknot/scheduler_limits.py
@@ -64,7 +64,9 @@
         rate_per_s = self.table.rate_per_s(name)
         cold = self.cold.get(name)
         if cold is not None:
-            rate_per_s = min(cold.rate_per_s, rate_per_s)
+            rate_per_s = min(
+                cold.rate_per_s, max(request_limits.MIN_RATE_PER_S, rate_per_s)
+            )
             cold = request_limits.ColdLimit(rate_per_s, cold.burst)
         return lambda group, now: admission.set_request_limit(
             group, now, name, rate_per_s, cold
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -288,6 +288,27 @@
     anyio.run(main)
 
 
+def test_cold_endpoint_that_names_no_requests_can_end_its_limit() -> None:
+    """Guards against a limit of zero that no response can end."""
+
+    async def main() -> None:
+        world = _Scheduler(slots=99, warm=0)
+        world.worker.service("s")
+        world.worker.update_endpoints()
+        started_ms = world.view.endpoints["e1"].born_ms
+        world.worker.limits.adopt(
+            [ttypes.EndpointLimit("e1", started_ms, 0.0, 0.0)]
+        )
+        for _ in range(40):
+            await world.pass_time(0.5)
+            await world.ask()
+        tickets = world.worker.service("s").group.endpoints["e1"].tickets
+        most = 20.0 * request_limits.MIN_RATE_PER_S
+        assert 1 <= len(tickets) <= most
+
+    anyio.run(main)
+
+
 def test_process_without_a_scheduler_prefers_warm_endpoints() -> None:
     """Guards against cold endpoints that are used without need."""
     view = fake_fleet.view(endpoints=2)
