Bound the size of items that wait for their jobs' records

A worker retains the items of up to 64 jobs whose records it could not read in an outage of the store, and twice as many if jobs arrived during a listing that failed. With bodies of 4 MiB that is more than the memory of its VM. Retain 16 MiB; what is not retained is read from the store with the job. The limits are in a module of their own, like those of ended jobs.

--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -33,6 +33,7 @@
 from ibisknot import result_listing
 from ibisknot import serving
 from ibisknot import timer
+from ibisknot import unread_jobs
 from ibisknot.gen.fleet import ttypes
 from ibisknot.progress import journal
 
@@ -41,8 +42,6 @@
 
 A job whose notification came during an outage starts soon after its end.
 """
-MAX_UNREAD_JOBS = 64
-"""Notified jobs without a record whose items are retained."""
 POLL_CHECK_PERIOD_S = 0.25
 """Period at which a worker checks whether a listing is due."""
 MEMBERS_STALE_S = 3.0
@@ -186,8 +185,8 @@
             pair = await self.store.get(batch_records.OPEN_PREFIX + job_id)
         except errors.KeyValueError as error:
             logs.event("job_not_read", job=job_id, cause=error.message)
-            if parts and len(self.unread_parts) < MAX_UNREAD_JOBS:
-                self.unread_parts[job_id] = parts
+            if parts:
+                unread_jobs.retain(self.unread_parts, job_id, parts)
             self._poll_within(POLL_RETRY_S)
             return
         if pair is not None:
@@ -205,13 +204,14 @@
         self.next_poll_s = now + job_owners.poll_period_s(len(self._workers()))
         lease_count = self.entry.lease_count
         self.polled_lease_count = lease_count
-        unread_parts, self.unread_parts = self.unread_parts, {}
+        unread_parts = dict(self.unread_parts)
         try:
             listing = await self.store.list_prefix(batch_records.OPEN_PREFIX)
         except errors.KeyValueError:
-            self.unread_parts = unread_parts | self.unread_parts
             self._poll_within(POLL_RETRY_S)
             return
+        for job_id in unread_parts:
+            self.unread_parts.pop(job_id, None)
         self._update_missing_owners(now)
         owners = {}
         for pair in listing.pairs:
--- a/tests/test_batch_worker.py
+++ b/tests/test_batch_worker.py
@@ -264,3 +264,17 @@
         assert world.store.calls == {"list": 1}
 
     job_world.run(scenario)
+
+
+def test_items_that_wait_for_their_records_are_bounded() -> None:
+    """Guards against memory that grows with large jobs in an outage."""
+    part = bytes(1024 * 1024)
+
+    async def scenario(world: job_world.World) -> None:
+        world.store.is_down = True
+        for number in range(20):
+            await world.worker._read_job(f"j{number}", [part, part])
+            await world.poll()
+        assert len(world.worker.unread_parts) == 8
+
+    job_world.run(scenario)
