Say what leaving_endpoints and a tunnel's connect take into account

Wording and names only: the module refuses evacuated endpoints and those in other regions too, updates of peers have one name, and the long function that composes an update is in two.

--- a/src/ibisknot/evacuation/follower.py
+++ b/src/ibisknot/evacuation/follower.py
@@ -64,10 +64,10 @@
             self.source,
         )
 
-    def on_news(self, revision: int, names: list[str], sender: str) -> None:
+    def on_update(self, revision: int, names: list[str], sender: str) -> None:
         """Adopts what a peer says."""
         self._adopt(
-            known.after_news(self.view.evacuations, names, revision), sender
+            known.after_update(self.view.evacuations, names, revision), sender
         )
 
     def _adopt(self, adopted: known.Known, source: str) -> None:
--- a/src/ibisknot/evacuation/known.py
+++ b/src/ibisknot/evacuation/known.py
@@ -66,7 +66,7 @@
     return Known(revision, names, known.was_seen or bool(names))
 
 
-def after_news(
+def after_update(
     known: Known, data_centres: Iterable[str], revision: int
 ) -> Known:
     """Returns what is known after an update of a peer.
@@ -75,7 +75,7 @@
     is to be told what is known here.
 
     >>> known = after_listing(Known(), [], 9)
-    >>> after_news(known, ["a"], 7)
+    >>> after_update(known, ["a"], 7)
     Known(revision=9, data_centres=frozenset(), was_seen=True)
     """
     if revision <= known.revision:
--- a/src/ibisknot/http_call.py
+++ b/src/ibisknot/http_call.py
@@ -33,9 +33,9 @@
     """How servers are reached whose paths may be lost.
 
     Attributes:
-        connect: Opens a connection to an address, which the relaying process
-            may end after some seconds, if it is in one of some regions; raises
-            EndpointError.
+        connect: Opens a connection, from the address, the seconds after which
+            a relaying process may end it (None: never), and the regions of
+            the processes that may relay it (None: any); raises EndpointError.
         check_soon: Starts a check of the path to an address.
         is_lost: Returns whether the path to an address was lost, after a
             check if that is not known.
--- a/src/ibisknot/leaving_endpoints.py
+++ b/src/ibisknot/leaving_endpoints.py
@@ -1,7 +1,9 @@
-"""Endpoints that have said in an answer that they are about to leave.
+"""Endpoints that the requests of one process must not use.
 
-The entry of such an endpoint may say so later, or not at all while the store is
-away. The answer is evidence of one start of one endpoint.
+They are about to leave, in evacuated data centres, or outside the regions that
+a request allows. Some have said in an answer that they leave: their entry may
+say so later, or not at all while the store is away. The answer is evidence of
+one start of one endpoint.
 """
 
 import collections
@@ -21,14 +23,15 @@
 
 
 class Table:
-    """What one process has seen of leaving endpoints.
+    """What one process knows of endpoints that must not be used.
 
-    It is forgotten only with the process: an entry that lapses and comes back
-    is of the same start.
+    What was seen is forgotten only with the process: an entry that lapses and
+    comes back is of the same start.
 
     Attributes:
-        view: Has the endpoints.
-        seen: Name and start in Unix milliseconds of each endpoint.
+        view: Has the endpoints, the evacuations and the regions.
+        seen: Name and start in Unix milliseconds of each endpoint that has
+            said that it leaves.
     """
 
     def __init__(self, view: fleetview.View) -> None:
--- a/src/ibisknot/request_limits.py
+++ b/src/ibisknot/request_limits.py
@@ -23,8 +23,10 @@
 """
 INITIAL_LEVEL = 1.0
 COLD_WINDOW_S = 1.1
-"""Window of the bound on a cold endpoint's requests, and some variation of the
-time that they take to arrive."""
+"""Window of the bound on a cold endpoint's requests.
+
+It includes some variation of the time that they take to arrive.
+"""
 COLD_BATCH_LEVEL = 1.5
 """Level of a cold endpoint's bucket from which it has a request for batch.
 
--- a/src/ibisknot/view_exchange.py
+++ b/src/ibisknot/view_exchange.py
@@ -130,24 +130,7 @@
             compressed: Whether it reads compressed parts.
         """
         view = self.view
-        now = self.clock.now()
-        update = ttypes.ViewNews(
-            sender=self.own_name,
-            configuration_revision=view.configuration_revision,
-            endpoints_revision=view.endpoints_revision,
-            endpoints_age_s=min(1e6, now - view.endpoints_read_s),
-            members_revision=view.members_revision,
-            members_age_s=min(1e6, now - view.members_read_s),
-            endpoints_digest=fleetview.endpoints_digest(view),
-            members_digest=fleetview.members_digest(view),
-            configuration_age_s=min(1e6, now - view.configuration_confirmed_s),
-            configuration_follower=view.configuration_follower,
-        )
-        if view.evacuations.was_seen:
-            update.evacuations_revision = view.evacuations.revision
-            update.evacuated_data_centres = sorted(
-                view.evacuations.data_centres
-            )
+        update = self._compose_short_update()
         if configuration and compressed:
             update.compressed_configuration = (
                 self.compressor.compress_configuration(
@@ -168,6 +151,29 @@
             ]
         return update
 
+    def _compose_short_update(self) -> ttypes.ViewNews:
+        """Returns an update without the large parts."""
+        view = self.view
+        now = self.clock.now()
+        update = ttypes.ViewNews(
+            sender=self.own_name,
+            configuration_revision=view.configuration_revision,
+            endpoints_revision=view.endpoints_revision,
+            endpoints_age_s=min(1e6, now - view.endpoints_read_s),
+            members_revision=view.members_revision,
+            members_age_s=min(1e6, now - view.members_read_s),
+            endpoints_digest=fleetview.endpoints_digest(view),
+            members_digest=fleetview.members_digest(view),
+            configuration_age_s=min(1e6, now - view.configuration_confirmed_s),
+            configuration_follower=view.configuration_follower,
+        )
+        if view.evacuations.was_seen:
+            update.evacuations_revision = view.evacuations.revision
+            update.evacuated_data_centres = sorted(
+                view.evacuations.data_centres
+            )
+        return update
+
     async def on_update(self, update: ttypes.ViewNews) -> ttypes.ViewAck:
         """Peer method: adopts those parts of a peer's view that are newer."""
         self._adopt_update(update)
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -114,7 +114,7 @@
                 self._adopt_confirmation,
                 self._adopt_entries,
                 self._adopt_members,
-                self.evacuations.on_news,
+                self.evacuations.on_update,
             ),
             peers,
             clock,
