Keep memory only from requests that usable endpoints could hold

While memory was kept for the next request, the one that may pass it was chosen by the free memory of all endpoints. An endpoint whose breaker is open, or that is reserved, holds nothing, so that a request was chosen which no usable endpoint could hold, and smaller ones waited behind it. Only usable endpoints count now. The new test fails without the change.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -302,7 +302,9 @@
     others = memory.others_that_fit(
         queue.all_requests(),
         first,
-        [e for e in group.endpoints.values() if e.name != kept],
+        _endpoint_filters.shareable(
+            [e for e in _usable_endpoints(group, now) if e.name != kept]
+        ),
         group.memory_tokens,
     )
     return [first, *([choose_request(others)] if others else [])], kept
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ibisknot import admission
+from ibisknot import breaker
 from ibisknot import scheduler
 from ibisknot.contention import losses
 from ibisknot.contention import ranking
@@ -256,3 +257,17 @@
     value = {"Version": 1, "Services": [{"Name": "s", "Engine": engine}]}
     decoded = configuration.decode(msgspec.json.encode(value))
     assert decoded.memory_tokens == tokens
+
+
+def test_small_request_passes_a_large_one_beside_an_unusable_endpoint() -> None:
+    """Guards against a queue that waits for memory which nothing may use."""
+    group = admission.Group(policy=POLICY)
+    group.memory_tokens = 100
+    slots = {"e0": 8, "e1": 8, "e2": 8}
+    admission.set_endpoints(group, 0.0, slots, slots=slots)
+    breaker.record_failure(
+        group.endpoints["e0"].circuit, 1.0, endpoint_down=True
+    )
+    for name, tokens in (("b0", 50), ("b1", 50), ("b2", 100), ("b3", 60)):
+        _ask(group, name, tokens)
+    assert _ask(group, "b4", 40) == ["Grant"]
