Make room for one request at one endpoint

An online request that needs the memory of several batch tickets revoked the least valuable ones of all endpoints, one at each decision, until one endpoint had room by chance. Tickets are now revoked where one is enough and, if there is no such endpoint, at the one that lacks least.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -334,9 +334,10 @@
         for e in endpoints
         if memory.fits_beside_online(e, tokens, group.memory_tokens)
     ]
-    freed = _batch_revocation.revoke_one(
-        large_enough, now, group.policy, actions
+    candidates = memory.to_make_room_at(
+        large_enough, tokens, group.memory_tokens
     )
+    freed = _batch_revocation.revoke_one(candidates, now, group.policy, actions)
     return _with_memory(group, freed, request)
 
 
--- a/src/ibisknot/contention/memory.py
+++ b/src/ibisknot/contention/memory.py
@@ -37,8 +37,15 @@
     """Returns whether it can once its revoked tickets are released."""
     if memory_tokens == UNSTATED:
         return True
+    return _lacking(endpoint, tokens, memory_tokens) <= 0
+
+
+def _lacking(
+    endpoint: _admission_state.Endpoint, tokens: int, memory_tokens: int
+) -> int:
+    """Returns the tokens that it lacks once revoked tickets are released."""
     revoked = sum(t.max_tokens for t in endpoint.tickets.values() if t.revoked)
-    return endpoint.held_tokens - revoked + tokens <= memory_tokens
+    return endpoint.held_tokens - revoked + tokens - memory_tokens
 
 
 def fits_beside_online(
@@ -55,6 +62,33 @@
     return online + tokens <= memory_tokens
 
 
+def to_make_room_at(
+    endpoints: Iterable[_admission_state.Endpoint],
+    tokens: int,
+    memory_tokens: int,
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints where a batch ticket may be revoked for a request.
+
+    These are the ones where any one ticket is enough. If there are none, it is
+    the one that lacks least: revocations at several would make room at none.
+
+    Args:
+        endpoints: The endpoints that can hold it beside their online requests.
+        tokens: Tokens of the request.
+        memory_tokens: Tokens that each endpoint holds.
+    """
+    found = [e for e in endpoints if e.unrevoked_batch_count()]
+    if memory_tokens == UNSTATED or not found:
+        return found
+    lacking = {e.name: _lacking(e, tokens, memory_tokens) for e in found}
+    enough = [
+        e
+        for e in found
+        if lacking[e.name] <= min(t.max_tokens for t in e.unrevoked_batch())
+    ]
+    return enough or [min(found, key=lambda e: (lacking[e.name], e.name))]
+
+
 def kept_endpoint(
     endpoints: Iterable[_admission_state.Endpoint],
     request: _fair_queue.QueuedRequest,
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -271,3 +271,19 @@
     for name, tokens in (("b0", 50), ("b1", 50), ("b2", 100), ("b3", 60)):
         _ask(group, name, tokens)
     assert _ask(group, "b4", 40) == ["Grant"]
+
+
+def test_room_for_a_large_request_is_made_at_one_endpoint() -> None:
+    """Guards against revocations all over the fleet for one request."""
+    group = admission.Group(policy=POLICY)
+    group.memory_tokens = 100
+    slots = {f"e{n}": 8 for n in range(4)}
+    admission.set_endpoints(group, 0.0, slots, slots=slots)
+    for index in range(20):
+        _ask(group, f"b{index}", 20)
+    _ask(group, "r", 60, admission.ONLINE)
+    for step in range(20):
+        admission.tick(group, 1.0 + 0.01 * step)
+    revoked = [t for t in admission.all_tickets(group) if t.revoked]
+    assert len(revoked) == 3
+    assert len({t.endpoint for t in revoked}) == 1
