Revoke nothing at a cold endpoint while a warm one makes room

Where memory is stated, a revoked ticket frees its tokens only when it is released. The search for a warm endpoint then found none yet, and the same request revoked a second ticket at a cold endpoint. The cold ones are now tried only if no warm one revokes or will have room. The new test fails without it.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -224,8 +224,15 @@
             continue
         shared = _endpoint_filters.shareable(usable)
         warm = _endpoint_filters.warm(shared) if has_cold else shared
+        actions_before = len(actions)
         free = _free_for_online(group, warm, now, request, actions)
-        if not free and has_cold:
+        has_revoked = len(actions) > actions_before
+        if (
+            not free
+            and has_cold
+            and not has_revoked
+            and not _will_have_room(group, warm, request)
+        ):
             # A cold endpoint is slow: batch yields at a warm one first.
             cold = _endpoint_filters.cold(shared)
             free = _free_for_online(group, cold, now, request, actions)
@@ -322,13 +329,9 @@
     Returns:
         The endpoint of that ticket if it can run the request now, else nothing.
     """
-    tokens = request.max_tokens
-    if any(
-        _batch_revocation.has_free_slot(e)
-        and memory.will_fit(e, tokens, group.memory_tokens)
-        for e in endpoints
-    ):
+    if _will_have_room(group, endpoints, request):
         return []
+    tokens = request.max_tokens
     large_enough = [
         e
         for e in endpoints
@@ -341,6 +344,19 @@
     return _with_memory(group, freed, request)
 
 
+def _will_have_room(
+    group: _admission_state.Group,
+    endpoints: list[_admission_state.Endpoint],
+    request: _fair_queue.QueuedRequest,
+) -> bool:
+    """Returns whether one has room once revoked tickets are released."""
+    return any(
+        _batch_revocation.has_free_slot(e)
+        and memory.will_fit(e, request.max_tokens, group.memory_tokens)
+        for e in endpoints
+    )
+
+
 def _grant_batch(
     group: _admission_state.Group,
     now: float,
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -8,6 +8,7 @@
 
 from ibisknot import admission
 from ibisknot import breaker
+from ibisknot import request_limits
 from ibisknot import scheduler
 from ibisknot.contention import losses
 from ibisknot.contention import ranking
@@ -287,3 +288,20 @@
     revoked = [t for t in admission.all_tickets(group) if t.revoked]
     assert len(revoked) == 3
     assert len({t.endpoint for t in revoked}) == 1
+
+
+def test_cold_endpoint_revokes_nothing_while_a_warm_one_makes_room() -> None:
+    """Guards against two revocations for one online request."""
+    group = _group_with_memory(100)
+    cold = request_limits.ColdLimit(rate_per_s=50.0, burst=50.0)
+    admission.set_endpoints(group, 0.0, ["e0", "e1"], cold={"e1": cold})
+    admission.add_accrued(group, 1.0, 1.0)
+    for name in ("e0", "e1"):
+        ticket = admission.Ticket(
+            f"b-{name}", admission.BATCH, "o", "h", name, 1.0, 90, due_s=60.0
+        )
+        admission.adopt_ticket(group, 1.0, ticket)
+    assert _ask(group, "r", 20, admission.ONLINE) == ["Revoke"]
+    assert admission.tick(group, 1.1) == []
+    revoked = [t.id for t in admission.all_tickets(group) if t.revoked]
+    assert revoked == ["b-e0"]
