--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -70,7 +70,9 @@
     while _grant_batch(group, now, choose_for_batch, actions):
         pass
     if group.policy.revokes_batch and group.batch_queue.size:
-        shared = _endpoint_filters.shareable(_usable_endpoints(group, now))
+        shared = _endpoint_filters.shareable(
+            _endpoint_filters.usable(group, now)
+        )
         _batch_revocation.revoke_late(group, shared, now, actions)
     return actions
 
@@ -111,36 +113,6 @@
                 )
 
 
-def _has_software(
-    endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
-) -> bool:
-    """Returns whether an endpoint has the software that a request needs."""
-    return request.software_version in (None, endpoint.software_version)
-
-
-def _usable_endpoints(
-    group: _admission_state.Group,
-    now: float,
-    request: _fair_queue.QueuedRequest | None = None,
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints whose breaker and limit allow a request.
-
-    Those without the software that it needs are left out, and those that it
-    avoids if there are others.
-    """
-    allowed = [
-        e
-        for e in group.endpoints.values()
-        if (request is None or _has_software(e, request))
-        and breaker.allows(e.circuit, now)
-        and request_limits.allows(e.bucket, now)
-    ]
-    if request is None:
-        return allowed
-    others = [e for e in allowed if e.name not in request.avoid]
-    return others or allowed
-
-
 def _reserve_for_crash_suspect(group: _admission_state.Group) -> None:
     """Reserves one of several endpoints while a crash suspect is queued."""
     suspects = [r for r in group.online_queue.all_requests() if r.crash_suspect]
@@ -156,7 +128,7 @@
         e
         for e in group.endpoints.values()
         if e.name not in suspects[0].avoid
-        and _has_software(e, suspects[0])
+        and _endpoint_filters.has_software(e, suspects[0])
         and not e.has_exclusive()
     ]
     if choices:
@@ -212,7 +184,7 @@
         now,
     )
     for request in order:
-        usable = _usable_endpoints(group, now, request)
+        usable = _endpoint_filters.usable(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
@@ -302,7 +274,9 @@
     if group.memory_tokens == memory.UNSTATED or len(order) != 1:
         return order, ""
     first = order[0]
-    shared = _endpoint_filters.shareable(_usable_endpoints(group, now, first))
+    shared = _endpoint_filters.shareable(
+        _endpoint_filters.usable(group, now, first)
+    )
     kept = memory.kept_endpoint(shared, first, group.memory_tokens)
     if not kept:
         return order, ""
@@ -310,7 +284,7 @@
         queue.all_requests(),
         first,
         _endpoint_filters.shareable(
-            [e for e in _usable_endpoints(group, now) if e.name != kept]
+            [e for e in _endpoint_filters.usable(group, now) if e.name != kept]
         ),
         group.memory_tokens,
     )
@@ -380,7 +354,7 @@
         now,
     )
     for request in _in_time_first(group, order, now):
-        usable = _usable_endpoints(group, now, request)
+        usable = _endpoint_filters.usable(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
@@ -419,7 +393,7 @@
     """
     if len(order) != 1 or ranking.slack_s(order[0], now) < 0.0:
         return order
-    usable = _usable_endpoints(group, now)
+    usable = _endpoint_filters.usable(group, now)
     free = _with_batch_slot(usable, now, group.policy)
     is_short = room.is_short(group.batch_room, now)
     if not is_short and not choice.all_slow(group.speeds, free, now):
@@ -453,7 +427,7 @@
     """Returns whether it is worthwhile to order the batch requests."""
     if not group.batch_queue.size:
         return False
-    usable = _usable_endpoints(group, now)
+    usable = _endpoint_filters.usable(group, now)
     if _with_batch_slot(usable, now, group.policy):
         return True
     return any(r.crash_suspect for r in group.batch_queue.all_requests())
--- a/src/ibisknot/_endpoint_filters.py
+++ b/src/ibisknot/_endpoint_filters.py
@@ -1,6 +1,8 @@
 """Selects the endpoints that suit a request."""
 
 from ibisknot import _admission_state
+from ibisknot import _fair_queue
+from ibisknot import breaker
 from ibisknot import request_limits
 
 ONLINE_LIMIT_FRACTION = 0.5
@@ -11,6 +13,36 @@
 """
 
 
+def has_software(
+    endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
+) -> bool:
+    """Returns whether an endpoint has the software that a request needs."""
+    return request.software_version in (None, endpoint.software_version)
+
+
+def usable(
+    group: _admission_state.Group,
+    now: float,
+    request: _fair_queue.QueuedRequest | None = None,
+) -> list[_admission_state.Endpoint]:
+    """Returns the endpoints whose breaker and limit allow a request.
+
+    Those without the software that it needs are left out, and those that it
+    avoids if there are others.
+    """
+    allowed = [
+        e
+        for e in group.endpoints.values()
+        if (request is None or has_software(e, request))
+        and breaker.allows(e.circuit, now)
+        and request_limits.allows(e.bucket, now)
+    ]
+    if request is None:
+        return allowed
+    others = [e for e in allowed if e.name not in request.avoid]
+    return others or allowed
+
+
 def online_first(
     endpoints: list[_admission_state.Endpoint],
 ) -> list[_admission_state.Endpoint]:
