Put no item first that the free endpoints cannot run

When the next batch item would end too late at the slow endpoints that are free, another one goes first. It was chosen without regard to its software and its memory; if no free endpoint could run it, no batch item was granted. The new test fails without the change. The endpoints' speeds are now computed once, not for each queued item.

--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -400,11 +400,17 @@
         return order
     if choice.in_time(group.speeds, free, order[0], now):
         return order
-    others = [
-        r
-        for r in group.batch_queue.all_requests()
-        if choice.in_time(group.speeds, free, r, now)
-    ]
+
+    def can_run(
+        endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
+    ) -> bool:
+        return _endpoint_filters.has_software(
+            endpoint, request
+        ) and memory.fits(endpoint, request.max_tokens, group.memory_tokens)
+
+    others = choice.in_time_somewhere(
+        group.speeds, free, group.batch_queue.all_requests(), now, can_run
+    )
     if not others:
         return order
     return [_queue_order.choose_batch(group, now)(others)]
--- a/src/ibisknot/speeds/choice.py
+++ b/src/ibisknot/speeds/choice.py
@@ -1,5 +1,7 @@
 """Chooses, among endpoints with a slot, those whose speed suits a request."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 from ibisknot import _admission_state
@@ -83,8 +85,7 @@
     One that has no output yet should start with spare time.
     """
     expected_s = request.expected_duration_s
-    is_new = request.software_version is None
-    latest_s = request.due_s - is_new * ranking.spare_s(expected_s)
+    latest_s = _latest_end_s(request)
     return [
         e
         for e in endpoints
@@ -92,6 +93,46 @@
     ]
 
 
+def _latest_end_s(request: _fair_queue.QueuedRequest) -> float:
+    """Returns the monotonic time by which a batch item should end."""
+    if request.software_version is not None:
+        return request.due_s
+    return request.due_s - ranking.spare_s(request.expected_duration_s)
+
+
+def in_time_somewhere(
+    speeds: table.Table,
+    endpoints: Sequence[_admission_state.Endpoint],
+    requests: Iterable[_fair_queue.QueuedRequest],
+    now: float,
+    can_run: Callable[
+        [_admission_state.Endpoint, _fair_queue.QueuedRequest], bool
+    ],
+) -> list[_fair_queue.QueuedRequest]:
+    """Returns the batch items that would end in time at one of the endpoints.
+
+    Args:
+        speeds: Speeds of the service's endpoints.
+        endpoints: Endpoints that have a slot.
+        requests: The batch items.
+        now: Monotonic time in seconds.
+        can_run: Whether an endpoint can run an item at all.
+    """
+    factors = [(duration_s(speeds, e.name, 1.0, now), e) for e in endpoints]
+    factors.sort(key=lambda pair: pair[0])
+
+    def is_in_time(request: _fair_queue.QueuedRequest) -> bool:
+        left_s = _latest_end_s(request) - now
+        for factor, endpoint in factors:
+            if request.expected_duration_s * factor > left_s:
+                return False
+            if can_run(endpoint, request):
+                return True
+        return False
+
+    return [r for r in requests if is_in_time(r)]
+
+
 def for_batch(
     speeds: table.Table,
     endpoints: Sequence[_admission_state.Endpoint],
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -217,6 +217,29 @@
     assert ticket.expected_end_s > 12.5
 
 
+def test_item_that_needs_a_full_endpoint_delays_no_other() -> None:
+    """Guards against a queue that waits for an item without an endpoint."""
+    group = _group(SLOW_E0 | {"e0": 3.0}, slots=1)
+    group.endpoints["e1"].software_version = "v2"
+    due_s = {"a": 25.0, "b": 25.0, "c": 25.0, "large": 25.0, "bound": 26.0}
+    for name, due in due_s.items():
+        request = admission.QueuedRequest(
+            name, admission.BATCH, "o", 10.0, 30.0, due_s=due
+        )
+        request.expected_duration_s = 1.0 if name == "bound" else 10.0
+        request.software_version = "v2" if name == "bound" else None
+        admission.request_ticket(group, 10.0, request)
+    assert {t.endpoint for t in admission.all_tickets(group)} == {
+        "e1",
+        "e2",
+        "e3",
+    }
+    placed = _endpoint_of(
+        group, "d", 10.0, kind=admission.BATCH, duration_s=2.0, due_s=27.0
+    )
+    assert placed == "e0"
+
+
 def test_reported_gaps_serve_uneven_endpoints_no_worse() -> None:
     """Guards against speeds that help some requests and harm others."""
     worlds = []
