Do less work for each decision

Each decision computed the loss of every batch ticket and sorted the endpoints, and each batch grant counted the tickets in flight up to three times; a report applied the endpoints once for each ticket. The losses are now computed only of late tickets and only if one is to be revoked, the endpoints are sorted only where online requests are consolidated, the count is made once a grant, and the endpoints are applied once for each service. Which tickets are granted and revoked is unchanged.

--- a/src/ibisknot/_batch_revocation.py
+++ b/src/ibisknot/_batch_revocation.py
@@ -20,6 +20,7 @@
 
 
 def has_free_slot(endpoint: _admission_state.Endpoint) -> bool:
+    """Returns whether a slot is free once revoked tickets are released."""
     return endpoint.unrevoked_count() < int(endpoint.capacity.limit)
 
 
@@ -141,10 +142,11 @@
         r for r in group.batch_queue.all_requests() if r.due_s < math.inf
     ]
     on_time = sum(urgency.can_be_on_time(r, now) for r in with_due_time)
-    late = _late_tickets(endpoints, now, group.policy)
     everywhere = (*group.endpoints.values(), *group.draining.values())
-    revoked = sum(e.revoked for e in everywhere)
-    for endpoint, ticket in late[: max(0, on_time - revoked)]:
+    count = on_time - sum(e.revoked for e in everywhere)
+    if count <= 0:
+        return
+    for endpoint, ticket in _late_tickets(endpoints, now, group.policy)[:count]:
         _revoke(endpoint, ticket, actions)
 
 
@@ -157,7 +159,11 @@
     tickets = [(e, t) for e in endpoints for t in e.unrevoked_batch()]
     if not policy.weighs_losses:
         return [pair for pair in tickets if urgency.is_late(pair[1], now)]
-    keys = [(losses.key(ticket, now), e, ticket) for e, ticket in tickets]
+    keys = [
+        (losses.key(ticket, now), e, ticket)
+        for e, ticket in tickets
+        if losses.is_late(ticket, now)
+    ]
     late = [k for k in keys if k[0][0] == losses.LOSES_NOTHING]
     late.sort(key=lambda k: k[0])
     return [(endpoint, ticket) for _, endpoint, ticket in late]
--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -143,6 +143,10 @@
 
     At least one endpoint is left to batch.
     """
+    for endpoint in group.endpoints.values():
+        endpoint.prefers_online = False
+    if not (group.policy.revokes_batch and group.policy.consolidates_online):
+        return
     ready = [
         e
         for _, e in sorted(group.endpoints.items())
@@ -150,11 +154,7 @@
         and not e.has_exclusive()
         and breaker.allows(e.circuit, now)
     ]
-    for endpoint in group.endpoints.values():
-        endpoint.prefers_online = False
-    if len(ready) < 2 or not (
-        group.policy.revokes_batch and group.policy.consolidates_online
-    ):
+    if len(ready) < 2:
         return
     online = sum(
         _admission_state.decayed_online_peak(e, now) for e in ready
@@ -346,14 +346,15 @@
     if not _may_grant_batch(group, now):
         return False
     has_cold = _endpoint_filters.has_cold(group)
+    choose_request = _queue_order.choose_batch(group, now)
     order, kept = _keep_memory(
         group,
-        _queue_order.batch_order(group, now),
+        _queue_order.batch_order(group, now, choose_request),
         group.batch_queue,
-        _queue_order.choose_batch(group, now),
+        choose_request,
         now,
     )
-    for request in _in_time_first(group, order, now):
+    for request in _in_time_first(group, order, choose_request, now):
         usable = _endpoint_filters.usable(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
@@ -384,6 +385,7 @@
 def _in_time_first(
     group: _admission_state.Group,
     order: list[_fair_queue.QueuedRequest],
+    choose_request: _queue_order.ChooseRequest,
     now: float,
 ) -> list[_fair_queue.QueuedRequest]:
     """Puts another batch request first if the next one would end too late.
@@ -413,7 +415,7 @@
     )
     if not others:
         return order
-    return [_queue_order.choose_batch(group, now)(others)]
+    return [choose_request(others)]
 
 
 def _with_batch_slot(
@@ -425,7 +427,9 @@
     return [
         e
         for e in _endpoint_filters.shareable(usable)
-        if e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
+        # The first comparison spares the second one at full endpoints.
+        if e.batch_count() < e.capacity.limit
+        and e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
     ]
 
 
--- a/src/ibisknot/_queue_order.py
+++ b/src/ibisknot/_queue_order.py
@@ -59,24 +59,26 @@
 
 
 def batch_order(
-    group: _admission_state.Group, now: float
+    group: _admission_state.Group, now: float, choose: ChooseRequest
 ) -> list[_fair_queue.QueuedRequest]:
     """Returns the batch requests that may be granted next, in order.
 
     Requests that can be on time go first if the next one has a due time.
+
+    Args:
+        group: The admission group.
+        now: Monotonic time in seconds.
+        choose: Chooses the next one of several requests with a due time.
     """
     order = _fair_order(group.batch_queue, now)
     if not order or order[0].crash_suspect or order[0].due_s == math.inf:
         return order
-    choose = choose_batch(group, now)
     return _with_alternatives(
         choose(group.batch_queue.all_requests()), group.batch_queue, choose
     )
 
 
-def choose_batch(
-    group: _admission_state.Group, now: float
-) -> Callable[[Iterable[_fair_queue.QueuedRequest]], _fair_queue.QueuedRequest]:
+def choose_batch(group: _admission_state.Group, now: float) -> ChooseRequest:
     """Returns a function that chooses the batch request to run next."""
     if not room.is_short(group.batch_room, now):
         return lambda requests: urgency.next_request(requests, now)
--- a/src/ibisknot/scheduler.py
+++ b/src/ibisknot/scheduler.py
@@ -375,9 +375,10 @@
         tickets_by_service: dict[str, list[admission.Ticket]] = {
             name: [] for name in self.services
         }
+        for name in sorted({wire.group for wire in message.places}):
+            self._update_endpoints(self.service(name))
         for wire in message.places:
             self._record_origin(wire)
-            self._update_endpoints(self.service(wire.group))
             reported = tickets_by_service.setdefault(wire.group, [])
             reported.append(
                 _scheduler_messages.to_ticket(wire, message.holder, now)
