Say plainly what reviewers stumbled over

The choice of endpoints stood twice, the note on the retention of ended tickets stood below another constant, and a few functions and constants had no description.

--- a/src/ibisknot/_endpoint_choice.py
+++ b/src/ibisknot/_endpoint_choice.py
@@ -30,15 +30,26 @@
     Args:
         delays: Returns what the data centres of the endpoints cost.
     """
+    return _least_expected(_admission_state.Endpoint.unrevoked_count, delays)
+
+
+def _least_expected(
+    running: Callable[[_admission_state.Endpoint], int],
+    delays: endpoint_delays.Delays,
+) -> ChooseEndpoint:
+    """Returns a function that chooses the least expected time to first token.
+
+    Args:
+        running: Returns the sequences that run beside the request.
+        delays: Returns what the data centres of the endpoints cost.
+    """
 
     def choose(
         candidates: list[_admission_state.Endpoint],
         request: _fair_queue.QueuedRequest,
     ) -> _admission_state.Endpoint:
         delay_s = delays(candidates, request)
-        options = [
-            _candidate(e, e.unrevoked_count(), delay_s(e)) for e in candidates
-        ]
+        options = [_candidate(e, running(e), delay_s(e)) for e in candidates]
         chosen = routing.choose(
             options, request.prompt_blocks, request.prompt_words
         )
@@ -76,22 +87,9 @@
         policy: How many batch sequences are revoked.
         delays: Returns what the data centres of the endpoints cost.
     """
-
-    def choose(
-        candidates: list[_admission_state.Endpoint],
-        request: _fair_queue.QueuedRequest,
-    ) -> _admission_state.Endpoint:
-        delay_s = delays(candidates, request)
-        options = [
-            _candidate(e, _running_after_revocation(e, policy), delay_s(e))
-            for e in candidates
-        ]
-        chosen = routing.choose(
-            options, request.prompt_blocks, request.prompt_words
-        )
-        return next(e for e in candidates if e.name == chosen.name)
-
-    return choose
+    return _least_expected(
+        lambda e: _running_after_revocation(e, policy), delays
+    )
 
 
 def _running_after_revocation(
--- a/src/ibisknot/admission.py
+++ b/src/ibisknot/admission.py
@@ -41,9 +41,9 @@
 find_endpoint = _admission_state.find_endpoint
 
 ENDED_RETENTION_S = 10.0
+"""Retention of the ids of released tickets, for messages that come late."""
 MAX_EXPIRED_IDS = 200
 """Ids of released tickets that one tick removes."""
-"""Retention of the ids of released tickets, for messages that come late."""
 MAX_GRANT_DELIVERY_S = 2.0
 """Longest time that a grant takes to reach its holder.
 
--- a/src/ibisknot/contention/memory.py
+++ b/src/ibisknot/contention/memory.py
@@ -34,7 +34,7 @@
 def will_fit(
     endpoint: _admission_state.Endpoint, tokens: int, memory_tokens: int
 ) -> bool:
-    """Returns whether it can once its revoked tickets are released."""
+    """Returns whether it can hold one once its revoked tickets are released."""
     if memory_tokens == UNSTATED:
         return True
     return _lacking(endpoint, tokens, memory_tokens) <= 0
@@ -51,7 +51,7 @@
 def fits_beside_online(
     endpoint: _admission_state.Endpoint, tokens: int, memory_tokens: int
 ) -> bool:
-    """Returns whether it can once all its batch tickets are revoked."""
+    """Returns whether it can hold one without its batch tickets."""
     if memory_tokens == UNSTATED:
         return True
     online = sum(
--- a/src/ibisknot/contention/ranking.py
+++ b/src/ibisknot/contention/ranking.py
@@ -83,6 +83,7 @@
 
 
 def _stage(request: _fair_queue.QueuedRequest, now: float) -> int:
+    """Returns `RESUMES`, `STARTS`, `STARTS_WITHOUT_SPARE` or `LATE`."""
     left_s = slack_s(request, now)
     if left_s < 0.0:
         return LATE
--- a/src/ibisknot/speeds/choice.py
+++ b/src/ibisknot/speeds/choice.py
@@ -15,12 +15,13 @@
 Without samples, it could not be seen to recover.
 """
 VERY_SLOW = 3.0
-"""Slowness above which a batch item elsewhere is rather revoked."""
+"""Slowness from which a batch item elsewhere is revoked instead."""
 LONG_FACTOR = 1.3
 """Batch items over this multiple of the mean duration are long."""
 SPEED_STEP = 0.2
 """Difference in slowness below which load decides."""
 MEAN_WEIGHT = 0.05
+"""Weight of a new item in the mean duration of batch items."""
 MIN_ENDPOINTS = 3
 """With fewer endpoints, one of them shifts what is usual."""
 
--- a/src/ibisknot/speeds/table.py
+++ b/src/ibisknot/speeds/table.py
@@ -167,6 +167,7 @@
 
 
 def _median_log(table: Table) -> float:
+    """Returns the median over the endpoints with enough evidence."""
     known = [
         e.log_sum / e.weight
         for e in table.estimates.values()
