--- a/src/ibisknot/_decisions.py
+++ b/src/ibisknot/_decisions.py
@@ -70,7 +70,9 @@
     while _grant_batch(group, now, choose_for_batch, actions):
         pass
     if group.policy.revokes_batch and group.batch_queue.size:
-        shared = _endpoint_filters.shareable(_usable_endpoints(group, now))
+        shared = _endpoint_filters.shareable(
+            _endpoint_filters.usable(group, now)
+        )
         _batch_revocation.revoke_late(group, shared, now, actions)
     return actions
 
@@ -111,36 +113,6 @@
                 )
 
 
-def _has_software(
-    endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
-) -> bool:
-    """Returns whether an endpoint has the software that a request needs."""
-    return request.software_version in (None, endpoint.software_version)
-
-
-def _usable_endpoints(
-    group: _admission_state.Group,
-    now: float,
-    request: _fair_queue.QueuedRequest | None = None,
-) -> list[_admission_state.Endpoint]:
-    """Returns the endpoints whose breaker and limit allow a request.
-
-    Those without the software that it needs are left out, and those that it
-    avoids if there are others.
-    """
-    allowed = [
-        e
-        for e in group.endpoints.values()
-        if (request is None or _has_software(e, request))
-        and breaker.allows(e.circuit, now)
-        and request_limits.allows(e.bucket, now)
-    ]
-    if request is None:
-        return allowed
-    others = [e for e in allowed if e.name not in request.avoid]
-    return others or allowed
-
-
 def _reserve_for_crash_suspect(group: _admission_state.Group) -> None:
     """Reserves one of several endpoints while a crash suspect is queued."""
     suspects = [r for r in group.online_queue.all_requests() if r.crash_suspect]
@@ -156,7 +128,7 @@
         e
         for e in group.endpoints.values()
         if e.name not in suspects[0].avoid
-        and _has_software(e, suspects[0])
+        and _endpoint_filters.has_software(e, suspects[0])
         and not e.has_exclusive()
     ]
     if choices:
@@ -171,6 +143,10 @@
 
     At least one endpoint is left to batch.
     """
+    for endpoint in group.endpoints.values():
+        endpoint.prefers_online = False
+    if not (group.policy.revokes_batch and group.policy.consolidates_online):
+        return
     ready = [
         e
         for _, e in sorted(group.endpoints.items())
@@ -178,11 +154,7 @@
         and not e.has_exclusive()
         and breaker.allows(e.circuit, now)
     ]
-    for endpoint in group.endpoints.values():
-        endpoint.prefers_online = False
-    if len(ready) < 2 or not (
-        group.policy.revokes_batch and group.policy.consolidates_online
-    ):
+    if len(ready) < 2:
         return
     online = sum(
         _admission_state.decayed_online_peak(e, now) for e in ready
@@ -212,7 +184,7 @@
         now,
     )
     for request in order:
-        usable = _usable_endpoints(group, now, request)
+        usable = _endpoint_filters.usable(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
@@ -224,8 +196,15 @@
             continue
         shared = _endpoint_filters.shareable(usable)
         warm = _endpoint_filters.warm(shared) if has_cold else shared
+        actions_before = len(actions)
         free = _free_for_online(group, warm, now, request, actions)
-        if not free and has_cold:
+        has_revoked = len(actions) > actions_before
+        if (
+            not free
+            and has_cold
+            and not has_revoked
+            and not _will_have_room(group, warm, request)
+        ):
             # A cold endpoint is slow: batch yields at a warm one first.
             cold = _endpoint_filters.cold(shared)
             free = _free_for_online(group, cold, now, request, actions)
@@ -295,14 +274,18 @@
     if group.memory_tokens == memory.UNSTATED or len(order) != 1:
         return order, ""
     first = order[0]
-    shared = _endpoint_filters.shareable(_usable_endpoints(group, now, first))
+    shared = _endpoint_filters.shareable(
+        _endpoint_filters.usable(group, now, first)
+    )
     kept = memory.kept_endpoint(shared, first, group.memory_tokens)
     if not kept:
         return order, ""
     others = memory.others_that_fit(
         queue.all_requests(),
         first,
-        [e for e in group.endpoints.values() if e.name != kept],
+        _endpoint_filters.shareable(
+            [e for e in _endpoint_filters.usable(group, now) if e.name != kept]
+        ),
         group.memory_tokens,
     )
     return [first, *([choose_request(others)] if others else [])], kept
@@ -320,24 +303,34 @@
     Returns:
         The endpoint of that ticket if it can run the request now, else nothing.
     """
-    tokens = request.max_tokens
-    if any(
-        _batch_revocation.has_free_slot(e)
-        and memory.will_fit(e, tokens, group.memory_tokens)
-        for e in endpoints
-    ):
+    if _will_have_room(group, endpoints, request):
         return []
+    tokens = request.max_tokens
     large_enough = [
         e
         for e in endpoints
         if memory.fits_beside_online(e, tokens, group.memory_tokens)
     ]
-    freed = _batch_revocation.revoke_one(
-        large_enough, now, group.policy, actions
+    candidates = memory.to_make_room_at(
+        large_enough, tokens, group.memory_tokens
     )
+    freed = _batch_revocation.revoke_one(candidates, now, group.policy, actions)
     return _with_memory(group, freed, request)
 
 
+def _will_have_room(
+    group: _admission_state.Group,
+    endpoints: list[_admission_state.Endpoint],
+    request: _fair_queue.QueuedRequest,
+) -> bool:
+    """Returns whether one has room once revoked tickets are released."""
+    return any(
+        _batch_revocation.has_free_slot(e)
+        and memory.will_fit(e, request.max_tokens, group.memory_tokens)
+        for e in endpoints
+    )
+
+
 def _grant_batch(
     group: _admission_state.Group,
     now: float,
@@ -353,15 +346,16 @@
     if not _may_grant_batch(group, now):
         return False
     has_cold = _endpoint_filters.has_cold(group)
+    choose_request = _queue_order.choose_batch(group, now)
     order, kept = _keep_memory(
         group,
-        _queue_order.batch_order(group, now),
+        _queue_order.batch_order(group, now, choose_request),
         group.batch_queue,
-        _queue_order.choose_batch(group, now),
+        choose_request,
         now,
     )
-    for request in _in_time_first(group, order, now):
-        usable = _usable_endpoints(group, now, request)
+    for request in _in_time_first(group, order, choose_request, now):
+        usable = _endpoint_filters.usable(group, now, request)
         if request is not order[0]:
             usable = [e for e in usable if e.name != kept]
         if request.crash_suspect and len(group.endpoints) > 1:
@@ -391,6 +385,7 @@
 def _in_time_first(
     group: _admission_state.Group,
     order: list[_fair_queue.QueuedRequest],
+    choose_request: _queue_order.ChooseRequest,
     now: float,
 ) -> list[_fair_queue.QueuedRequest]:
     """Puts another batch request first if the next one would end too late.
@@ -400,21 +395,27 @@
     """
     if len(order) != 1 or ranking.slack_s(order[0], now) < 0.0:
         return order
-    usable = _usable_endpoints(group, now)
+    usable = _endpoint_filters.usable(group, now)
     free = _with_batch_slot(usable, now, group.policy)
     is_short = room.is_short(group.batch_room, now)
     if not is_short and not choice.all_slow(group.speeds, free, now):
         return order
     if choice.in_time(group.speeds, free, order[0], now):
         return order
-    others = [
-        r
-        for r in group.batch_queue.all_requests()
-        if choice.in_time(group.speeds, free, r, now)
-    ]
+
+    def can_run(
+        endpoint: _admission_state.Endpoint, request: _fair_queue.QueuedRequest
+    ) -> bool:
+        return _endpoint_filters.has_software(
+            endpoint, request
+        ) and memory.fits(endpoint, request.max_tokens, group.memory_tokens)
+
+    others = choice.in_time_somewhere(
+        group.speeds, free, group.batch_queue.all_requests(), now, can_run
+    )
     if not others:
         return order
-    return [_queue_order.choose_batch(group, now)(others)]
+    return [choose_request(others)]
 
 
 def _with_batch_slot(
@@ -426,7 +427,9 @@
     return [
         e
         for e in _endpoint_filters.shareable(usable)
-        if e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
+        # The first comparison spares the second one at full endpoints.
+        if e.batch_count() < e.capacity.limit
+        and e.batch_count() < _batch_revocation.batch_limit(e, now, policy)
     ]
 
 
@@ -434,7 +437,7 @@
     """Returns whether it is worthwhile to order the batch requests."""
     if not group.batch_queue.size:
         return False
-    usable = _usable_endpoints(group, now)
+    usable = _endpoint_filters.usable(group, now)
     if _with_batch_slot(usable, now, group.policy):
         return True
     return any(r.crash_suspect for r in group.batch_queue.all_requests())
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -7,6 +7,8 @@
 import pytest
 
 from ibisknot import admission
+from ibisknot import breaker
+from ibisknot import request_limits
 from ibisknot import scheduler
 from ibisknot.contention import losses
 from ibisknot.contention import ranking
@@ -256,3 +258,50 @@
     value = {"Version": 1, "Services": [{"Name": "s", "Engine": engine}]}
     decoded = configuration.decode(msgspec.json.encode(value))
     assert decoded.memory_tokens == tokens
+
+
+def test_small_request_passes_a_large_one_beside_an_unusable_endpoint() -> None:
+    """Guards against a queue that waits for memory which nothing may use."""
+    group = admission.Group(policy=POLICY)
+    group.memory_tokens = 100
+    slots = {"e0": 8, "e1": 8, "e2": 8}
+    admission.set_endpoints(group, 0.0, slots, slots=slots)
+    breaker.record_failure(
+        group.endpoints["e0"].circuit, 1.0, endpoint_down=True
+    )
+    for name, tokens in (("b0", 50), ("b1", 50), ("b2", 100), ("b3", 60)):
+        _ask(group, name, tokens)
+    assert _ask(group, "b4", 40) == ["Grant"]
+
+
+def test_room_for_a_large_request_is_made_at_one_endpoint() -> None:
+    """Guards against revocations all over the fleet for one request."""
+    group = admission.Group(policy=POLICY)
+    group.memory_tokens = 100
+    slots = {f"e{n}": 8 for n in range(4)}
+    admission.set_endpoints(group, 0.0, slots, slots=slots)
+    for index in range(20):
+        _ask(group, f"b{index}", 20)
+    _ask(group, "r", 60, admission.ONLINE)
+    for step in range(20):
+        admission.tick(group, 1.0 + 0.01 * step)
+    revoked = [t for t in admission.all_tickets(group) if t.revoked]
+    assert len(revoked) == 3
+    assert len({t.endpoint for t in revoked}) == 1
+
+
+def test_cold_endpoint_revokes_nothing_while_a_warm_one_makes_room() -> None:
+    """Guards against two revocations for one online request."""
+    group = _group_with_memory(100)
+    cold = request_limits.ColdLimit(rate_per_s=50.0, burst=50.0)
+    admission.set_endpoints(group, 0.0, ["e0", "e1"], cold={"e1": cold})
+    admission.add_accrued(group, 1.0, 1.0)
+    for name in ("e0", "e1"):
+        ticket = admission.Ticket(
+            f"b-{name}", admission.BATCH, "o", "h", name, 1.0, 90, due_s=60.0
+        )
+        admission.adopt_ticket(group, 1.0, ticket)
+    assert _ask(group, "r", 20, admission.ONLINE) == ["Revoke"]
+    assert admission.tick(group, 1.1) == []
+    revoked = [t.id for t in admission.all_tickets(group) if t.revoked]
+    assert revoked == ["b-e0"]
