Announce a job without an answer only to an allowed worker

The probable owner of a job whose write was not answered was chosen from all workers, while the record names one of the allowed regions. The job's items could go to a worker outside them, and the real owner was not told. The choice now uses the same workers as the record.

--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -126,7 +126,9 @@
                 await self._wait_for_store(deadline_s)
             if self.clock() + SUBMIT_RETRY_PAUSE_S >= deadline_s:
                 if is_outcome_unknown:
-                    self._notify_probable_owner(submission.id, parts)
+                    self._notify_probable_owner(
+                        submission.id, parts, route, organisation
+                    )
                 message = f"job {submission.id} may have been accepted"
                 raise errors.KeyValueUnknownError(message)
             await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
@@ -145,15 +147,22 @@
             await anyio.sleep(SUBMIT_RETRY_PAUSE_S)
         return True
 
-    def _notify_probable_owner(self, job_id: str, parts: list[bytes]) -> None:
+    def _notify_probable_owner(
+        self,
+        job_id: str,
+        parts: list[bytes],
+        route: serving.Route,
+        organisation: str,
+    ) -> None:
         """Notifies the owner of a job whose write was not answered.
 
         The owner reads the job's record, which may name another worker by now
         or not exist.
         """
-        owner = job_owners.choose_owner(
-            job_id, job_owners.worker_names(self.view)
+        workers = job_owners.allowed_workers(
+            self.view, route.name, organisation
         )
+        owner = job_owners.choose_owner(job_id, workers)
         self._start_notify(job_id, owner, parts)
 
     def _start_notify(
@@ -212,7 +221,7 @@
         if pair is not None:
             waiting = batch_records.decode_waiting_tokens(pair.value)
         if submission.id in waiting.jobs and await self._is_stored(
-            submission.id, parts, organisation
+            submission.id, parts, route, organisation
         ):
             return True
         tokens = submission.total_tokens()
@@ -221,7 +230,7 @@
             waiting = await self._count_waiting_tokens(route, organisation)
             if not _is_within_limit(waiting, tokens, route):
                 return await self._refuse_over_limit(
-                    submission, parts, organisation
+                    submission, parts, route, organisation
                 )
         waiting.jobs[submission.id] = tokens
         guard = pairs.Guard(key, 0 if pair is None else pair.revision)
@@ -230,7 +239,11 @@
         )
 
     async def _is_stored(
-        self, job_id: str, parts: list[bytes], organisation: str
+        self,
+        job_id: str,
+        parts: list[bytes],
+        route: serving.Route,
+        organisation: str,
     ) -> bool:
         """Returns whether a job is already stored, and notifies its owner.
 
@@ -245,7 +258,7 @@
         if job is None:
             return False
         self._check_access(job, organisation)
-        self._notify_probable_owner(job_id, parts)
+        self._notify_probable_owner(job_id, parts, route, organisation)
         return True
 
     async def _count_waiting_tokens(
@@ -271,10 +284,11 @@
         self,
         submission: batch_records.Submission,
         parts: list[bytes],
+        route: serving.Route,
         organisation: str,
     ) -> bool:
         """Returns True if the job is already stored, else refuses it."""
-        if await self._is_stored(submission.id, parts, organisation):
+        if await self._is_stored(submission.id, parts, route, organisation):
             return True
         raise errors.RateLimitError(
             f"{organisation} has too many batch tokens waiting",
@@ -325,7 +339,7 @@
         guards = [pairs.Guard(meta_key, 0), guard]
         revision = await self.store.transact(guards, puts)
         if not revision:
-            return await self._is_stored(meta.id, parts, organisation)
+            return await self._is_stored(meta.id, parts, route, organisation)
         self._cache_new_job(meta, revision)
         logs.event(
             "job_accepted",
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -1,15 +1,19 @@
 """Submissions of batch jobs at a gateway."""
 
+import dataclasses
+
 import anyio
 from anyio import abc
 import fake_fleet
 import fake_pairs_store
 import pytest
+import rate_world
 import scripted
 
 from ibisknot import batch_jobs
 from ibisknot import batch_records
 from ibisknot import errors
+from ibisknot import fleetview
 from ibisknot import serving
 
 ROUTE = scripted.make_route(kind=serving.BATCH)
@@ -98,6 +102,44 @@
     assert message.parts
 
 
+def test_unanswered_job_is_announced_only_in_its_regions() -> None:
+    """Guards against a body that is sent to a worker elsewhere."""
+    peers = fake_fleet.Peers()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            for number in range(10):
+                store = fake_pairs_store.FakeStore()
+                store.lost_answers = 1
+                jobs = _jobs(store, task_group)
+                jobs.peers = peers  # type: ignore[assignment]
+                jobs.view = _view_of_two_regions()
+                item = batch_records.Item("a", "/", [], b"", 1)
+                await jobs.submit(
+                    batch_records.Submission(f"j{number}", [item]),
+                    ROUTE,
+                    "one",
+                    fake_fleet.START_S + 1.0,
+                )
+
+    anyio.run(main)
+    assert {address for address, _, _ in peers.calls} == {"w1:1"}
+
+
+def _view_of_two_regions() -> fleetview.View:
+    """Returns a view in which organisation `one` may use only worker `w1`."""
+    view = fake_fleet.view(workers=2)
+    view.regions = {"d": "south", "n": "north"}
+    view.members["w1"] = dataclasses.replace(
+        view.members["w1"], data_centre="n"
+    )
+    view.configuration = rate_world._configuration()
+    view.configuration.organisations = {
+        "one": serving.Organisation("one", allowed_regions=frozenset({"north"}))
+    }
+    return view
+
+
 def test_submission_waits_for_the_end_of_an_outage() -> None:
     """Guards against jobs that wait for their callers' next attempts.
 
