Run no request of a connection that was closed

A connection can be closed with a 503 while its request is already received: it waits for its turn after others that were sent ahead, or lets others have a turn between the parts of its body. The request was then read from memory and its handler begun after the refusal. It is now dropped.

--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -102,7 +102,8 @@
         except errors.IbisknotError as error:
             await self._reject(error)
             return False
-        if request is None:
+        if request is None or self.account.is_closed:
+            # A connection that was closed may have been sent a refusal.
             return False
         limit = self.server.clients.limit
         exchange = http_exchange.Exchange(
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -184,6 +184,38 @@
     _run(http_server.Server(_echo), check)
 
 
+def test_request_of_a_closed_connection_does_not_run() -> None:
+    """Guards against a request that runs after its refusal.
+
+    The whole of it was received before the connection was closed.
+    """
+    handled: list[bytes] = []
+
+    async def record(exchange: http_server.Exchange) -> None:
+        handled.append(exchange.request.target)
+        await exchange.respond(200, [])
+
+    server = http_server.Server(record)
+    # The second request waits for its turn, as if others had sent ahead.
+    server.pipeliners = 100
+    requests = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n for n in range(2)
+    )
+
+    async def check(port: int) -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_send_all, port, requests)
+            while server.pipeliners == 100:
+                await anyio.sleep(0.01)
+            (account,) = server.quota.accounts
+            server.clients.limit.close(account, budget.MEMORY)
+            while server.open_connections:
+                await anyio.sleep(0.01)
+        assert handled == [b"/0"]
+
+    _run(server, check)
+
+
 def test_refused_connection_is_told_that_nothing_has_run() -> None:
     """Guards against a refusal that a caller takes for a lost request."""
 
