Charge a compressed call with its unpacked size

The calls of a peer's connection were charged with the size of their frames. A frame of about 1 KB may unpack to 256 KB, so that 4,096 calls of one connection could hold far more than they were charged for.

--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -196,15 +196,17 @@
                 take_over = self.stream_handlers[envelope.method]
                 await take_over(calls.stream, received, envelope)
                 return
-            calls.begin(len(frame))
-            task_group.start_soon(self._respond, calls, envelope, len(frame))
+            # A compressed payload is shorter in its frame than in memory.
+            held_bytes = max(len(frame), len(envelope.payload))
+            calls.begin(held_bytes)
+            task_group.start_soon(self._respond, calls, envelope, held_bytes)
             await calls.wait_for_room()
 
     async def _respond(
         self,
         calls: peer_calls.Calls,
         request: ttypes.Envelope,
-        frame_bytes: int,
+        held_bytes: int,
     ) -> None:
         """Handles a call and sends its result or error, unless one-way."""
         response = ttypes.Envelope(
@@ -239,7 +241,7 @@
                     len(response.payload),
                 )
         finally:
-            calls.end(frame_bytes, completed=request.method in self.handlers)
+            calls.end(held_bytes, completed=request.method in self.handlers)
 
     async def _dispatch(self, request: ttypes.Envelope) -> bytes:
         """Runs the handler of a call and returns the encoded response.
--- a/src/ibisknot/peer_calls.py
+++ b/src/ibisknot/peer_calls.py
@@ -59,18 +59,18 @@
         """Counts held bytes; returns whether there is memory."""
         return self.limit.charge(self.account, size)
 
-    def begin(self, frame_bytes: int) -> None:
-        """A call was received."""
+    def begin(self, held_bytes: int) -> None:
+        """A call was received, which holds a number of bytes."""
         if not self.running:
             self.limit.begin_work(self.account)
         self.running += 1
         self.begun += 1
-        self.charge(CALL_BYTES + frame_bytes)
+        self.charge(CALL_BYTES + held_bytes)
 
-    def end(self, frame_bytes: int, *, completed: bool) -> None:
+    def end(self, held_bytes: int, *, completed: bool) -> None:
         """A call was answered, or its connection has ended."""
         self.running -= 1
-        self.charge(-CALL_BYTES - frame_bytes)
+        self.charge(-CALL_BYTES - held_bytes)
         if not self.running:
             self.limit.end_work(self.account, completed=completed)
         if self.ended is not None:
--- a/tests/test_peer_compression.py
+++ b/tests/test_peer_compression.py
@@ -22,20 +22,25 @@
 
 
 class _Server(peer.Server):
-    """Records the compression of requests; may be of an earlier build."""
+    """Records the compression of requests, and what is held for them.
+
+    It may be of an earlier build.
+    """
 
     def __init__(self, *, is_earlier: bool) -> None:
         super().__init__()
         self.is_earlier = is_earlier
         self.compressions: list[int | None] = []
+        self.held_bytes: list[int] = []
 
     async def _respond(
-        self, calls: peer_calls.Calls, request: Any, frame_bytes: int
+        self, calls: peer_calls.Calls, request: Any, held_bytes: int
     ) -> None:
         self.compressions.append(request.compression)
+        self.held_bytes.append(calls.account.held_bytes)
         if self.is_earlier:
             request.takes_compressed = None
-        await super()._respond(calls, request, frame_bytes)
+        await super()._respond(calls, request, held_bytes)
 
 
 async def _call_thrice(scope: str, *, is_earlier: bool = False) -> _Server:
@@ -147,6 +152,13 @@
     assert counted == {("received", "other"): 7, ("sent", "other"): 9}
 
 
+def test_compressed_call_is_charged_with_its_unpacked_size() -> None:
+    """Guards against small frames that hold much memory while they wait."""
+    server = anyio.run(_call_thrice, scopes.OTHER)
+    least_bytes = peer_calls.CALL_BYTES + len(BODY)
+    assert min(server.held_bytes) >= least_bytes
+
+
 def test_scope_follows_the_members() -> None:
     """Guards against bytes counted by a list of members that is old."""
     view = fake_fleet.view()
