Give back what a refused request holds before its caller leaves

A refused request was charged for, and its error's traceback held its body, while its connection was read to its end for up to 2 s. It also stayed the largest unfinished body: the next caller closed it before it had read its refusal.

--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -97,10 +97,16 @@
         Returns:
             Whether its response is complete.
         """
+        refusal: tuple[int, str] | None = None
+        request: http11.Request | None = None
         try:
             request = await self._read_request()
         except errors.IbisknotError as error:
-            await self._reject(error)
+            refusal = error.status, error.code
+        if refusal is not None:
+            # The error's traceback has held the body until here.
+            self.release()
+            await self._reject(*refusal)
             return False
         if request is None or self.account.is_closed:
             # A connection that was closed may have been sent a refusal.
@@ -352,16 +358,21 @@
         exchange.abort()
         handler_scope.cancel()
 
-    async def _reject(self, error: errors.IbisknotError) -> None:
-        """Responds to a request that could not be read."""
+    async def _reject(self, status: int, code: str) -> None:
+        """Responds to a request that could not be read.
+
+        Args:
+            status: Status of the response.
+            code: Its body, and the cause for the log.
+        """
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self.server.clients.refusals.record(
-            self.server.quota.name, error.code, self.account.address
+            self.server.quota.name, code, self.account.address
         )
-        body = error.code.encode()
+        body = code.encode()
         head = h11.Response(
-            status_code=error.status,
+            status_code=status,
             headers=[
                 (b"Content-Length", str(len(body)).encode()),
                 (b"Connection", b"close"),
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -169,6 +169,25 @@
     _run(server, check)
 
 
+def test_refused_body_is_not_held_until_its_caller_leaves() -> None:
+    """Guards against refused bodies that leave no room for others."""
+    limits = http_server.Limits(max_body_bytes=10_000)
+    server = http_server.Server(_echo, limits=limits)
+
+    async def check(port: int) -> None:
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+        body = b"Content-Length: 20000\r\n\r\n" + b"l" * 15_000
+        await stream.send(HEAD + body)
+        assert (await stream.receive()).startswith(b"HTTP/1.1 413")
+        assert server.open_connections == 1
+        assert server.buffered_bytes == 0
+        assert server.quota.held_bytes == 0
+        assert not server.receiving
+        await stream.aclose()
+
+    _run(server, check)
+
+
 @pytest.mark.parametrize(
     ("chunk", "status"),
     [(b"1;e=" + b"x" * 5000 + b"\r\nb\r\n", b"400"), (b"1\r\nb\r\n", b"200")],
