--- a/src/ibisknot/client_limits/budget.py
+++ b/src/ibisknot/client_limits/budget.py
@@ -1,4 +1,4 @@
-"""What clients hold of a process's memory and descriptors, and who may not.
+"""Decides which clients are refused or closed for memory and descriptors.
 
 The decision has no I/O. Each connection is an account that is charged for
 what is held for it. A listener has a quota of connections. Work in progress,
@@ -180,13 +180,13 @@
         )
 
     def begin_work(self, account: Account) -> None:
-        """A request was received and is being handled."""
+        """Keeps a connection open while a request is handled."""
         account.is_working = True
         account.quota.untried.pop(account, None)
         account.quota.idle.pop(account, None)
 
     def end_work(self, account: Account, *, completed: bool = True) -> None:
-        """A request was answered, or its connection has ended.
+        """Ends the protection that `begin_work` has begun.
 
         Args:
             account: The connection.
@@ -203,7 +203,7 @@
     def _close_idle(
         self, quota: Quota, cause: str, spared: Account | None = None
     ) -> bool:
-        """Closes the connection that has the least claim to stay.
+        """Closes the first connection in the order below; False if none is.
 
         Clients that have never completed a request come first; among them,
         those of an address that has most of the quota; among those, the one
--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -19,8 +19,9 @@
 MAX_PIPELINED_BYTES = 16 * 1024
 """Data that is read while a request is handled; more waits until its end."""
 LEFT_CHECK_PERIOD_S = 0.25
-"""Period at which a caller that is not read is checked for its leaving."""
+"""Period of the check whether a caller that is not read has disconnected."""
 FREE_PIPELINERS = 4
+"""Connections with requests sent ahead that are handled without a wait."""
 MAX_PIPELINED_PER_S = 200
 """Requests a second of callers that have sent ahead, together.
 
--- a/src/ibisknot/outage/gate.py
+++ b/src/ibisknot/outage/gate.py
@@ -19,8 +19,6 @@
 
 The service may answer the other calls of this process, and not this one.
 """
-
-
 LOST_CALL_S = 0.3
 """Age of a call that is given up when the service is back for other calls."""
 OUTAGE_AGE_S = 1.5
@@ -47,7 +45,7 @@
         was_outage: Whether no process reached the service at the last check.
         ended_s: Monotonic time of the end of the last outage.
         started_s: Monotonic time of the start of each direct call without an
-            answer, by the scope that cancels it.
+            answer, by the cancel scope of the call.
     """
 
     def __init__(
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -164,12 +164,7 @@
             async with stream, anyio.create_task_group() as task_group:
                 calls = peer_calls.Calls(stream, self.clients.limit, account)
                 await self._receive_calls(calls, task_group)
-        except* (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ):
+        except* (OSError, *_STREAM_ERRORS):
             pass
         except* errors.PeerError as group_error:
             if self.clients.refusals.record(
@@ -208,7 +203,13 @@
         request: ttypes.Envelope,
         held_bytes: int,
     ) -> None:
-        """Handles a call and sends its result or error, unless one-way."""
+        """Handles a call and sends its result or error, unless one-way.
+
+        Args:
+            calls: The calls of the connection.
+            request: The call.
+            held_bytes: What the connection was charged for the call.
+        """
         response = ttypes.Envelope(
             id=request.id,
             kind=ttypes.Kind.RESPONSE,
--- a/src/ibisknot/peer_calls.py
+++ b/src/ibisknot/peer_calls.py
@@ -60,7 +60,11 @@
         return self.limit.charge(self.account, size)
 
     def begin(self, held_bytes: int) -> None:
-        """A call was received, which holds a number of bytes."""
+        """Charges for a call that was received.
+
+        Args:
+            held_bytes: Size of its frame, or of its payload if that is larger.
+        """
         if not self.running:
             self.limit.begin_work(self.account)
         self.running += 1
@@ -68,7 +72,12 @@
         self.charge(CALL_BYTES + held_bytes)
 
     def end(self, held_bytes: int, *, completed: bool) -> None:
-        """A call was answered, or its connection has ended."""
+        """Gives back the charge for a call that has ended.
+
+        Args:
+            held_bytes: As for `begin`.
+            completed: Whether the call was of a known method.
+        """
         self.running -= 1
         self.charge(-CALL_BYTES - held_bytes)
         if not self.running:
