--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -19,8 +19,9 @@
 MAX_PIPELINED_BYTES = 16 * 1024
 """Data that is read while a request is handled; more waits until its end."""
 LEFT_CHECK_PERIOD_S = 0.25
-"""Period at which a caller that is not read is checked for its leaving."""
+"""Period of the check whether a caller that is not read has disconnected."""
 FREE_PIPELINERS = 4
+"""Connections with requests sent ahead that are handled without a wait."""
 MAX_PIPELINED_PER_S = 200
 """Requests a second of callers that have sent ahead, together.
 
@@ -97,12 +98,19 @@
         Returns:
             Whether its response is complete.
         """
+        refusal: tuple[int, str] | None = None
+        request: http11.Request | None = None
         try:
             request = await self._read_request()
         except errors.IbisknotError as error:
-            await self._reject(error)
+            refusal = error.status, error.code
+        if refusal is not None:
+            # The error's traceback has held the body until here.
+            self.release()
+            await self._reject(*refusal)
             return False
-        if request is None:
+        if request is None or self.account.is_closed:
+            # A connection that was closed may have been sent a refusal.
             return False
         limit = self.server.clients.limit
         exchange = http_exchange.Exchange(
@@ -351,16 +359,21 @@
         exchange.abort()
         handler_scope.cancel()
 
-    async def _reject(self, error: errors.IbisknotError) -> None:
-        """Responds to a request that could not be read."""
+    async def _reject(self, status: int, code: str) -> None:
+        """Responds to a request that could not be read.
+
+        Args:
+            status: Status of the response.
+            code: Its body, and the cause for the log.
+        """
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self.server.clients.refusals.record(
-            self.server.quota.name, error.code, self.account.address
+            self.server.quota.name, code, self.account.address
         )
-        body = error.code.encode()
+        body = code.encode()
         head = h11.Response(
-            status_code=error.status,
+            status_code=status,
             headers=[
                 (b"Content-Length", str(len(body)).encode()),
                 (b"Connection", b"close"),
--- a/src/ibisknot/peer_calls.py
+++ b/src/ibisknot/peer_calls.py
@@ -59,18 +59,27 @@
         """Counts held bytes; returns whether there is memory."""
         return self.limit.charge(self.account, size)
 
-    def begin(self, frame_bytes: int) -> None:
-        """A call was received."""
+    def begin(self, held_bytes: int) -> None:
+        """Charges for a call that was received.
+
+        Args:
+            held_bytes: Size of its frame, or of its payload if that is larger.
+        """
         if not self.running:
             self.limit.begin_work(self.account)
         self.running += 1
         self.begun += 1
-        self.charge(CALL_BYTES + frame_bytes)
+        self.charge(CALL_BYTES + held_bytes)
 
-    def end(self, frame_bytes: int, *, completed: bool) -> None:
-        """A call was answered, or its connection has ended."""
+    def end(self, held_bytes: int, *, completed: bool) -> None:
+        """Gives back the charge for a call that has ended.
+
+        Args:
+            held_bytes: As for `begin`.
+            completed: Whether the call was of a known method.
+        """
         self.running -= 1
-        self.charge(-CALL_BYTES - frame_bytes)
+        self.charge(-CALL_BYTES - held_bytes)
         if not self.running:
             self.limit.end_work(self.account, completed=completed)
         if self.ended is not None:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -169,6 +169,25 @@
     _run(server, check)
 
 
+def test_refused_body_is_not_held_until_its_caller_leaves() -> None:
+    """Guards against refused bodies that leave no room for others."""
+    limits = http_server.Limits(max_body_bytes=10_000)
+    server = http_server.Server(_echo, limits=limits)
+
+    async def check(port: int) -> None:
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+        body = b"Content-Length: 20000\r\n\r\n" + b"l" * 15_000
+        await stream.send(HEAD + body)
+        assert (await stream.receive()).startswith(b"HTTP/1.1 413")
+        assert server.open_connections == 1
+        assert server.buffered_bytes == 0
+        assert server.quota.held_bytes == 0
+        assert not server.receiving
+        await stream.aclose()
+
+    _run(server, check)
+
+
 @pytest.mark.parametrize(
     ("chunk", "status"),
     [(b"1;e=" + b"x" * 5000 + b"\r\nb\r\n", b"400"), (b"1\r\nb\r\n", b"200")],
@@ -184,6 +203,38 @@
     _run(http_server.Server(_echo), check)
 
 
+def test_request_of_a_closed_connection_does_not_run() -> None:
+    """Guards against a request that runs after its refusal.
+
+    The whole of it was received before the connection was closed.
+    """
+    handled: list[bytes] = []
+
+    async def record(exchange: http_server.Exchange) -> None:
+        handled.append(exchange.request.target)
+        await exchange.respond(200, [])
+
+    server = http_server.Server(record)
+    # The second request waits for its turn, as if others had sent ahead.
+    server.pipeliners = 100
+    requests = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n for n in range(2)
+    )
+
+    async def check(port: int) -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_send_all, port, requests)
+            while server.pipeliners == 100:
+                await anyio.sleep(0.01)
+            (account,) = server.quota.accounts
+            server.clients.limit.close(account, budget.MEMORY)
+            while server.open_connections:
+                await anyio.sleep(0.01)
+        assert handled == [b"/0"]
+
+    _run(server, check)
+
+
 def test_refused_connection_is_told_that_nothing_has_run() -> None:
     """Guards against a refusal that a caller takes for a lost request."""
 
