Drop a limit on requests sent ahead that never took effect

To activate it was ruled out: ordinary callers on kept connections would have been held to 200 a second together. Others now get a turn after each such request. A configuration in force that is not UTF-8 ends the check with its own status.

--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -20,13 +20,6 @@
 """Data that is read while a request is handled; more waits until its end."""
 LEFT_CHECK_PERIOD_S = 0.25
 """Period of the check whether a caller that is not read has disconnected."""
-FREE_PIPELINERS = 4
-"""Connections with requests sent ahead that are handled without a wait."""
-MAX_PIPELINED_PER_S = 200
-"""Requests a second of callers that have sent ahead, together.
-
-It holds only while more than `FREE_PIPELINERS` have.
-"""
 MAX_FRAMING_FACTOR = 8
 """Bytes that a chunked body may take for each of its own.
 
@@ -206,7 +199,8 @@
         # What the last request took is no longer held.
         self._charge(ahead_bytes - self.account.held_bytes)
         if ahead_bytes:
-            await self._wait_for_turn()
+            # Callers that wait for their responses have a turn in between.
+            await lowlevel.checkpoint()
             return True
         timeout_s = self.server.limits.idle_timeout_s
         if self.server.is_closing:
@@ -221,20 +215,6 @@
                 self.server.idle_scopes.discard(scope)
         return bool(self.unparsed)
 
-    async def _wait_for_turn(self) -> None:
-        """Waits before a request that was sent ahead is handled.
-
-        Callers that send one request after the other would have to wait for
-        many of those that do not wait for responses.
-        """
-        server = self.server
-        server.pipeliners += 1
-        try:
-            if server.pipeliners > FREE_PIPELINERS:
-                await anyio.sleep(server.pipeliners / MAX_PIPELINED_PER_S)
-        finally:
-            server.pipeliners -= 1
-
     async def _read_head(self) -> h11.Request | None:
         while True:
             event = self.parser.next_event()
--- a/src/ibisknot/http_server.py
+++ b/src/ibisknot/http_server.py
@@ -62,8 +62,6 @@
         clients: Limits of the clients of all listeners.
         quota: Limits of this listener's clients.
         receiving: Connections that receive a body.
-        pipeliners: Number of connections that have sent a request ahead and
-            wait for their turn.
     """
 
     def __init__(
@@ -89,7 +87,6 @@
         self.clients = clients or listener.unlimited()
         self.quota = self.clients.quota(name)
         self.receiving: set[http_connection.Connection] = set()
-        self.pipeliners = 0
 
     async def serve(self, address: str) -> None:
         """Listens on `host:port` until cancelled."""
--- a/src/ibisknot/platform/configuration_check.py
+++ b/src/ibisknot/platform/configuration_check.py
@@ -106,7 +106,11 @@
     pair = anyio.run(get)
     if pair is None:
         raise errors.SettingsError("no configuration is in force")
-    text = pair.value.decode()
+    try:
+        text = pair.value.decode()
+    except UnicodeDecodeError as error:
+        message = f"the configuration in force is not UTF-8: {error}"
+        raise errors.SettingsError(message) from None
     found = configuration.decode(pair.value).version
     if version and version != str(found):
         raise errors.SettingsError(f"version {found} is in force")
