--- a/review/9/test.py
+++ b/review/9/test.py
@@ -1,168 +1,171 @@
-"""Clients that read results slowly make gateways exceed their memory."""
+"""Gateways that restart let a request crash engines again and again."""
 
+import concurrent.futures
 import pathlib
-import selectors
-import socket
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "harness-2"))
 
 import fleet as fleets
 
-MEMORY_MB = 160
-DESCRIPTORS = 1638
-ATTACKED = 2
-"""Machines at which the crowds read; clients submit at a third one."""
-ITEMS = 200
-EVENTS = 170
-EVENT_BYTES = 40
-CLIENTS = 50
-ROUNDS = 3
-ROUND_S = 12.0
-RESTART_S = 0.5
-RECEIVE_BUFFER_BYTES = 16 * 1024
-SLOW_READ_BYTES = 4096
-SLOW_READ_PERIOD_S = 0.25
-"""A slow client reads 16 kB a second, a page of 900 kB in a minute."""
-
-
-class Crowd:
-    """Clients that ask one gateway for the results of a batch job."""
-
-    def __init__(
-        self, fleet: fleets.Fleet, host: int, job_id: str, clients: int
-    ) -> None:
-        self.selector = selectors.DefaultSelector()
-        self.next_read_s = 0.0
-        for _ in range(clients):
-            channel = socket.socket()
-            channel.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
-            channel.settimeout(2.0)
-            request = (
-                f"GET /lots/{job_id}?After=0 HTTP/1.1\r\n"
-                f"Host: {fleets.HOST}\r\n"
-                f"Authorization: Token {fleets.KEY}\r\n"
-                f"X-Ibisknot-Request-Id: {fleets.new_id()}\r\n"
-                "Connection: close\r\n\r\n"
-            )
-            try:
-                channel.connect((fleet.ip(host), fleets.FRONT_PORT))
-                channel.sendall(request.encode())
-            except OSError:
-                channel.close()
-                continue
-            channel.setblocking(False)
-            self.selector.register(channel, selectors.EVENT_READ)
-
-    def read(self) -> None:
-        """Reads what the clients read now."""
-        now = time.monotonic()
-        if now < self.next_read_s:
-            return
-        self.next_read_s = now + SLOW_READ_PERIOD_S
-        for key, _ in self.selector.select(0):
-            channel = key.fileobj
-            assert isinstance(channel, socket.socket)
-            try:
-                data = channel.recv(SLOW_READ_BYTES)
-            except OSError:
-                data = b""
-            if not data:
-                self.selector.unregister(channel)
-                channel.close()
-
-    def leave(self) -> None:
-        """Closes all channels."""
-        for key in list(self.selector.get_map().values()):
-            assert isinstance(key.fileobj, socket.socket)
-            key.fileobj.close()
-        self.selector.close()
-
-
-def read_in_turn(fleet: fleets.Fleet, number: int, job_id: str) -> bool:
-    """Reads as often, but one client after the other and at once."""
-    peak_mb = 0.0
-    for _ in range(CLIENTS):
-        fleet.read_results(20 + number, job_id)
-        peak_mb = max(peak_mb, fleet.memory_mb(f"front-{number}"))
-    fleet.record(f"front-{number}: {peak_mb:.0f} MB of {MEMORY_MB} MB")
-    return peak_mb > MEMORY_MB
-
-
-def play(fleet: fleets.Fleet, number: int, job_id: str) -> bool:
-    """Plays one crowd; returns whether the gateway was ended for memory.
-
-    The platform kills a process that uses more than `MemoryMb`, and restarts
-    it after a short delay.
-    """
-    name = f"front-{number}"
-    crowd = Crowd(fleet, 20 + number, job_id, CLIENTS)
-    peak_mb = 0.0
-    end_s = time.monotonic() + ROUND_S
-    while time.monotonic() < end_s and crowd.selector.get_map():
-        crowd.read()
-        peak_mb = max(peak_mb, fleet.memory_mb(name))
-        if peak_mb > MEMORY_MB:
-            break
-        time.sleep(0.01)
-    crowd.leave()
-    fleet.record(f"{name}: {peak_mb:.0f} MB of {MEMORY_MB} MB")
-    if peak_mb <= MEMORY_MB:
-        return False
-    fleet.kill(name)
-    fleet.record(f"{name}: killed by the platform, over its memory")
-    time.sleep(RESTART_S)
-    fleet.spawn(name)
-    fleet.wait_until_ready([20 + number])
-    return True
+GATEWAYS = 3
+ENGINES = 6
+CONTACT_S = 3.0
+"""`ContactMs`: before it has passed a restarted machine is not in touch."""
+RETRIES = 3
+"""More retries than this at engines break the rule."""
+PERIOD_S = 1.3
+"""Time between two arrivals of the request, at one gateway after the other."""
+BACK_AFTER_S = 2.0
+DAY_S = 72.0
+FIRST_RESTART_S = 12.0
+RESTART_GAP_S = 18.0
+DEADLY = "deadly"
+"""Each engine that begins to run a request with this body crashes."""
+
+
+class Engines:
+    """Restarts engines that have crashed, and counts their crashes."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.is_over = False
+        self.crashes_s: list[float] = []
+        self.back_s: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Watches the engines until the end."""
+        names = [f"e-{n}" for n in range(ENGINES)]
+        while not self.is_over:
+            now = time.monotonic()
+            for name in names:
+                has_ended = self.fleet.processes[name].poll() is not None
+                if has_ended and name not in self.back_s:
+                    self.crashes_s.append(now)
+                    self.back_s[name] = now + BACK_AFTER_S
+                    self.fleet.record(f"{name} has crashed")
+                elif has_ended and now >= self.back_s[name]:
+                    del self.back_s[name]
+                    self.fleet.spawn(name)
+            time.sleep(0.02)
+
+
+class Gateways:
+    """Stops and starts gateways in turn."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.touched_s = dict.fromkeys(range(GATEWAYS), time.monotonic())
+        self.is_stopping: set[int] = set()
+
+    def restart(self, number: int) -> None:
+        """Sends SIGTERM to a gateway and starts it again when it has ended."""
+        name = f"front-{number}"
+        self.is_stopping.add(number)
+        self.fleet.record(f"{name}: SIGTERM")
+        process = self.fleet.processes[name]
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=9.0)
+        self.fleet.spawn(name)
+        self.fleet.wait_until_ready([20 + number])
+        self.touched_s[number] = time.monotonic()
+        self.is_stopping.discard(number)
+        self.fleet.record(f"{name}: ready again")
+
+    def is_in_touch(self, number: int) -> bool:
+        """Returns whether a gateway was not restarted for `ContactMs`."""
+        if number in self.is_stopping:
+            return False
+        return time.monotonic() - self.touched_s[number] > CONTACT_S
+
+
+def ask(
+    fleet: fleets.Fleet, number: int, body: str, request_id: str
+) -> tuple[int, str]:
+    """Sends one request; returns its status."""
+    status, _ = fleet.call(
+        20 + number,
+        "POST",
+        "/chat/x",
+        request_id=request_id,
+        body=body.encode(),
+        headers={
+            "X-Ibisknot-Model": "m",
+            "X-Ibisknot-Token-Usage": "450,10",
+            "X-Ibisknot-Prompt-Prefix": f"9c2e41:200,{request_id}:250",
+            "X-Ibisknot-Deadline-Ms": "5000",
+        },
+        timeout_s=7.0,
+    )
+    return status, request_id
 
 
 def test(fleet: fleets.Fleet, has_trouble: bool) -> int:
     """Runs the case."""
-    fleet.start_store(
-        fleets.desired_state([fleets.batch_route("b", "/b/")], ["llm"])
-    )
-    for number in range(4):
+    route = fleets.stream_route("q", "/chat/", Resumable=False, MaxAttempts=1)
+    fleet.start_store(fleets.desired_state([route], ["llm"]))
+    for number in range(ENGINES):
         fleet.start_engine(
-            f"e-{number}",
-            60 + number,
-            "--event-ms=1",
-            f"--event-bytes={EVENT_BYTES}",
-        )
-    for number in range(ATTACKED + 1):
-        fleet.start_node(
-            f"front-{number}", "front", 20 + number, MEMORY_MB, DESCRIPTORS
+            f"e-{number}", 60 + number, "--event-ms=10", f"--deadly={DEADLY}"
         )
+    for number in range(GATEWAYS):
+        fleet.start_node(f"front-{number}", "front", 20 + number)
     for number in range(3):
-        fleet.start_node(f"store-{number}", "store", 40 + number, 320)
-    fleet.wait_until_ready([20, 21, 22])
-    time.sleep(4.0)
-    job_id = fleets.new_id()
-    items = [
-        fleets.item(fleets.new_id(), f"/b/{n}", tokens=500, events=EVENTS)
-        for n in range(ITEMS)
+        fleet.start_node(f"store-{number}", "store", 40 + number, 330)
+    fleet.wait_until_ready([20 + n for n in range(GATEWAYS)])
+    time.sleep(5.0)
+    engines = Engines(fleet)
+    watcher = threading.Thread(target=engines.run)
+    watcher.start()
+    gateways = Gateways(fleet)
+    started_s = time.monotonic()
+    restarts = [
+        (started_s + FIRST_RESTART_S + RESTART_GAP_S * n, n)
+        for n in range(GATEWAYS)
     ]
-    status = fleet.submit(22, "/b/x", job_id, items)
-    fleet.record(f"{job_id}: {ITEMS} items: {status}")
-    count = 0
-    end_s = time.monotonic() + 40.0
-    while count < ITEMS and time.monotonic() < end_s:
-        _, page = fleet.read_results(22, job_id, count, 1000)
-        count += len(page.get("Results", []))
-    fleet.record(f"{count} items are listed")
-    if count < ITEMS:
-        raise fleets.CannotRunError("the items are not done")
-    ends = [0] * ATTACKED
-    act = play if has_trouble else read_in_turn
-    for _ in range(ROUNDS):
-        for number in range(ATTACKED):
-            ends[number] += act(fleet, number, job_id)
-    fleet.record(f"ends of processes by themselves: {ends}")
-    if all(count >= 3 for count in ends):
-        fleet.record("Fault: two machines' processes ended three times each")
+    late_ids: set[str] = set()
+    served = 0
+    number = 0
+    pool = concurrent.futures.ThreadPoolExecutor(4)
+    restarting: list[concurrent.futures.Future[None]] = []
+    while time.monotonic() < started_s + DAY_S:
+        now = time.monotonic()
+        if has_trouble and restarts and now >= restarts[0][0]:
+            restarting.append(pool.submit(gateways.restart, restarts.pop(0)[1]))
+        number += 1
+        target = number % GATEWAYS
+        if target not in gateways.is_stopping:
+            request_id = fleets.new_id()
+            third_s = engines.crashes_s[2:3]
+            is_late = bool(third_s) and now > third_s[0] + CONTACT_S
+            if is_late and gateways.is_in_touch(target):
+                late_ids.add(request_id)
+            status, _ = ask(fleet, target, DEADLY, request_id)
+            fleet.record(f"front-{target}: {request_id}: {status}")
+            status, _ = ask(fleet, target, "sound", fleets.new_id())
+            served += status == 200
+        time.sleep(PERIOD_S)
+    for future in restarting:
+        future.result()
+    engines.is_over = True
+    watcher.join()
+    pool.shutdown()
+    reached = [
+        entry["id"]
+        for n in range(ENGINES)
+        for entry in fleet.log(f"e-{n}")
+        if entry["event"] == "run" and entry["id"] in late_ids
+    ]
+    fleet.record(
+        f"{len(engines.crashes_s)} crashes of engines; "
+        f"{len(reached)} of {len(late_ids)} late retries from machines in "
+        f"touch have reached engines; {served} sound requests served"
+    )
+    if len(reached) > RETRIES:
+        fleet.record("BUDGET: more than three retries have reached engines")
         return fleets.BROKEN
     return fleets.HELD
 
