review: an error of a script itself exits with 2

Cause: an exception that nobody expected ended a script with 1, which says that the rule was broken.

--- a/review/harness-2/engine.py
+++ b/review/harness-2/engine.py
@@ -141,10 +141,9 @@
         usage = request.headers.get("x-ibisknot-token-usage", "0,5")
         last = int(usage.partition(",")[2])
         request_id = headers["X-Ibisknot-Request-Id"]
-        text = "x" * self.arguments.event_bytes
         for number in range(first, last + 1):
             await asyncio.sleep(self.arguments.event_ms / 1000)
-            event = f"id: {number}\ndata: {request_id}.{number}{text}\n\n"
+            event = f"id: {number}\ndata: {request_id}.{number}\n\n"
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -165,7 +164,6 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--event-ms", type=float, default=5.0)
     parser.add_argument("--first-ms", type=float, default=0.0)
-    parser.add_argument("--event-bytes", type=int, default=0)
     parser.add_argument("--deadly", default="")
     parser.add_argument("--flood", default="")
     parser.add_argument("--flood-count", type=int, default=0)
--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -53,7 +53,7 @@
 CpuShare = 0.537
 Cores = 2
 MemoryMb = {memory_mb}
-MaxFds = {descriptors}
+MaxFds = 4100
 LinkMbps = 1000.0
 DiskMb = 200
 [Bounds]
@@ -209,7 +209,6 @@
         kind: str,
         host: int,
         memory_mb: int = 300,
-        descriptors: int = 4100,
     ) -> None:
         """Starts a gateway (`front`) or a worker (`store`)."""
         ip = self.ip(host)
@@ -236,7 +235,6 @@
                 data=data,
                 listen=listen,
                 memory_mb=memory_mb,
-                descriptors=descriptors,
                 in_fault_domain="false" if kind == "front" else "true",
                 store=self.store,
             )
@@ -372,18 +370,6 @@
         self.processes[name].kill()
         self.processes[name].wait()
 
-    def memory_mb(self, name: str) -> float:
-        """Returns the resident memory of a process, 0 if it has ended."""
-        try:
-            pid = self.processes[name].pid
-            status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        except OSError:
-            return 0.0
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-        return 0.0
-
     def log(self, name: str) -> list[dict[str, Any]]:
         """Returns the log entries of a process."""
         lines = (self.folder / f"{name}.log").read_text().splitlines()
@@ -448,7 +434,7 @@
     with running(pathlib.Path(case).resolve().parent) as fleet:
         try:
             code = test(fleet, has_trouble)
-        except CannotRunError as error:
-            fleet.record(f"cannot run: {error}")
+        except Exception as error:
+            fleet.record(f"cannot run: {error!r}")
             code = NOT_RUN
     raise SystemExit(code)
