review/10: the case reads TROUBLE itself

Cause: only the shared file read it; the limits and the checks were read once more.

The product is unchanged.

--- a/review/10/test.py
+++ b/review/10/test.py
@@ -1,6 +1,7 @@
 """An engine that sends line ends without end holds a whole gateway up."""
 
 import concurrent.futures
+import os
 import pathlib
 import sys
 import threading
@@ -97,4 +98,7 @@
     return fleets.HELD
 
 
-fleets.main(__file__, test)
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the script does the same without the disruption."""
+
+fleets.main(__file__, test, has_trouble=HAS_TROUBLE)
