review: shared files end all that a script started

Cause: a thread of a script could start a process again after the end, or outlive an error; a script had no limit of its own.

Change: nothing starts after the end, a script ends after 114 s, every call is in its record, and a run names the moment at which it reached its engine.

--- a/review/harness-2/engine.py
+++ b/review/harness-2/engine.py
@@ -94,11 +94,13 @@
         expected = request.headers.get("x-ibisknot-expect-instance")
         if expected not in (None, self.arguments.name):
             return 421, headers | {"X-Ibisknot-Not-Run": "1"}, b""
+        reached_s = round(time.time(), 3)
         async with self.slots:
             self.running += 1
             self.note(
                 "run",
                 id=request_id,
+                reached=reached_s,
                 tenant=request.headers.get("x-ibisknot-tenant"),
                 last_event_id=request.headers.get("last-event-id"),
                 running=self.running,
--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from typing import Any
 
@@ -26,6 +27,7 @@
 CONTROL_PORT = 8683
 STORE_PORT = 8688
 ENGINE_PORT = 8080
+MAX_RUN_S = 114
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes of a script."""
 
@@ -152,13 +154,21 @@
         self.commands: dict[str, tuple[list[str], dict[str, str]]] = {}
         self.started_s = time.monotonic()
         self.record_file = (case / "record.txt").open("w")
+        self.lock = threading.Lock()
+        self.is_stopped = False
+
+    def note(self, text: str) -> str:
+        """Writes a line to the record and returns it."""
+        line = f"{time.monotonic() - self.started_s:7.2f} {text}"
+        with self.lock:
+            if not self.record_file.closed:
+                self.record_file.write(line + "\n")
+                self.record_file.flush()
+        return line
 
     def record(self, text: str) -> None:
         """Writes a line to the record and the output."""
-        line = f"{time.monotonic() - self.started_s:7.2f} {text}"
-        self.record_file.write(line + "\n")
-        self.record_file.flush()
-        print(line, flush=True)
+        print(self.note(text), flush=True)
 
     def ip(self, host: int) -> str:
         """Returns the address of a machine."""
@@ -167,7 +177,9 @@
     def spawn(self, name: str) -> None:
         """Starts a process again, or for the first time."""
         command, environment = self.commands[name]
-        with (self.folder / f"{name}.log").open("ab") as log:
+        with self.lock, (self.folder / f"{name}.log").open("ab") as log:
+            if self.is_stopped:
+                return
             self.processes[name] = subprocess.Popen(
                 command,
                 env=environment,
@@ -309,6 +321,33 @@
         timeout_s: float = 6.0,
     ) -> tuple[int, bytes]:
         """Sends a client's request; returns status 0 without an answer."""
+        request_id = request_id or new_id()
+        status, content = self._exchange(
+            host,
+            method,
+            target,
+            body=body,
+            headers={"X-Ibisknot-Request-Id": request_id} | (headers or {}),
+            key=key,
+            timeout_s=timeout_s,
+        )
+        self.note(
+            f"sent to {self.ip(host)}: {method} {target} {request_id}, "
+            f"{len(body)} bytes; answered {status}, {len(content)} bytes"
+        )
+        return status, content
+
+    def _exchange(
+        self,
+        host: int,
+        method: str,
+        target: str,
+        *,
+        body: bytes,
+        headers: dict[str, str],
+        key: str,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
         channel = http.client.HTTPConnection(
             f"{self.ip(host)}:{FRONT_PORT}", timeout=timeout_s
         )
@@ -320,9 +359,8 @@
                 headers={
                     "Host": HOST,
                     "Authorization": f"Token {key}",
-                    "X-Ibisknot-Request-Id": request_id or new_id(),
                     "X-Ibisknot-Deadline-Ms": "4000",
-                    **(headers or {}),
+                    **headers,
                 },
             )
             answer = channel.getresponse()
@@ -383,14 +421,17 @@
                     self.record_file.write(json.dumps(entry) + "\n")
 
     def stop(self) -> None:
-        """Ends all processes that were started."""
+        """Ends all processes that were started; no other one starts then."""
+        with self.lock:
+            self.is_stopped = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        self.record_runs()
-        self.record_file.close()
+        with self.lock:
+            self.record_runs()
+            self.record_file.close()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -422,15 +463,20 @@
         raise SystemExit(NOT_RUN)
 
     signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGALRM, on_signal)
+    signal.alarm(MAX_RUN_S)
     try:
         yield fleet
     finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         fleet.stop()
 
 
-def main(case: str, test: Callable[[Fleet, bool], int]) -> None:
+def main(
+    case: str, test: Callable[[Fleet, bool], int], *, has_trouble: bool
+) -> None:
     """Runs a test and exits with its code."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with running(pathlib.Path(case).resolve().parent) as fleet:
         try:
             code = test(fleet, has_trouble)
