Write member entries under a guard, and again when they are lost

What callers saw: after all workers were killed twice while the store answered some writes late, batch jobs were accepted and never run. Three running workers were no members any more.

Cause: the write of a member entry had no guard, so the late write of a killed process replaced its successor's entry, under a lease that nobody renewed. The successor looked at its lease alone and never wrote the entry again.

Ruled out: lost renewals (the leases of the running processes were alive), and an old listing (the entries were gone from the store).

Change: guarded_key writes a key under the revision that was last seen. A process looks for its entry in each listing of the members that is newer than its write, reads it if it is missing or foreign, and writes it again under its present lease; it tries again each second. A process that leaves writes no entry after the end of its lease.

--- a/src/ibisknot/registration.py
+++ b/src/ibisknot/registration.py
@@ -1,12 +1,20 @@
-"""Registers a process as a member of the fleet."""
+"""Registers a process as a member of the fleet.
+
+A write of an earlier process of the same name may take effect late, and builds
+before the guard write without one. So a process also looks for its entry in
+each listing of the members, and writes it again if it is missing or another
+process's.
+"""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 import time
 
 from ibisknot import deployment
 from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import guarded_key
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import pairs
@@ -24,6 +32,8 @@
 RENEWALS_PER_LEASE = 3
 CERTAINTY_MARGIN_S = 0.3
 """Time before the end of a lease from which its entry may be gone."""
+RETRY_PERIOD_S = 1.0
+"""Period at which a missing entry is written again until that succeeds."""
 
 
 def _boot_time() -> float:
@@ -36,14 +46,16 @@
     Attributes:
         lease_ttl_s: Time to live of the lease, in seconds.
         own_member: This process as a member of the fleet.
+        entry: The key of the entry, written under a guard.
         lease_id: Id of the lease; 0 without one.
-        lease_count: Number of leases under which the entry was written. While
-            it stays the same and the entry is certain, the entry was never
-            missing.
+        lease_count: Number of times that the entry was written. While it stays
+            the same and the entry is certain, the entry was never missing.
         renewed_s: Boot time before the last successful call about the lease.
         boot_time: Returns the time since the machine's start in seconds. It
             includes the time for which the machine was suspended.
         is_written: Whether the entry was written under the lease.
+        is_doubtful: Whether a listing has shown that the entry is missing or
+            another process's, so that it must be read.
         is_deregistered: Whether the entry must not be written again.
         is_renewing: Whether a renewal is in progress. Two at a time could
             write the entry under a lease that is not renewed.
@@ -73,10 +85,12 @@
             address=process.peer_address,
             started_ms=int(time.time() * 1000),
         )
+        self.entry = guarded_key.GuardedKey(store, self.key(process.name))
         self.lease_id = 0
         self.lease_count = 0
         self.renewed_s = -math.inf
         self.is_written = False
+        self.is_doubtful = False
         self.is_deregistered = False
         self.is_renewing = False
 
@@ -86,8 +100,34 @@
         """Writes the entry and starts the renewal of its lease."""
         period_s = self.lease_ttl_s / RENEWALS_PER_LEASE
         clock.subscribe("member_lease", period_s, self.renew)
+        clock.subscribe("member_entry", RETRY_PERIOD_S, self._retry)
         task_group.start_soon(self.renew, 0.0)
 
+    def is_missing_in(
+        self, revision: int, members: Iterable[fleetview.Member]
+    ) -> bool:
+        """Returns whether a listing shows that the entry must be written.
+
+        A listing that was read before the entry was written says nothing.
+
+        Args:
+            revision: The store's revision when the members were read.
+            members: All members of the listing.
+        """
+        if not self.is_written or revision < (self.entry.revision or 0):
+            return False
+        return self.own_member not in members
+
+    async def repair(self) -> None:
+        """Reads the entry, and writes it again if it is missing or foreign."""
+        self.is_doubtful = True
+        await self.renew(0.0)
+
+    async def _retry(self, _now: float) -> None:
+        """Timer callback: writes a missing entry again before its renewal."""
+        if self.is_doubtful or not self.is_written:
+            await self.renew(0.0)
+
     async def renew(self, _now: float) -> None:
         """Timer callback: renews the lease and writes the entry if needed.
 
@@ -109,7 +149,9 @@
             ):
                 self.is_written = False
                 self.lease_id = await self.store.grant(self.lease_ttl_s)
-            if not self.is_written:
+            if self.is_doubtful:
+                await self._check_entry()
+            if not self.is_written and not self.is_deregistered:
                 await self._write_entry()
             self.renewed_s = asked_s
         except errors.KeyValueError as error:
@@ -117,10 +159,24 @@
                 "member_not_registered", level="warning", cause=error.message
             )
 
+    async def _check_entry(self) -> None:
+        """Reads the entry after a listing without it."""
+        written_revision = self.entry.revision
+        found_revision = await self.entry.read()
+        self.is_doubtful = False
+        if found_revision == written_revision:
+            return
+        self.is_written = False
+        logs.event(
+            "member_entry_lost",
+            level="warning",
+            written_revision=written_revision,
+            found_revision=found_revision,
+        )
+
     async def _write_entry(self) -> None:
         value = peer.encode(to_wire(self.own_member))
-        put = pairs.Put(self.key(self.own_member.name), value, self.lease_id)
-        await self.store.transact([], [put])
+        await self.entry.write(value, self.lease_id)
         self.is_written = True
         self.lease_count += 1
         logs.event("member_registered", lease=self.lease_id)
@@ -131,7 +187,7 @@
 
     def is_certain(self) -> bool:
         """Returns whether the store certainly has this process's entry."""
-        if not self.is_written or self.is_deregistered:
+        if not self.is_written or self.is_doubtful or self.is_deregistered:
             return False
         age_s = self.boot_time() - self.renewed_s
         return age_s < self.lease_ttl_s - CERTAINTY_MARGIN_S
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -323,6 +323,8 @@
         self, revision: int, members: list[fleetview.Member], age_s: float
     ) -> None:
         """Adopts a listing of the members; logs and reports changes."""
+        if self.registration.is_missing_in(revision, members):
+            self.task_group.start_soon(self.registration.repair)
         before = self.view.members
         if not fleetview.adopt_members(
             self.view,
@@ -332,9 +334,6 @@
             age_s=age_s,
         ):
             return
-        if self.own_member.name not in self.view.members:
-            # The entry has lapsed; its renewal may be seconds away.
-            self.task_group.start_soon(self.registration.renew, 0.0)
         came = sorted(self.view.members.keys() - before.keys())
         left = sorted(before.keys() - self.view.members.keys())
         if came or left:
--- a/tests/fake_pairs_store.py
+++ b/tests/fake_pairs_store.py
@@ -1,6 +1,7 @@
 """An in-memory key-value service of the users' platform for tests."""
 
 import collections
+from collections.abc import Callable
 import sys
 
 import anyio
@@ -18,6 +19,11 @@
         calls: Number of calls by method.
         is_down: Whether all calls fail.
         lost_answers: Number of next writes that take effect without an answer.
+        late_writes: Number of next writes that do not take effect before
+            `run_late_writes`, and have no answer.
+        held: The writes that have not taken effect yet.
+        live_leases: The leases that have not ended.
+        leases: Lease of each stored pair that has one, by key.
         max_value_bytes: Largest value that it takes.
         refused: Number of writes that it refused.
     """
@@ -28,6 +34,10 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.is_down = False
         self.lost_answers = 0
+        self.late_writes = 0
+        self.held: list[Callable[[], int]] = []
+        self.live_leases: set[int] = set()
+        self.leases: dict[str, int] = {}
         self.max_value_bytes = sys.maxsize
         self.refused = 0
 
@@ -73,31 +83,66 @@
         if any(len(put.value) > self.max_value_bytes for put in puts):
             self.refused += 1
             raise errors.KeyValueRefusedError("a value is too large")
+        if self.late_writes:
+            self.late_writes -= 1
+            self.held.append(lambda: self._apply(guards, puts, deletes or []))
+            raise errors.KeyValueUnknownError("the answer was lost")
+        revision = self._apply(guards, puts, deletes or [])
+        if revision and self.lost_answers:
+            self.lost_answers -= 1
+            raise errors.KeyValueUnknownError("the answer was lost")
+        return revision
+
+    def _apply(
+        self,
+        guards: list[pairs.Guard],
+        puts: list[pairs.Put],
+        deletes: list[str],
+    ) -> int:
         for guard in guards:
             pair = self.stored.get(guard.key)
             if (0 if pair is None else pair.revision) != guard.revision:
                 return 0
+        if any(p.lease_id not in {0, *self.live_leases} for p in puts):
+            raise errors.LeaseEndedError("the lease of a write has ended")
         self.revision += 1
         for put in puts:
             self.stored[put.key] = pairs.Pair(put.key, put.value, self.revision)
-        for key in deletes or []:
+            self.leases[put.key] = put.lease_id
+        for key in deletes:
             self.stored.pop(key, None)
-        if self.lost_answers:
-            self.lost_answers -= 1
-            raise errors.KeyValueUnknownError("the answer was lost")
         return self.revision
 
+    def run_late_writes(self) -> None:
+        """Lets the writes that were held take effect if they still can."""
+        held, self.held = self.held, []
+        for apply in held:
+            try:
+                apply()
+            except errors.LeaseEndedError:
+                continue
+
+    def end_lease(self, lease_id: int) -> None:
+        """Ends a lease and deletes its keys."""
+        self.live_leases.discard(lease_id)
+        for key in [k for k, v in self.leases.items() if v == lease_id]:
+            del self.leases[key]
+            if self.stored.pop(key, None) is not None:
+                self.revision += 1
+
     async def grant(self, ttl_s: float) -> int:
         """Returns the id of a new lease."""
         self._count("grant")
         self.revision += 1
+        self.live_leases.add(self.revision)
         return self.revision
 
     async def keep_alive(self, lease_id: int) -> bool:
-        """Renews a lease; leases do not end."""
+        """Renews a lease; it ends with `end_lease` or `revoke` only."""
         self._count("keep_alive")
-        return True
+        return lease_id in self.live_leases
 
     async def revoke(self, lease_id: int) -> None:
-        """Ends a lease; its keys stay."""
+        """Ends a lease."""
         self._count("revoke")
+        self.end_lease(lease_id)
--- a/tests/test_view_runner.py
+++ b/tests/test_view_runner.py
@@ -357,6 +357,23 @@
     assert world.store.calls["keep_alive"] == 1
 
 
+@pytest.mark.parametrize("name", ["g0", "w0"])
+def test_process_whose_entry_is_lost_becomes_a_member_again(name: str) -> None:
+    """Guards against a process that renews its lease but is no member."""
+    world = view_world.World(name)
+    entry = world.runner.registration
+    anyio.run(entry.renew, 0.0)
+    anyio.run(lambda: world.store.transact([], [], deletes=[entry.entry.key]))
+    world.runner._adopt_members(
+        world.store.revision,
+        [registration.from_wire(view_world.NEW_MEMBER)],
+        0.0,
+    )
+    anyio.run(world.task_group.run)
+    assert entry.entry.key in world.store.stored
+    assert world.store.leases[entry.entry.key] == entry.lease_id
+
+
 def test_updates_survive_their_encoding() -> None:
     """Guards against fields that the wire does not carry."""
     update = view_world.World().exchange._compose_update(members=True)
