Keep a late status of a retirement from replacing a later one

Cause: status/retire was written without a guard, so that a late `running` of the same or a killed process could replace `done`; the VM would never be taken away.

Change: the status is written through guarded_key. Two writes as before.

Evidence: both tests of late writes in test_worker_retirement fail without the guard (`running` in place of `done`) and pass with it.

--- a/src/ibisknot/worker_retirement.py
+++ b/src/ibisknot/worker_retirement.py
@@ -13,6 +13,7 @@
 from ibisknot import batch_worker
 from ibisknot import deployment
 from ibisknot import errors
+from ibisknot import guarded_key
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import pairs
@@ -55,6 +56,7 @@
 
     Attributes:
         is_started: Whether an order was received.
+        status: The key of the status; None before the first report.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.task_group = task_group
         self.dialect = dialect
         self.is_started = False
+        self.status: guarded_key.GuardedKey | None = None
 
     def on_change(self, change: pairs.Change) -> None:
         """Starts the retirement if a change in the store orders it."""
@@ -94,11 +97,16 @@
         await self._report(is_done=True)
 
     async def _report(self, *, is_done: bool) -> None:
-        """Writes the status to the store; retries until that succeeds."""
+        """Writes the status to the store; retries until that succeeds.
+
+        The guard keeps a late write of an earlier status from replacing it.
+        """
         put = self.dialect.encode_status(self.process.name, is_done)
+        if self.status is None:
+            self.status = guarded_key.GuardedKey(self.store, put.key)
         while True:
             try:
-                await self.store.transact([], [put])
+                await self.status.write(put.value)
             except errors.KeyValueError as error:
                 logs.event("retire_not_reported", cause=error.message)
                 await anyio.sleep(REPORT_RETRY_PAUSE_S)
