Guard the records of refused prompt parts against late writes

Cause: records of refusals were written and deleted without a guard. A late write could bring back the refusal of a part that had been cleared, a late deletion could remove one that had begun again; both count after a restart of all processes, which read the records.

Change: each record is written and deleted under its revision, one transaction a record. The lease of a write without an answer is ended once the outcome no longer matters.

Evidence: test_late_write_of_an_ended_refusal_brings_no_record_back and test_late_deletion_spares_a_refusal_that_has_begun_again fail on the old code.

--- a/src/ibisknot/prompt_crash_records.py
+++ b/src/ibisknot/prompt_crash_records.py
@@ -11,6 +11,7 @@
 
 from ibisknot import _prompt_crash_messages
 from ibisknot import errors
+from ibisknot import guarded_key
 from ibisknot import logs
 from ibisknot import pairs
 from ibisknot import peer
@@ -19,8 +20,6 @@
 
 KEY_PREFIX = "ibisknot/refusals/"
 MAX_LEASE_S = 600.0
-MAX_ENTRIES = 32
-"""Puts and deletes that the store takes in one transaction."""
 MAX_WRITES = 5
 """Tries of one write."""
 WRITE_PAUSE_S = 2.0
@@ -56,58 +55,97 @@
 
         A write that fails is tried again while it still holds.
         """
+        pending = {*begun, *ended}
+        doubtful_leases: list[int] = []
         for _ in range(MAX_WRITES):
-            current = [p for p in begun if p in history.refusals]
-            gone = [p for p in ended if p not in history.refusals]
-            if not current and not gone:
-                return
-            refusals = {parts: history.refusals[parts] for parts in current}
-            try:
-                await self._write(refusals, gone)
-                return
-            except errors.KeyValueError as error:
-                logs.event(
-                    "refusals_not_written",
-                    level="warning",
-                    begun=len(current),
-                    ended=len(gone),
-                    cause=error.message,
-                )
+            for parts in list(pending):
+                if await self._try_write(
+                    history, parts, parts in begun, doubtful_leases
+                ):
+                    pending.discard(parts)
+            if not pending:
+                break
             await anyio.sleep(WRITE_PAUSE_S)
+        await self._end_leases(doubtful_leases)
 
-    async def _write(
+    async def _try_write(
         self,
-        refusals: dict[prompt_crashes.Parts, prompt_crashes.Refusal],
-        ended: list[prompt_crashes.Parts],
-    ) -> None:
-        """Writes once.
-
-        A refusal may end during the calls; the next write deletes its record.
+        history: prompt_crashes.History,
+        parts: prompt_crashes.Parts,
+        has_begun: bool,
+        doubtful_leases: list[int],
+    ) -> bool:
+        """Writes or deletes one record.
 
         Args:
-            refusals: The refusals that have begun.
-            ended: Those that have ended.
+            history: Has the refusals.
+            parts: The parts whose refusal has begun or ended.
+            has_begun: Whether it has begun.
+            doubtful_leases: Gets the lease of a write without an answer.
+
+        Returns:
+            Whether nothing is left to do.
+        """
+        refusal = history.refusals.get(parts)
+        if has_begun == (refusal is None):
+            # The opposite has happened since, and is written by itself.
+            return True
+        try:
+            if refusal is None:
+                # The guard spares a record that is written after this read.
+                await guarded_key.GuardedKey(
+                    self.store, _key(parts), revision=None
+                ).delete()
+            else:
+                await self._write(parts, refusal, doubtful_leases)
+        except errors.KeyValueError as error:
+            logs.event(
+                "refusal_not_written",
+                level="warning",
+                begun=has_begun,
+                cause=error.message,
+            )
+            return False
+        return True
+
+    async def _write(
+        self,
+        parts: prompt_crashes.Parts,
+        refusal: prompt_crashes.Refusal,
+        doubtful_leases: list[int],
+    ) -> None:
+        """Writes the record of one refusal.
 
         Raises:
             KeyValueError: The store did not take the write.
         """
-        now = self.clock()
-        puts = []
-        for parts, refusal in refusals.items():
-            record = ttypes.RefusalRecord(
-                refusal=_prompt_crash_messages.refusal(parts, refusal, now),
-                written_ms=int(self.unix_time() * 1000),
+        record = ttypes.RefusalRecord(
+            refusal=_prompt_crash_messages.refusal(
+                parts, refusal, self.clock()
+            ),
+            written_ms=int(self.unix_time() * 1000),
+        )
+        remaining_s = max(0.0, record.refusal.remaining_s)
+        lease = await self.store.grant(min(MAX_LEASE_S, remaining_s))
+        try:
+            await guarded_key.GuardedKey(self.store, _key(parts)).write(
+                peer.encode(record), lease
             )
-            remaining_s = max(0.0, record.refusal.remaining_s)
-            lease = await self.store.grant(min(MAX_LEASE_S, remaining_s))
-            puts.append(pairs.Put(_key(parts), peer.encode(record), lease))
-        keys = [_key(parts) for parts in ended]
-        while puts or keys:
-            taken = puts[:MAX_ENTRIES]
-            deleted = keys[: MAX_ENTRIES - len(taken)]
-            await self.store.transact([], taken, deletes=deleted)
-            del puts[: len(taken)]
-            del keys[: len(deleted)]
+        except errors.KeyValueUnknownError:
+            doubtful_leases.append(lease)
+            raise
+
+    async def _end_leases(self, leases: list[int]) -> None:
+        """Ends the leases of writes without an answer.
+
+        Such a write could otherwise bring a record back that was deleted in
+        between.
+        """
+        for lease in leases:
+            try:
+                await self.store.revoke(lease)
+            except errors.KeyValueError as error:
+                logs.event("lease_not_ended", cause=error.message)
 
     async def load(
         self,
