Tell the workers of a batch job of its end, whoever has written it

What callers saw: after a lost answer of the store the end of a job was acknowledged, and its items reached endpoints for up to 8 s more (30 workers).

Cause: only the process that got the answer to its own write told the owner. The owner's listing, which would find the end, comes every 10.7 s with 30 workers.

Ruled out: lost notifications; they are repeated, and after an answered write the items stop at once.

Change: a gateway that finds a job ended tells all workers that run some of it, also one that kept items when it was drained, and acknowledges the end when they know or after 1 s. A worker that lists a job that has ended tells its workers; the listings of workers that start together are spread. A worker starts no job of a record that is older than the end that it has heard of. Hand-over, passing on and the own interface had the same fault and tell as well. job_succession was moved out of batch_worker, unchanged. No further call of the store.

--- a/src/ibisknot/batch_drain.py
+++ b/src/ibisknot/batch_drain.py
@@ -51,7 +51,11 @@
         return
     while True:
         progress = job.progress
-        if progress.is_complete() or progress.owner != worker.process.name:
+        if progress.is_complete():
+            return
+        if progress.owner != worker.process.name:
+            # A write without an answer has been done.
+            await worker.notify_owner(progress)
             return
         updated = batch_records.with_new_owner(
             progress,
--- a/src/ibisknot/batch_job.py
+++ b/src/ibisknot/batch_job.py
@@ -70,9 +70,14 @@
     task_group: abc.TaskGroup | None = None
 
 
+def runners(progress: batch_records.Progress) -> set[str]:
+    """Returns the workers that run some or all of a job's items."""
+    return {progress.owner, progress.kept_by} - {""}
+
+
 def runs_at(progress: batch_records.Progress, worker: str) -> bool:
     """Returns whether a worker runs some or all of a job's items."""
-    return worker in (progress.owner, progress.kept_by)
+    return worker in runners(progress)
 
 
 def is_only_writer(
--- a/src/ibisknot/batch_jobs.py
+++ b/src/ibisknot/batch_jobs.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from ibisknot import batch_job
 from ibisknot import batch_records
 from ibisknot import deployment
 from ibisknot import errors
@@ -27,6 +28,8 @@
 
 SUBMIT_RETRY_PAUSE_S = 0.1
 CANCEL_RETRY_PAUSE_S = 0.02
+END_NOTICE_WAIT_S = 1.0
+"""Time for which an end is not acknowledged while a worker does not know."""
 STORE_RETRY_AFTER_S = 0.8
 OVER_LIMIT_RETRY_AFTER_S = 1.0
 NO_WORKER_RETRY_AFTER_S = 1.0
@@ -370,41 +373,82 @@
     ) -> None:
         """Cancels a job; retries until that is stored, up to the deadline.
 
+        Returns when the workers that run the job have been told, or do not
+        respond; these are told later.
+
         Raises:
             NotFoundError: The organisation has no such job.
             KeyValueError: The store does not respond, or the job's record
                 changed between each read and write until the deadline.
         """
-        while not await self._try_cancel(job_id, organisation):
+        while True:
+            runners = await self._try_cancel(job_id, organisation)
+            if runners is not None:
+                break
             if self.clock() >= deadline_s:
                 raise errors.KeyValueError(f"job {job_id} changes too often")
             await anyio.sleep(CANCEL_RETRY_PAUSE_S)
+        await self._tell_end(job_id, runners)
+
+    async def _try_cancel(
+        self, job_id: str, organisation: str
+    ) -> set[str] | None:
+        """Tries once to cancel a job.
 
-    async def _try_cancel(self, job_id: str, organisation: str) -> bool:
-        """Tries once to cancel a job; returns whether it has ended."""
+        Returns:
+            None if the job may go on; otherwise the workers that may not know
+            of the end. Who has written it does not matter: a write without an
+            answer, or of a gateway that was killed, has told nobody.
+        """
         key = batch_records.OPEN_PREFIX + job_id
         may_exist = batch_records.may_exist(job_id)
         pair = await self.store.get(key) if may_exist else None
         if pair is None:
             await self.reader.get_job(job_id, organisation)
-            return True
+            return set()
         progress = batch_records.decode_progress(pair.value)
         job_reader.check_access(
             job_id, progress.meta.organisation, organisation
         )
         if progress.closed:
-            return True
+            return batch_job.runners(progress)
         progress.closed = True
         guards = [pairs.Guard(key, pair.revision)]
         puts = [pairs.Put(key, batch_records.encode(progress))]
         try:
             revision = await self.store.transact(guards, puts)
         except errors.KeyValueUnknownError:
-            return False
-        if revision:
-            logs.event("job_ended", job=job_id, revision=revision)
-            self._start_notify(job_id, progress.owner)
-        return bool(revision)
+            return None
+        if not revision:
+            return None
+        logs.event("job_ended", job=job_id, revision=revision)
+        return batch_job.runners(progress)
+
+    async def _tell_end(self, job_id: str, workers: set[str]) -> None:
+        """Tells workers of a job's end; waits a while until they know."""
+        notices = [self._start_end_notice(job_id, name) for name in workers]
+        with anyio.move_on_after(END_NOTICE_WAIT_S):
+            for is_over in notices:
+                await is_over.wait()
+            return
+        logs.event("job_end_not_told", level="warning", job=job_id)
+
+    def _start_end_notice(self, job_id: str, worker: str) -> anyio.Event:
+        """Starts to tell a worker; returns an event that is set at the end."""
+        is_over = anyio.Event()
+
+        async def tell() -> None:
+            await job_owners.notify(
+                self.view,
+                self.peers,
+                job_id,
+                worker,
+                attempts=job_owners.END_NOTIFY_ATTEMPTS,
+            )
+            is_over.set()
+
+        self.task_group.start_soon(tell)
+        return is_over
 
 
 def _is_within_limit(
--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -18,6 +18,7 @@
 from ibisknot import batch_record_writer
 from ibisknot import batch_records
 from ibisknot import batch_task
+from ibisknot import closed_jobs
 from ibisknot import deployment
 from ibisknot import ended_jobs
 from ibisknot import errors
@@ -25,6 +26,7 @@
 from ibisknot import isolation
 from ibisknot import job_owners
 from ibisknot import job_reader
+from ibisknot import job_succession
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import pairs
@@ -44,10 +46,6 @@
 """
 POLL_CHECK_PERIOD_S = 0.25
 """Period at which a worker checks whether a listing is due."""
-MEMBERS_STALE_S = 3.0
-"""Age of the member list above which an absence is not confirmed."""
-TAKEOVER_S = 1.5
-"""Jobs are taken over from an owner absent from the fleet for this time."""
 NO_LEASE = -1
 """Marks a job whose record this worker no longer follows."""
 MAX_RUNNING_ITEMS = 200
@@ -61,12 +59,13 @@
         records: Writes the jobs' records.
         listing: Lists the jobs' results.
         jobs: Jobs that run here, by id.
-        missing_since_s: Monotonic time since which a job's owner is absent
-            from the fleet, by name.
+        succession: Decides which jobs of departed workers continue here.
+        closed: Jobs whose end this worker has heard of.
         is_draining: Whether this worker starts no more jobs and items.
         entry: This worker's entry among the members.
         started_s: Monotonic time of this process's start.
         next_poll_s: Monotonic time of the next listing of the open jobs.
+        poll_pacing: Spreads the listings of all workers over time.
         polled_lease_count: Count of this worker's leases at the last listing.
         ended_jobs: Jobs of which all results were listed here, by id, the
             last one at the end.
@@ -113,6 +112,7 @@
         self.wait_to_retry = wait_to_retry
         self.started_s = clock.now()
         self.next_poll_s = 0.0
+        self.poll_pacing = job_owners.PollPacing()
         self.polled_lease_count = 0
         self.store = store
         self.view = view
@@ -127,7 +127,14 @@
         )
         self.owners: dict[str, str] = {}
         self.unread_parts: dict[str, list[bytes]] = {}
-        self.missing_since_s: dict[str, float] = {}
+        self.succession = job_succession.Succession(
+            process.name,
+            lambda: entry.own_member.started_ms,
+            view,
+            clock.now,
+            self._poll_within,
+        )
+        self.closed = closed_jobs.ClosedJobs()
         self.is_draining = False
         self.progress: journal.Journal | None = None
         self.failed_jobs = isolation.Failures()
@@ -140,12 +147,7 @@
 
     def on_members_changed(self) -> None:
         """Lists the jobs again soon when a worker has been lost."""
-        now = self.clock.now()
-        present = set(self._workers())
-        for name in set(self.owners.values()) - present - {""}:
-            if name not in self.missing_since_s:
-                self.missing_since_s[name] = now
-                self._poll_within(TAKEOVER_S)
+        self.succession.on_members_changed(self.owners.values())
 
     def _poll_within(self, delay_s: float) -> None:
         self.next_poll_s = min(self.next_poll_s, self.clock.now() + delay_s)
@@ -177,8 +179,8 @@
 
         The next listing repeats a read that has failed.
         """
-        if parts and job_id in self.jobs:
-            # The gateway repeats the notification of a job that it has found.
+        if job_id in self.closed or (parts and job_id in self.jobs):
+            # The gateway repeats a notification that it has sent before.
             return
         lease_count = self.entry.lease_count
         try:
@@ -192,6 +194,9 @@
         if pair is not None:
             await self._apply_record(pair, lease_count)
             self._set_items(job_id, parts)
+        elif job_id in self.jobs:
+            # Another worker has moved the record of a job that has ended.
+            self._poll_within(0.0)
 
     def _set_items(self, job_id: str, parts: list[bytes] | None) -> None:
         """Sets the items of a job that was just started."""
@@ -201,7 +206,9 @@
 
     async def poll(self, now: float) -> None:
         """Lists the open jobs and applies their records."""
-        self.next_poll_s = now + job_owners.poll_period_s(len(self._workers()))
+        self.next_poll_s = now + self.poll_pacing.next_delay_s(
+            len(self._workers())
+        )
         lease_count = self.entry.lease_count
         self.polled_lease_count = lease_count
         unread_parts = dict(self.unread_parts)
@@ -212,7 +219,7 @@
             return
         for job_id in unread_parts:
             self.unread_parts.pop(job_id, None)
-        self._update_missing_owners(now)
+        self.succession.update(now)
         owners = {}
         for pair in listing.pairs:
             job_id = pair.key.removeprefix(batch_records.OPEN_PREFIX)
@@ -231,16 +238,6 @@
             isolation.record("job_record", pair.key, error)
             return ""
 
-    def _update_missing_owners(self, now: float) -> None:
-        """Updates `missing_since_s` from the current member list."""
-        for name in list(self.missing_since_s):
-            if name in self.view.members:
-                del self.missing_since_s[name]
-            elif now - self.view.members_read_s > MEMBERS_STALE_S:
-                # The member list is stale, so the absence is not confirmed.
-                self.missing_since_s[name] = now
-                self._poll_within(TAKEOVER_S)
-
     async def _apply_record(self, pair: pairs.Pair, lease_count: int) -> str:
         """Starts, stops or takes over a job as its record demands.
 
@@ -256,6 +253,8 @@
         except errors.KeyValueError as error:
             logs.event("job_unreadable", key=pair.key, cause=error.message)
             return ""
+        if progress.closed:
+            self.closed.add(progress.meta.id)
         job = self.jobs.get(progress.meta.id)
         if job is None:
             await self._apply_foreign_record(pair, progress, lease_count)
@@ -293,10 +292,7 @@
     ) -> None:
         """Starts or takes over a job that does not run here."""
         if progress.closed:
-            if progress.owner == self.process.name or self._should_take_over(
-                progress
-            ):
-                await self.records.move_to_ended(pair, progress)
+            await self._apply_foreign_end(pair, progress)
         elif progress.owner == self.process.name:
             if self.is_draining:
                 await self._pass_on(pair, progress)
@@ -310,10 +306,10 @@
                         doubtful_until_s=doubtful_until_s,
                     )
                 )
-        elif self._should_take_over(progress):
+        elif self._is_successor(progress):
             revision = await self.records.take_over(pair, progress)
             if not revision:
-                self._poll_within(TAKEOVER_S)
+                self._poll_within(job_succession.TAKEOVER_S)
             else:
                 self._start_job(
                     batch_job.Job(
@@ -324,6 +320,30 @@
                     )
                 )
 
+    async def _apply_foreign_end(
+        self, pair: pairs.Pair, progress: batch_records.Progress
+    ) -> None:
+        """Moves the record of a job that has ended, or tells who runs it.
+
+        The gateway that has written the end may have told nobody. Records of
+        jobs that have ended are moved at once, so this one was forgotten.
+        """
+        if progress.owner == self.process.name or self._is_successor(progress):
+            await self.records.move_to_ended(pair, progress)
+            return
+        for worker in batch_job.runners(progress):
+            self.task_group.start_soon(
+                job_owners.notify,
+                self.view,
+                self.peers,
+                progress.meta.id,
+                worker,
+            )
+
+    def _is_successor(self, progress: batch_records.Progress) -> bool:
+        """Returns whether this worker succeeds a job's departed owner."""
+        return not self.is_draining and self.succession.is_successor(progress)
+
     async def _pass_on(
         self, pair: pairs.Pair, progress: batch_records.Progress
     ) -> None:
@@ -332,45 +352,10 @@
         if not others:
             return
         owner = job_owners.choose_owner(progress.meta.id, others)
-        if await self.records.pass_on(pair, progress, owner):
-            await self.notify_owner(progress)
-
-    def _should_take_over(self, progress: batch_records.Progress) -> bool:
-        """Returns whether this worker succeeds a job's departed owner."""
-        if self.is_draining or not self._is_departed(progress.owner):
-            return False
-        meta = progress.meta
-        workers = job_owners.allowed_workers(
-            self.view, meta.route, meta.organisation
-        )
-        successor = job_owners.choose_owner(meta.id, workers)
-        return successor == self.process.name
-
-    def _is_departed(self, worker: str) -> bool:
-        """Returns whether a worker is absent for `TAKEOVER_S` or unnamed."""
-        if not worker:
-            return True
-        if worker in self._workers():
-            return False
-        now = self.clock.now()
-        missing_s = now - self.missing_since_s.setdefault(worker, now)
-        if missing_s < TAKEOVER_S:
-            self._poll_within(TAKEOVER_S - missing_s)
-        return missing_s >= TAKEOVER_S
-
-    def _are_kept_items_lost(self, progress: batch_records.Progress) -> bool:
-        """Returns whether the process that kept items of a job has ended.
-
-        A worker that was restarted under its name runs nothing of what its
-        previous process kept.
-        """
-        started_ms = progress.kept_by_started_ms
-        if progress.kept_by == self.process.name:
-            return started_ms != self.entry.own_member.started_ms
-        member = self.view.members.get(progress.kept_by)
-        if member is not None and started_ms:
-            return member.started_ms > started_ms
-        return self._is_departed(progress.kept_by)
+        if not await self.records.pass_on(pair, progress, owner):
+            # The write may have been done without an answer.
+            self._poll_within(POLL_RETRY_S)
+        await self.notify_owner(progress)
 
     def other_workers(self, meta: batch_records.JobMeta) -> list[str]:
         """Returns the names of the other workers that may run a job."""
@@ -389,7 +374,9 @@
     def _start_job(self, job: batch_job.Job) -> None:
         job_id = job.progress.meta.id
         may_start = self.failed_jobs.may_start(job_id, self.clock.now())
-        if job_id not in self.jobs and may_start:
+        if job_id in self.closed:
+            logs.event("job_not_started", job=job_id, cause="it has ended")
+        elif job_id not in self.jobs and may_start:
             self.jobs[job_id] = job
             isolation.start(self.task_group, "job", job_id, self._run_job, job)
 
@@ -438,7 +425,7 @@
             return
         unwritten = {i for i, _, _ in job.unwritten}
         skipped = {*progress.listed, *unwritten, *job.tasks}
-        if not self._are_kept_items_lost(progress):
+        if not self.succession.are_kept_items_lost(progress):
             skipped.update(progress.kept)
         for index, item in enumerate(job.items):
             if index not in skipped:
--- a/src/ibisknot/batches.py
+++ b/src/ibisknot/batches.py
@@ -329,6 +329,9 @@
         """Marks a job as cancelling; the owner then stops and ends it."""
         for _ in range(UPDATE_ATTEMPTS):
             job, revision = await self._read_callers_job(request)
+            if job.state == jobs.CANCELLING:
+                # Whoever has written that may have told nobody.
+                await self._notify_owner(job.id)
             if job.state != jobs.IN_PROGRESS:
                 return web.json_response(batch_object(job))
             job.state = jobs.CANCELLING
--- a/src/ibisknot/job_owners.py
+++ b/src/ibisknot/job_owners.py
@@ -1,5 +1,7 @@
 """Chooses the worker that runs a batch job, and notifies it."""
 
+import random
+
 import anyio
 import xxhash
 
@@ -17,9 +19,15 @@
 
 A listing finds what a lost notification has missed.
 """
+FIRST_POLL_SPREAD = 0.5
+"""Largest deviation of the second listing from the period, as a fraction."""
+POLL_SPREAD = 0.1
+"""Largest deviation of later listings from the period, as a fraction."""
 NOTIFY_TIMEOUT_S = 0.3
 NOTIFY_ATTEMPTS = 5
 NOTIFY_RETRY_PAUSE_S = 0.2
+END_NOTIFY_ATTEMPTS = 40
+"""Attempts to notify a member of a job's end; its items must not go on."""
 MAX_NOTIFIED_BYTES = 256 * 1024
 """The owner reads the items of a larger job from the store."""
 MIN_WORKERS_BESIDE_SCHEDULER = 5
@@ -91,10 +99,13 @@
     job_id: str,
     owner: str,
     parts: list[bytes] | None = None,
+    *,
+    attempts: int = NOTIFY_ATTEMPTS,
 ) -> None:
     """Notifies a job's owner that the job is new or has changed.
 
-    If all attempts are lost, the owner finds the job in its next listing.
+    It is no longer notified when it has left the fleet. If all attempts are
+    lost, the owner finds the job in its next listing.
 
     Args:
         view: Has the owner's address.
@@ -102,10 +113,11 @@
         job_id: Id of the job.
         owner: Name of the worker that runs it.
         parts: The items of a new job, as they are stored.
+        attempts: Number of messages that may be lost.
     """
     if parts and sum(map(len, parts)) > MAX_NOTIFIED_BYTES:
         parts = None
-    for _ in range(NOTIFY_ATTEMPTS):
+    for _ in range(attempts):
         member = view.members.get(owner)
         if member is None:
             return
@@ -130,3 +142,29 @@
     (1.5, 5.0)
     """
     return max(MIN_POLL_PERIOD_S, workers / MAX_FLEET_POLLS_PER_S)
+
+
+class PollPacing:
+    """Gives the times between a worker's listings of the open jobs.
+
+    Workers that start together come to list at different times, so that one
+    of them soon sees each change.
+
+    Attributes:
+        rng: Draws the deviations.
+        spread: Largest deviation of the next time, as a fraction.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng or random.Random()
+        self.spread = FIRST_POLL_SPREAD
+
+    def next_delay_s(self, workers: int) -> float:
+        """Returns the seconds until the next listing.
+
+        Args:
+            workers: Number of workers of the fleet.
+        """
+        factor = self.rng.uniform(1.0 - self.spread, 1.0 + self.spread)
+        self.spread = POLL_SPREAD
+        return poll_period_s(workers) * factor
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -14,6 +14,7 @@
 from ibisknot import batch_records
 from ibisknot import errors
 from ibisknot import fleetview
+from ibisknot import pairs
 from ibisknot import serving
 
 ROUTE = scripted.make_route(kind=serving.BATCH)
@@ -126,6 +127,79 @@
     assert {address for address, _, _ in peers.calls} == {"w1:1"}
 
 
+async def _store_job(
+    store: fake_pairs_store.FakeStore, *, kept_by: str = ""
+) -> None:
+    """Stores the record of an open job of worker `w0`."""
+    meta = batch_records.JobMeta("j", "one", ROUTE.name, "host", 1, 0, 1)
+    progress = batch_records.Progress(meta, "w0", [], 1, kept_by=kept_by)
+    key = batch_records.OPEN_PREFIX + "j"
+    await store.transact([], [pairs.Put(key, batch_records.encode(progress))])
+
+
+async def _cancel(
+    store: fake_pairs_store.FakeStore,
+    peers: fake_fleet.Peers,
+    task_group: abc.TaskGroup,
+) -> None:
+    """Sends the end of the job to a new gateway."""
+    jobs = _jobs(store, task_group)
+    jobs.peers = peers  # type: ignore[assignment]
+    await jobs.cancel("j", "one", fake_fleet.START_S + 1.0)
+
+
+@pytest.mark.parametrize("fault", ["none", "lost", "late", "killed", "three"])
+def test_end_is_acknowledged_after_its_workers_were_told(fault: str) -> None:
+    """Guards against items that run after the end of their job.
+
+    The write of the end may be lost or late, it may be that of a gateway that
+    was killed, or several gateways may get the end at the same time.
+    """
+    store = fake_pairs_store.FakeStore()
+    peers = fake_fleet.Peers()
+    told: list[int] = []
+
+    async def cancel(task_group: abc.TaskGroup) -> None:
+        await _cancel(store, peers, task_group)
+        told.append(peers.count("job_changed"))
+
+    async def main() -> None:
+        await _store_job(store, kept_by="w1")
+        store.lost_answers = int(fault == "lost")
+        store.late_writes = int(fault == "late")
+        if fault == "killed":
+            store.lost_answers = 1
+            with anyio.move_on_after(0.0):
+                async with anyio.create_task_group() as task_group:
+                    await _cancel(store, fake_fleet.Peers(), task_group)
+        async with anyio.create_task_group() as task_group:
+            for _ in range(3 if fault == "three" else 1):
+                task_group.start_soon(cancel, task_group)
+
+    anyio.run(main)
+    assert min(told) >= 2
+    assert {address for address, _, _ in peers.calls} == {"w0:1", "w1:1"}
+
+
+def test_end_is_told_again_until_the_worker_responds() -> None:
+    """Guards against an end whose message was lost."""
+    store = fake_pairs_store.FakeStore()
+    peers = fake_fleet.Peers()
+    peers.unresponsive = {"w0:1"}
+
+    async def main() -> None:
+        await _store_job(store)
+        async with anyio.create_task_group() as task_group:
+            with anyio.fail_after(2 * batch_jobs.END_NOTICE_WAIT_S):
+                await _cancel(store, peers, task_group)
+            lost = peers.count("job_changed")
+            assert lost > 1
+            peers.unresponsive.clear()
+        assert peers.count("job_changed") == lost + 1
+
+    anyio.run(main)
+
+
 def _view_of_two_regions() -> fleetview.View:
     """Returns a view in which organisation `one` may use only worker `w1`."""
     view = fake_fleet.view(workers=2)
--- a/tests/test_batch_worker.py
+++ b/tests/test_batch_worker.py
@@ -1,6 +1,10 @@
 """Ownership of batch jobs by workers."""
 
+import itertools
+import random
+
 import anyio
+import fake_fleet
 import job_world
 import msgspec
 import pytest
@@ -12,6 +16,7 @@
 from ibisknot import fleetview
 from ibisknot import http_server
 from ibisknot import job_owners
+from ibisknot import job_succession
 from ibisknot import pairs
 from ibisknot import result_listing
 from ibisknot import serving
@@ -88,7 +93,7 @@
     # `w0` is the only worker left in the view, so it is the successor.
     await world.poll()
     world.view.members_read_s = world.clock.now()
-    world.clock.time_s += batch_worker.TAKEOVER_S
+    world.clock.time_s += job_succession.TAKEOVER_S
     await world.poll()
 
 
@@ -132,7 +137,7 @@
         world.view.members_read_s = world.clock.now()
         del world.view.members["w1"]
         world.worker.on_members_changed()
-        world.clock.time_s += batch_worker.TAKEOVER_S
+        world.clock.time_s += job_succession.TAKEOVER_S
         await world.worker._poll_if_due(world.clock.now())
         await anyio.wait_all_tasks_blocked()
         assert world.runner.started == [0, 1, 2]
@@ -147,6 +152,100 @@
         assert rate <= job_owners.MAX_FLEET_POLLS_PER_S
 
 
+def test_listings_of_workers_that_start_together_are_spread() -> None:
+    """Guards against ends of jobs that nobody sees for a whole period."""
+    workers = 30
+    times = [
+        _poll_times(workers, random.Random(seed)) for seed in range(workers)
+    ]
+    period_s = job_owners.poll_period_s(workers)
+    seen = sorted(t for polls in times for t in polls if t > 2 * period_s)
+    gaps = [b - a for a, b in itertools.pairwise(seen) if b < 100.0]
+    assert max(gaps) < 3.0
+    rate = len([t for t in seen if t < 100.0]) / (100.0 - 2 * period_s)
+    assert rate <= 1.05 * job_owners.MAX_FLEET_POLLS_PER_S
+
+
+def _poll_times(workers: int, rng: random.Random) -> list[float]:
+    pacing = job_owners.PollPacing(rng)
+    times = [0.0]
+    while times[-1] < 120.0:
+        times.append(times[-1] + pacing.next_delay_s(workers))
+    return times
+
+
+def _closed(owner: str, kept_by: str = "") -> batch_records.Progress:
+    progress = job_world.record(owner=owner)
+    progress.closed = True
+    progress.kept_by = kept_by
+    return progress
+
+
+def test_worker_that_lists_a_forgotten_end_tells_who_runs_the_job() -> None:
+    """Guards against items that run until their worker's rare listing.
+
+    The gateway was killed after it had written the end.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        world.view.members["w2"] = fake_fleet.member("w2", deployment.WORKER)
+        await world.store_job(_closed("w1", kept_by="w2"))
+        await world.poll()
+        told = {a for a, m, _ in world.peers.calls if m == "job_changed"}
+        assert told == {"w1:1", "w2:1"}
+
+    job_world.run(scenario)
+
+
+def test_record_from_before_a_jobs_end_does_not_start_it() -> None:
+    """Guards against items that run after the end was acknowledged.
+
+    The worker reads the record, or takes the job over, while the end is
+    written, and hears of the end before its own call has returned.
+    """
+
+    async def scenario(world: job_world.World) -> None:
+        await world.store_job(job_world.record(owner="w0"))
+        before = world.store.stored[job_world.OPEN_KEY]
+        await world.store_job(_closed("w0"))
+        await world.worker._read_job("j")
+        await world.worker._apply_record(before, world.entry.lease_count)
+        await anyio.wait_all_tasks_blocked()
+        assert not world.worker.jobs
+        assert world.runner.started == []
+
+    job_world.run(scenario)
+
+
+def test_end_that_another_worker_has_recorded_stops_the_items() -> None:
+    """Guards against a job that goes on after its record was moved."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        world.worker.next_poll_s = world.clock.now() + 60
+        await world.store.transact([], [], deletes=[job_world.OPEN_KEY])
+        await world.worker._read_job("j")
+        await world.worker._poll_if_due(world.clock.now())
+        await anyio.wait_all_tasks_blocked()
+        assert not world.worker.jobs
+
+    job_world.run(scenario)
+
+
+def test_repeated_news_of_an_end_costs_no_read() -> None:
+    """Guards against store calls for each gateway that is sent an end."""
+
+    async def scenario(world: job_world.World) -> None:
+        await world.start_job()
+        await world.store_job(_closed("w0"))
+        await world.worker._read_job("j")
+        reads = world.store.calls["get"]
+        await world.worker._read_job("j")
+        assert world.store.calls["get"] == reads
+
+    job_world.run(scenario)
+
+
 def test_results_that_end_together_are_written_together() -> None:
     """Guards against a store call for each result of a job."""
 
