Parse received data in linear time and in turns, and end answers of nothing

What callers saw: three answers of blank lines without end, and nearly all requests of the gateway had no final answer 0.5 s after their timeout.

Cause: event_stream.feed was quadratic in the number of events of a piece (64 kB of line feeds took 2.3 s), each empty event counted as progress, and nothing else ran between the parts of a piece.

Ruled out: reading the socket; an endless event was given up at 128 kB at once.

Change: the search for the end of an event goes on where it stopped; only an event with a higher id is progress; 256 kB of a body without progress end an attempt, also the last one. Readers of over 64 small parts wait for a turn, of which there is one in each iteration of the event loop: chunks of answers and of clients' bodies, events, frames of tunnels and of other processes. Lines of the own interface are appended in place of joined anew. test_client_connections takes the number of parts a turn from turns and sends as many chunks as before.

The tests of work, turns and floods fail on the code before.

--- a/src/ibisknot/batch_item.py
+++ b/src/ibisknot/batch_item.py
@@ -25,6 +25,7 @@
 from ibisknot import run_times
 from ibisknot import serving
 from ibisknot import ticket_types
+from ibisknot import turns
 from ibisknot.speeds import speed_samples
 
 TICKET_WAIT_S = 10.0
@@ -368,12 +369,10 @@
         """
         splitter = event_stream.Splitter()
         async for chunk in answer.chunks():
-            try:
-                events = event_stream.feed_strictly(splitter, chunk)
-            except ValueError as error:
-                raise errors.TruncatedStreamError(str(error)) from None
+            events = await _split(splitter, chunk, answer.turn)
             speed_samples.record_events(ticket.pace, self.clock(), len(events))
             for event in events:
+                await answer.turn.spend()
                 if event.id is None:
                     continue
                 expected_id = 1 + (task.last_event_id or 0)
@@ -449,6 +448,26 @@
         return batch_records.ItemResult(task.item.id, batch_records.FAILED, "")
 
 
+async def _split(
+    splitter: event_stream.Splitter, chunk: bytes, turn: turns.Counter
+) -> list[event_stream.Event]:
+    """Adds a chunk and returns the events that are complete with it.
+
+    Raises:
+        TruncatedStreamError: An event is too large, or is none.
+    """
+    events = []
+    try:
+        for event in event_stream.feed(splitter, chunk):
+            await turn.spend()
+            if not event_stream.is_well_formed(event.raw):
+                raise errors.TruncatedStreamError("data that is no event")
+            events.append(event)
+    except ValueError as error:
+        raise errors.TruncatedStreamError(str(error)) from None
+    return events
+
+
 def stall_timeout_s(stalls: int) -> float:
     """Returns the seconds without a new event after which an attempt fails.
 
--- a/src/ibisknot/endpoint_body.py
+++ b/src/ibisknot/endpoint_body.py
@@ -8,6 +8,7 @@
 import httpx
 
 from ibisknot import errors
+from ibisknot import turns
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
@@ -41,18 +42,26 @@
             is larger than `MAX_EVENT_BYTES`.
     """
     size = 0
-    incomplete = b""
+    incomplete = bytearray()
+    turn = turns.Counter()
     async for chunk in response.aiter_bytes():
         size += len(chunk)
         check_size(size, max_bytes)
-        *complete, incomplete = (incomplete + chunk).split(b"\n")
+        first, *others = chunk.split(b"\n")
+        incomplete += first
+        for part in others:
+            yield _decode_line(incomplete)
+            await turn.spend(len(part))
+            incomplete = bytearray(part)
         check_size(len(incomplete), MAX_EVENT_BYTES)
-        for line in complete:
-            yield line.removesuffix(b"\r").decode("utf-8", "replace")
     if incomplete:
         yield incomplete.decode("utf-8", "replace")
 
 
+def _decode_line(line: bytearray) -> str:
+    return line.removesuffix(b"\r").decode("utf-8", "replace")
+
+
 def check_size(size: int, max_bytes: int) -> None:
     """Raises TruncatedStreamError for a size over a limit."""
     if size > max_bytes:
--- a/src/ibisknot/event_stream.py
+++ b/src/ibisknot/event_stream.py
@@ -1,5 +1,9 @@
-"""Splits a stream of server-sent events into its events."""
+"""Splits a stream of server-sent events into its events.
 
+The work grows linearly with the bytes, however they are divided.
+"""
+
+from collections.abc import Iterator
 import dataclasses
 import re
 
@@ -11,6 +15,7 @@
 _LINE = re.compile(rb"(data|id|event|retry|[a-z][a-z0-9-]*:.*|:.*)?", re.DOTALL)
 """A line of an event: a field, a comment, or nothing."""
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 MAX_EVENT_END_BYTES = max(len(end) for end in EVENT_ENDS)
 
 
@@ -35,15 +40,19 @@
 
     Attributes:
         incomplete: Bytes after the last complete event.
+        searched: Number of these bytes that hold no end of an event.
+        work_bytes: Number of bytes that were looked at so far.
 
     >>> splitter = Splitter()
-    >>> feed(splitter, b"id: 1\ndata: a\n\nid: 2\nda")
+    >>> list(feed(splitter, b"id: 1\ndata: a\n\nid: 2\nda"))
     [Event(raw=b'id: 1\ndata: a\n\n', id=1, data='a')]
     >>> splitter.incomplete
     bytearray(b'id: 2\nda')
     """
 
     incomplete: bytearray = dataclasses.field(default_factory=bytearray)
+    searched: int = 0
+    work_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,46 +89,30 @@
     return bool(boundary.tail) and not boundary.tail.endswith(EVENT_ENDS)
 
 
-def feed(splitter: Splitter, data: bytes) -> list[Event]:
-    """Adds bytes and returns the events that are complete with them.
+def feed(splitter: Splitter, data: bytes) -> Iterator[Event]:
+    """Adds bytes and yields the events that are complete with them.
+
+    The caller takes all events, or gives up the stream.
 
     Raises:
         ValueError: An event is larger than `MAX_EVENT_BYTES`.
     """
-    splitter.incomplete += data
-    events = []
-    while True:
-        end = _find_end(splitter.incomplete)
-        if end is None:
-            break
-        raw = bytes(splitter.incomplete[:end])
-        del splitter.incomplete[:end]
-        events.append(parse(raw))
-    if len(splitter.incomplete) > MAX_EVENT_BYTES:
+    buffer = splitter.incomplete
+    buffer += data
+    # The end may have begun in the bytes that were searched before.
+    position = max(0, splitter.searched - MAX_EVENT_END_BYTES + 1)
+    start = 0
+    while found := _EVENT_END.search(buffer, position):
+        end = found.end()
+        splitter.work_bytes += end - position
+        raw = bytes(buffer[start:end])
+        start = position = end
+        yield parse(raw)
+    splitter.work_bytes += len(buffer) - position
+    del buffer[:start]
+    splitter.searched = len(buffer)
+    if len(buffer) > MAX_EVENT_BYTES:
         raise ValueError("an event is over the size limit")
-    return events
-
-
-def feed_strictly(splitter: Splitter, data: bytes) -> list[Event]:
-    """Adds bytes and returns the events that are complete with them.
-
-    Raises:
-        ValueError: An event is too large, or is none.
-    """
-    events = feed(splitter, data)
-    if all(is_well_formed(event.raw) for event in events):
-        return events
-    raise ValueError("data that is no event")
-
-
-def _find_end(data: bytearray) -> int | None:
-    """Returns the index after the first event, None if it is incomplete."""
-    ends = [
-        start + len(blank_line)
-        for blank_line in EVENT_ENDS
-        if (start := data.find(blank_line)) >= 0
-    ]
-    return min(ends, default=None)
 
 
 def is_well_formed(raw: bytes) -> bool:
@@ -138,6 +131,17 @@
     return all(_LINE.fullmatch(line.removesuffix(b"\r")) for line in lines)
 
 
+def carries_nothing(event: Event) -> bool:
+    r"""Returns whether an event has neither an id nor data.
+
+    >>> carries_nothing(parse(b": note\n\n")), carries_nothing(parse(b"\n\n"))
+    (True, True)
+    >>> carries_nothing(parse(b"id: 7\n\n"))
+    False
+    """
+    return event.id is None and not event.data
+
+
 def parse(raw: bytes) -> Event:
     r"""Parses one complete event.
 
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -24,6 +24,7 @@
 from ibisknot import serving
 from ibisknot import ticket_types
 from ibisknot import timer
+from ibisknot import turns
 from ibisknot.speeds import speed_samples
 
 MIN_STALL_TIMEOUT_S = 1.6
@@ -255,9 +256,9 @@
         # data of another one.
         task.splitter = event_stream.Splitter()
         task.boundary = event_stream.Boundary()
+        call.needs_useful_data = task.route.resumable
         if self._may_run_again(task, pending_runs=1):
             call.read_timeout_s = stall_timeout_s(task.route)
-            call.needs_useful_data = task.route.resumable
         speed_samples.start(ticket.pace, self.clock.now())
         try:
             async with self.client.send(call) as response:
@@ -402,10 +403,13 @@
                 event_stream.follow(task.boundary, chunk)
                 speed_samples.record_chunk(ticket.pace, received_s, chunk)
             if resumable:
-                if await self._relay_events(task, ticket.endpoint, chunk):
+                if await self._relay_events(
+                    task, ticket.endpoint, chunk, response.turn
+                ):
                     response.record_progress()
             elif chunk:
                 await exchange.send(chunk)
+                response.record_progress()
             paused_s = self.clock.now() - received_s
             speed_samples.record_pause(ticket.pace, paused_s)
         if event_stream.is_within_event(task.boundary):
@@ -434,7 +438,11 @@
         await task.exchange.start(response.status, headers)
 
     async def _relay_events(
-        self, task: Task, endpoint: fleet_endpoint.Endpoint, chunk: bytes
+        self,
+        task: Task,
+        endpoint: fleet_endpoint.Endpoint,
+        chunk: bytes,
+        turn: turns.Counter,
     ) -> bool:
         """Relays the events that are complete with this chunk.
 
@@ -442,38 +450,50 @@
         the stream after the last one. Events that were relayed before are
         skipped.
 
+        Args:
+            task: The request.
+            endpoint: The endpoint that has sent the chunk.
+            chunk: Bytes of its response.
+            turn: Counts the events that are parsed without a pause.
+
         Returns:
-            Whether an event was relayed.
+            Whether the stream has advanced: an event with a higher id was
+            relayed.
 
         Raises:
             TruncatedStreamError: An event is missing, or the data is none.
         """
-        try:
-            received = event_stream.feed(task.splitter, chunk)
-        except ValueError as error:
-            raise errors.TruncatedStreamError(str(error)) from None
-        relayed = []
+        relayed: list[bytes] = []
         malformed: str | None = None
-        for event in received:
-            if not event_stream.is_well_formed(event.raw):
-                malformed = "data that is no event"
-                break
-            if event.id is not None:
-                last_id = task.last_event_id
-                if last_id is not None and event.id <= last_id:
-                    continue
-                if last_id is not None and event.id > last_id + 1:
-                    malformed = f"event {last_id + 1} is missing"
+        has_content = False
+        has_advanced = False
+        try:
+            for event in event_stream.feed(task.splitter, chunk):
+                await turn.spend()
+                if not event_stream.is_well_formed(event.raw):
+                    malformed = "data that is no event"
                     break
-                task.last_event_id = event.id
-            relayed.append(event.raw)
-        if relayed:
+                if event.id is not None:
+                    last_id = task.last_event_id
+                    if last_id is not None and event.id <= last_id:
+                        continue
+                    if last_id is not None and event.id > last_id + 1:
+                        malformed = f"event {last_id + 1} is missing"
+                        break
+                    task.last_event_id = event.id
+                    has_advanced = True
+                has_content |= not event_stream.carries_nothing(event)
+                relayed.append(event.raw)
+        except ValueError as error:
+            malformed = str(error)
+        if has_content:
             task.has_relayed_event = True
             task.software_version = endpoint.software_version
+        if relayed:
             await task.exchange.send(b"".join(relayed))
         if malformed is not None:
             raise errors.TruncatedStreamError(malformed)
-        return bool(relayed)
+        return has_advanced
 
 
 def _number(fingerprint: str) -> int:
--- a/src/ibisknot/http_connection.py
+++ b/src/ibisknot/http_connection.py
@@ -10,6 +10,7 @@
 from ibisknot import errors
 from ibisknot import http11
 from ibisknot import http_exchange
+from ibisknot import turns
 from ibisknot.client_limits import budget
 from ibisknot.client_limits import client_stream
 
@@ -32,8 +33,6 @@
 """
 BODIES = "bodies"
 """Cause of refusals: too many bodies are in memory."""
-EVENTS_PER_TURN = 256
-"""Parts of a body that are parsed before other connections have a turn."""
 CLOSING_WAIT_S = 0.5
 """Time that a connection has for its next request while the server closes.
 
@@ -228,7 +227,7 @@
     async def _read_body(self, max_bytes: int) -> bytes:
         body = bytearray()
         wire_bytes = 0
-        parts = 0
+        turn = turns.Counter()
         while True:
             event = self.parser.next_event()
             if isinstance(event, h11.Data):
@@ -236,15 +235,14 @@
                 self._count_body_bytes(len(event.data))
                 if len(body) > max_bytes:
                     raise errors.BodyTooLargeError("the body is too large")
-                parts += 1
-                if not parts % EVENTS_PER_TURN:
-                    await lowlevel.checkpoint()
+                await turn.spend(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             elif event is h11.NEED_DATA:
                 if self.parser.they_are_waiting_for_100_continue:
                     await self._send_continue()
                 data = await self._receive()
+                turn.reset()
                 wire_bytes += len(data)
                 self._check_framing(wire_bytes, len(body))
                 self.parser.receive_data(data)
--- a/src/ibisknot/http_response.py
+++ b/src/ibisknot/http_response.py
@@ -10,6 +10,7 @@
 from ibisknot import errors
 from ibisknot import http11
 from ibisknot import http_call
+from ibisknot import turns
 
 MAX_SKIPPED_RESPONSES = 3
 """Responses to earlier requests that one call skips."""
@@ -22,6 +23,12 @@
 
 A process that was paused finds the data that came in the meantime.
 """
+MAX_USELESS_BYTES = 256 * 1024
+"""Data of a body without progress after which a call is given up.
+
+It is twice the largest event. Data that comes fast enough would otherwise go on
+for the whole time without progress.
+"""
 LATE_READ_TIMEOUT_S = 0.05
 SILENCE_S = 0.3
 """Time without data after which the path to a server is doubted."""
@@ -40,6 +47,9 @@
         skipped_bytes: Size of the bodies of skipped responses.
         progress_s: Monotonic time of the last progress.
         reads_after_timeout: Reads since the time without progress has passed.
+        useless_bytes: Bytes of the body since the last progress, if the call
+            needs useful data.
+        turn: Counts what was parsed of the data that was received last.
         watched_paths: The paths if the connection depends on one of them.
         silent_scope: Cancelled when the path is lost while data is awaited.
         is_silent: Whether data has been awaited for `SILENCE_S`.
@@ -65,11 +75,14 @@
         self.skipped_bytes = 0
         self.progress_s = anyio.current_time()
         self.reads_after_timeout = 0
+        self.useless_bytes = 0
+        self.turn = turns.Counter()
 
     def record_progress(self) -> None:
         """Restarts the time without progress after which the call fails."""
         self.progress_s = anyio.current_time()
         self.reads_after_timeout = 0
+        self.useless_bytes = 0
 
     def get_header(self, name: bytes) -> str | None:
         """Returns a header's first value by its name in lower case."""
@@ -79,8 +92,12 @@
         while True:
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.Data):
+                    await self.turn.spend(len(event.data))
                 return event
-            self.parser.receive_data(await self._receive())
+            data = await self._receive()
+            self.turn.reset()
+            self.parser.receive_data(data)
 
     async def _receive(self) -> bytes:
         """Returns received data; empty at the end of the connection.
@@ -222,6 +239,7 @@
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.Data):
+                    self._count_useless(len(event.data))
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     self.complete = True
@@ -240,6 +258,20 @@
                 raise errors.PathLostError(message, ran=errors.RAN) from None
             raise errors.TruncatedStreamError(message) from None
 
+    def _count_useless(self, size: int) -> None:
+        """Counts bytes of a body that may not bring progress.
+
+        Raises:
+            RemoteProtocolError: There were too many of them.
+        """
+        if not self.call.needs_useful_data:
+            return
+        if self.useless_bytes > MAX_USELESS_BYTES:
+            raise h11.RemoteProtocolError(
+                f"no useful data in {self.useless_bytes} bytes"
+            )
+        self.useless_bytes += size
+
     async def read_body(self, max_bytes: int) -> bytes:
         """Returns the whole body.
 
--- a/src/ibisknot/peer.py
+++ b/src/ibisknot/peer.py
@@ -24,6 +24,7 @@
 from ibisknot import peer_calls
 from ibisknot import peer_frames
 from ibisknot import traces
+from ibisknot import turns
 from ibisknot.client_limits import budget
 from ibisknot.client_limits import listener
 from ibisknot.gen.peer import ttypes
@@ -181,9 +182,10 @@
     ) -> None:
         """Starts a task for each call, until a handler takes over."""
         received = bytearray()
+        turn = turns.Counter()
         while True:
             frame = await peer_frames.receive_frame(
-                calls.stream, received, calls.charge
+                calls.stream, received, calls.charge, turn
             )
             envelope = _decode_envelope(frame)
             if envelope.method in self.stream_handlers:
@@ -305,10 +307,11 @@
             )
             self.connections[address] = connection
             received = bytearray()
+            turn = turns.Counter()
 
             async def receive() -> ttypes.Envelope:
                 frame = await peer_frames.receive_frame(
-                    connection.stream, received
+                    connection.stream, received, turn=turn
                 )
                 return _decode_envelope(frame, connection.scope)
 
--- a/src/ibisknot/peer_frames.py
+++ b/src/ibisknot/peer_frames.py
@@ -9,6 +9,7 @@
 from anyio.streams import tls as anyio_tls
 
 from ibisknot import errors
+from ibisknot import turns
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 BLOCK_BYTES = 64 * 1024
@@ -22,6 +23,7 @@
     stream: abc.ByteStream,
     received: bytearray,
     charge: Callable[[int], bool] = lambda _size: True,
+    turn: turns.Counter | None = None,
 ) -> bytes:
     """Returns the next frame's content.
 
@@ -29,6 +31,8 @@
         stream: The connection.
         received: Buffer of the bytes that were received and not yet returned.
         charge: Counts bytes that are held; returns whether there is memory.
+        turn: Counts the frames that are returned without a wait; None if the
+            sender awaits a response to each.
 
     Raises:
         PeerError: The frame is over the limit, or there is no memory for it.
@@ -36,6 +40,8 @@
 
     async def receive() -> bytes:
         data = await stream.receive()
+        if turn is not None:
+            turn.reset()
         if not charge(len(data)) and len(received) > FREE_FRAME_BYTES:
             raise errors.PeerError("no memory for a frame")
         return data
@@ -51,6 +57,8 @@
             frame = bytes(view[LENGTH.size : end])
         del received[:end]
         charge(-end)
+        if turn is not None:
+            await turn.spend(size)
         return frame
     # One buffer that grows to megabytes would be moved in memory again and
     # again, and leave gaps there.
--- a/src/ibisknot/tunnel.py
+++ b/src/ibisknot/tunnel.py
@@ -18,6 +18,7 @@
 from ibisknot import http11
 from ibisknot import metrics
 from ibisknot import peer
+from ibisknot import turns
 from ibisknot.gen.fleet import ttypes
 
 METHOD = "tunnel_open"
@@ -40,6 +41,7 @@
         received: Bytes that were received and not yet returned.
         remaining_bytes: Bytes of the current frame that are still to come.
         is_ended: Whether the endpoint's connection has ended.
+        turn: Counts the frames that were read without a pause.
         scope: Whether the helper is in the `own` or an `other` data centre.
     """
 
@@ -54,6 +56,7 @@
         self.received = received
         self.remaining_bytes = 0
         self.is_ended = False
+        self.turn = turns.Counter()
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
         """Returns bytes of the endpoint.
@@ -69,6 +72,7 @@
             await self._begin_frame()
         await self._fill(1)
         size = min(max_bytes, self.remaining_bytes, len(self.received))
+        await self.turn.spend(size)
         data = bytes(self.received[:size])
         del self.received[:size]
         self.remaining_bytes -= size
@@ -93,6 +97,7 @@
         while len(self.received) < size:
             try:
                 data = await self.inner.receive()
+                self.turn.reset()
                 self.received += data
                 self._count(received=len(data))
             except (
--- a/src/ibisknot/uploads.py
+++ b/src/ibisknot/uploads.py
@@ -51,7 +51,7 @@
     header_name: bytes = b""
     header_value: bytes = b""
     headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
-    partial_line: bytes = b""
+    partial_line: bytearray = dataclasses.field(default_factory=bytearray)
     complete_lines: list[bytes] = dataclasses.field(default_factory=list)
     size_bytes: int = 0
     is_complete: bool = False
@@ -108,9 +108,12 @@
     if form.size_bytes > form.limits.file_bytes:
         message = f"the file is over {form.limits.file_bytes} bytes"
         raise errors.BodyTooLargeError(message)
-    lines = (form.partial_line + chunk).split(b"\n")
-    form.partial_line = lines.pop()
-    form.complete_lines.extend(line for line in lines if line.strip())
+    first, *others = chunk.split(b"\n")
+    form.partial_line += first
+    for line in others:
+        if form.partial_line.strip():
+            form.complete_lines.append(bytes(form.partial_line))
+        form.partial_line = bytearray(line)
     if len(form.partial_line) > form.limits.body_bytes:
         message = f"a line is over {form.limits.body_bytes} bytes"
         raise errors.BodyTooLargeError(message)
@@ -119,8 +122,8 @@
 def _end_part(form: UploadForm) -> None:
     """Parser callback: a part is complete."""
     if form.part_name == FILE_PART and form.partial_line.strip():
-        form.complete_lines.append(form.partial_line)
-    form.partial_line = b""
+        form.complete_lines.append(bytes(form.partial_line))
+    form.partial_line = bytearray()
     form.part_name = ""
 
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import random
+import socket
 
 import anyio
 from anyio import abc
@@ -372,6 +373,54 @@
     return script
 
 
+FLOOD_BUFFER_BYTES = 64 * 1024
+"""Buffer of what a flood has sent and the other end has not received."""
+
+
+class Flood:
+    """Script: sends the same bytes as fast as it can, until it is closed.
+
+    Attributes:
+        first: What is sent once, before.
+        data: What is then repeated.
+        sent_bytes: Size of what was sent.
+    """
+
+    def __init__(self, data: bytes, *, first: bytes = b"") -> None:
+        self.first = first
+        self.data = data * max(1, 32 * 1024 // len(data))
+        self.sent_bytes = 0
+
+    async def __call__(self, stream: abc.SocketStream, _head: bytes) -> None:
+        """Sends until the connection is closed."""
+        raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, FLOOD_BUFFER_BYTES
+        )
+        try:
+            await stream.send(STREAM_HEAD)
+            if self.first:
+                await stream.send(encode_chunk(self.first))
+            while True:
+                await stream.send(encode_chunk(self.data))
+                self.sent_bytes += len(self.data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+
+FLOODS = [
+    b"\n\n",
+    b"\r\n",
+    b": \n\n",
+    b"data:\n\n",
+    b"id: 7\n\n",
+    b"data: without id\n\n",
+    encode_event(7, "again"),
+    encode_event(6, "f") + encode_event(7, "g"),
+]
+"""Events that bring a stream no further, but for the first one."""
+
+
 async def close_connection(stream: abc.SocketStream, _head: bytes) -> None:
     """Script: closes the connection without an answer."""
     await stream.aclose()
--- a/tests/test_batch_item.py
+++ b/tests/test_batch_item.py
@@ -13,6 +13,7 @@
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http_client
+from ibisknot import http_response
 from ibisknot import http_server
 from ibisknot import serving
 from ibisknot import timer
@@ -128,6 +129,19 @@
     assert task.stalls == 1
 
 
+@pytest.mark.parametrize("data", scripted.FLOODS)
+def test_flood_without_progress_does_not_keep_an_item(data: bytes) -> None:
+    """Guards against an answer that holds up a worker, and with it the fleet.
+
+    A worker grants the tickets of all gateways.
+    """
+    flood = scripted.Flood(data, first=scripted.encode_event(1, "a"))
+    result, _ = _run(flood, _complete)
+    assert result is not None
+    assert (result.state, result.output) == (batch_records.DONE, "a\nb")
+    assert flood.sent_bytes <= 8 * http_response.MAX_USELESS_BYTES
+
+
 def test_speed_of_an_item_is_measured(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against tickets that are released without a measurement."""
     released = []
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -8,6 +8,7 @@
 
 from ibisknot import http_connection
 from ibisknot import http_server
+from ibisknot import turns
 from ibisknot.client_limits import budget
 from ibisknot.client_limits import client_stream
 from ibisknot.client_limits import listener
@@ -217,7 +218,7 @@
 
     server = http_server.Server(record)
     head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-    chunks = b"1\r\nb\r\n" * 8 * http_connection.EVENTS_PER_TURN
+    chunks = b"1\r\nb\r\n" * 32 * turns.PARTS_PER_TURN
 
     async def check(port: int) -> None:
         async with anyio.create_task_group() as task_group:
--- a/tests/test_forward_streams.py
+++ b/tests/test_forward_streams.py
@@ -5,6 +5,7 @@
 import scripted
 
 from ibisknot import errors
+from ibisknot import http_response
 from ibisknot import prompt_crash_notices
 from ibisknot import stream_origins
 
@@ -27,6 +28,66 @@
     )
 
 
+MAX_FLOOD_BYTES = 8 * http_response.MAX_USELESS_BYTES
+"""What a flood may send, with what the sockets' buffers take."""
+
+
+@pytest.mark.parametrize("data", scripted.FLOODS)
+def test_flood_without_progress_does_not_keep_a_stream(data: bytes) -> None:
+    """Guards against answers that hold up a gateway until the deadline.
+
+    The stream goes on at another endpoint after what it has had.
+    """
+    flood = scripted.Flood(data, first=scripted.encode_event(7, "x"))
+    rest = scripted.script_stream(scripted.encode_event(8, "y"))
+    endpoints = [_endpoint("e1", flood), _endpoint("e2", rest)]
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert status == 200
+        assert body.startswith(scripted.encode_event(7, "x"))
+        assert body.endswith(scripted.encode_event(8, "y"))
+        assert body.count(b"id: ") == 2
+
+    scripted.run_forwarder(endpoints, scripted.make_route(), check)
+    assert flood.sent_bytes <= MAX_FLOOD_BYTES
+
+
+@pytest.mark.parametrize("data", scripted.FLOODS)
+def test_flood_in_the_last_attempt_is_broken_off(data: bytes) -> None:
+    """Guards against an answer of nothing that lasts until the deadline.
+
+    The last attempt has no time without progress.
+    """
+    flood = scripted.Flood(data)
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        with pytest.raises(errors.EndpointError):
+            await scripted.send_request(address)
+
+    scripted.run_forwarder(
+        [_endpoint("e1", flood)], scripted.make_route(max_attempts=1), check
+    )
+    assert flood.sent_bytes <= MAX_FLOOD_BYTES
+
+
+def test_blank_events_do_not_bind_a_stream_to_a_software_version() -> None:
+    """Guards against a stream that waits for a version that began nothing."""
+    flood = scripted.Flood(b"\n\n")
+    rest = scripted.script_stream(scripted.encode_event(1, "a"))
+    endpoints = [
+        _endpoint("e1", flood, version="v1"),
+        _endpoint("e2", rest, version="v2"),
+    ]
+
+    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
+        status, body = await scripted.send_request(address)
+        assert status == 200
+        assert body.endswith(scripted.encode_event(1, "a"))
+
+    scripted.run_forwarder(endpoints, scripted.make_route(), check)
+
+
 def test_stream_that_a_caller_resumes_goes_on_at_its_software() -> None:
     """Guards against text that is joined over a caller's requests."""
     cut = scripted.script_stream(scripted.encode_event(2, "b"), ends=False)
