Count crashes of endpoints by request, and learn them at each start

What callers saw: after its planned restart each gateway let a request crash three more endpoints, 12 in place of 3. And one crash under four callers with the same question, or three answers cut by endpoints that live, refused a request for 15 minutes.

Cause: whole requests were counted by failed attempts, in the gateways' memory alone; a process that starts asked nobody.

Ruled out: lost notices; without restarts no request came through after the third crash.

Change: request_crashes counts confirmed crashes by the requests in progress, until these are answered anywhere. The evidence travels with that on prompt parts, to workers too, and refusals are written to the store. A process that starts asks two peers and reads the store before it sends its first request, 1.5 s at most; readiness doesn't wait. One that was out of touch, or whose peer knows other things, asks again. The read of the refusals at the start is no longer stale: the same number of calls.

Tests: test_request_that_fails_at_several_endpoints_is_refused asked for a refusal after three cut answers of endpoints that live, which is the fault above.

--- a/src/ibisknot/_forward_task.py
+++ b/src/ibisknot/_forward_task.py
@@ -8,6 +8,7 @@
 from ibisknot import crashes
 from ibisknot import event_stream
 from ibisknot import http11
+from ibisknot import http_response
 from ibisknot import http_server
 from ibisknot import logs
 from ibisknot import request_metadata
@@ -15,6 +16,17 @@
 from ibisknot import stream_origins
 from ibisknot import ticket_types
 
+MIN_STALL_TIMEOUT_S = 1.6
+"""Time without progress after which a retry at another endpoint begins.
+
+A sound endpoint may be silent for a second.
+"""
+STALL_GAPS = 2.0
+"""A stream is stalled after this many of its longest intended pauses."""
+EVENT_STREAM = "text/event-stream"
+FINGERPRINT_DIGITS = 15
+"""Hexadecimal digits of a fingerprint that fit into a signed integer."""
+
 FindOrigin = Callable[[str, Collection[str]], Awaitable[stream_origins.Origin]]
 """Finds the software that began a stream, by the stream's id and the services
 that may have begun it; raises UnavailableError if it cannot be told."""
@@ -146,3 +158,28 @@
         failed=sorted(task.failed_endpoints),
         last_event=task.last_event_id,
     )
+
+
+def fingerprint_number(task: Task) -> int:
+    """Returns the fingerprint as a number for messages."""
+    return int(fingerprint(task)[:FINGERPRINT_DIGITS], 16)
+
+
+def stall_timeout_s(route: serving.Route) -> float:
+    """Returns the seconds without progress after which a stream is stalled.
+
+    >>> import dataclasses
+    >>> route = serving.Route("r", "h", "/", serving.STREAM, ())
+    >>> stall_timeout_s(route)
+    1.6
+    >>> stall_timeout_s(dataclasses.replace(route, event_gap_target_s=2.0))
+    4.0
+    """
+    return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
+
+
+def is_event_stream(response: http_response.Response) -> bool:
+    """Returns whether a response is a stream of events."""
+    content_type = response.get_header(b"content-type") or ""
+    media_type = content_type.partition(";")[0].strip().lower()
+    return response.status == 200 and media_type == EVENT_STREAM
--- a/src/ibisknot/_prompt_crash_messages.py
+++ b/src/ibisknot/_prompt_crash_messages.py
@@ -4,10 +4,18 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 from ibisknot import prompt_crashes
+from ibisknot import request_crashes
 from ibisknot.gen.fleet import ttypes
 
+REQUEST_PREFIX = "request:"
+"""Precedes the endpoint of crashes that count against whole requests.
+
+Earlier builds ignore their candidates, as these have no parts.
+"""
+
 
 def news(
     history: prompt_crashes.History,
@@ -86,6 +94,62 @@
     )
 
 
+def request_crashes_of(
+    history: request_crashes.History, now: float, fingerprints: Iterable[int]
+) -> list[ttypes.EndpointCrash]:
+    """Returns the crashes against requests as they are sent to peers.
+
+    Args:
+        history: The history.
+        now: Monotonic time in seconds.
+        fingerprints: The requests to include.
+    """
+    found: dict[str, tuple[float, list[int]]] = {}
+    for fingerprint in fingerprints:
+        crashes = history.crashes.get(fingerprint, {})
+        for endpoint, occurred_s in crashes.items():
+            known_s, others = found.get(endpoint, (occurred_s, []))
+            found[endpoint] = (
+                min(known_s, occurred_s),
+                [*others, fingerprint],
+            )
+    return [
+        ttypes.EndpointCrash(
+            endpoint=REQUEST_PREFIX + endpoint,
+            age_s=now - occurred_s,
+            candidates=[
+                ttypes.CrashCandidate(fingerprint=f, parts=[])
+                for f in candidates
+            ],
+        )
+        for endpoint, (occurred_s, candidates) in found.items()
+    ]
+
+
+def request_evidence(
+    message: ttypes.PromptCrashNews, now: float
+) -> Iterator[tuple[str, float, int]]:
+    """Yields what a message says against whole requests.
+
+    Earlier builds name requests as candidates whose parts may be the cause.
+    Those whose parts were all answered since have none left.
+
+    Returns:
+        The endpoint, the monotonic time of its crash and the fingerprint.
+    """
+    for crash in message.crashes:
+        is_about_requests = crash.endpoint.startswith(REQUEST_PREFIX)
+        endpoint = crash.endpoint.removeprefix(REQUEST_PREFIX)
+        for candidate in crash.candidates:
+            if is_about_requests or candidate.parts:
+                yield endpoint, now - crash.age_s, candidate.fingerprint
+
+
+def is_about_parts(crash: ttypes.EndpointCrash) -> bool:
+    """Returns whether a crash counts against parts of prompts."""
+    return not crash.endpoint.startswith(REQUEST_PREFIX)
+
+
 def to_refusal(
     message: ttypes.PartRefusal, now: float
 ) -> prompt_crashes.Refusal:
--- a/src/ibisknot/forward.py
+++ b/src/ibisknot/forward.py
@@ -6,10 +6,10 @@
 import math
 
 from ibisknot import _forward_task
+from ibisknot import _prompt_crash_log
 from ibisknot import admission
 from ibisknot import attempt_outcomes
-from ibisknot import crash_notices
-from ibisknot import crashes
+from ibisknot import crash_confirmation
 from ibisknot import errors
 from ibisknot import event_stream
 from ibisknot import fleet_endpoint
@@ -27,13 +27,6 @@
 from ibisknot import turns
 from ibisknot.speeds import speed_samples
 
-MIN_STALL_TIMEOUT_S = 1.6
-"""Time without progress after which a retry at another endpoint begins.
-
-A sound endpoint may be silent for a second.
-"""
-STALL_GAPS = 2.0
-"""A stream is stalled after this many of its longest intended pauses."""
 MIN_REMAINING_S = 0.03
 """A request is not sent with less time than this until its deadline."""
 MAX_ATTEMPTS = 6
@@ -42,9 +35,8 @@
 """Another gateway probably has a path, so that the caller need not wait."""
 MAX_LOST_PATHS = 2
 """Attempts without any path after which the caller had better go elsewhere."""
-FINGERPRINT_DIGITS = 15
-"""Hexadecimal digits of a fingerprint that fit into a signed integer."""
-EVENT_STREAM = "text/event-stream"
+RUNS_UNCONFIRMED = 2
+"""Runs after which it must be known which of them were crashes."""
 
 
 Dialect = _forward_task.Dialect
@@ -55,8 +47,8 @@
     """Forwards the requests of one gateway process.
 
     Attributes:
-        notices: Crashes that requests have caused at endpoints.
-        prompt_crashes: Parts of prompts that have crashed endpoints.
+        prompt_crashes: Requests and parts of prompts that have crashed
+            endpoints.
         tickets: Grants the permission to run a request at an endpoint.
         client: Sends requests to endpoints.
         dialect: Encoding of the metadata in headers.
@@ -70,12 +62,10 @@
         client: http_client.Client,
         dialect: Dialect,
         clock: timer.Timer,
-        notices: crash_notices.CrashNotices,
         prompt_crashes: prompt_crash_notices.Notices,
         find_origin: _forward_task.FindOrigin,
     ) -> None:
         self.find_origin = find_origin
-        self.notices = notices
         self.prompt_crashes = prompt_crashes
         self.tickets = tickets
         self.client = client
@@ -89,47 +79,49 @@
             IbisknotError: There is no complete response; `ran` tells whether
                 the request may have run.
         """
-        fingerprint = _forward_task.fingerprint(task)
-        self._refuse_if_it_crashes(task, fingerprint)
+        await self.prompt_crashes.wait_until_informed()
+        self._refuse_if_it_crashes(task)
         if _forward_task.is_resumed_by_caller(task):
             await self._adopt_origin(task)
         while True:
-            self._refuse_if_it_crashes(task, fingerprint)
+            self._refuse_if_it_crashes(task)
             ticket = await self._acquire_ticket(task)
             outcome = admission.CANCELLED
             try:
                 # It may have waited for its ticket for long.
-                self._refuse_if_it_crashes(task, fingerprint)
+                self._refuse_if_it_crashes(task)
                 outcome = await self._attempt(task, ticket)
             except errors.EndpointError as error:
                 outcome = attempt_outcomes.of_error(error)
                 self._record_failure(task, ticket, error)
-                await self._report_crash(fingerprint, task, ticket, error)
+                self._report_broken(task, ticket, error)
                 if not self._may_retry(task, error):
                     if task.runs:
                         error.ran = errors.UNKNOWN
                     raise
             finally:
                 self.tickets.release(ticket, outcome)
-            if outcome == admission.OK:
-                self.notices.record_completion(fingerprint)
+            if outcome != admission.OK and task.runs >= RUNS_UNCONFIRMED:
+                await self.prompt_crashes.confirmation.wait()
             if task.exchange.finished or task.exchange.aborted:
                 return
 
-    def _refuse_if_it_crashes(self, task: Task, fingerprint: str) -> None:
+    def _refuse_if_it_crashes(self, task: Task) -> None:
         """Refuses a request that is known to crash endpoints.
 
         Raises:
             UnavailableError: It, or parts of its prompt, crash endpoints.
         """
         ran = errors.UNKNOWN if task.runs else errors.NOT_RUN
-        if crashes.has_failed_repeatedly(self.notices.history, fingerprint):
+        if self.prompt_crashes.is_request_refused(
+            _forward_task.fingerprint_number(task)
+        ):
             raise errors.UnavailableError(
                 "this request has crashed the endpoints that ran it", ran=ran
             )
         parts = self.prompt_crashes.refused_parts(task.metadata.prompt_parts)
         if parts is not None:
-            names = prompt_crash_notices.log_parts(sorted(parts))
+            names = _prompt_crash_log.parts(sorted(parts))
             raise errors.UnavailableError(
                 f"parts {names} of its prompt have crashed endpoints", ran=ran
             )
@@ -176,7 +168,7 @@
             organisation=task.organisation,
             max_wait_s=max_wait_s,
             objective_s=objective_s,
-            fingerprint=_number(_forward_task.fingerprint(task)),
+            fingerprint=_forward_task.fingerprint_number(task),
             max_tokens=metadata.prompt_tokens + metadata.output_tokens,
             prompt_tokens=metadata.prompt_tokens,
             prompt_blocks=metadata.prompt_blocks,
@@ -258,7 +250,7 @@
         task.boundary = event_stream.Boundary()
         call.needs_useful_data = task.route.resumable
         if self._may_run_again(task, pending_runs=1):
-            call.read_timeout_s = stall_timeout_s(task.route)
+            call.read_timeout_s = _forward_task.stall_timeout_s(task.route)
         speed_samples.start(ticket.pace, self.clock.now())
         try:
             async with self.client.send(call) as response:
@@ -344,41 +336,33 @@
             runs=task.runs,
             started=task.exchange.started,
             last_event=task.last_event_id,
-            parts=prompt_crash_notices.log_parts(task.metadata.prompt_parts),
+            parts=_prompt_crash_log.parts(task.metadata.prompt_parts),
             had_output=task.boundary.has_event,
             cause=error.message,
         )
 
-    async def _report_crash(
+    def _report_broken(
         self,
-        fingerprint: str,
         task: Task,
         ticket: ticket_types.Ticket,
         error: errors.EndpointError,
     ) -> None:
-        """Reports a request whose endpoint failed before the first event.
+        """Reports a request whose response broke off, perhaps by a crash.
 
-        All gateways are notified, so that a request that crashes one endpoint
-        after another is refused.
+        The parts of its prompt are no cause once it has output.
         """
-        if error.ran == errors.NOT_RUN or task.has_relayed_event:
-            return
-        if isinstance(error, errors.PathLostError):
+        if error.ran == errors.NOT_RUN or isinstance(
+            error, errors.PathLostError
+        ):
             return
-        if not task.boundary.has_event:
-            self.prompt_crashes.report_broken(
-                ticket.endpoint,
-                _number(fingerprint),
-                task.metadata.prompt_parts,
-            )
-        crash = crashes.Crash(
-            endpoint=ticket.endpoint.name,
-            request_id=f"{task.metadata.id}/{task.attempts}",
-            exclusive=ticket.exclusive,
-            before_first_token=not task.exchange.started,
-        )
-        await self.notices.report_crash(
-            fingerprint, crash, wait_for_peers=False
+        has_output = task.boundary.has_event or task.has_relayed_event
+        self.prompt_crashes.confirmation.report_broken(
+            ticket.endpoint,
+            _forward_task.fingerprint_number(task),
+            crash_confirmation.Candidate(
+                () if has_output else task.metadata.prompt_parts,
+                _forward_task.fingerprint(task),
+            ),
         )
 
     async def _relay_response(
@@ -396,7 +380,7 @@
         if not exchange.started:
             await self._start_response(task, response)
         resumable = task.route.resumable and response.status == 200
-        is_stream = resumable or _is_event_stream(response)
+        is_stream = resumable or _forward_task.is_event_stream(response)
         async for chunk in response.chunks():
             received_s = self.clock.now()
             if is_stream:
@@ -416,7 +400,10 @@
             raise errors.TruncatedStreamError("the stream ends within an event")
         await exchange.finish()
         if response.status < 300:
-            self.prompt_crashes.record_completion(task.metadata.prompt_parts)
+            self.prompt_crashes.record_completion(
+                task.metadata.prompt_parts,
+                _forward_task.fingerprint_number(task),
+            )
 
     async def _start_response(
         self, task: Task, response: http_response.Response
@@ -432,7 +419,7 @@
         )
         length = response.get_header(b"content-length")
         if length is not None and not (
-            task.route.resumable or _is_event_stream(response)
+            task.route.resumable or _forward_task.is_event_stream(response)
         ):
             headers.append((b"Content-Length", length.encode()))
         await task.exchange.start(response.status, headers)
@@ -494,27 +481,3 @@
         if malformed is not None:
             raise errors.TruncatedStreamError(malformed)
         return has_advanced
-
-
-def _number(fingerprint: str) -> int:
-    """Returns a fingerprint as a number for messages."""
-    return int(fingerprint[:FINGERPRINT_DIGITS], 16)
-
-
-def stall_timeout_s(route: serving.Route) -> float:
-    """Returns the seconds without progress after which a stream is stalled.
-
-    >>> import dataclasses
-    >>> route = serving.Route("r", "h", "/", serving.STREAM, ())
-    >>> stall_timeout_s(route)
-    1.6
-    >>> stall_timeout_s(dataclasses.replace(route, event_gap_target_s=2.0))
-    4.0
-    """
-    return max(MIN_STALL_TIMEOUT_S, STALL_GAPS * route.event_gap_target_s)
-
-
-def _is_event_stream(response: http_response.Response) -> bool:
-    content_type = response.get_header(b"content-type") or ""
-    media_type = content_type.partition(";")[0].strip().lower()
-    return response.status == 200 and media_type == EVENT_STREAM
--- a/src/ibisknot/gateway_program.py
+++ b/src/ibisknot/gateway_program.py
@@ -6,8 +6,6 @@
 
 from ibisknot import batch_api
 from ibisknot import batch_jobs
-from ibisknot import crash_notices
-from ibisknot import deployment
 from ibisknot import forward
 from ibisknot import gateway
 from ibisknot import http_server
@@ -41,26 +39,11 @@
     """Runs the gateway until a shutdown is requested."""
     async with node.start(platform, program="ibisknot-gateway") as gateway_node:
         view = gateway_node.runner.view
-
-        def other_gateways() -> list[str]:
-            return [
-                member.address
-                for member in gateway_node.runner.other_members()
-                if member.kind == deployment.GATEWAY
-            ]
-
         forwarder = forward.Forwarder(
             gateway_node.tickets,
             gateway_node.client,
             dialect,
             gateway_node.clock,
-            crash_notices.CrashNotices(
-                gateway_node.server,
-                gateway_node.peers,
-                gateway_node.clock,
-                gateway_node.tasks,
-                other_gateways,
-            ),
             gateway_node.prompt_crashes,
             gateway_node.streams.find,
         )
--- a/src/ibisknot/metrics.py
+++ b/src/ibisknot/metrics.py
@@ -78,6 +78,10 @@
     "ibisknot_prompt_parts_refused_total",
     "Sets of prompt parts that this process began to refuse.",
 )
+REQUESTS_REFUSED = aioprometheus.Counter(
+    "ibisknot_crashing_requests_refused_total",
+    "Requests that this process began to refuse for crashes of endpoints.",
+)
 TUNNELS = aioprometheus.Counter(
     "ibisknot_tunnels_total",
     "Connections to endpoints that this process opened for another one.",
--- a/src/ibisknot/node.py
+++ b/src/ibisknot/node.py
@@ -197,6 +197,7 @@
                 lambda: [m.address for m in runner.other_members()],
                 prompt_crash_records.Records(store, clock.now),
                 is_path_lost=connector.is_path_lost,
+                is_in_touch=lambda: runner.hears_from_others(clock.now()),
             ),
             streams=stream_lookup.Lookup(
                 origins,
--- a/src/ibisknot/prompt_crash_notices.py
+++ b/src/ibisknot/prompt_crash_notices.py
@@ -1,4 +1,4 @@
-"""Shares between processes which parts of prompts crash endpoints.
+"""Shares between processes which requests and prompt parts crash endpoints.
 
 Every process of the fleet has the same history: news goes to all others at
 once, and random peers compare digests while there is anything to compare.
@@ -6,32 +6,37 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
-import itertools
 import random
 
 import anyio
 
+from ibisknot import _prompt_crash_log
 from ibisknot import _prompt_crash_messages
+from ibisknot import crash_confirmation
+from ibisknot import crash_refusals
+from ibisknot import earlier_crash_notices
 from ibisknot import errors
-from ibisknot import fleet_endpoint
-from ibisknot import http11
 from ibisknot import isolation
 from ibisknot import logs
 from ibisknot import metrics
 from ibisknot import peer
 from ibisknot import prompt_crash_records
 from ibisknot import prompt_crashes
+from ibisknot import request_crashes
 from ibisknot import timer
 from ibisknot.gen.fleet import ttypes
 
-COLLECT_S = 0.01
-"""Time in which the candidates of one crash are collected."""
-CONNECT_TIMEOUT_S = 0.25
 PEER_TIMEOUT_S = 0.4
 COMPARE_PERIOD_S = 1.0
 START_PEERS = 2
 """Peers that a process which has just started asks in each period."""
+START_WAIT_S = 1.5
+"""Longest time for which a process that starts holds requests back.
+
+It sends nothing before it knows what others know of crashes.
+"""
+PEERS_POLL_PERIOD_S = 0.02
+LOAD_RETRY_PAUSE_S = 0.5
 SETTLING_S = 10.0
 """Time after which a process no longer looks for one that knows more."""
 MAX_CLEARING_DELAY_S = 0.1
@@ -39,22 +44,27 @@
 
 Many processes notice it at about the same time; the first one tells all.
 """
-MAX_LOGGED_PARTS = 8
 
 
 class Notices:
     """Records crashes and completions, and exchanges them with peers.
 
     Attributes:
-        history: What this process knows.
-        collected: Candidates of crashes that are being confirmed, by the name
-            and start of the endpoint.
+        history: What this process knows of parts of prompts.
+        requests: What it knows of whole requests.
+        confirmation: Finds out which broken responses were crashes.
         clearing: Completions that the peers are not told yet, by part.
         records: Keeps refusals over a restart of all processes.
         is_loaded: Whether the records were read.
         is_settled: Whether a peer that knows more than its own start has
-            answered since this process started.
-        started_s: Monotonic time of this process's start.
+            answered since this process started or was last out of touch.
+        is_behind: Whether a peer has other knowledge.
+        is_learning: Whether this process has started and does not know yet
+            what others know.
+        informed: Set when it does.
+        started_s: Monotonic time of this process's start, or at which it was
+            last out of touch.
+        is_in_touch: Returns whether this process hears from the others.
     """
 
     def __init__(
@@ -66,6 +76,7 @@
         records: prompt_crash_records.Records,
         *,
         is_path_lost: Callable[[str], Awaitable[bool]] | None = None,
+        is_in_touch: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates notices of an empty history.
 
@@ -78,19 +89,26 @@
             is_path_lost: Returns whether another process reaches the endpoint
                 at an address while this one does not; None if that is never
                 so.
+            is_in_touch: Returns whether this process hears from the others.
         """
-        self.is_path_lost = is_path_lost
+        self.confirmation = crash_confirmation.Confirmation(
+            clock.now, task_group, self._record_crash, is_path_lost
+        )
+        self.is_in_touch = is_in_touch
         self.peers = peers
         self.clock = clock
         self.task_group = task_group
         self.peer_addresses = peer_addresses
         self.rng = random.Random()
         self.history = prompt_crashes.History()
-        self.collected: dict[str, dict[int, tuple[int, ...]]] = {}
+        self.requests = request_crashes.History()
         self.clearing: dict[int, float] = {}
         self.records = records
         self.is_loaded = False
         self.is_settled = False
+        self.is_behind = False
+        self.is_learning = False
+        self.informed = anyio.Event()
         self.started_s = clock.now()
 
     def start(self, server: peer.Server) -> None:
@@ -98,7 +116,19 @@
         server.on("prompt_crash_news", ttypes.PromptCrashNews, self.on_news)
         server.on("prompt_crash_ask", ttypes.PromptCrashAsk, self.on_request)
         self.clock.subscribe("prompt_crashes", COMPARE_PERIOD_S, self.compare)
-        self.task_group.start_soon(self._load)
+        self.is_learning = True
+        self.task_group.start_soon(self._learn)
+
+    async def wait_until_informed(self) -> None:
+        """Waits until this process knows what others know, for a while."""
+        if self.is_learning:
+            await self.informed.wait()
+
+    def is_request_refused(self, fingerprint: int) -> bool:
+        """Returns whether the request with a fingerprint is refused."""
+        return request_crashes.is_refused(
+            self.requests, self.clock.now(), fingerprint
+        )
 
     def refused_parts(
         self, parts: tuple[int, ...]
@@ -108,42 +138,30 @@
             self.history, self.clock.now(), parts
         )
 
-    def report_broken(
+    async def _record_crash(
         self,
-        endpoint: fleet_endpoint.Endpoint,
-        fingerprint: int,
-        parts: tuple[int, ...],
+        key: str,
+        occurred_s: float,
+        candidates: dict[int, crash_confirmation.Candidate],
     ) -> None:
-        """Reports a request whose response broke off before its output.
+        """Records a crash that was confirmed, and tells the others.
 
         Args:
-            endpoint: The endpoint, which may have crashed.
-            fingerprint: What the request has in common with its resends.
-            parts: Hashes of the parts of its prompt.
+            key: Name and start of the endpoint.
+            occurred_s: Monotonic time of the crash.
+            candidates: The requests that were in progress, by fingerprint.
         """
-        if not parts:
-            return
-        key = f"{endpoint.name}/{endpoint.born_ms}"
-        if key not in self.collected:
-            self.collected[key] = {}
-            now = self.clock.now()
-            self.task_group.start_soon(
-                self._confirm, key, endpoint.address, now
-            )
-        self.collected[key][fingerprint] = parts
-
-    async def _confirm(self, key: str, address: str, occurred_s: float) -> None:
-        """Records a crash if nothing listens at the endpoint any more."""
-        await anyio.sleep(COLLECT_S)
-        crashed = await self._is_refused(address)
-        candidates = self.collected.pop(key)
-        if not crashed:
-            return
         now = self.clock.now()
-        before = set(self.history.refusals)
+        before = self._subjects()
         refused = prompt_crashes.record_crash(
-            self.history, now, key, occurred_s, dict(candidates)
+            self.history,
+            now,
+            key,
+            occurred_s,
+            {f: c.parts for f, c in candidates.items() if c.parts},
         )
+        for fingerprint in candidates:
+            self._record_request_crash(key, occurred_s, fingerprint, "crashes")
         self._write_changes(before)
         crash = self.history.crashes.get(key)
         logs.event(
@@ -154,62 +172,98 @@
             suspected=len(crash.candidates) if crash else 0,
             crashes=len(self.history.crashes),
         )
-        if crash is None:
-            return
-        self._log_refused(refused, "crashes")
-        await self._tell_all(
-            _prompt_crash_messages.news(
-                self.history, now, endpoints=[key], refusals=refused
-            )
+        _prompt_crash_log.refused(self.history, now, refused, "crashes")
+        news = _prompt_crash_messages.news(
+            self.history,
+            now,
+            endpoints=[key] if crash else [],
+            refusals=refused,
         )
+        news.crashes += _prompt_crash_messages.request_crashes_of(
+            self.requests, now, candidates
+        )
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._tell_all, news)
+            task_group.start_soon(
+                earlier_crash_notices.tell,
+                self.peers,
+                self.peer_addresses(),
+                key,
+                candidates.values(),
+            )
 
-    async def _is_refused(self, address: str) -> bool:
-        """Returns whether nothing listens at an endpoint's address.
+    def _record_request_crash(
+        self, endpoint: str, occurred_s: float, fingerprint: int, cause: str
+    ) -> None:
+        """Records a crash against a request; logs if it is refused now."""
+        now = self.clock.now()
+        if request_crashes.record_crash(
+            self.requests, now, endpoint, occurred_s, fingerprint
+        ):
+            metrics.REQUESTS_REFUSED.inc({})
+            logs.event(
+                "request_refused",
+                level="warning",
+                fingerprint=f"{fingerprint:015x}",
+                crashes=len(self.requests.crashes[fingerprint]),
+                cause=cause,
+            )
 
-        A link that is cut may refuse connections as well.
-        """
-        if not await http11.refuses_connections(address, CONNECT_TIMEOUT_S):
-            return False
-        return self.is_path_lost is None or not await self.is_path_lost(address)
+    def _subjects(self) -> set[crash_refusals.Subject]:
+        """Returns the parts and requests that are refused."""
+        return crash_refusals.subjects(
+            self.history, self.requests, self.clock.now()
+        )
+
+    def _find_refusal(
+        self, subject: crash_refusals.Subject
+    ) -> prompt_crashes.Refusal | None:
+        """Returns the refusal of parts or of a request, or None."""
+        return crash_refusals.find(
+            self.history, self.requests, self.clock.now(), subject
+        )
 
-    def _write_changes(self, before: set[prompt_crashes.Parts]) -> None:
+    def _write_changes(self, before: set[crash_refusals.Subject]) -> None:
         """Writes what this process has changed to the store.
 
         Args:
-            before: The refused parts before the change.
+            before: What was refused before the change.
         """
-        after = set(self.history.refusals)
+        after = self._subjects()
         if after != before:
             self.task_group.start_soon(
                 self.records.replace,
-                self.history,
+                self._find_refusal,
                 before - after,
                 after - before,
             )
 
-    def _log_refused(
-        self, refused: list[prompt_crashes.Parts], cause: str
+    def record_completion(
+        self, parts: tuple[int, ...], fingerprint: int | None = None
     ) -> None:
-        for parts in refused:
-            refusal = self.history.refusals[parts]
-            metrics.PARTS_REFUSED.inc({})
-            logs.event(
-                "prompt_parts_refused",
-                level="warning",
-                parts=log_parts(parts),
-                cause=cause,
-                crashes=refusal.crash_count,
-                for_s=round(refusal.until_s - self.clock.now(), 3),
-            )
+        """Records that a request was answered.
 
-    def record_completion(self, parts: tuple[int, ...]) -> None:
-        """Records that a request with these parts was answered."""
+        Args:
+            parts: Hashes of the parts of its prompt.
+            fingerprint: What it has in common with its resends, if known.
+        """
         now = self.clock.now()
-        before = set(self.history.refusals)
+        has_evidence = fingerprint in self.requests.crashes
+        if not has_evidence and self.history.suspects.isdisjoint(parts):
+            prompt_crashes.record_completion(self.history, now, parts)
+            return
+        before = self._subjects()
         cleared = prompt_crashes.record_completion(self.history, now, parts)
+        if fingerprint is not None:
+            count = request_crashes.record_completion(
+                self.requests, now, fingerprint
+            )
+            # One crash alone is no reason to tell all.
+            if count > 1 or (count and cleared):
+                cleared.append(fingerprint)
+        self._write_changes(before)
         if not cleared:
             return
-        self._write_changes(before)
         if not self.clearing:
             self.task_group.start_soon(self._tell_cleared)
         self.clearing.update(dict.fromkeys(cleared, now))
@@ -221,7 +275,9 @@
         self.clearing = {}
         if not completions:
             return
-        logs.event("prompt_parts_cleared", parts=log_parts(completions))
+        logs.event(
+            "prompt_parts_cleared", parts=_prompt_crash_log.parts(completions)
+        )
         await self._tell_all(
             _prompt_crash_messages.news(
                 self.history, self.clock.now(), completions=completions
@@ -243,7 +299,7 @@
         if objections:
             # All objections are about the same parts.
             objection = objections[0]
-            before = set(self.history.refusals)
+            before = self._subjects()
             self._adopt(objection, "objection")
             self._write_changes(before)
             await self._tell_all(objection)
@@ -277,13 +333,28 @@
     ) -> ttypes.PromptCrashNews:
         """Peer method: returns the history, or nothing if it is the same."""
         now = self.clock.now()
-        if request.digest == prompt_crashes.digest(self.history):
+        if request.digest == self._digest():
             answer = _prompt_crash_messages.news(self.history, now)
         else:
+            # The peer may know what this process has missed.
+            self.is_behind = True
             answer = _prompt_crash_messages.whole_history(self.history, now)
+            answer.crashes += _prompt_crash_messages.request_crashes_of(
+                self.requests, now, self.requests.crashes
+            )
+            answer.completions += [
+                ttypes.PartCompletion(part=f, age_s=now - completed_s)
+                for f, completed_s in self.requests.completed_s.items()
+            ]
         answer.is_settled = self.is_settled
         return answer
 
+    def _digest(self) -> int:
+        """Returns a hash of all that this process knows of crashes."""
+        return prompt_crashes.digest(self.history) ^ request_crashes.digest(
+            self.requests, self.clock.now()
+        )
+
     def _adopt(
         self, news: ttypes.PromptCrashNews, cause: str
     ) -> dict[int, float]:
@@ -301,6 +372,9 @@
             prompt_crashes.adopt_completion(
                 self.history, now, completion.part, completed_s
             )
+            request_crashes.record_completion(
+                self.requests, completed_s, completion.part
+            )
         objections: dict[int, float] = {}
         for message in news.refusals:
             refusal = _prompt_crash_messages.to_refusal(message, now)
@@ -308,7 +382,9 @@
             objections |= prompt_crashes.adopt_refusal(
                 self.history, now, parts, refusal
             )
-        for crash in news.crashes:
+        for crash in filter(
+            _prompt_crash_messages.is_about_parts, news.crashes
+        ):
             prompt_crashes.record_crash(
                 self.history,
                 now,
@@ -316,8 +392,10 @@
                 now - crash.age_s,
                 {c.fingerprint: c.parts for c in crash.candidates},
             )
+        for evidence in _prompt_crash_messages.request_evidence(news, now):
+            self._record_request_crash(*evidence, cause)
         refused = [p for p in self.history.refusals if p not in known]
-        self._log_refused(refused, cause)
+        _prompt_crash_log.refused(self.history, now, refused, cause)
         return objections
 
     async def compare(self, now: float) -> None:
@@ -326,6 +404,11 @@
         A process that has just started asks until a settled peer answers.
         """
         prompt_crashes.expire(self.history, now)
+        request_crashes.expire(self.requests, now)
+        if not self.is_in_touch():
+            # What the others have said meanwhile may not have come here.
+            self.is_settled = False
+            self.started_s = now
         if now - self.started_s >= SETTLING_S:
             self.is_settled = True
         async with anyio.create_task_group() as task_group:
@@ -336,13 +419,44 @@
 
     def _peers_to_ask(self) -> list[str]:
         """Returns random peers, or none while there is nothing to compare."""
-        has_news = self.history.crashes or self.history.refusals
+        has_news = (
+            self.history.crashes
+            or self.history.refusals
+            or self.requests.crashes
+            or self.is_behind
+        )
         if self.is_settled and not has_news:
             return []
+        self.is_behind = False
         addresses = self.peer_addresses()
         count = 1 if self.is_settled else START_PEERS
         return self.rng.sample(addresses, min(count, len(addresses)))
 
+    async def _learn(self) -> None:
+        """Learns what the store and peers know after the start."""
+        with anyio.move_on_after(START_WAIT_S):
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(self._load_at_start)
+                while not self.peer_addresses():
+                    await anyio.sleep(PEERS_POLL_PERIOD_S)
+                for address in self._peers_to_ask():
+                    task_group.start_soon(self._ask, address)
+        self._end_learning()
+
+    async def _load_at_start(self) -> None:
+        """Adopts the refusals in the store; tries again for a while."""
+        while not self.is_loaded:
+            await self._load()
+            await anyio.sleep(0.0 if self.is_loaded else LOAD_RETRY_PAUSE_S)
+
+    def _end_learning(self) -> None:
+        if self.is_learning:
+            self.is_learning = False
+            self.informed.set()
+            logs.event(
+                "crashes_known", settled=self.is_settled, loaded=self.is_loaded
+            )
+
     async def _load(self) -> None:
         """Adopts the refusals in the store; tries again until it answers."""
         known = set(self.history.refusals)
@@ -356,32 +470,30 @@
             return
         self.is_loaded = True
         now = self.clock.now()
-        for parts, refusal in found:
-            prompt_crashes.adopt_refusal(self.history, now, parts, refusal)
+        for subject, refusal in found:
+            if isinstance(subject, int):
+                request_crashes.adopt_refusal(
+                    self.requests, now, subject, refusal.crashed_s
+                )
+            else:
+                prompt_crashes.adopt_refusal(
+                    self.history, now, subject, refusal
+                )
         refused = [p for p in self.history.refusals if p not in known]
-        self._log_refused(refused, "store")
+        _prompt_crash_log.refused(self.history, now, refused, "store")
 
     async def _ask(self, address: str) -> None:
         """Adopts a peer's history if it differs."""
-        digest = prompt_crashes.digest(self.history)
-        request = ttypes.PromptCrashAsk(digest=digest)
+        request = ttypes.PromptCrashAsk(digest=self._digest())
         answer = await self._call(address, "prompt_crash_ask", request)
         if answer is None:
             return
         self.is_settled = self.is_settled or bool(answer.is_settled)
         objections = self._adopt(answer, "comparison")
+        if self.is_settled:
+            self._end_learning()
         if objections:
             news = _prompt_crash_messages.news(
                 self.history, self.clock.now(), completions=objections
             )
             await self._tell_all(news)
-
-
-def log_parts(parts: Iterable[int]) -> list[str]:
-    """Returns the hashes of a prompt's first parts as they are logged.
-
-    >>> log_parts([255, -1])
-    ['00000000000000ff', 'ffffffffffffffff']
-    """
-    first = itertools.islice(parts, MAX_LOGGED_PARTS)
-    return [f"{part % (1 << 64):016x}" for part in first]
--- a/src/ibisknot/prompt_crash_records.py
+++ b/src/ibisknot/prompt_crash_records.py
@@ -1,4 +1,4 @@
-"""Keeps refusals of prompt parts in the store, for a restart of all processes.
+"""Keeps refusals in the store, for a restart of all processes.
 
 A record has a lease, so that the store deletes it when its refusal has ended.
 """
@@ -10,6 +10,7 @@
 import anyio
 
 from ibisknot import _prompt_crash_messages
+from ibisknot import crash_refusals
 from ibisknot import errors
 from ibisknot import guarded_key
 from ibisknot import logs
@@ -19,6 +20,8 @@
 from ibisknot.gen.fleet import ttypes
 
 KEY_PREFIX = "ibisknot/refusals/"
+REQUEST_KEY_PREFIX = KEY_PREFIX + "request-"
+"""Earlier builds take these records for refusals of a part that none has."""
 MAX_LEASE_S = 600.0
 MAX_WRITES = 5
 """Tries of one write."""
@@ -47,9 +50,9 @@
 
     async def replace(
         self,
-        history: prompt_crashes.History,
-        ended: Collection[prompt_crashes.Parts],
-        begun: Collection[prompt_crashes.Parts],
+        find: crash_refusals.FindRefusal,
+        ended: Collection[crash_refusals.Subject],
+        begun: Collection[crash_refusals.Subject],
     ) -> None:
         """Writes refusals that have begun, and deletes those that ended.
 
@@ -58,11 +61,11 @@
         pending = {*begun, *ended}
         doubtful_leases: list[int] = []
         for _ in range(MAX_WRITES):
-            for parts in list(pending):
+            for subject in list(pending):
                 if await self._try_write(
-                    history, parts, parts in begun, doubtful_leases
+                    find, subject, subject in begun, doubtful_leases
                 ):
-                    pending.discard(parts)
+                    pending.discard(subject)
             if not pending:
                 break
             await anyio.sleep(WRITE_PAUSE_S)
@@ -70,23 +73,23 @@
 
     async def _try_write(
         self,
-        history: prompt_crashes.History,
-        parts: prompt_crashes.Parts,
+        find: crash_refusals.FindRefusal,
+        subject: crash_refusals.Subject,
         has_begun: bool,
         doubtful_leases: list[int],
     ) -> bool:
         """Writes or deletes one record.
 
         Args:
-            history: Has the refusals.
-            parts: The parts whose refusal has begun or ended.
+            find: Finds the refusals.
+            subject: What was refused or is no longer refused.
             has_begun: Whether it has begun.
             doubtful_leases: Gets the lease of a write without an answer.
 
         Returns:
             Whether nothing is left to do.
         """
-        refusal = history.refusals.get(parts)
+        refusal = find(subject)
         if has_begun == (refusal is None):
             # The opposite has happened since, and is written by itself.
             return True
@@ -94,10 +97,10 @@
             if refusal is None:
                 # The guard spares a record that is written after this read.
                 await guarded_key.GuardedKey(
-                    self.store, _key(parts), revision=None
+                    self.store, _key(subject), revision=None
                 ).delete()
             else:
-                await self._write(parts, refusal, doubtful_leases)
+                await self._write(subject, refusal, doubtful_leases)
         except errors.KeyValueError as error:
             logs.event(
                 "refusal_not_written",
@@ -110,7 +113,7 @@
 
     async def _write(
         self,
-        parts: prompt_crashes.Parts,
+        subject: crash_refusals.Subject,
         refusal: prompt_crashes.Refusal,
         doubtful_leases: list[int],
     ) -> None:
@@ -119,6 +122,7 @@
         Raises:
             KeyValueError: The store did not take the write.
         """
+        parts = frozenset((subject,)) if isinstance(subject, int) else subject
         record = ttypes.RefusalRecord(
             refusal=_prompt_crash_messages.refusal(
                 parts, refusal, self.clock()
@@ -128,7 +132,7 @@
         remaining_s = max(0.0, record.refusal.remaining_s)
         lease = await self.store.grant(min(MAX_LEASE_S, remaining_s))
         try:
-            await guarded_key.GuardedKey(self.store, _key(parts)).write(
+            await guarded_key.GuardedKey(self.store, _key(subject)).write(
                 peer.encode(record), lease
             )
         except errors.KeyValueUnknownError:
@@ -149,13 +153,13 @@
 
     async def load(
         self,
-    ) -> list[tuple[prompt_crashes.Parts, prompt_crashes.Refusal]]:
+    ) -> list[tuple[crash_refusals.Subject, prompt_crashes.Refusal]]:
         """Returns the refusals of the records.
 
         Raises:
             KeyValueError: The store did not answer.
         """
-        listing = await self.store.list_prefix(KEY_PREFIX, stale=True)
+        listing = await self.store.list_prefix(KEY_PREFIX)
         return [
             found
             for pair in listing.pairs
@@ -164,7 +168,7 @@
 
     def _decode(
         self, pair: pairs.Pair
-    ) -> tuple[prompt_crashes.Parts, prompt_crashes.Refusal] | None:
+    ) -> tuple[crash_refusals.Subject, prompt_crashes.Refusal] | None:
         """Returns a record's refusal, or None if it cannot be read."""
         try:
             record = peer.decode(pair.value, ttypes.RefusalRecord)
@@ -178,9 +182,14 @@
         refusal = _prompt_crash_messages.to_refusal(
             record.refusal, self.clock() - age_s
         )
-        return frozenset(record.refusal.parts), refusal
+        parts = frozenset(record.refusal.parts)
+        if pair.key.startswith(REQUEST_KEY_PREFIX) and len(parts) == 1:
+            return next(iter(parts)), refusal
+        return parts, refusal
 
 
-def _key(parts: prompt_crashes.Parts) -> str:
+def _key(subject: crash_refusals.Subject) -> str:
     """Returns the key of a refusal's record."""
-    return f"{KEY_PREFIX}{prompt_crashes.hash_parts(parts):016x}"
+    if isinstance(subject, int):
+        return f"{REQUEST_KEY_PREFIX}{subject:016x}"
+    return f"{KEY_PREFIX}{prompt_crashes.hash_parts(subject):016x}"
--- a/src/ibisknot/view_runner.py
+++ b/src/ibisknot/view_runner.py
@@ -32,6 +32,8 @@
 MAX_RETRY_PAUSE_S = 1.0
 STORE_CHECK_PERIOD_S = 0.1
 """Period at which a process checks whether peers have read from the store."""
+OUT_OF_TOUCH_S = 2.0
+"""Age of the entries from which this process may have missed news."""
 MEMBERS_CHECK_PERIOD_S = 0.25
 """Period at which a process checks whether a read of the members is due."""
 STORE = "store"
@@ -157,6 +159,10 @@
             if m.name != self.own_member.name
         ]
 
+    def hears_from_others(self, now: float) -> bool:
+        """Returns whether this process's view is kept up to date."""
+        return now - self.view.endpoints_read_s <= OUT_OF_TOUCH_S
+
     def _seed_addresses(self) -> list[str]:
         """Returns the seeds of the settings without this process."""
         own_address = self.process.peer_address
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -13,7 +13,6 @@
 from anyio import abc
 import fake_pairs_store
 
-from ibisknot import crash_notices
 from ibisknot import errors
 from ibisknot import fleet_endpoint
 from ibisknot import forward
@@ -86,6 +85,20 @@
         await self.listener.aclose()
         await anyio.aclose_forcefully(stream)
 
+    async def crash_with_output(
+        self, stream: abc.SocketStream, head: bytes
+    ) -> None:
+        """Script: sends an event, then ends the endpoint."""
+        await stream.send(STREAM_HEAD + encode_chunk(encode_event(1, "a")))
+        await anyio.sleep(0.05)
+        await self.close(stream, head)
+
+    async def close(self, stream: abc.SocketStream, _head: bytes) -> None:
+        """Script: ends the endpoint without an answer."""
+        assert self.listener is not None
+        await self.listener.aclose()
+        await anyio.aclose_forcefully(stream)
+
     async def serve(self, stream: abc.SocketStream) -> None:
         """Handles the requests of one connection."""
         self.connections.append(stream)
@@ -274,13 +287,6 @@
         http_client.Client(connect_timeout_s=CONNECT_TIMEOUT_S, paths=paths),
         programs.REQUEST_DIALECT,
         clock,
-        crash_notices.CrashNotices(
-            peer.Server(),
-            peer.Client(task_group),
-            clock,
-            task_group,
-            lambda: [],
-        ),
         tickets.prompt_crashes,
         tickets.find_origin,
     )
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,19 +1,22 @@
 """Forwarding: retries, resumed streams and statuses of failed requests."""
 
+import contextlib
+
 import anyio
 from anyio import abc
 import pytest
 import scripted
 
+from ibisknot import crash_confirmation
 from ibisknot import errors
 from ibisknot import http_response
-from ibisknot import prompt_crash_notices
+from ibisknot import request_crashes
 
 
 @pytest.fixture(autouse=True)
 def patient(monkeypatch: pytest.MonkeyPatch) -> None:
     """Lets a busy machine take its time to refuse a connection."""
-    monkeypatch.setattr(prompt_crash_notices, "CONNECT_TIMEOUT_S", 30.0)
+    monkeypatch.setattr(crash_confirmation, "CONNECT_TIMEOUT_S", 30.0)
 
 
 def test_resumed_stream_drops_an_incomplete_event() -> None:
@@ -103,29 +106,94 @@
     )
 
 
-def test_request_that_fails_at_several_endpoints_is_refused() -> None:
+@pytest.mark.parametrize("has_output", [False, True])
+@pytest.mark.parametrize("resumable", [False, True])
+def test_request_that_crashes_several_endpoints_is_refused(
+    resumable: bool, has_output: bool
+) -> None:
     """Guards against a request whose resends crash one engine after another."""
+    endpoints = _crashing_endpoints(6, has_output=has_output)
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        statuses = []
+        for _ in range(5):
+            try:
+                statuses.append((await scripted.send_request(address))[0])
+            except errors.EndpointError:
+                statuses.append(0)
+            await _confirm_crashes(tickets)
+        assert statuses[3:] == [503, 503]
+        assert sum(len(e.received_heads) for e in endpoints) == 3
+
+    scripted.run_forwarder(
+        endpoints,
+        scripted.make_route(resumable=resumable, max_attempts=1),
+        check,
+    )
+
+
+def test_failed_attempts_at_living_endpoints_refuse_no_request() -> None:
+    """Guards against a caller who is refused for answers that were cut.
+
+    Endpoints that live have not crashed, whatever they have answered.
+    """
     endpoints = [
-        scripted.ScriptedEndpoint(f"e{n}", [scripted.close_connection])
-        for n in range(6)
+        scripted.ScriptedEndpoint(f"e{n}", [script, script])
+        for n, script in enumerate(
+            [
+                scripted.close_connection,
+                scripted.script_bytes(b"HTTP/1.1 000 ?\r\n\r\n", closes=True),
+                scripted.script_bytes(b"not an answer", closes=True),
+                scripted.script_stream(b"id: 1\nda", ends=False),
+            ]
+        )
     ]
+    sound = scripted.ScriptedEndpoint(
+        "sound", [scripted.script_stream(scripted.encode_event(1, "a"))]
+    )
 
-    async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
-        statuses = [(await scripted.send_request(address))[0] for _ in range(4)]
-        assert statuses == [502, 502, 502, 503]
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        for _ in endpoints:
+            with contextlib.suppress(errors.EndpointError):
+                await scripted.send_request(address)
+            await _confirm_crashes(tickets)
+        assert (await scripted.send_request(address))[0] == 200
+
+    scripted.run_forwarder(
+        [*endpoints, sound], scripted.make_route(max_attempts=1), check
+    )
+
+
+def test_process_that_starts_sends_nothing_before_it_is_informed() -> None:
+    """Guards against a crash that others could have warned of."""
+    endpoints = _crashing_endpoints(4)
+
+    async def check(address: str, tickets: scripted.ScriptedTickets) -> None:
+        notices = tickets.prompt_crashes
+        assert notices is not None
+        for _ in range(3):
+            with contextlib.suppress(errors.EndpointError):
+                await scripted.send_request(address)
+            await _confirm_crashes(tickets)
+        known, notices.requests = notices.requests, request_crashes.History()
+        notices.is_learning = True
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(scripted.send_request, address)
+            await anyio.sleep(0.1)
+            notices.requests = known
+            notices._end_learning()
         assert sum(len(e.received_heads) for e in endpoints) == 3
 
     scripted.run_forwarder(
-        endpoints, scripted.make_route(resumable=False), check
+        endpoints, scripted.make_route(max_attempts=1), check
     )
 
 
 def test_request_that_ran_before_its_refusal_gets_no_503() -> None:
     """Guards against a refusal that denies the runs of the same request."""
-    endpoints = [
-        scripted.ScriptedEndpoint(f"e{n}", [scripted.close_connection])
-        for n in range(6)
-    ]
+    endpoints = [scripted.ScriptedEndpoint(f"e{n}", []) for n in range(6)]
+    for endpoint in endpoints:
+        endpoint.scripts.append(endpoint.close)
 
     async def check(address: str, _tickets: scripted.ScriptedTickets) -> None:
         status, _ = await scripted.send_request(address)
@@ -140,15 +208,19 @@
 async def _confirm_crashes(tickets: scripted.ScriptedTickets) -> None:
     """Waits until the forwarder has judged all broken responses."""
     assert tickets.prompt_crashes is not None
-    while tickets.prompt_crashes.collected:
+    while tickets.prompt_crashes.confirmation.collected:
         await anyio.sleep(0.01)
 
 
-def _crashing_endpoints(count: int) -> list[scripted.ScriptedEndpoint]:
+def _crashing_endpoints(
+    count: int, *, has_output: bool = False
+) -> list[scripted.ScriptedEndpoint]:
     endpoints = []
     for index in range(count):
         endpoint = scripted.ScriptedEndpoint(f"e{index}", [])
-        endpoint.scripts.append(endpoint.crash)
+        endpoint.scripts.append(
+            endpoint.crash_with_output if has_output else endpoint.crash
+        )
         endpoints.append(endpoint)
     return endpoints
 
--- a/tests/test_forward_streams.py
+++ b/tests/test_forward_streams.py
@@ -4,16 +4,16 @@
 import pytest
 import scripted
 
+from ibisknot import crash_confirmation
 from ibisknot import errors
 from ibisknot import http_response
-from ibisknot import prompt_crash_notices
 from ibisknot import stream_origins
 
 
 @pytest.fixture(autouse=True)
 def patient(monkeypatch: pytest.MonkeyPatch) -> None:
     """Lets a busy machine take its time to refuse a connection."""
-    monkeypatch.setattr(prompt_crash_notices, "CONNECT_TIMEOUT_S", 30.0)
+    monkeypatch.setattr(crash_confirmation, "CONNECT_TIMEOUT_S", 30.0)
 
 
 RESUMED = [(b"Last-Event-Id", b"1"), (b"Resumes", b"r0")]
--- a/tests/test_prompt_crash_records.py
+++ b/tests/test_prompt_crash_records.py
@@ -5,6 +5,7 @@
 import anyio
 import fake_pairs_store
 
+from ibisknot import crash_refusals
 from ibisknot import prompt_crash_records
 from ibisknot import prompt_crashes
 
@@ -46,11 +47,21 @@
     return history
 
 
+def _find_in(history: prompt_crashes.History) -> crash_refusals.FindRefusal:
+    """Returns what finds the refusals of a history."""
+
+    def find(subject: crash_refusals.Subject) -> prompt_crashes.Refusal | None:
+        assert not isinstance(subject, int)
+        return history.refusals.get(subject)
+
+    return find
+
+
 def _replace(
     store: _Store, history: prompt_crashes.History, ended: list[Any]
 ) -> None:
     records = prompt_crash_records.Records(store, lambda: NOW_S)
-    anyio.run(records.replace, history, ended, list(history.refusals))
+    anyio.run(records.replace, _find_in(history), ended, list(history.refusals))
 
 
 def test_refusal_that_ends_during_its_write_is_no_error() -> None:
@@ -87,11 +98,14 @@
         with anyio.fail_after(10.0):
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(
-                    records.replace, history, [], list(history.refusals)
+                    records.replace,
+                    _find_in(history),
+                    [],
+                    list(history.refusals),
                 )
                 await anyio.sleep(0.01)
                 history.refusals.clear()
-                await records.replace(history, ended, [])
+                await records.replace(_find_in(history), ended, [])
         store.run_late_writes()
 
     anyio.run(main)
@@ -110,10 +124,10 @@
         records = prompt_crash_records.Records(store, lambda: NOW_S)
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(
-                records.replace, prompt_crashes.History(), ended, []
+                records.replace, lambda _subject: None, ended, []
             )
             await anyio.sleep(0.01)
-            await records.replace(history, [], ended)
+            await records.replace(_find_in(history), [], ended)
             task_group.cancel_scope.cancel()
         store.run_late_writes()
 
