Take no early end of a connection for the end of an answer

Ruled out: a reset alone, which was seen as one everywhere.

Change: a body that ends with its connection is whole only if the server has received the whole request: sent, acknowledged, not reset meanwhile. A status outside of 200 to 599 is no answer.

--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -6,10 +6,12 @@
 """
 
 import dataclasses
+import fcntl
 import re
 import select
 import socket
 import struct
+import termios
 
 import anyio
 from anyio import abc
@@ -47,6 +49,7 @@
 )
 """Headers that concern one connection or the framing of one message."""
 
+_QUEUE_SIZE = struct.Struct("i")
 _VISIBLE_ASCII = re.compile(r"[!-~]+")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
@@ -200,6 +203,47 @@
     return bool(poller.poll(0))
 
 
+def is_reset(stream: abc.ByteStream) -> bool:
+    """Returns whether a connection was reset, without reading data.
+
+    A peer that has only ended its direction has not reset it.
+    """
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    descriptor = raw_socket.fileno()
+    if descriptor < 0:
+        return True
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return any(
+        events & (select.POLLERR | select.POLLHUP)
+        for _, events in poller.poll(0)
+    )
+
+
+def undelivered_bytes(stream: abc.ByteStream) -> int:
+    """Returns the sent bytes that the other end has not acknowledged."""
+    return _queued_bytes(stream, termios.TIOCOUTQ)
+
+
+def unread_bytes(stream: abc.ByteStream) -> int:
+    """Returns the bytes that have arrived and were not read yet."""
+    return _queued_bytes(stream, termios.FIONREAD)
+
+
+def _queued_bytes(stream: abc.ByteStream, request: int) -> int:
+    """Returns the size of a socket's queue; 0 if that is not supported."""
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    descriptor = raw_socket.fileno()
+    if descriptor < 0:
+        return 0
+    try:
+        answer = fcntl.ioctl(descriptor, request, bytes(_QUEUE_SIZE.size))
+    except OSError:
+        return 0
+    (size,) = _QUEUE_SIZE.unpack(answer)
+    return int(size)
+
+
 async def connect(
     address: str, timeout_s: float, *, local_host: str | None = None
 ) -> abc.SocketStream:
--- a/src/ibisknot/http_client.py
+++ b/src/ibisknot/http_client.py
@@ -15,12 +15,19 @@
 from ibisknot import http11
 from ibisknot import http_call
 from ibisknot import http_response
+from ibisknot import tunnel
 
 CONNECT_TIMEOUT_S = 0.25
 DEFAULT_IDLE_TIMEOUT_S = 0.5
 """Used for servers that state no idle timeout: theirs may be below 1 s."""
 IDLE_TIMEOUT_MARGIN_S = 0.8
 """Time before the server's idle timeout at which reuse ends."""
+DELIVERY_WAIT_S = 0.5
+"""Time after the end of a response's connection in which the request must be
+delivered."""
+DELIVERY_POLL_PERIOD_S = 0.01
+RELAY_MARGIN_S = 0.05
+"""Time that a helper of an earlier build may take to pass on the last frame."""
 MAX_IDLE_CONNECTIONS = 64
 """Idle connections that are retained for one address."""
 
@@ -88,8 +95,12 @@
                 call.check_sendable()
             if call.encode_headers is not None:
                 call.headers = call.encode_headers()
+            sender = _Sender(stream, call)
             response = http_response.Response(
-                stream, call, self.paths if connection.is_direct else None
+                stream,
+                call,
+                self.paths if connection.is_direct else None,
+                sender.is_delivered,
             )
         except h11.LocalProtocolError as error:
             await http11.close_abruptly(stream)
@@ -102,7 +113,6 @@
         reusable = False
         try:
             async with anyio.create_task_group() as task_group:
-                sender = _Sender(stream, call)
                 task_group.start_soon(sender.send)
                 try:
                     await response.read_head()
@@ -241,12 +251,16 @@
 
     Attributes:
         done: Whether the whole request was sent.
+        done_s: Monotonic time at which it was.
+        ended: Set when nothing more is sent.
     """
 
     def __init__(self, stream: abc.ByteStream, call: http_call.Call) -> None:
         self.stream = stream
         self.call = call
         self.done = False
+        self.done_s = math.inf
+        self.ended = anyio.Event()
 
     async def send(self) -> None:
         """Sends the request; `done` stays False if the connection ends."""
@@ -260,10 +274,46 @@
         try:
             await self.stream.send(data)
             self.done = True
+            self.done_s = anyio.current_time()
         except http11.CONNECTION_ERRORS:
             # The server may have responded before it closed the connection;
             # the reader of the response decides.
             pass
+        finally:
+            self.ended.set()
+
+    async def is_delivered(self) -> bool:
+        """Returns whether the other end has received the whole request.
+
+        Called when that has ended the connection. It waits for what is on the
+        way, because a reset may still be on the way as well.
+        """
+        asked_s = anyio.current_time()
+        with anyio.move_on_after(DELIVERY_WAIT_S):
+            await self.ended.wait()
+            if not self.done:
+                return False
+            if isinstance(self.stream, tunnel.Stream):
+                return self._is_delivered_by(self.stream, asked_s)
+            while http11.undelivered_bytes(self.stream):
+                await anyio.sleep(DELIVERY_POLL_PERIOD_S)
+            return not http11.is_reset(self.stream)
+        return False
+
+    def _is_delivered_by(self, stream: tunnel.Stream, ended_s: float) -> bool:
+        """Returns whether a helper has delivered the whole request.
+
+        A helper of an earlier build does not say so. The last of several
+        frames may not have been passed on when the response ended.
+
+        Args:
+            stream: The tunnel.
+            ended_s: Monotonic time at which the response has ended.
+        """
+        if stream.delivered_bytes is not None:
+            return stream.delivered_bytes == stream.sent_bytes
+        has_one_frame = stream.sent_bytes <= tunnel.MAX_FRAME_BYTES
+        return has_one_frame or ended_s - self.done_s >= RELAY_MARGIN_S
 
 
 def _unwrap(group: BaseExceptionGroup[BaseException]) -> BaseException:
--- a/src/ibisknot/http_response.py
+++ b/src/ibisknot/http_response.py
@@ -1,6 +1,8 @@
 """Responses of HTTP servers, read as they arrive."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -18,6 +20,8 @@
 """Size of the bodies of these responses."""
 MAX_INFORMATIONAL_RESPONSES = 8
 """Responses such as `100 Continue` before the final one."""
+FINAL_STATUSES = range(200, 600)
+"""A response with another status is none."""
 MAX_READS_AFTER_TIMEOUT = 3
 """Reads after the time without progress has passed.
 
@@ -49,6 +53,9 @@
         reads_after_timeout: Reads since the time without progress has passed.
         useless_bytes: Bytes of the body since the last progress, if the call
             needs useful data.
+        is_request_delivered: Returns whether the server has received the
+            whole request, once that is known.
+        is_ended: Whether the server has ended the connection.
         turn: Counts what was parsed of the data that was received last.
         watched_paths: The paths if the connection depends on one of them.
         silent_scope: Cancelled when the path is lost while data is awaited.
@@ -61,6 +68,7 @@
         stream: abc.ByteStream,
         call: http_call.Call,
         watched_paths: http_call.Paths | None = None,
+        is_request_delivered: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self.stream = stream
         self.call = call
@@ -76,6 +84,8 @@
         self.progress_s = anyio.current_time()
         self.reads_after_timeout = 0
         self.useless_bytes = 0
+        self.is_request_delivered = is_request_delivered
+        self.is_ended = False
         self.turn = turns.Counter()
 
     def record_progress(self) -> None:
@@ -96,6 +106,7 @@
                     await self.turn.spend(len(event.data))
                 return event
             data = await self._receive()
+            self.is_ended = not data
             self.turn.reset()
             self.parser.receive_data(data)
 
@@ -190,6 +201,10 @@
             headers = http11.raw_headers(event)
             is_own_response = self.call.is_own_response
             if is_own_response is None or is_own_response(headers):
+                if event.status_code not in FINAL_STATUSES:
+                    raise h11.RemoteProtocolError(
+                        f"status {event.status_code} is none of a response"
+                    )
                 self.status = event.status_code
                 self.headers = headers
                 self.record_progress()
@@ -242,6 +257,7 @@
                     self._count_useless(len(event.data))
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
+                    await self._check_end()
                     self.complete = True
                     return
                 else:
@@ -258,6 +274,22 @@
                 raise errors.PathLostError(message, ran=errors.RAN) from None
             raise errors.TruncatedStreamError(message) from None
 
+    async def _check_end(self) -> None:
+        """Checks a body that has ended with its connection.
+
+        A server that ends the connection before it has received the whole
+        request may be about to reset it, and its body is a part.
+
+        Raises:
+            RemoteProtocolError: The body may be incomplete.
+        """
+        if not self.is_ended or self.is_request_delivered is None:
+            return
+        if not await self.is_request_delivered():
+            raise h11.RemoteProtocolError(
+                "the connection ended before the whole request was received"
+            )
+
     def _count_useless(self, size: int) -> None:
         """Counts bytes of a body that may not bring progress.
 
--- a/src/ibisknot/tunnel.py
+++ b/src/ibisknot/tunnel.py
@@ -28,7 +28,13 @@
 LENGTH = struct.Struct("!I")
 """Length of the frame that follows, or one of the marks below."""
 END = 0
-"""Mark: the endpoint has ended its connection."""
+"""Mark: the endpoint has ended its connection.
+
+The number of bytes that it has received follows. Builds up to c14e653 neither
+send nor read it.
+"""
+COUNT = struct.Struct("!Q")
+COUNT_WAIT_S = 0.2
 BROKEN = 0xFFFFFFFF
 """Mark: the endpoint's connection broke."""
 
@@ -41,6 +47,9 @@
         received: Bytes that were received and not yet returned.
         remaining_bytes: Bytes of the current frame that are still to come.
         is_ended: Whether the endpoint's connection has ended.
+        sent_bytes: Bytes that were sent to the endpoint.
+        delivered_bytes: Bytes that it had received when its connection ended;
+            None if the helper has not said it.
         turn: Counts the frames that were read without a pause.
         scope: Whether the helper is in the `own` or an `other` data centre.
     """
@@ -56,6 +65,8 @@
         self.received = received
         self.remaining_bytes = 0
         self.is_ended = False
+        self.sent_bytes = 0
+        self.delivered_bytes: int | None = None
         self.turn = turns.Counter()
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
@@ -78,6 +89,10 @@
         self.remaining_bytes -= size
         return data
 
+    def has_begun_frame(self) -> bool:
+        """Returns whether a part of a frame was received and not returned."""
+        return bool(self.remaining_bytes or self.received)
+
     async def _begin_frame(self) -> None:
         """Reads the length of the next frame, or a mark."""
         await self._fill(LENGTH.size)
@@ -85,6 +100,7 @@
         del self.received[: LENGTH.size]
         if length == END:
             self.is_ended = True
+            await self._read_count()
             raise anyio.EndOfStream
         if length == BROKEN:
             raise anyio.BrokenResourceError
@@ -92,6 +108,16 @@
             raise http11.PathLostError
         self.remaining_bytes = length
 
+    async def _read_count(self) -> None:
+        """Reads how much the endpoint has received, if the helper says it."""
+        try:
+            with anyio.move_on_after(COUNT_WAIT_S):
+                await self._fill(COUNT.size)
+                (count,) = COUNT.unpack(self.received[: COUNT.size])
+                self.delivered_bytes = count
+        except http11.PathLostError:
+            return
+
     async def _fill(self, size: int) -> None:
         """Receives until `size` bytes are there."""
         while len(self.received) < size:
@@ -112,6 +138,7 @@
         for start in range(0, len(item), MAX_FRAME_BYTES):
             piece = item[start : start + MAX_FRAME_BYTES]
             await self.inner.send(LENGTH.pack(len(piece)) + piece)
+            self.sent_bytes += len(piece)
             self._count(sent=LENGTH.size + len(piece))
 
     def _count(self, *, sent: int = 0, received: int = 0) -> None:
@@ -121,9 +148,17 @@
                 CHANNEL, sent=sent, received=received, scope=self.scope
             )
 
-    async def send_end(self, mark: int) -> None:
-        """Tells the other end how the endpoint's connection has ended."""
-        await self.inner.send(LENGTH.pack(mark))
+    async def send_end(self, delivered_bytes: int) -> None:
+        """Tells the other end that the endpoint's connection has ended.
+
+        Args:
+            delivered_bytes: Bytes that the endpoint has received.
+        """
+        await self.inner.send(LENGTH.pack(END) + COUNT.pack(delivered_bytes))
+
+    async def send_broken(self) -> None:
+        """Tells the other end that the endpoint's connection broke."""
+        await self.inner.send(LENGTH.pack(BROKEN))
 
     async def send_eof(self) -> None:
         """Does nothing: a request ends by its framing."""
--- a/src/ibisknot/tunnel_server.py
+++ b/src/ibisknot/tunnel_server.py
@@ -12,6 +12,7 @@
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import http11
+from ibisknot import http_client
 from ibisknot import metrics
 from ibisknot import peer
 from ibisknot import tunnel
@@ -171,15 +172,12 @@
     ) -> None:
         """Relays until the endpoint or the caller has closed."""
         with anyio.move_on_after(math.inf if max_s is None else max_s):
+            upload = _Upload(caller, endpoint)
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(
-                    _send_up,
-                    caller,
-                    endpoint,
-                    task_group.cancel_scope,
-                    may_send,
+                    upload.send, task_group.cancel_scope, may_send
                 )
-                await _send_down(endpoint, caller)
+                await _send_down(endpoint, caller, upload)
                 task_group.cancel_scope.cancel()
 
 
@@ -197,49 +195,100 @@
     await peer.send_frame(stream, anyio.Lock(), response)
 
 
-async def _send_up(
-    caller: tunnel.Stream,
-    endpoint: abc.SocketStream,
-    scope: anyio.CancelScope,
-    may_send: Callable[[], bool],
-) -> None:
-    """Relays the caller's bytes; a caller that has left ends the relay.
+class _Upload:
+    """The bytes that go from the caller to the endpoint.
 
-    A tunnel carries one request, so that one that has begun is relayed to its
-    end.
+    Attributes:
+        caller: The tunnel.
+        endpoint: The connection to the endpoint.
+        is_sending: Whether received bytes are being sent.
+        sent_bytes: Bytes that were sent.
+        is_broken: Whether the endpoint takes no more bytes.
     """
-    has_begun = False
-    while True:
-        try:
-            data = await caller.receive(http11.READ_BYTES)
-        except http11.CONNECTION_ERRORS:
-            scope.cancel()
-            return
-        if not has_begun and not may_send():
-            scope.cancel()
-            return
-        has_begun = True
-        try:
-            await endpoint.send(data)
-        except http11.CONNECTION_ERRORS:
-            # The endpoint's answer, if there is one, is still relayed.
-            return
 
+    def __init__(
+        self, caller: tunnel.Stream, endpoint: abc.SocketStream
+    ) -> None:
+        self.caller = caller
+        self.endpoint = endpoint
+        self.is_sending = False
+        self.sent_bytes = 0
+        self.is_broken = False
 
-async def _send_down(endpoint: abc.SocketStream, caller: tunnel.Stream) -> None:
-    """Relays the endpoint's bytes, and how its connection ended."""
-    mark = tunnel.END
+    async def send(
+        self, scope: anyio.CancelScope, may_send: Callable[[], bool]
+    ) -> None:
+        """Relays the caller's bytes; a caller that has left ends the relay.
+
+        A tunnel carries one request, so that one that has begun is relayed to
+        its end.
+        """
+        has_begun = False
+        while True:
+            try:
+                data = await self.caller.receive(http11.READ_BYTES)
+            except http11.CONNECTION_ERRORS:
+                scope.cancel()
+                return
+            if not has_begun and not may_send():
+                scope.cancel()
+                return
+            has_begun = True
+            self.is_sending = True
+            try:
+                await self.endpoint.send(data)
+            except http11.CONNECTION_ERRORS:
+                # The endpoint's answer, if there is one, is still relayed.
+                self.is_broken = True
+                return
+            self.is_sending = False
+            self.sent_bytes += len(data)
+
+    async def is_delivered(self) -> bool:
+        """Returns whether the endpoint has received all that has come.
+
+        It waits for what is on the way, because a reset of the connection may
+        be on the way as well.
+        """
+        with anyio.move_on_after(http_client.DELIVERY_WAIT_S):
+            while not self.is_broken:
+                if not self._has_pending_bytes():
+                    return not http11.is_reset(self.endpoint)
+                await anyio.sleep(http_client.DELIVERY_POLL_PERIOD_S)
+        return False
+
+    def _has_pending_bytes(self) -> bool:
+        return bool(
+            self.is_sending
+            or self.caller.has_begun_frame()
+            or http11.unread_bytes(self.caller)
+            or http11.undelivered_bytes(self.endpoint)
+        )
+
+
+async def _send_down(
+    endpoint: abc.SocketStream, caller: tunnel.Stream, upload: _Upload
+) -> None:
+    """Relays the endpoint's bytes, and how its connection ended.
+
+    An endpoint that ends it before it has received the whole request may be
+    about to reset it.
+    """
+    is_whole = False
     try:
         while True:
             try:
                 data = await endpoint.receive(http11.READ_BYTES)
             except anyio.EndOfStream:
+                is_whole = await upload.is_delivered()
                 break
             except http11.CONNECTION_ERRORS:
-                mark = tunnel.BROKEN
                 break
             await caller.send(data)
-        await caller.send_end(mark)
+        if is_whole:
+            await caller.send_end(upload.sent_bytes)
+        else:
+            await caller.send_broken()
     except http11.CONNECTION_ERRORS:
         # The caller has left.
         return
