Keep places of each worker for the batch items of every route

What callers saw: items of a service whose only endpoint was lost held up an accepted job of another service, whose endpoints were idle.

Cause: an item holds one of a worker's 200 places while it waits for a ticket.

Ruled out: the scheduler, which never saw a request for the idle service.

Change: a route's items get 40 places also if the 200 for all routes are taken. With one batch route nothing changes.

Evidence: test_items_of_one_route_do_not_hold_all_places; with one semaphore the other route gets no place.

--- a/src/ibisknot/batch_worker.py
+++ b/src/ibisknot/batch_worker.py
@@ -24,6 +24,7 @@
 from ibisknot import errors
 from ibisknot import fleetview
 from ibisknot import isolation
+from ibisknot import item_places
 from ibisknot import job_owners
 from ibisknot import job_reader
 from ibisknot import job_succession
@@ -48,8 +49,6 @@
 """Period at which a worker checks whether a listing is due."""
 NO_LEASE = -1
 """Marks a job whose record this worker no longer follows."""
-MAX_RUNNING_ITEMS = 200
-"""Items that run or wait for a ticket at one worker."""
 
 
 class Worker:
@@ -77,7 +76,7 @@
         wait_to_retry: Waits until a call of the store that failed may be
             repeated.
         failed_jobs: Jobs that ended with an unexpected error here.
-        item_semaphore: Limits the number of items that run here.
+        places: Limits the number of items that run here.
     """
 
     def __init__(
@@ -138,7 +137,7 @@
         self.is_draining = False
         self.progress: journal.Journal | None = None
         self.failed_jobs = isolation.Failures()
-        self.item_semaphore = anyio.Semaphore(MAX_RUNNING_ITEMS)
+        self.places = item_places.Places()
 
     def start(self, server: peer.Server) -> None:
         """Registers the peer method and the poll of open jobs."""
@@ -470,7 +469,7 @@
         """Runs an item and queues its result, to be written."""
         result = None
         try:
-            async with self.item_semaphore:
+            async with self.places.take(job.progress.meta.route):
                 result = await self.item_runner.run(task)
         finally:
             job.tasks.pop(task.index, None)
