Charge large responses while they are sent, and send them in pieces

Cause: a page of results was held several times while a slow client took it (the decoded results, the page, the bytes to send, the transport's copy), and the clients' budget was charged only for the last of them.

Change: the decoded results are released before the page is sent, a body over 64 kB is sent in pieces and charged as a whole, refused with 503 and Retry-After if clients hold too much, and given up if it is not taken in 8 s, as before.

--- a/src/ibisknot/batch_api.py
+++ b/src/ibisknot/batch_api.py
@@ -150,11 +150,8 @@
         """Performs a call on an existing job and responds to it."""
         organisation = _organisation_name(configuration, metadata, route)
         if isinstance(call, ReadResults):
-            total, results = await self.jobs.reader.read_results(
-                call.job_id, organisation, call.first_index, call.max_wait_s
-            )
-            body = self.dialect.encode_page(total, call.first_index, results)
-            await exchange.respond(200, JSON_HEADERS, body)
+            page = await self._read_page(call, organisation)
+            await exchange.respond(200, JSON_HEADERS, page)
         elif isinstance(call, ReadItemBody):
             item_body = await self.jobs.reader.read_item_body(
                 call.job_id, organisation, call.item_id
@@ -169,6 +166,16 @@
             await self.jobs.cancel(call.job_id, organisation, deadline_s)
             await exchange.respond(200, [])
 
+    async def _read_page(self, call: ReadResults, organisation: str) -> bytes:
+        """Returns a page of results as it is sent.
+
+        The results themselves are not held while it is sent.
+        """
+        total, results = await self.jobs.reader.read_results(
+            call.job_id, organisation, call.first_index, call.max_wait_s
+        )
+        return self.dialect.encode_page(total, call.first_index, results)
+
 
 def _organisation_name(
     configuration: serving.Configuration,
--- a/src/ibisknot/http_exchange.py
+++ b/src/ibisknot/http_exchange.py
@@ -11,6 +11,9 @@
 
 SEND_TIMEOUT_S = 8.0
 """A caller to which a send takes longer is taken to have disconnected."""
+FULL_RETRY_AFTER_S = 0.5
+PIECE_BYTES = 64 * 1024
+"""A larger body is sent in pieces, so that it is held only once."""
 
 
 class Exchange:
@@ -84,6 +87,9 @@
         self, status: int, headers: http11.Headers, body: bytes = b""
     ) -> None:
         """Sends a complete response."""
+        if len(body) > PIECE_BYTES and self.request.method != b"HEAD":
+            await self._respond_in_pieces(status, headers, body)
+            return
         size = (b"Content-Length", str(len(body)).encode())
         events: list[h11.Event] = [self._make_head(status, [*headers, size])]
         if body and self.request.method != b"HEAD":
@@ -91,6 +97,35 @@
         await self._send(*events, h11.EndOfMessage())
         self.finished = True
 
+    async def _respond_in_pieces(
+        self, status: int, headers: http11.Headers, body: bytes
+    ) -> None:
+        """Sends a complete response with a large body.
+
+        Raises:
+            UnavailableError: Too much is held for clients.
+            CallerGoneError: The caller does not take it in time.
+        """
+        if self.charge(len(body)) is False:
+            self.charge(-len(body))
+            raise errors.UnavailableError(
+                "clients hold too much memory", retry_after_s=FULL_RETRY_AFTER_S
+            )
+        size = (b"Content-Length", str(len(body)).encode())
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await self.start(status, [*headers, size])
+                for first in range(0, len(body), PIECE_BYTES):
+                    await self.send(body[first : first + PIECE_BYTES])
+                await self.finish()
+        except TimeoutError:
+            self.aborted = True
+            raise errors.CallerGoneError(
+                "the caller takes the response too slowly"
+            ) from None
+        finally:
+            self.charge(-len(body))
+
     def abort(self) -> None:
         """Makes the connection end, so that the response is incomplete."""
         self.aborted = True
