Drop a rule that nothing uses, and poll sockets in one place

has_failed_repeatedly has no caller since crashes are counted by request. No behaviour changes; the tests of clients, connections, early answers and tunnels pass.

--- a/src/ibisknot/crashes.py
+++ b/src/ibisknot/crashes.py
@@ -13,8 +13,6 @@
 REFUSED = "refused"
 CRASHES_TO_REFUSE = 2
 """Crashes of a request, one of them exclusive, at which it is refused."""
-FAILURES_TO_REFUSE = 3
-"""Failed attempts at which `has_failed_repeatedly` holds."""
 RETENTION_S = 900.0
 """Time since its last crash for which a fingerprint is retained."""
 MAX_RECORDS = 20_000
@@ -151,18 +149,6 @@
     return CLEAN
 
 
-def has_failed_repeatedly(history: CrashHistory, fingerprint: str) -> bool:
-    """Returns whether a request has failed at `FAILURES_TO_REFUSE` attempts.
-
-    It replaces the verdict where endpoints do not report whether they crashed
-    and a request cannot run exclusively.
-    """
-    record = history.records.get(fingerprint)
-    if record is None:
-        return False
-    return len(record.crashes) >= FAILURES_TO_REFUSE
-
-
 def _expire(history: CrashHistory, now: float) -> None:
     """Removes old records, and the oldest beyond `MAX_RECORDS`."""
     records = history.records
--- a/src/ibisknot/http11.py
+++ b/src/ibisknot/http11.py
@@ -183,24 +183,12 @@
 
 def is_idle(stream: abc.ByteStream) -> bool:
     """Returns whether a connection is open and has no data to read."""
-    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    descriptor = raw_socket.fileno()
-    if descriptor < 0:
-        return False
-    poller = select.poll()
-    poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
-    return not poller.poll(0)
+    return _poll(stream, select.POLLIN | select.POLLRDHUP) == 0
 
 
 def has_left(stream: abc.ByteStream) -> bool:
     """Returns whether the other end has closed, without reading data."""
-    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    descriptor = raw_socket.fileno()
-    if descriptor < 0:
-        return True
-    poller = select.poll()
-    poller.register(descriptor, select.POLLRDHUP)
-    return bool(poller.poll(0))
+    return _poll(stream, select.POLLRDHUP) != 0
 
 
 def is_reset(stream: abc.ByteStream) -> bool:
@@ -208,16 +196,24 @@
 
     A peer that has only ended its direction has not reset it.
     """
+    events = _poll(stream, select.POLLIN)
+    return bool(events & (select.POLLERR | select.POLLHUP))
+
+
+def _poll(stream: abc.ByteStream, wanted: int) -> int:
+    """Returns the events of a connection, `POLLHUP` if it is closed here.
+
+    Args:
+        stream: The connection.
+        wanted: The events to look for, besides errors.
+    """
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     descriptor = raw_socket.fileno()
     if descriptor < 0:
-        return True
+        return select.POLLHUP
     poller = select.poll()
-    poller.register(descriptor, select.POLLIN)
-    return any(
-        events & (select.POLLERR | select.POLLHUP)
-        for _, events in poller.poll(0)
-    )
+    poller.register(descriptor, wanted)
+    return next((events for _, events in poller.poll(0)), 0)
 
 
 def undelivered_bytes(stream: abc.ByteStream) -> int:
