Compute the fingerprint of a request once

Since crashes are counted by request, forward asks for the fingerprint five times, and each hashed the whole body.

--- a/src/ibisknot/_forward_task.py
+++ b/src/ibisknot/_forward_task.py
@@ -94,6 +94,7 @@
         splitter: Splits the current attempt's response into events if the
             stream is resumable.
         boundary: Says where the current attempt's stream stands.
+        content_hash: The fingerprint, once it was computed.
     """
 
     exchange: http_server.Exchange
@@ -116,6 +117,7 @@
     boundary: event_stream.Boundary = dataclasses.field(
         default_factory=event_stream.Boundary
     )
+    content_hash: str = ""
 
 
 def is_resumed_by_caller(task: Task) -> bool:
@@ -134,10 +136,14 @@
 
 def fingerprint(task: Task) -> str:
     """Returns a hash that a request and its resends have in common."""
-    request = task.exchange.request
-    organisation_name = task.organisation.name if task.organisation else ""
-    content = request.target + b"\n" + request.body
-    return crashes.request_fingerprint("online", organisation_name, content)
+    if not task.content_hash:
+        request = task.exchange.request
+        organisation_name = task.organisation.name if task.organisation else ""
+        content = request.target + b"\n" + request.body
+        task.content_hash = crashes.request_fingerprint(
+            "online", organisation_name, content
+        )
+    return task.content_hash
 
 
 def caller_remaining_s(task: Task, now: float) -> float | None:
