--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -27,6 +27,7 @@
 KEY = "key-of-one"
 MEMORY_MB = {"front": 300, "store": 330}
 """The memory of the machines of the site hblaa-ibisknot."""
+DESCRIPTORS = {"front": 4100, "store": 8200}
 START_S = 25.0
 
 SETTINGS = """\
@@ -57,7 +58,7 @@
 CpuShare = 0.537
 Cores = 2
 MemoryMb = {memory_mb}
-MaxFds = 4100
+MaxFds = {descriptors}
 LinkMbps = 1000.0
 DiskMb = 200
 [FaultTolerance]
@@ -492,6 +493,7 @@
                 data=data,
                 store=self.store,
                 memory_mb=MEMORY_MB[kind],
+                descriptors=DESCRIPTORS[kind],
             )
         )
         program = "gateway" if is_front else "worker"
