--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,9 @@
-"""Engines restart in place, one after the other, with new software.
+"""A part of a prompt crashes engines as they begin to write the answer.
 
-With TROUBLE=0 they restart in the same way and keep their software.
+Each engine that runs a request with the part sends the head and the first
+event of its answer and then crashes; it is back after two seconds. With
+TROUBLE=0 the same requests come and no engine crashes. EVENTS=0 lets the
+engines crash before the first event.
 """
 
 import asyncio
@@ -16,28 +19,37 @@
 import fleet  # noqa: E402
 import wire  # noqa: E402
 
-ENGINES = 18
-GROUP = 3
-EVENTS = 24
-EVENT_PERIOD_S = 0.04
-REQUEST_PERIOD_S = 0.02
-UPGRADES = 4
-MIN_DOWN_S = 0.4
-MAX_DOWN_S = 1.6
-PAUSE_S = 0.1
-SEED = 14
-CALM_S = 5.0
-MAX_MIXED = 2
-"""The rule: not more than two streams with events of two versions."""
+ENGINES = 9
+BAD_PART = "badbad01"
+BAD_PERIOD_S = 1.0
+SOUND_PERIOD_S = 0.1
+PLAY_S = 40.0
+DOWN_S = 2.0
+CONTACT_S = 3.0
+"""Bound `ContactMs` of the site."""
+FIRST_CRASHES = 5
+MAX_LATE = 3
+"""The rule: not more than three after `ContactMs` from the fifth crash."""
 
 
-class Restarting(fleet.Engine):
-    """An engine whose events name its software."""
+class Crashing(fleet.Engine):
+    """An engine that crashes as it begins to write on the part.
+
+    Attributes:
+        crashes: Times of the crashes of all engines.
+        bad_runs: Time, engine and id of the requests with the part that
+            reached an engine.
+        trouble: Whether the part crashes engines.
+        events_before: Events that are sent before the crash.
+    """
+
+    crashes: list[float]
+    bad_runs: list[tuple[float, str, str]]
+    trouble = True
+    events_before = 1
 
     def __init__(self, name: str, address: str) -> None:
         super().__init__(name, address)
-        self.events = EVENTS
-        self.pause_s = EVENT_PERIOD_S
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def handle(
@@ -47,159 +59,117 @@
         self.writers.add(writer)
         return await super().handle(request, writer)
 
-    def event(self, request: wire.Request, number: int) -> bytes:
-        """Returns one event."""
+    async def run(
+        self, request: wire.Request, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Sends events, or the first of them and crashes."""
+        parts = request.headers.get("x-ibisknot-prompt-prefix", "")
+        if BAD_PART not in parts:
+            return await super().run(request, writer)
         run_id = request.headers.get("x-ibisknot-request-id", "")
-        return f"id: {number}\ndata: {self.version} {run_id}\n\n".encode()
-
-    def stop(self) -> None:
-        """Ends the process: its listener and its connections close."""
-        assert self.server is not None
+        self.bad_runs.append((time.monotonic(), self.name, run_id))
+        if not self.trouble:
+            return await super().run(request, writer)
+        if self.events_before:
+            headers = self.base_headers(request) | {
+                "X-Ibisknot-Response-Stamp": "3e1b.07.5a2.600.0.c9f2a4d1",
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked",
+            }
+            lines = ["HTTP/1.1 200 OK"]
+            lines += [f"{k}: {v}" for k, v in headers.items()]
+            event = self.event(request, 1)
+            writer.write("\r\n".join([*lines, "", ""]).encode())
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        await asyncio.sleep(0.02)
+        await self.crash()
+        return False
+
+    async def crash(self) -> None:
+        """Ends all connections and the listener; starts again later."""
+        if self.server is None:
+            return
+        self.crashes.append(time.monotonic())
         self.server.close()
         self.server = None
         for writer in self.writers:
             writer.transport.abort()
         self.writers.clear()
+        asyncio.get_running_loop().call_later(DOWN_S, self._restart)
 
-    async def start_again(self, deployment: fleet.Fleet, version: str) -> None:
-        """Starts a process: registers itself first, then listens."""
-        self.version = version
+    def _restart(self) -> None:
         self.born_ms = int(time.time() * 1000)
         self.seq = 0
-        self.busy = 0
-        await deployment.admin(
-            "/admin/put", {f"servers/{self.name}": self.entry()}
-        )
-        await self.start()
-
+        self.task = asyncio.create_task(self.start())
 
-class Client:
-    """Streams of one deployment's clients.
-
-    Attributes:
-        mixed: Ids of the streams that hold events of two versions.
-        resumed: Number of streams that were broken off and taken up again.
-        outcomes: Number of client attempts by their end.
-    """
 
-    def __init__(self, deployment: fleet.Fleet) -> None:
-        self.deployment = deployment
-        self.mixed: list[str] = []
-        self.resumed = 0
-        self.outcomes: dict[str, int] = {}
-
-    async def stream(self) -> None:
-        """Asks for one stream, and takes it up once if it breaks off."""
-        nodes = list(self.deployment.nodes.values())
-        fronts = [n for n in nodes if n.kind == "front"]
-        first_id = ""
-        seen: list[tuple[int, str]] = []
-        for _ in range(2):
-            request_id = f"{random.getrandbits(64):016x}"
-            headers = {}
-            if seen:
-                self.resumed += 1
-                headers = {
-                    "Last-Event-Id": str(seen[-1][0]),
-                    "Resumes": first_id,
-                }
-            answer = await self.deployment.chat(
-                random.choice(fronts), request_id, **headers
-            )
-            end = "" if answer.complete else " broken off"
-            outcome = f"{answer.status}{end}"
-            self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
-            if answer.status != 200:
-                if not seen:
-                    return
-                continue
-            seen += parse(answer.body)
-            first_id = first_id or request_id
-            if answer.complete:
-                break
-        versions = [version for _, version in seen]
-        if len(set(versions)) > 1:
-            self.mixed.append(first_id)
-            self.deployment.note(
-                f"stream {first_id} holds events of "
-                + ", ".join(f"{v} ({versions.count(v)})" for v in set(versions))
-            )
-
-
-def parse(body: bytes) -> list[tuple[int, str]]:
-    """Returns the number and the version of each complete event."""
-    events = []
-    for raw in body.decode().split("\n\n")[:-1]:
-        lines = raw.split("\n")
-        number = int(lines[0].removeprefix("id: "))
-        events.append((number, lines[1].split(" ")[1]))
-    return events
-
-
-async def restart(
-    deployment: fleet.Fleet, engine: fleet.Engine, version: str, down_s: float
+async def send(
+    deployment: fleet.Fleet, parts: str, outcomes: dict[str, int]
 ) -> None:
-    """Restarts one engine."""
-    assert isinstance(engine, Restarting)
-    deployment.note(f"{engine.name} stops for {down_s:.2f} s")
-    engine.stop()
-    await asyncio.sleep(down_s)
-    await engine.start_again(deployment, version)
-    deployment.note(f"{engine.name} is back with {version}")
+    """Sends one request, and counts how it ended."""
+    nodes = [n for n in deployment.nodes.values() if n.kind == "front"]
+    answer = await deployment.chat(
+        random.choice(nodes), X_Ibisknot_Prompt_Prefix=parts
+    )
+    outcome = str(answer.status) + ("" if answer.complete else " broken off")
+    outcomes[outcome] = outcomes.get(outcome, 0) + 1
 
 
-async def restart_all(
-    deployment: fleet.Fleet, version: str, rng: random.Random
+async def every(
+    deployment: fleet.Fleet,
+    period_s: float,
+    part: str,
+    outcomes: dict[str, int],
 ) -> None:
-    """Restarts the engines, `GROUP` at a time.
-
-    The next one stops soon after one is back.
-    """
-    waiting = list(deployment.engines.values())
-
-    async def restart_in_turn() -> None:
-        while waiting:
-            down_s = rng.uniform(MIN_DOWN_S, MAX_DOWN_S)
-            await restart(deployment, waiting.pop(0), version, down_s)
-            await asyncio.sleep(PAUSE_S)
-
-    await asyncio.gather(*(restart_in_turn() for _ in range(GROUP)))
-
-
-async def upgrade(deployment: fleet.Fleet, *, trouble: bool) -> None:
-    """Restarts all engines several times, with new software if `trouble`."""
-    rng = random.Random(SEED)
-    for number in range(UPGRADES):
-        await asyncio.sleep(CALM_S)
-        version = f"v{number + 2}" if trouble else "v1"
-        await restart_all(deployment, version, rng)
-    await asyncio.sleep(CALM_S)
+    """Sends requests, no two alike, that share the key and the first part."""
+    end_s = time.monotonic() + PLAY_S
+    async with asyncio.TaskGroup() as tasks:
+        while time.monotonic() < end_s:
+            own = f"{random.getrandbits(40):x}"
+            second = part or f"c{random.randrange(8)}"
+            parts = f"a1a1a1:100,{second}:100,{own}:250"
+            tasks.create_task(send(deployment, parts, outcomes))
+            await asyncio.sleep(period_s)
 
 
 async def run(deployment: fleet.Fleet) -> int:
     """Plays the case; returns the exit code."""
-    fleet.Engine = Restarting
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    fleet.Engine = Crashing
+    Crashing.crashes = []
+    Crashing.bad_runs = []
+    Crashing.trouble = os.environ.get("TROUBLE", "1") != "0"
+    Crashing.events_before = int(os.environ.get("EVENTS", "1"))
     state = fleet.desired_state()
-    # The case is not about rates.
-    state["Tenants"][0]["RatePerS"] = 0
     await deployment.start(gateways=3, workers=3, engines=ENGINES, state=state)
-    client = Client(deployment)
-    restarts = asyncio.create_task(upgrade(deployment, trouble=trouble))
-    async with asyncio.TaskGroup() as tasks:
-        while not restarts.done():
-            tasks.create_task(client.stream())
-            await asyncio.sleep(REQUEST_PERIOD_S)
-    await restarts
+    bad: dict[str, int] = {}
+    sound: dict[str, int] = {}
+    await asyncio.gather(
+        every(deployment, SOUND_PERIOD_S, "", sound),
+        every(deployment, BAD_PERIOD_S, BAD_PART, bad),
+    )
+    start_s = deployment.started_s
+    for when_s, engine, run_id in Crashing.bad_runs:
+        deployment.note(
+            f"request {run_id} with the part reached {engine}"
+            f" at {when_s - start_s:.3f}"
+        )
     deployment.note(
-        f"attempts: {client.outcomes}, {client.resumed} taken up by clients"
+        "crashes at " + " ".join(f"{c - start_s:.1f}" for c in Crashing.crashes)
     )
+    deployment.note(f"answers with the part: {bad}")
+    deployment.note(f"other answers: {sound}")
+    if len(Crashing.crashes) < FIRST_CRASHES:
+        deployment.note("HELD: fewer than five crashes")
+        return 0
+    from_s = Crashing.crashes[FIRST_CRASHES - 1] + CONTACT_S
+    late = [r for r in Crashing.bad_runs if r[0] > from_s]
     deployment.note(
-        f"{len(client.mixed)} streams hold events of two versions;"
-        f" {MAX_MIXED} are allowed"
+        f"{len(late)} requests with the part reached engines later than"
+        f" ContactMs after the fifth crash; {MAX_LATE} are allowed"
     )
-    if len(client.mixed) > MAX_MIXED:
-        deployment.note("BROKEN: ORDER")
+    if len(late) > MAX_LATE:
+        deployment.note("BROKEN: BUDGET")
         return 1
     deployment.note("HELD")
     return 0
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -578,27 +578,27 @@
         return answer
 
     async def submit(
-        self, node: Node, job_id: str, body: bytes, timeout_s: float = 5.5
+        self, node: Node, job_id: str, body: bytes, key: str = KEY
     ) -> wire.Answer:
         """Submits a batch job."""
         fields = {
             "Host": BATCH_HOST,
-            "Authorization": f"Token {KEY}",
+            "Authorization": f"Token {key}",
             "X-Ibisknot-Request-Id": job_id,
             "X-Ibisknot-Deadline-Ms": "4000",
             "Content-Type": "application/json",
         }
         return await wire.call(
-            f"{node.ip}:8689", "POST", "/batch/1", fields, body, timeout_s
+            f"{node.ip}:8689", "POST", "/batch/1", fields, body, 5.5
         )
 
     async def read_job(
-        self, node: Node, job_id: str, after: int = 0
+        self, node: Node, job_id: str, after: int = 0, key: str = KEY
     ) -> wire.Answer:
         """Reads the results of a batch job."""
         fields = {
             "Host": BATCH_HOST,
-            "Authorization": f"Token {KEY}",
+            "Authorization": f"Token {key}",
             "X-Ibisknot-Wait-Ms": "1000",
         }
         return await wire.call(
