--- a/review/14/case.py
+++ b/review/14/case.py
@@ -55,7 +55,10 @@
     async def handle(
         self, request: wire.Request, writer: asyncio.StreamWriter
     ) -> bool:
-        """Answers one request."""
+        """Answers one request, if the process runs."""
+        if self.server is None:
+            writer.transport.abort()
+            return False
         self.writers.add(writer)
         return await super().handle(request, writer)
 
