Let an error of a review script count as not run

Cause: an error that nobody expected ended a script with 1, which says that the rule was broken. Change: it ends with 2.

--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -663,7 +663,8 @@
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await task
-        except (RuntimeError, asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An error of the script shows nothing about the rule.
             deployment.note(f"could not run: {error!r}")
             return 2
         finally:
